--- /dev/null
+++ b/cmake/endiveward.cmake
@@ -0,0 +1,35 @@
+# Declares the library of a package; globs sources of the package and its
+# modules, except tests.
+#   endiveward_package(<name> [DEPENDS <target>...])
+function(endiveward_package name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS
+       ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+  list(FILTER sources EXCLUDE REGEX "/tests/")
+  add_library(endiveward_${name} STATIC ${sources})
+  target_include_directories(endiveward_${name}
+                             PUBLIC ${CMAKE_SOURCE_DIR}/packages)
+  target_compile_options(endiveward_${name} PRIVATE -Wall -Wextra -Werror)
+  target_compile_definitions(endiveward_${name} PUBLIC ASIO_STANDALONE)
+  target_link_libraries(endiveward_${name} PUBLIC ${ARG_DEPENDS}
+                                                  Threads::Threads)
+endfunction()
+
+# Declares one Catch2 executable from the test files of a package and registers
+# each test case with CTest.
+#   endiveward_tests(<name> [DEPENDS <target>...])
+function(endiveward_tests name)
+  if(NOT ENDIVEWARD_BUILD_TESTS)
+    return()
+  endif()
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS
+       ${CMAKE_CURRENT_SOURCE_DIR}/*_test.cpp)
+  add_executable(endiveward_${name}_tests ${sources})
+  target_compile_options(endiveward_${name}_tests PRIVATE -Wall -Wextra
+                                                          -Werror)
+  target_link_libraries(endiveward_${name}_tests PRIVATE ${ARG_DEPENDS}
+                                                         endiveward_test_main)
+  catch_discover_tests(endiveward_${name}_tests TEST_PREFIX "${name}: "
+                       PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/cmake/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
