--- a/cmake/endiveward.cmake
+++ b/cmake/endiveward.cmake
@@ -25,6 +25,9 @@
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS
        ${CMAKE_CURRENT_SOURCE_DIR}/*_test.cpp)
+  if(NOT sources)
+    return()
+  endif()
   add_executable(endiveward_${name}_tests ${sources})
   target_compile_options(endiveward_${name}_tests PRIVATE -Wall -Wextra
                                                           -Werror)
--- /dev/null
+++ b/packages/config/types/router_settings.hpp
@@ -0,0 +1,66 @@
+#ifndef ENDIVEWARD_CONFIG_TYPES_ROUTER_SETTINGS_HPP
+#define ENDIVEWARD_CONFIG_TYPES_ROUTER_SETTINGS_HPP
+
+#include "config/types/common_settings.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace endiveward::config
+{
+
+enum class isolation_policy : std::uint8_t
+{
+    /// Keep serving with the last configuration.
+    serve,
+    /// Refuse requests until the configuration is confirmed again.
+    refuse
+};
+
+/// Settings of `endiveward run`.
+struct router_settings
+{
+    common_settings common;
+
+    // [listen]
+    /// HTTP for callers (`callers`).
+    socket_address listen_callers;
+
+    // [placement]
+    /// Seconds of extra wait accepted to save one second of recomputation.
+    double recompute_weight = 1.0;
+    /// Ranked endpoints that are compared by cost.
+    std::size_t candidates = 8;
+    /// Prompt bytes that an engine processes per second.
+    std::uint64_t prefill_bytes_per_second = 40'000;
+
+    // [limits]
+    std::size_t max_body_bytes = 8U << 20U;
+    std::size_t max_header_bytes = 64U << 10U;
+    std::size_t max_connections = 4096;
+    /// Limit for reading a request; slow clients are disconnected.
+    std::chrono::milliseconds read_timeout{10'000};
+    /// Deadline of a request without `X-Request-Timeout-Ms`.
+    std::chrono::milliseconds default_deadline{60'000};
+    std::chrono::milliseconds max_deadline{600'000};
+    std::chrono::milliseconds verdict_timeout{250};
+
+    // [retry]
+    double retry_share = 0.1;
+    double retry_burst = 10.0;
+    std::size_t max_attempts = 3;
+
+    // [config]
+    isolation_policy when_isolated = isolation_policy::serve;
+    std::chrono::milliseconds store_poll_interval{2000};
+    std::chrono::milliseconds vm_poll_interval{3000};
+
+    // [shutdown]
+    /// Time between not being ready and closing the listeners.
+    std::chrono::milliseconds shutdown_notice{3000};
+};
+
+} // namespace endiveward::config
+
+#endif
--- /dev/null
+++ b/packages/placement/types/endpoint_status.hpp
@@ -0,0 +1,23 @@
+#ifndef ENDIVEWARD_PLACEMENT_TYPES_ENDPOINT_STATUS_HPP
+#define ENDIVEWARD_PLACEMENT_TYPES_ENDPOINT_STATUS_HPP
+
+#include "kernel/types/identifiers.hpp"
+#include "wire/types/load_report.hpp"
+
+namespace endiveward::placement
+{
+
+/// What membership knows of an endpoint.
+struct endpoint_status
+{
+    kernel::endpoint_id id;
+    kernel::region_id region;
+    kernel::zone_id zone;
+    /// Connected, not draining, not leaving, answering.
+    bool available = false;
+    wire::load_report load;
+};
+
+} // namespace endiveward::placement
+
+#endif
--- /dev/null
+++ b/packages/platform/types/vm.hpp
@@ -0,0 +1,38 @@
+#ifndef ENDIVEWARD_PLATFORM_TYPES_VM_HPP
+#define ENDIVEWARD_PLATFORM_TYPES_VM_HPP
+
+#include "kernel/types/identifiers.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace endiveward::platform
+{
+
+enum class vm_role : std::uint8_t
+{
+    router,
+    agent,
+    other
+};
+
+/// An entry of the platform's list of VMs.
+struct vm
+{
+    kernel::vm_id id;
+    vm_role role = vm_role::other;
+    /// IP address and port of our process on the VM.
+    std::string address;
+    std::uint16_t port = 0;
+    kernel::region_id region;
+    kernel::zone_id zone;
+    /// Set for `vm_role::agent`.
+    kernel::endpoint_id endpoint;
+    bool leaving = false;
+
+    bool operator==(vm const&) const = default;
+};
+
+} // namespace endiveward::platform
+
+#endif
