--- a/cmake/endiveward.cmake
+++ b/cmake/endiveward.cmake
@@ -6,6 +6,14 @@
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS
        ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
   list(FILTER sources EXCLUDE REGEX "/tests/")
+  if(NOT sources)
+    add_library(endiveward_${name} INTERFACE)
+    target_include_directories(endiveward_${name}
+                               INTERFACE ${CMAKE_SOURCE_DIR}/packages)
+    target_link_libraries(endiveward_${name} INTERFACE ${ARG_DEPENDS}
+                                                       Threads::Threads)
+    return()
+  endif()
   add_library(endiveward_${name} STATIC ${sources})
   target_include_directories(endiveward_${name}
                              PUBLIC ${CMAKE_SOURCE_DIR}/packages)
--- /dev/null
+++ b/packages/admission/admission_queue.hpp
@@ -0,0 +1,67 @@
+#ifndef ENDIVEWARD_ADMISSION_ADMISSION_QUEUE_HPP
+#define ENDIVEWARD_ADMISSION_ADMISSION_QUEUE_HPP
+
+#include "admission/i_admission_queue.hpp"
+#include "admission/types/call_ticket.hpp"
+
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace endiveward::admission
+{
+
+/// Orders calls by priority, then deadline, and refuses those that would wait
+/// beyond their deadline.
+class admission_queue : public i_admission_queue
+{
+    kernel::i_clock const& clock_;
+
+public:
+    admission_queue(kernel::i_clock const& clock, std::size_t max_queue);
+
+    void set_capacity(std::size_t capacity) override;
+    kernel::result<kernel::done> submit(call_ticket const& ticket) override;
+    std::optional<std::uint64_t> take_next() override;
+    std::vector<std::uint64_t> take_expired() override;
+    bool withdraw(std::uint64_t id) override;
+    void finish(std::uint64_t id,
+                std::chrono::milliseconds service_time) override;
+
+    void drain() override { draining_ = true; }
+    bool draining() const override { return draining_; }
+
+    std::size_t running() const override { return running_.size(); }
+    std::size_t queued() const override { return queue_.size(); }
+    std::size_t capacity() const override { return capacity_; }
+    std::chrono::milliseconds estimated_wait() const override;
+
+private:
+    using order = std::tuple<std::uint8_t, kernel::steady_time, std::uint64_t>;
+
+    struct running_call
+    {
+        kernel::steady_time started;
+        std::chrono::milliseconds expected;
+    };
+
+    static order order_of(call_ticket const& ticket);
+    std::chrono::milliseconds expected_service(call_ticket const& ticket) const;
+    std::chrono::milliseconds wait_before(order const& position) const;
+    kernel::error overloaded(std::chrono::milliseconds wait,
+                             std::chrono::milliseconds slack) const;
+    void remove_queued(std::map<order, call_ticket>::iterator it);
+
+    std::size_t const max_queue_;
+    std::size_t capacity_ = 1;
+    bool draining_ = false;
+    std::map<order, call_ticket> queue_;
+    std::map<std::uint64_t, order> positions_;
+    std::map<std::uint64_t, running_call> running_;
+    /// Moving average, for calls without an expectation of their own.
+    std::chrono::milliseconds mean_service_{0};
+};
+
+} // namespace endiveward::admission
+
+#endif
--- a/packages/admission/i_idempotency_ledger.hpp
+++ b/packages/admission/i_idempotency_ledger.hpp
@@ -33,6 +33,8 @@
     virtual void complete(claim const& what, stored_answer const* answer) = 0;
     /// Gives a claim back whose call certainly did not start.
     virtual void release(claim const& what) = 0;
+    /// Retries writes that the table did not take. Call about once a second.
+    virtual void tick() = 0;
 };
 
 } // namespace endiveward::admission
--- /dev/null
+++ b/packages/admission/idempotency_ledger.hpp
@@ -0,0 +1,120 @@
+#ifndef ENDIVEWARD_ADMISSION_IDEMPOTENCY_LEDGER_HPP
+#define ENDIVEWARD_ADMISSION_IDEMPOTENCY_LEDGER_HPP
+
+#include "admission/i_idempotency_ledger.hpp"
+#include "admission/internal/row_batcher.hpp"
+#include "admission/types/claim_record.hpp"
+#include "admission/types/idempotency_options.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace endiveward::kernel
+{
+class i_random_source;
+}
+
+namespace endiveward::platform
+{
+class i_table;
+struct row;
+} // namespace endiveward::platform
+
+namespace endiveward::admission
+{
+
+/// Claims keyed calls by rows of the platform's table and remembers the answers
+/// of this process. The table alone decides; memory only saves round trips.
+class idempotency_ledger : public i_idempotency_ledger
+{
+    kernel::i_clock const& clock_;
+    kernel::i_random_source& random_;
+    platform::i_table& table_;
+    kernel::post_function post_;
+
+public:
+    idempotency_ledger(kernel::i_clock const& clock,
+                       kernel::i_random_source& random,
+                       platform::i_table& table, kernel::post_function post,
+                       idempotency_options options);
+
+    void begin(kernel::workspace_id const& workspace, std::string const& key,
+               kernel::hash128 const& request_hash,
+               kernel::steady_time deadline, handler on_done) override;
+    void complete(claim const& what, stored_answer const* answer) override;
+    void release(claim const& what) override;
+    void tick() override;
+
+private:
+    enum class entry_state : std::uint8_t
+    {
+        claiming,
+        running,
+        done,
+        unknown
+    };
+
+    struct waiter
+    {
+        kernel::steady_time deadline;
+        handler on_done;
+    };
+
+    /// What this process knows of one key.
+    struct entry
+    {
+        entry_state state = entry_state::claiming;
+        std::string attempt_id;
+        std::string request_hash;
+        std::optional<stored_answer> answer;
+        /// An insert whose answer was lost may take effect later.
+        bool maybe_inserted = false;
+        /// The first waiter owns the claim that is in progress.
+        std::vector<waiter> waiters;
+    };
+
+    using entry_map = std::map<std::string, entry>;
+
+    void begin_row(std::string const& row_key, std::string request_hash,
+                   waiter first);
+    void join(entry& found, std::string const& request_hash, waiter next);
+    void insert_row(std::string const& row_key);
+    void on_inserted(std::string const& row_key, row_outcome outcome);
+    void read_row(std::string const& row_key);
+    void on_row(std::string const& row_key,
+                kernel::result<std::optional<platform::row>> const& res);
+    void on_other_attempt(std::string const& row_key,
+                          claim_record const& record, std::uint64_t version);
+    void take_over(std::string const& row_key, std::uint64_t version);
+    void retry_insert(std::string const& row_key);
+    void grant(std::string const& row_key, std::uint64_t version);
+    void finish(std::string const& row_key, entry_state state,
+                std::optional<stored_answer> answer);
+    void give_up(std::string const& row_key, kernel::error reason);
+    void write_outcome(claim const& what, stored_answer const& answer);
+    void write_later(row_operation const& operation);
+    void keep_finished(std::string const& row_key);
+    row_operation make_insert(std::string const& row_key) const;
+    std::string encode_entry(entry const& source, claim_state state,
+                             stored_answer const* answer) const;
+    std::string make_attempt_id();
+
+    idempotency_options const options_;
+    row_batcher batcher_;
+    entry_map entries_;
+    /// Finished keys, oldest first.
+    std::deque<std::string> finished_;
+    /// Attempts of this process that certainly did not start and whose rows may
+    /// exist.
+    std::set<std::string> abandoned_;
+    std::vector<row_operation> retries_;
+    std::shared_ptr<char> const lifetime_ = std::make_shared<char>();
+};
+
+} // namespace endiveward::admission
+
+#endif
--- /dev/null
+++ b/packages/admission/internal/admission_queue.cpp
@@ -0,0 +1,168 @@
+#include "admission/admission_queue.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace endiveward::admission
+{
+
+namespace
+{
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Weight of a new sample in the moving average of service times.
+constexpr int mean_samples = 8;
+constexpr milliseconds min_retry_after{100};
+
+kernel::error refusal(kernel::error_kind kind, char const* message,
+                      std::optional<milliseconds> retry_after)
+{
+    return {kind, message, kernel::run_state::not_run, retry_after};
+}
+
+} // namespace
+
+admission_queue::admission_queue(kernel::i_clock const& clock,
+                                 std::size_t max_queue)
+    : clock_(clock)
+    , max_queue_(max_queue)
+{
+}
+
+void admission_queue::set_capacity(std::size_t capacity)
+{
+    capacity_ = std::max<std::size_t>(capacity, 1);
+}
+
+admission_queue::order admission_queue::order_of(call_ticket const& ticket)
+{
+    return {ticket.priority, ticket.deadline, ticket.id};
+}
+
+milliseconds admission_queue::expected_service(call_ticket const& ticket) const
+{
+    return ticket.expected_service > milliseconds(0) ? ticket.expected_service
+                                                     : mean_service_;
+}
+
+kernel::result<kernel::done> admission_queue::submit(call_ticket const& ticket)
+{
+    if (draining_)
+        return refusal(kernel::error_kind::draining,
+                       "the endpoint is shutting down; send the request again",
+                       milliseconds(0));
+    auto const slack =
+        duration_cast<milliseconds>(ticket.deadline - clock_.now());
+    if (slack <= milliseconds(0))
+        return refusal(kernel::error_kind::deadline_exceeded,
+                       "the deadline passed before the request was queued; "
+                       "allow more time",
+                       std::nullopt);
+    auto const wait = wait_before(order_of(ticket));
+    if (queue_.size() >= max_queue_ || wait > slack)
+        return overloaded(wait, slack);
+
+    queue_.emplace(order_of(ticket), ticket);
+    positions_.emplace(ticket.id, order_of(ticket));
+    return kernel::done{};
+}
+
+kernel::error admission_queue::overloaded(milliseconds wait,
+                                          milliseconds slack) const
+{
+    // After this time the queue is short enough for the same deadline.
+    auto const retry_after = std::max(wait - slack, min_retry_after);
+    return refusal(kernel::error_kind::overloaded,
+                   "the endpoint is busy; send the request again after the "
+                   "time in Retry-After or allow more time",
+                   retry_after);
+}
+
+std::optional<std::uint64_t> admission_queue::take_next()
+{
+    if (running_.size() >= capacity_)
+        return std::nullopt;
+    auto const now = clock_.now();
+    // Expired calls stay for take_expired.
+    auto const it = std::find_if(queue_.begin(), queue_.end(),
+                                 [now](auto const& entry)
+                                 { return entry.second.deadline > now; });
+    if (it == queue_.end())
+        return std::nullopt;
+    auto const id = it->second.id;
+    running_.emplace(id, running_call{now, expected_service(it->second)});
+    remove_queued(it);
+    return id;
+}
+
+std::vector<std::uint64_t> admission_queue::take_expired()
+{
+    auto const now = clock_.now();
+    std::vector<std::uint64_t> expired;
+    for (auto it = queue_.begin(); it != queue_.end();)
+    {
+        auto const next = std::next(it);
+        if (it->second.deadline <= now)
+        {
+            expired.push_back(it->second.id);
+            remove_queued(it);
+        }
+        it = next;
+    }
+    return expired;
+}
+
+bool admission_queue::withdraw(std::uint64_t id)
+{
+    auto const it = positions_.find(id);
+    if (it == positions_.end())
+        return false;
+    remove_queued(queue_.find(it->second));
+    return true;
+}
+
+void admission_queue::remove_queued(std::map<order, call_ticket>::iterator it)
+{
+    positions_.erase(it->second.id);
+    queue_.erase(it);
+}
+
+void admission_queue::finish(std::uint64_t id, milliseconds service_time)
+{
+    if (running_.erase(id) == 0)
+        return;
+    mean_service_ =
+        mean_service_ == milliseconds(0)
+            ? service_time
+            : mean_service_ + (service_time - mean_service_) / mean_samples;
+}
+
+milliseconds admission_queue::estimated_wait() const
+{
+    return wait_before({std::numeric_limits<std::uint8_t>::max(),
+                        kernel::steady_time::max(),
+                        std::numeric_limits<std::uint64_t>::max()});
+}
+
+milliseconds admission_queue::wait_before(order const& position) const
+{
+    auto const end = queue_.lower_bound(position);
+    auto const ahead =
+        static_cast<std::size_t>(std::distance(queue_.begin(), end));
+    if (running_.size() + ahead < capacity_)
+        return milliseconds(0);
+    milliseconds work{0};
+    for (auto it = queue_.begin(); it != end; ++it)
+        work += expected_service(it->second);
+    auto const now = clock_.now();
+    for (auto const& [id, call] : running_)
+    {
+        auto const elapsed = duration_cast<milliseconds>(now - call.started);
+        work += std::max(call.expected - elapsed, milliseconds(0));
+    }
+    return work / static_cast<milliseconds::rep>(capacity_);
+}
+
+} // namespace endiveward::admission
--- /dev/null
+++ b/packages/admission/internal/idempotency_ledger.cpp
@@ -0,0 +1,387 @@
+#include "admission/idempotency_ledger.hpp"
+
+#include "kernel/i_random_source.hpp"
+#include "platform/i_table.hpp"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+
+namespace endiveward::admission
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds retry_after_store_failure{1000};
+constexpr milliseconds retry_after_unknown{1000};
+// Version that the table gives to a row that is written for the first time.
+constexpr std::uint64_t first_row_version = 1;
+constexpr std::size_t max_abandoned = 10'000;
+constexpr std::size_t max_retries = 10'000;
+
+kernel::error store_unavailable()
+{
+    return {kernel::error_kind::store_unavailable,
+            "the platform's table does not answer, so a request with an "
+            "Idempotency-Key cannot be run safely; send it again after "
+            "Retry-After",
+            kernel::run_state::not_run, retry_after_store_failure};
+}
+
+kernel::error key_reused()
+{
+    return {kernel::error_kind::key_reused,
+            "the Idempotency-Key was used for another request; use a new key",
+            kernel::run_state::not_run,
+            {}};
+}
+
+kernel::error outcome_unknown()
+{
+    return {kernel::error_kind::outcome_unknown,
+            "an earlier attempt with this Idempotency-Key may have run; ask "
+            "again after Retry-After for its answer",
+            kernel::run_state::unknown, retry_after_unknown};
+}
+
+kernel::error answer_not_kept()
+{
+    return {kernel::error_kind::outcome_unknown,
+            "an earlier attempt with this Idempotency-Key ran, but its answer "
+            "is too large to be kept; look up the result at the endpoint",
+            kernel::run_state::ran,
+            {}};
+}
+
+kernel::error deadline_exceeded()
+{
+    return {kernel::error_kind::deadline_exceeded,
+            "the deadline passed before the request started; allow more time",
+            kernel::run_state::not_run,
+            {}};
+}
+
+bool is_text(std::string const& body)
+{
+    // JSON text must be valid UTF-8; nlohmann-json checks it when it writes.
+    try
+    {
+        return !nlohmann::json(body).dump().empty();
+    }
+    catch (nlohmann::json::exception const&)
+    {
+        return false;
+    }
+}
+
+} // namespace
+
+idempotency_ledger::idempotency_ledger(kernel::i_clock const& clock,
+                                       kernel::i_random_source& random,
+                                       platform::i_table& table,
+                                       kernel::post_function post,
+                                       idempotency_options options)
+    : clock_(clock)
+    , random_(random)
+    , table_(table)
+    , post_(std::move(post))
+    , options_(std::move(options))
+    , batcher_(table, post_, options_.table_timeout)
+{
+}
+
+void idempotency_ledger::begin(kernel::workspace_id const& workspace,
+                               std::string const& key,
+                               kernel::hash128 const& request_hash,
+                               kernel::steady_time deadline, handler on_done)
+{
+    begin_row(fmt::format("claims/{}/{}", workspace.str(), key),
+              kernel::to_hex(request_hash), {deadline, std::move(on_done)});
+}
+
+void idempotency_ledger::begin_row(std::string const& row_key,
+                                   std::string request_hash, waiter first)
+{
+    auto const it = entries_.find(row_key);
+    if (it != entries_.end())
+        return join(it->second, request_hash, std::move(first));
+    entry fresh;
+    fresh.attempt_id = make_attempt_id();
+    fresh.request_hash = std::move(request_hash);
+    fresh.waiters.push_back(std::move(first));
+    entries_.emplace(row_key, std::move(fresh));
+    insert_row(row_key);
+}
+
+void idempotency_ledger::join(entry& found, std::string const& request_hash,
+                              waiter next)
+{
+    if (found.request_hash != request_hash)
+        return post_([handler = std::move(next.on_done)]
+                     { handler(key_reused()); });
+    switch (found.state)
+    {
+    case entry_state::claiming:
+    case entry_state::running:
+        found.waiters.push_back(std::move(next));
+        return;
+    case entry_state::done:
+        if (found.answer)
+            return post_(
+                [handler = std::move(next.on_done), answer = *found.answer]
+                { handler(claim_decision(answer)); });
+        return post_([handler = std::move(next.on_done)]
+                     { handler(answer_not_kept()); });
+    case entry_state::unknown:
+        break;
+    }
+    post_([handler = std::move(next.on_done)] { handler(outcome_unknown()); });
+}
+
+row_operation idempotency_ledger::make_insert(std::string const& row_key) const
+{
+    auto const& found = entries_.at(row_key);
+    row_operation insert;
+    insert.condition = {row_key, 0};
+    insert.write = {row_key,
+                    encode_entry(found, claim_state::started, nullptr)};
+    return insert;
+}
+
+void idempotency_ledger::insert_row(std::string const& row_key)
+{
+    auto insert = make_insert(row_key);
+    insert.on_done = [this, row_key](row_outcome outcome)
+    { on_inserted(row_key, outcome); };
+    batcher_.enqueue(std::move(insert));
+}
+
+void idempotency_ledger::on_inserted(std::string const& row_key,
+                                     row_outcome outcome)
+{
+    switch (outcome)
+    {
+    case row_outcome::committed:
+        return grant(row_key, first_row_version);
+    case row_outcome::condition_failed:
+        return read_row(row_key);
+    case row_outcome::not_written:
+        return give_up(row_key, store_unavailable());
+    case row_outcome::unknown:
+        entries_.at(row_key).maybe_inserted = true;
+        return retry_insert(row_key);
+    }
+}
+
+void idempotency_ledger::retry_insert(std::string const& row_key)
+{
+    if (entries_.at(row_key).waiters.front().deadline <= clock_.now())
+        return give_up(row_key, store_unavailable());
+    insert_row(row_key);
+}
+
+void idempotency_ledger::read_row(std::string const& row_key)
+{
+    table_.read(row_key, options_.table_timeout,
+                [this, row_key, post = post_,
+                 alive = std::weak_ptr(lifetime_)](auto const& res)
+                {
+                    post(
+                        [this, row_key, alive, res]
+                        {
+                            if (!alive.expired())
+                                on_row(row_key, res);
+                        });
+                });
+}
+
+void idempotency_ledger::on_row(
+    std::string const& row_key,
+    kernel::result<std::optional<platform::row>> const& res)
+{
+    if (!kernel::ok(res))
+        return give_up(row_key, store_unavailable());
+    auto const& row = kernel::value(res);
+    if (!row)
+        return retry_insert(row_key);
+    auto const record = decode_claim_record(row->value);
+    if (!record)
+        return give_up(row_key, outcome_unknown());
+    if (record->attempt_id == entries_.at(row_key).attempt_id)
+        return grant(row_key, row->version);
+    on_other_attempt(row_key, *record, row->version);
+}
+
+void idempotency_ledger::on_other_attempt(std::string const& row_key,
+                                          claim_record const& record,
+                                          std::uint64_t version)
+{
+    if (record.state == claim_state::released ||
+        abandoned_.contains(record.attempt_id))
+        return take_over(row_key, version);
+    if (record.request_hash != entries_.at(row_key).request_hash)
+        return give_up(row_key, key_reused());
+    if (record.state == claim_state::done)
+        return finish(row_key, entry_state::done, record.answer);
+    // Not kept in memory: the other process may still record its answer.
+    give_up(row_key, outcome_unknown());
+}
+
+void idempotency_ledger::take_over(std::string const& row_key,
+                                   std::uint64_t version)
+{
+    auto replace = make_insert(row_key);
+    replace.condition.version = version;
+    replace.on_done = [this, row_key, version](row_outcome outcome)
+    {
+        if (outcome == row_outcome::committed)
+            return grant(row_key, version + 1);
+        if (outcome == row_outcome::not_written)
+            return give_up(row_key, store_unavailable());
+        entries_.at(row_key).maybe_inserted = true;
+        read_row(row_key);
+    };
+    batcher_.enqueue(std::move(replace));
+}
+
+void idempotency_ledger::grant(std::string const& row_key,
+                               std::uint64_t version)
+{
+    auto& found = entries_.at(row_key);
+    found.state = entry_state::running;
+    auto const owner = std::move(found.waiters.front());
+    found.waiters.erase(found.waiters.begin());
+    owner.on_done(claim_decision(claim{row_key, version, found.attempt_id}));
+}
+
+void idempotency_ledger::give_up(std::string const& row_key,
+                                 kernel::error reason)
+{
+    auto node = entries_.extract(row_key);
+    auto const& found = node.mapped();
+    if (found.maybe_inserted && abandoned_.size() < max_abandoned)
+        abandoned_.insert(found.attempt_id);
+    for (auto const& it : found.waiters)
+        it.on_done(reason);
+}
+
+void idempotency_ledger::complete(claim const& what,
+                                  stored_answer const* answer)
+{
+    auto const it = entries_.find(what.row_key);
+    if (it == entries_.end() || it->second.attempt_id != what.attempt_id)
+        return;
+    if (answer == nullptr)
+        return finish(what.row_key, entry_state::unknown, std::nullopt);
+    write_outcome(what, *answer);
+    std::optional<stored_answer> kept;
+    if (answer->body.size() <= options_.max_answer_bytes)
+        kept = *answer;
+    finish(what.row_key, entry_state::done, std::move(kept));
+}
+
+void idempotency_ledger::finish(std::string const& row_key, entry_state state,
+                                std::optional<stored_answer> answer)
+{
+    auto& found = entries_.at(row_key);
+    found.state = state;
+    found.answer = std::move(answer);
+    auto const waiters = std::move(found.waiters);
+    found.waiters.clear();
+    keep_finished(row_key);
+    auto const request_hash = entries_.contains(row_key)
+                                  ? entries_.at(row_key).request_hash
+                                  : std::string();
+    for (auto const& it : waiters)
+        begin_row(row_key, request_hash, it);
+}
+
+void idempotency_ledger::write_outcome(claim const& what,
+                                       stored_answer const& answer)
+{
+    bool const keep =
+        answer.body.size() <= options_.max_answer_bytes && is_text(answer.body);
+    write_later({{what.row_key, what.row_version},
+                 {what.row_key,
+                  encode_entry(entries_.at(what.row_key), claim_state::done,
+                               keep ? &answer : nullptr)},
+                 {}});
+}
+
+void idempotency_ledger::release(claim const& what)
+{
+    auto node = entries_.extract(what.row_key);
+    if (node.empty())
+        return;
+    auto& found = node.mapped();
+    // Until the row says so, only this process knows that it did not start.
+    if (abandoned_.size() < max_abandoned)
+        abandoned_.insert(what.attempt_id);
+    write_later(
+        {{what.row_key, what.row_version},
+         {what.row_key, encode_entry(found, claim_state::released, nullptr)},
+         {}});
+    for (auto& it : found.waiters)
+    {
+        if (it.deadline > clock_.now())
+            begin_row(what.row_key, found.request_hash, std::move(it));
+        else
+            it.on_done(deadline_exceeded());
+    }
+}
+
+void idempotency_ledger::write_later(row_operation const& operation)
+{
+    // A repeated write whose first try took effect fails its condition.
+    auto attempt = operation;
+    attempt.on_done = [this, operation](row_outcome outcome)
+    {
+        bool const settled = outcome == row_outcome::committed ||
+                             outcome == row_outcome::condition_failed;
+        if (!settled && retries_.size() < max_retries)
+            retries_.push_back(operation);
+    };
+    batcher_.enqueue(std::move(attempt));
+}
+
+void idempotency_ledger::tick()
+{
+    auto const retries = std::move(retries_);
+    retries_.clear();
+    for (auto const& it : retries)
+        write_later(it);
+}
+
+void idempotency_ledger::keep_finished(std::string const& row_key)
+{
+    finished_.push_back(row_key);
+    if (finished_.size() <= options_.max_entries)
+        return;
+    entries_.erase(finished_.front());
+    finished_.pop_front();
+}
+
+std::string idempotency_ledger::encode_entry(entry const& source,
+                                             claim_state state,
+                                             stored_answer const* answer) const
+{
+    claim_record record;
+    record.attempt_id = source.attempt_id;
+    record.endpoint = options_.endpoint;
+    record.request_hash = source.request_hash;
+    record.state = state;
+    if (answer != nullptr)
+        record.answer = *answer;
+    record.written_at = clock_.wall_now();
+    return encode(record);
+}
+
+std::string idempotency_ledger::make_attempt_id()
+{
+    return kernel::to_hex({random_.next(), random_.next()});
+}
+
+} // namespace endiveward::admission
--- /dev/null
+++ b/packages/admission/internal/order_lease.cpp
@@ -0,0 +1,140 @@
+#include "admission/order_lease.hpp"
+
+#include "platform/i_table.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace endiveward::admission
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+std::string row_key(kernel::endpoint_id const& endpoint)
+{
+    return fmt::format("leases/{}", endpoint.str());
+}
+
+} // namespace
+
+order_lease::order_lease(kernel::i_clock const& clock, platform::i_table& table,
+                         kernel::post_function post,
+                         order_lease_options options)
+    : clock_(clock)
+    , table_(table)
+    , post_(std::move(post))
+    , options_(std::move(options))
+    , valid_until_(clock.now())
+    , next_renewal_(clock.now())
+{
+}
+
+std::optional<std::uint64_t> order_lease::fencing_number() const
+{
+    // A process that was paused finds the time passed when it asks again.
+    if (epoch_ == 0 || clock_.now() + options_.margin >= valid_until_)
+        return std::nullopt;
+    return epoch_;
+}
+
+void order_lease::tick()
+{
+    if (busy_ || clock_.now() < next_renewal_)
+        return;
+    read();
+}
+
+void order_lease::read()
+{
+    busy_ = true;
+    table_.read(
+        row_key(options_.endpoint), options_.table_timeout,
+        [this, post = post_, alive = std::weak_ptr(lifetime_)](auto const& res)
+        {
+            post(
+                [this, alive, res]
+                {
+                    if (alive.expired())
+                        return;
+                    busy_ = false;
+                    if (kernel::ok(res))
+                        on_row(kernel::value(res));
+                });
+        });
+}
+
+void order_lease::on_row(std::optional<platform::row> const& row)
+{
+    observation found;
+    if (row)
+    {
+        auto const content = json::parse(row->value, nullptr, false);
+        // Without the epoch a new holder could repeat an old fencing number.
+        if (!content.is_object())
+            return;
+        found.version = row->version;
+        found.epoch = content.value("epoch", std::uint64_t{0});
+        found.holder = content.value("holder", std::string());
+    }
+    found.since =
+        seen_ && seen_->version == found.version ? seen_->since : clock_.now();
+    seen_ = found;
+    if (may_write(found))
+        write(found);
+}
+
+bool order_lease::may_write(observation const& seen) const
+{
+    if (seen.version == 0 || seen.holder == options_.holder)
+        return true;
+    // Clocks of VMs are not compared: the lease of another holder has expired
+    // when its row did not change for the whole duration on our own clock.
+    return clock_.now() - seen.since >= options_.duration;
+}
+
+void order_lease::write(observation const& seen)
+{
+    observation next = seen;
+    next.version = seen.version + 1;
+    next.holder = options_.holder;
+    next.since = clock_.now();
+    if (seen.holder != options_.holder)
+        next.epoch = seen.epoch + 1;
+    json const content{{"epoch", next.epoch}, {"holder", next.holder}};
+    auto const key = row_key(options_.endpoint);
+    busy_ = true;
+    table_.commit({{{key, seen.version}}, {{key, content.dump()}}},
+                  options_.table_timeout,
+                  [this, next, post = post_,
+                   alive = std::weak_ptr(lifetime_)](auto const& res)
+                  {
+                      post(
+                          [this, next, alive, res]
+                          {
+                              if (alive.expired())
+                                  return;
+                              busy_ = false;
+                              on_written(res, next);
+                          });
+                  });
+}
+
+void order_lease::on_written(
+    kernel::result<platform::transaction_outcome> const& res,
+    observation const& written)
+{
+    // A lost answer is resolved by the read of the next tick.
+    if (!kernel::ok(res) || !kernel::value(res).committed)
+        return;
+    seen_ = written;
+    epoch_ = written.epoch;
+    // Counted from before the write was sent, so that it ends before any other
+    // process may see it expired.
+    valid_until_ = written.since + options_.duration;
+    next_renewal_ = written.since + options_.renew_interval;
+}
+
+} // namespace endiveward::admission
--- /dev/null
+++ b/packages/admission/order_lease.hpp
@@ -0,0 +1,80 @@
+#ifndef ENDIVEWARD_ADMISSION_ORDER_LEASE_HPP
+#define ENDIVEWARD_ADMISSION_ORDER_LEASE_HPP
+
+#include "admission/i_order_lease.hpp"
+#include "kernel/i_clock.hpp"
+#include "kernel/post_function.hpp"
+#include "kernel/types/identifiers.hpp"
+#include "kernel/types/result.hpp"
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace endiveward::platform
+{
+class i_table;
+struct row;
+struct transaction_outcome;
+} // namespace endiveward::platform
+
+namespace endiveward::admission
+{
+
+struct order_lease_options
+{
+    kernel::endpoint_id endpoint;
+    /// Distinguishes holders; unique for each life of a process.
+    std::string holder;
+    std::chrono::milliseconds duration{10'000};
+    std::chrono::milliseconds renew_interval{3000};
+    /// Orders are not sent this close to the expiry.
+    std::chrono::milliseconds margin{2000};
+    std::chrono::milliseconds table_timeout{1000};
+};
+
+/// A lease on an endpoint, kept in a row of the platform's table.
+class order_lease : public i_order_lease
+{
+    kernel::i_clock const& clock_;
+    platform::i_table& table_;
+    kernel::post_function post_;
+
+public:
+    order_lease(kernel::i_clock const& clock, platform::i_table& table,
+                kernel::post_function post, order_lease_options options);
+
+    void tick() override;
+    std::optional<std::uint64_t> fencing_number() const override;
+
+private:
+    /// The row as last read or written.
+    struct observation
+    {
+        std::uint64_t version = 0;
+        std::uint64_t epoch = 0;
+        std::string holder;
+        kernel::steady_time since;
+    };
+
+    void read();
+    void on_row(std::optional<platform::row> const& row);
+    bool may_write(observation const& seen) const;
+    void write(observation const& seen);
+    void on_written(kernel::result<platform::transaction_outcome> const& res,
+                    observation const& written);
+
+    order_lease_options const options_;
+    bool busy_ = false;
+    std::optional<observation> seen_;
+    /// Held until `valid_until_` with this fencing number.
+    std::uint64_t epoch_ = 0;
+    kernel::steady_time valid_until_;
+    kernel::steady_time next_renewal_;
+    std::shared_ptr<char> const lifetime_ = std::make_shared<char>();
+};
+
+} // namespace endiveward::admission
+
+#endif
--- /dev/null
+++ b/packages/admission/tests/admission_queue_test.cpp
@@ -0,0 +1,127 @@
+#include "admission/admission_queue.hpp"
+
+#include "kernel/manual_clock.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace endiveward::admission
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class queue_fixture
+{
+public:
+    call_ticket ticket(std::uint64_t id, std::uint8_t priority = 1,
+                       milliseconds time_left = seconds(60),
+                       milliseconds service = milliseconds(1000))
+    {
+        return {id, priority, clock.now() + time_left, service};
+    }
+
+    kernel::error refusal(call_ticket const& what)
+    {
+        auto const res = queue.submit(what);
+        REQUIRE_FALSE(kernel::ok(res));
+        return kernel::failure(res);
+    }
+
+    kernel::manual_clock clock;
+    admission_queue queue{clock, 4};
+};
+
+} // namespace
+
+// Guards against more calls at the engine than it can run at once.
+TEST_CASE_METHOD(queue_fixture, "calls beyond the capacity wait for a place")
+{
+    queue.set_capacity(1);
+    REQUIRE(kernel::ok(queue.submit(ticket(1))));
+    REQUIRE(kernel::ok(queue.submit(ticket(2))));
+    CHECK(queue.take_next() == 1);
+    CHECK_FALSE(queue.take_next());
+    queue.finish(1, milliseconds(1000));
+    CHECK(queue.take_next() == 2);
+}
+
+// Guards against an urgent call that waits behind less urgent ones.
+TEST_CASE_METHOD(queue_fixture, "calls run by priority, then by deadline")
+{
+    queue.set_capacity(4);
+    REQUIRE(kernel::ok(queue.submit(ticket(1, 2))));
+    REQUIRE(kernel::ok(queue.submit(ticket(2, 1, seconds(50)))));
+    REQUIRE(kernel::ok(queue.submit(ticket(3, 1, seconds(40)))));
+    REQUIRE(kernel::ok(queue.submit(ticket(4, 0))));
+    CHECK(queue.take_next() == 4);
+    CHECK(queue.take_next() == 3);
+    CHECK(queue.take_next() == 2);
+    CHECK(queue.take_next() == 1);
+}
+
+// Guards against a call that is queued only to time out, and against a refusal
+// that does not say when to come back.
+TEST_CASE_METHOD(queue_fixture,
+                 "a call that would wait beyond its deadline is refused")
+{
+    queue.set_capacity(1);
+    REQUIRE(kernel::ok(queue.submit(ticket(1, 1, seconds(60), seconds(10)))));
+    REQUIRE(queue.take_next() == 1);
+    auto const err = refusal(ticket(2, 1, seconds(4)));
+    CHECK(err.kind == kernel::error_kind::overloaded);
+    CHECK(err.run == kernel::run_state::not_run);
+    CHECK(err.retry_after == milliseconds(seconds(6)));
+    CHECK(kernel::ok(queue.submit(ticket(3, 1, seconds(11)))));
+}
+
+// Guards against an unbounded queue.
+TEST_CASE_METHOD(queue_fixture, "a full queue refuses calls")
+{
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        REQUIRE(kernel::ok(queue.submit(ticket(id))));
+    CHECK(refusal(ticket(5)).kind == kernel::error_kind::overloaded);
+}
+
+// Guards against a queued call that gets no answer when its time is over.
+TEST_CASE_METHOD(queue_fixture,
+                 "queued calls are handed out once when their deadline passes")
+{
+    queue.set_capacity(1);
+    REQUIRE(
+        kernel::ok(queue.submit(ticket(1, 1, seconds(60), milliseconds(1)))));
+    REQUIRE(queue.take_next() == 1);
+    REQUIRE(kernel::ok(queue.submit(ticket(2, 1, seconds(2)))));
+    clock.advance(seconds(2));
+    queue.finish(1, milliseconds(1));
+    CHECK_FALSE(queue.take_next());
+    CHECK(queue.take_expired() == std::vector<std::uint64_t>{2});
+    CHECK(queue.take_expired().empty());
+    CHECK(queue.queued() == 0);
+}
+
+// Guards against new work at an endpoint that shuts down, and against work that
+// is dropped there.
+TEST_CASE_METHOD(queue_fixture, "a draining queue refuses new calls only")
+{
+    queue.set_capacity(1);
+    REQUIRE(kernel::ok(queue.submit(ticket(1))));
+    queue.drain();
+    auto const err = refusal(ticket(2));
+    CHECK(err.kind == kernel::error_kind::draining);
+    CHECK(err.run == kernel::run_state::not_run);
+    CHECK(queue.take_next() == 1);
+}
+
+// Guards against a place that stays taken by a caller who went away.
+TEST_CASE_METHOD(queue_fixture, "a withdrawn call is not run")
+{
+    REQUIRE(kernel::ok(queue.submit(ticket(1))));
+    CHECK(queue.withdraw(1));
+    CHECK_FALSE(queue.withdraw(1));
+    CHECK_FALSE(queue.take_next());
+}
+
+} // namespace endiveward::admission
--- /dev/null
+++ b/packages/admission/tests/idempotency_ledger_property_test.cpp
@@ -0,0 +1,410 @@
+#include "admission/idempotency_ledger.hpp"
+
+#include "kernel/manual_clock.hpp"
+#include "kernel/seeded_random_source.hpp"
+#include "platform/tests/support/fake_table.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <deque>
+
+namespace endiveward::admission
+{
+
+namespace
+{
+
+using platform::testing::fake_table;
+using fault = fake_table::fault;
+using std::chrono::seconds;
+
+/// Faults that a correct ledger must not have; each is planted at the table's
+/// interface, where it has the same effect as the fault in the ledger.
+enum class planted_fault : std::uint8_t
+{
+    none,
+    /// Claims are inserted without the condition that the row is absent.
+    unconditional_claim,
+    /// A lost answer is taken for a claim that did not take effect, and the
+    /// caller's repetition is run.
+    lost_answer_is_success,
+    /// A claim is released by deleting its row.
+    release_deletes
+};
+
+class faulty_table : public platform::i_table
+{
+public:
+    faulty_table(platform::i_table& table, planted_fault kind)
+        : table_(table)
+        , kind_(kind)
+    {
+    }
+
+    void commit(platform::table_transaction transaction,
+                std::chrono::milliseconds timeout,
+                handler<platform::transaction_outcome> on_done) override
+    {
+        if (kind_ == planted_fault::unconditional_claim)
+            transaction.conditions.clear();
+        if (kind_ == planted_fault::release_deletes)
+            delete_released(transaction);
+        if (kind_ == planted_fault::lost_answer_is_success)
+            on_done = [on_done](auto const& res)
+            {
+                if (kernel::ok(res) ||
+                    kernel::failure(res).run == kernel::run_state::not_run)
+                    on_done(res);
+                else
+                    on_done(platform::transaction_outcome{true, {}});
+            };
+        table_.commit(std::move(transaction), timeout, std::move(on_done));
+    }
+
+    void read(std::string key, std::chrono::milliseconds timeout,
+              handler<std::optional<platform::row>> on_done) override
+    {
+        table_.read(std::move(key), timeout, std::move(on_done));
+    }
+
+    void scan(std::string prefix, std::string after, std::size_t limit,
+              std::chrono::milliseconds timeout,
+              handler<std::vector<platform::row>> on_done) override
+    {
+        table_.scan(std::move(prefix), std::move(after), limit, timeout,
+                    std::move(on_done));
+    }
+
+private:
+    static void delete_released(platform::table_transaction& transaction)
+    {
+        for (auto& it : transaction.writes)
+        {
+            auto const record = decode_claim_record(it.value.value_or(""));
+            if (record && record->state == claim_state::released)
+                it.value = std::nullopt;
+        }
+    }
+
+    platform::i_table& table_;
+    planted_fault kind_;
+};
+
+constexpr std::size_t agent_count = 3;
+constexpr std::size_t key_count = 2;
+
+/// What the property's runs have exercised, so that it cannot hold for lack of
+/// anything happening.
+struct coverage
+{
+    std::size_t runs = 0;
+    std::size_t replays = 0;
+};
+
+coverage& covered()
+{
+    static coverage counts;
+    return counts;
+}
+
+/// Counts the runs of each key.
+struct oracle
+{
+    std::array<int, key_count> runs{};
+
+    void on_run(std::size_t key)
+    {
+        ++runs.at(key);
+        ++covered().runs;
+        RC_ASSERT(runs.at(key) <= 1);
+    }
+    void on_replay(std::size_t key, stored_answer const& answer) const
+    {
+        ++covered().replays;
+        RC_ASSERT(runs.at(key) == 1);
+        RC_ASSERT(answer.body == "answer " + std::to_string(key));
+    }
+};
+
+struct agent_process
+{
+    agent_process(kernel::i_clock const& clock, platform::i_table& table,
+                  std::uint64_t seed)
+        : random(seed)
+        , ledger(clock, random, table,
+                 [this](std::function<void()> task)
+                 { tasks.push_back(std::move(task)); },
+                 {kernel::endpoint_id("e"), seconds(1), 1024, 100})
+    {
+    }
+
+    kernel::seeded_random_source random;
+    std::deque<std::function<void()>> tasks;
+    idempotency_ledger ledger;
+    /// Claims granted to calls that have not started.
+    std::vector<std::pair<std::size_t, claim>> granted;
+    /// Claims of calls that run.
+    std::vector<std::pair<std::size_t, claim>> running;
+};
+
+struct cluster
+{
+    explicit cluster(planted_fault kind)
+        : faulty(table, kind)
+    {
+        for (std::size_t n = 0; n < agent_count; ++n)
+            restart(n);
+    }
+
+    void restart(std::size_t agent)
+    {
+        agents.at(agent) =
+            std::make_unique<agent_process>(clock, faulty, ++next_seed);
+    }
+
+    void begin(std::size_t agent, std::size_t key)
+    {
+        auto* const process = agents.at(agent).get();
+        process->ledger.begin(
+            kernel::workspace_id("w"), std::to_string(key), {0, key},
+            clock.now() + seconds(5),
+            [this, process, key](kernel::result<claim_decision> const& res)
+            {
+                if (!kernel::ok(res))
+                    return;
+                auto const& made = kernel::value(res);
+                if (auto const* answer = std::get_if<stored_answer>(&made))
+                    truth.on_replay(key, *answer);
+                else
+                    process->granted.emplace_back(key, std::get<claim>(made));
+            });
+    }
+
+    void run_tasks(std::size_t agent)
+    {
+        auto& tasks = agents.at(agent)->tasks;
+        while (!tasks.empty())
+        {
+            auto const task = std::move(tasks.front());
+            tasks.pop_front();
+            task();
+        }
+    }
+
+    void start_granted(std::size_t agent)
+    {
+        auto& process = *agents.at(agent);
+        for (auto const& it : process.granted)
+        {
+            truth.on_run(it.first);
+            process.running.push_back(it);
+        }
+        process.granted.clear();
+    }
+
+    void release_granted(std::size_t agent)
+    {
+        auto& process = *agents.at(agent);
+        auto const granted = std::move(process.granted);
+        process.granted.clear();
+        for (auto const& it : granted)
+            process.ledger.release(it.second);
+    }
+
+    void complete_running(std::size_t agent)
+    {
+        auto& process = *agents.at(agent);
+        for (auto const& [key, held] : process.running)
+        {
+            stored_answer const answer{200, "text/plain",
+                                       "answer " + std::to_string(key)};
+            process.ledger.complete(held, &answer);
+        }
+        process.running.clear();
+    }
+
+    kernel::manual_clock clock;
+    fake_table table;
+    faulty_table faulty;
+    oracle truth;
+    std::uint64_t next_seed = 0;
+    std::array<std::unique_ptr<agent_process>, agent_count> agents;
+};
+
+/// The oracle inside the cluster judges every step, so no model is needed.
+struct no_model
+{
+};
+
+using command = rc::state::Command<no_model, cluster>;
+
+/// A step of one agent.
+template <typename Step>
+struct agent_step : command
+{
+    std::size_t agent = *rc::gen::inRange<std::size_t>(0, agent_count);
+
+    void run(no_model const&, cluster& sut) const override
+    {
+        Step::run(sut, agent);
+    }
+    void show(std::ostream& os) const override
+    {
+        os << Step::name << "(" << agent << ")";
+    }
+};
+
+struct begin_step : command
+{
+    std::size_t agent = *rc::gen::inRange<std::size_t>(0, agent_count);
+    std::size_t key = *rc::gen::inRange<std::size_t>(0, key_count);
+
+    void run(no_model const&, cluster& sut) const override
+    {
+        sut.begin(agent, key);
+    }
+    void show(std::ostream& os) const override
+    {
+        os << "begin(" << agent << ", " << key << ")";
+    }
+};
+
+struct fault_step : command
+{
+    fault kind = *rc::gen::element(fault::unavailable, fault::answer_lost,
+                                   fault::request_lost, fault::late);
+
+    void run(no_model const&, cluster& sut) const override
+    {
+        sut.table.plan({kind});
+    }
+    void show(std::ostream& os) const override
+    {
+        os << "fault(" << static_cast<int>(kind) << ")";
+    }
+};
+
+struct late_step : command
+{
+    void run(no_model const&, cluster& sut) const override
+    {
+        sut.table.deliver_late();
+    }
+    void show(std::ostream& os) const override { os << "deliver_late"; }
+};
+
+struct time_step : command
+{
+    void run(no_model const&, cluster& sut) const override
+    {
+        sut.clock.advance(seconds(3));
+    }
+    void show(std::ostream& os) const override { os << "advance"; }
+};
+
+struct tasks_step
+{
+    static constexpr char const* name = "run_tasks";
+    static void run(cluster& sut, std::size_t agent) { sut.run_tasks(agent); }
+};
+struct start_step
+{
+    static constexpr char const* name = "start_granted";
+    static void run(cluster& sut, std::size_t agent)
+    {
+        sut.start_granted(agent);
+    }
+};
+struct release_step
+{
+    static constexpr char const* name = "release_granted";
+    static void run(cluster& sut, std::size_t agent)
+    {
+        sut.release_granted(agent);
+    }
+};
+struct complete_step
+{
+    static constexpr char const* name = "complete_running";
+    static void run(cluster& sut, std::size_t agent)
+    {
+        sut.complete_running(agent);
+    }
+};
+struct restart_step
+{
+    static constexpr char const* name = "restart";
+    static void run(cluster& sut, std::size_t agent) { sut.restart(agent); }
+};
+struct tick_step
+{
+    static constexpr char const* name = "tick";
+    static void run(cluster& sut, std::size_t agent)
+    {
+        sut.agents.at(agent)->ledger.tick();
+    }
+};
+
+void check_at_most_once(planted_fault kind)
+{
+    cluster sut(kind);
+    rc::state::check(
+        no_model{}, sut,
+        rc::state::gen::execOneOfWithArgs<
+            begin_step, begin_step, begin_step, agent_step<tasks_step>,
+            agent_step<tasks_step>, agent_step<tasks_step>,
+            agent_step<start_step>, agent_step<start_step>,
+            agent_step<release_step>, agent_step<complete_step>,
+            agent_step<restart_step>, agent_step<tick_step>, fault_step,
+            late_step, time_step>());
+}
+
+/// Fixed parameters make the verdict repeat; RC_PARAMS overrides them.
+rc::detail::TestParams fixed_params(std::uint64_t seed, int cases)
+{
+    auto params = rc::detail::configuration().testParams;
+    if (std::getenv("RC_PARAMS") != nullptr)
+        return params;
+    params.seed = seed;
+    params.maxSuccess = cases;
+    params.maxSize = 100;
+    return params;
+}
+
+void check_property(planted_fault kind, int cases)
+{
+    auto const res = rc::detail::checkTestable(
+        [kind] { check_at_most_once(kind); }, rc::detail::TestMetadata{},
+        fixed_params(20'261'203, cases));
+    std::ostringstream os;
+    rc::detail::printResultMessage(res, os);
+    INFO(os.str());
+    if (kind == planted_fault::none)
+        CHECK(res.is<rc::detail::SuccessResult>());
+    else
+        CHECK(res.is<rc::detail::FailureResult>());
+}
+
+} // namespace
+
+// Guards against a keyed call that runs twice in any order of attempts,
+// restarts, releases and lost answers.
+TEST_CASE("a keyed call runs at most once under random failures")
+{
+    covered() = {};
+    check_property(planted_fault::none, 20'000);
+    CHECK(covered().runs > 1000);
+    CHECK(covered().replays > 100);
+}
+
+// Guards against a property that cannot fail.
+TEST_CASE("planted faults of the idempotency ledger are detected")
+{
+    check_property(planted_fault::unconditional_claim, 3000);
+    check_property(planted_fault::lost_answer_is_success, 3000);
+    check_property(planted_fault::release_deletes, 20'000);
+}
+
+} // namespace endiveward::admission
--- /dev/null
+++ b/packages/admission/tests/idempotency_ledger_test.cpp
@@ -0,0 +1,296 @@
+#include "admission/idempotency_ledger.hpp"
+
+#include "kernel/manual_clock.hpp"
+#include "kernel/seeded_random_source.hpp"
+#include "platform/tests/support/fake_table.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+namespace endiveward::admission
+{
+
+namespace
+{
+
+using fault = platform::testing::fake_table::fault;
+using decision = std::optional<kernel::result<claim_decision>>;
+using std::chrono::seconds;
+
+/// An agent with its own memory; several share one table.
+class agent_under_test
+{
+public:
+    agent_under_test(kernel::i_clock const& clock, platform::i_table& table,
+                     std::uint64_t seed)
+        : clock_(clock)
+        , random_(seed)
+        , ledger(clock, random_, table,
+                 [this](std::function<void()> task)
+                 { tasks_.push_back(std::move(task)); },
+                 {kernel::endpoint_id("e" + std::to_string(seed)), seconds(1),
+                  16, 100})
+    {
+    }
+
+    /// Starts an attempt; the decision appears once the ledger has made it.
+    std::shared_ptr<decision> start(std::string const& key,
+                                    std::uint64_t request = 1)
+    {
+        auto res = std::make_shared<decision>();
+        ledger.begin(kernel::workspace_id("w"), key, {0, request},
+                     clock_.now() + seconds(10),
+                     [res](auto const& made) { *res = made; });
+        return res;
+    }
+
+    void run()
+    {
+        while (!tasks_.empty())
+        {
+            auto const task = std::move(tasks_.front());
+            tasks_.pop_front();
+            task();
+        }
+    }
+
+    kernel::result<claim_decision> begin(std::string const& key,
+                                         std::uint64_t request = 1)
+    {
+        auto const res = start(key, request);
+        run();
+        REQUIRE(res->has_value());
+        return **res;
+    }
+
+    claim granted(std::string const& key)
+    {
+        auto const res = begin(key);
+        REQUIRE(kernel::ok(res));
+        REQUIRE(std::holds_alternative<claim>(kernel::value(res)));
+        return std::get<claim>(kernel::value(res));
+    }
+
+    stored_answer replayed(std::string const& key)
+    {
+        auto const res = begin(key);
+        REQUIRE(kernel::ok(res));
+        REQUIRE(std::holds_alternative<stored_answer>(kernel::value(res)));
+        return std::get<stored_answer>(kernel::value(res));
+    }
+
+    kernel::error refused(std::string const& key, std::uint64_t request = 1)
+    {
+        auto const res = begin(key, request);
+        REQUIRE_FALSE(kernel::ok(res));
+        return kernel::failure(res);
+    }
+
+private:
+    kernel::i_clock const& clock_;
+    kernel::seeded_random_source random_;
+    std::deque<std::function<void()>> tasks_;
+
+public:
+    idempotency_ledger ledger;
+};
+
+class ledger_fixture
+{
+public:
+    kernel::manual_clock clock;
+    platform::testing::fake_table table;
+    agent_under_test first{clock, table, 1};
+    agent_under_test second{clock, table, 2};
+    stored_answer const answer{200, "text/plain", "admitted"};
+};
+
+} // namespace
+
+// Guards against a keyed call that runs twice when the caller's retry reaches
+// another agent, or the same agent after it has lost its memory.
+TEST_CASE_METHOD(ledger_fixture, "a repeated key gets the first answer")
+{
+    auto const held = first.granted("k");
+    first.ledger.complete(held, &answer);
+    CHECK(first.replayed("k") == answer);
+    CHECK(second.replayed("k") == answer);
+    agent_under_test restarted(clock, table, 3);
+    CHECK(restarted.replayed("k") == answer);
+}
+
+// Guards against a second run after an agent died between start and report.
+TEST_CASE_METHOD(ledger_fixture,
+                 "a key that another process started is answered as unknown")
+{
+    first.granted("k");
+    auto const err = second.refused("k");
+    CHECK(err.kind == kernel::error_kind::outcome_unknown);
+    CHECK(err.run == kernel::run_state::unknown);
+    agent_under_test restarted(clock, table, 3);
+    CHECK(restarted.refused("k").run == kernel::run_state::unknown);
+}
+
+// Guards against an answer that stays unknown although it was recorded later.
+TEST_CASE_METHOD(ledger_fixture,
+                 "an unknown outcome is replaced when the answer is recorded")
+{
+    auto const held = first.granted("k");
+    CHECK(second.refused("k").run == kernel::run_state::unknown);
+    first.ledger.complete(held, &answer);
+    first.run();
+    CHECK(second.replayed("k") == answer);
+}
+
+// Guards against a lost claim when the table's answer is lost.
+TEST_CASE_METHOD(ledger_fixture,
+                 "a claim whose answer was lost is recognized by its attempt")
+{
+    auto const kind = GENERATE(fault::answer_lost, fault::request_lost);
+    table.plan({kind});
+    first.granted("k");
+    CHECK(second.refused("k").run == kernel::run_state::unknown);
+}
+
+// Guards against a claim that takes effect late, after a second attempt asked.
+TEST_CASE_METHOD(ledger_fixture, "a claim that arrives late is granted once")
+{
+    table.plan({fault::late});
+    first.granted("k");
+    table.deliver_late();
+    CHECK(second.refused("k").run == kernel::run_state::unknown);
+}
+
+// Guards against running a keyed call that no row protects.
+TEST_CASE_METHOD(ledger_fixture, "without the table a keyed call is not run")
+{
+    table.set_down(true);
+    auto const err = first.refused("k");
+    CHECK(err.kind == kernel::error_kind::store_unavailable);
+    CHECK(err.run == kernel::run_state::not_run);
+    CHECK(err.retry_after.has_value());
+    table.set_down(false);
+    first.granted("k");
+}
+
+// Guards against a key that is blocked by an attempt that never started.
+TEST_CASE_METHOD(ledger_fixture, "a released claim can be taken by any agent")
+{
+    first.ledger.release(first.granted("k"));
+    first.run();
+    second.granted("k");
+    CHECK(first.refused("k").run == kernel::run_state::unknown);
+}
+
+// Guards against the deletion of a newer claim by a repeated, late release.
+TEST_CASE_METHOD(ledger_fixture,
+                 "a repeated release does not free a newer attempt's claim")
+{
+    auto const held = first.granted("k");
+    table.plan({fault::answer_lost});
+    first.ledger.release(held);
+    first.run();
+    second.granted("k");
+    first.ledger.tick();
+    first.run();
+    agent_under_test third(clock, table, 3);
+    CHECK(third.refused("k").run == kernel::run_state::unknown);
+}
+
+// Guards against a key blocked until it expires by a claim that was refused for
+// a lost answer but took effect.
+TEST_CASE_METHOD(ledger_fixture,
+                 "an agent may take over the row of its own abandoned attempt")
+{
+    table.plan({fault::late, fault::unavailable});
+    CHECK(first.refused("k").run == kernel::run_state::not_run);
+    table.deliver_late();
+    CHECK(second.refused("k").run == kernel::run_state::unknown);
+    first.granted("k");
+}
+
+// Guards against the answer of one request given to another.
+TEST_CASE_METHOD(ledger_fixture, "a key reused for another request is refused")
+{
+    auto const held = first.granted("k");
+    CHECK(first.refused("k", 2).kind == kernel::error_kind::key_reused);
+    CHECK(second.refused("k", 2).kind == kernel::error_kind::key_reused);
+    first.ledger.complete(held, &answer);
+    CHECK(first.refused("k", 2).kind == kernel::error_kind::key_reused);
+}
+
+// Guards against a second run when the retry overtakes the first attempt.
+TEST_CASE_METHOD(ledger_fixture,
+                 "a repetition during the run waits for its answer")
+{
+    auto const held = first.granted("k");
+    auto const repetition = first.start("k");
+    first.run();
+    CHECK_FALSE(repetition->has_value());
+    first.ledger.complete(held, &answer);
+    first.run();
+    REQUIRE(repetition->has_value());
+    CHECK(std::get<stored_answer>(kernel::value(**repetition)) == answer);
+}
+
+// Guards against an answer lost because the table was down at the end.
+TEST_CASE_METHOD(ledger_fixture, "an answer is recorded once the table is back")
+{
+    auto const held = first.granted("k");
+    table.set_down(true);
+    first.ledger.complete(held, &answer);
+    first.run();
+    table.set_down(false);
+    first.ledger.tick();
+    first.run();
+    CHECK(second.replayed("k") == answer);
+}
+
+// Guards against an answer that is cut to the size limit.
+TEST_CASE_METHOD(ledger_fixture,
+                 "an answer that is not kept is reported as run")
+{
+    stored_answer const large{200, "text/plain", std::string(100, 'x')};
+    first.ledger.complete(first.granted("k"), &large);
+    CHECK(first.refused("k").run == kernel::run_state::ran);
+    CHECK(second.refused("k").run == kernel::run_state::ran);
+}
+
+// Guards against one transaction a call, which the table could not carry.
+TEST_CASE_METHOD(ledger_fixture,
+                 "claims that arrive during a transaction share the next one")
+{
+    table.hold_answers();
+    std::vector<std::shared_ptr<decision>> attempts;
+    constexpr int count = 50;
+    attempts.reserve(count);
+    for (int n = 0; n < count; ++n)
+        attempts.push_back(first.start("k" + std::to_string(n)));
+    table.release_answers();
+    first.run();
+    for (auto const& it : attempts)
+    {
+        REQUIRE(it->has_value());
+        CHECK(kernel::ok(**it));
+    }
+    CHECK(table.commits == 2);
+}
+
+// Guards against one used key that fails the whole batch it is in.
+TEST_CASE_METHOD(ledger_fixture,
+                 "a used key does not affect other claims of its transaction")
+{
+    second.granted("used");
+    table.hold_answers();
+    auto const blocker = first.start("a");
+    auto const used = first.start("used");
+    auto const fresh = first.start("b");
+    table.release_answers();
+    first.run();
+    CHECK(kernel::ok(**blocker));
+    CHECK_FALSE(kernel::ok(**used));
+    CHECK(kernel::ok(**fresh));
+}
+
+} // namespace endiveward::admission
--- /dev/null
+++ b/packages/admission/tests/order_lease_test.cpp
@@ -0,0 +1,101 @@
+#include "admission/order_lease.hpp"
+
+#include "kernel/manual_clock.hpp"
+#include "platform/tests/support/fake_table.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace endiveward::admission
+{
+
+namespace
+{
+
+using fault = platform::testing::fake_table::fault;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+order_lease make_lease(kernel::i_clock const& clock, platform::i_table& table,
+                       std::string holder)
+{
+    return {clock, table, [](std::function<void()> const& task) { task(); },
+            order_lease_options{kernel::endpoint_id("e"), std::move(holder)}};
+}
+
+class lease_fixture
+{
+public:
+    void run_for(seconds duration, order_lease& lease)
+    {
+        for (seconds n{0}; n < duration; ++n)
+        {
+            clock.advance(seconds(1));
+            lease.tick();
+        }
+    }
+
+    kernel::manual_clock clock;
+    platform::testing::fake_table table;
+    order_lease first = make_lease(clock, table, "first");
+    order_lease second = make_lease(clock, table, "second");
+};
+
+} // namespace
+
+// Guards against two agents that give orders to one engine.
+TEST_CASE_METHOD(lease_fixture, "only one process holds a lease at a time")
+{
+    first.tick();
+    second.tick();
+    CHECK(first.fencing_number() == 1);
+    CHECK_FALSE(second.fencing_number());
+    for (int n = 0; n < 60; ++n)
+    {
+        run_for(seconds(1), first);
+        second.tick();
+        CHECK(first.fencing_number() == 1);
+        CHECK_FALSE(second.fencing_number());
+    }
+}
+
+// Guards against orders of a holder that was paused for longer than its lease,
+// and against a successor with the same fencing number.
+TEST_CASE_METHOD(lease_fixture,
+                 "a paused holder loses the lease before a successor gets it")
+{
+    first.tick();
+    second.tick();
+    for (int n = 0; n < 30; ++n)
+    {
+        run_for(seconds(1), second);
+        CHECK_FALSE((first.fencing_number() && second.fencing_number()));
+    }
+    CHECK(second.fencing_number() == 2);
+    CHECK_FALSE(first.fencing_number());
+    first.tick();
+    CHECK_FALSE(first.fencing_number());
+}
+
+// Guards against orders sent while nobody can confirm the lease.
+TEST_CASE_METHOD(lease_fixture, "a lease ends when the table stays down")
+{
+    first.tick();
+    table.set_down(true);
+    run_for(seconds(9), first);
+    CHECK_FALSE(first.fencing_number());
+    table.set_down(false);
+    run_for(seconds(2), first);
+    CHECK(first.fencing_number() == 1);
+}
+
+// Guards against a lost answer that leaves the lease to nobody.
+TEST_CASE_METHOD(lease_fixture, "a lease whose answer was lost is recognized")
+{
+    table.plan({fault::none, fault::answer_lost});
+    first.tick();
+    CHECK_FALSE(first.fencing_number());
+    run_for(seconds(1), first);
+    CHECK(first.fencing_number() == 1);
+}
+
+} // namespace endiveward::admission
--- /dev/null
+++ b/packages/admission/types/idempotency_options.hpp
@@ -0,0 +1,24 @@
+#ifndef ENDIVEWARD_ADMISSION_TYPES_IDEMPOTENCY_OPTIONS_HPP
+#define ENDIVEWARD_ADMISSION_TYPES_IDEMPOTENCY_OPTIONS_HPP
+
+#include "kernel/types/identifiers.hpp"
+
+#include <chrono>
+#include <cstddef>
+
+namespace endiveward::admission
+{
+
+struct idempotency_options
+{
+    kernel::endpoint_id endpoint;
+    std::chrono::milliseconds table_timeout{1000};
+    /// Larger answers are not kept.
+    std::size_t max_answer_bytes = 16U << 10U;
+    /// Finished calls kept in memory.
+    std::size_t max_entries = 10'000;
+};
+
+} // namespace endiveward::admission
+
+#endif
--- /dev/null
+++ b/packages/admission/types/row_operation.hpp
@@ -0,0 +1,32 @@
+#ifndef ENDIVEWARD_ADMISSION_TYPES_ROW_OPERATION_HPP
+#define ENDIVEWARD_ADMISSION_TYPES_ROW_OPERATION_HPP
+
+#include "platform/types/table_transaction.hpp"
+
+#include <cstdint>
+#include <functional>
+
+namespace endiveward::admission
+{
+
+enum class row_outcome : std::uint8_t
+{
+    committed,
+    condition_failed,
+    /// The answer was lost; the write may have taken effect, or still may.
+    unknown,
+    /// The write certainly did not take effect.
+    not_written
+};
+
+/// A conditional write of one row.
+struct row_operation
+{
+    platform::row_condition condition;
+    platform::row_write write;
+    std::function<void(row_outcome)> on_done;
+};
+
+} // namespace endiveward::admission
+
+#endif
