Add table leases with release, weight load slots and the claim sweeper

Outcome writes are repeated for an hour at most: after the sweeper deleted a row, a later repetition could match the row of a newer attempt.

--- /dev/null
+++ b/packages/admission/claim_sweeper.hpp
@@ -0,0 +1,58 @@
+#ifndef ENDIVEWARD_ADMISSION_CLAIM_SWEEPER_HPP
+#define ENDIVEWARD_ADMISSION_CLAIM_SWEEPER_HPP
+
+#include "admission/internal/row_batcher.hpp"
+#include "kernel/i_clock.hpp"
+#include "kernel/post_function.hpp"
+#include "kernel/types/result.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace endiveward::platform
+{
+class i_table;
+struct row;
+} // namespace endiveward::platform
+
+namespace endiveward::admission
+{
+
+/// Deletes claim rows after their retention period, a page at a time.
+class claim_sweeper
+{
+    kernel::i_clock const& clock_;
+    platform::i_table& table_;
+    kernel::post_function post_;
+
+public:
+    static constexpr std::size_t page_rows = 100;
+
+    claim_sweeper(kernel::i_clock const& clock, platform::i_table& table,
+                  kernel::post_function post,
+                  std::chrono::milliseconds retention,
+                  std::chrono::milliseconds table_timeout);
+
+    /// Sweeps the next page. Call about once a minute.
+    void tick();
+    std::uint64_t deleted() const { return deleted_; }
+
+private:
+    void on_page(kernel::result<std::vector<platform::row>> const& res);
+
+    std::chrono::milliseconds const retention_;
+    std::chrono::milliseconds const table_timeout_;
+    row_batcher batcher_;
+    std::string after_;
+    bool busy_ = false;
+    std::uint64_t deleted_ = 0;
+    std::shared_ptr<char> const lifetime_ = std::make_shared<char>();
+};
+
+} // namespace endiveward::admission
+
+#endif
--- a/packages/admission/idempotency_ledger.hpp
+++ b/packages/admission/idempotency_ledger.hpp
@@ -77,6 +77,12 @@
         std::vector<waiter> waiters;
     };
 
+    struct pending_write
+    {
+        row_operation operation;
+        kernel::steady_time since;
+    };
+
     using entry_map = std::map<std::string, entry>;
 
     void begin_row(std::string const& row_key, std::string request_hash,
@@ -97,6 +103,7 @@
     void give_up(std::string const& row_key, kernel::error reason);
     void write_outcome(claim const& what, stored_answer const& answer);
     void write_later(row_operation const& operation);
+    void write_pending(pending_write const& pending);
     void keep_finished(std::string const& row_key);
     row_operation make_insert(std::string const& row_key) const;
     std::string encode_entry(entry const& source, claim_state state,
@@ -111,7 +118,7 @@
     /// Attempts of this process that certainly did not start and whose rows may
     /// exist.
     std::set<std::string> abandoned_;
-    std::vector<row_operation> retries_;
+    std::vector<pending_write> retries_;
     std::shared_ptr<char> const lifetime_ = std::make_shared<char>();
 };
 
--- a/packages/admission/internal/idempotency_ledger.cpp
+++ b/packages/admission/internal/idempotency_ledger.cpp
@@ -21,6 +21,9 @@
 constexpr std::uint64_t first_row_version = 1;
 constexpr std::size_t max_abandoned = 10'000;
 constexpr std::size_t max_retries = 10'000;
+// Must be well below the retention period: after a row was deleted and written
+// anew, a repeated write could hit the row of another attempt.
+constexpr std::chrono::hours max_retry_age{1};
 
 kernel::error store_unavailable()
 {
@@ -98,7 +101,7 @@
                                kernel::hash128 const& request_hash,
                                kernel::steady_time deadline, handler on_done)
 {
-    begin_row(fmt::format("claims/{}/{}", workspace.str(), key),
+    begin_row(fmt::format("{}{}/{}", claim_prefix, workspace.str(), key),
               kernel::to_hex(request_hash), {deadline, std::move(on_done)});
 }
 
@@ -334,15 +337,20 @@
 }
 
 void idempotency_ledger::write_later(row_operation const& operation)
+{
+    write_pending({operation, clock_.now()});
+}
+
+void idempotency_ledger::write_pending(pending_write const& pending)
 {
     // A repeated write whose first try took effect fails its condition.
-    auto attempt = operation;
-    attempt.on_done = [this, operation](row_outcome outcome)
+    auto attempt = pending.operation;
+    attempt.on_done = [this, pending](row_outcome outcome)
     {
         bool const settled = outcome == row_outcome::committed ||
                              outcome == row_outcome::condition_failed;
         if (!settled && retries_.size() < max_retries)
-            retries_.push_back(operation);
+            retries_.push_back(pending);
     };
     batcher_.enqueue(std::move(attempt));
 }
@@ -352,7 +360,10 @@
     auto const retries = std::move(retries_);
     retries_.clear();
     for (auto const& it : retries)
-        write_later(it);
+    {
+        if (clock_.now() - it.since < max_retry_age)
+            write_pending(it);
+    }
 }
 
 void idempotency_ledger::keep_finished(std::string const& row_key)
--- a/packages/admission/internal/order_lease.cpp
+++ b/packages/admission/internal/table_lease.cpp
@@ -1,8 +1,7 @@
-#include "admission/order_lease.hpp"
+#include "admission/table_lease.hpp"
 
 #include "platform/i_table.hpp"
 
-#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace endiveward::admission
@@ -13,16 +12,14 @@
 
 using nlohmann::json;
 
-std::string row_key(kernel::endpoint_id const& endpoint)
-{
-    return fmt::format("leases/{}", endpoint.str());
-}
+// Holder of a lease that was given back.
+constexpr char const* no_holder = "";
 
 } // namespace
 
-order_lease::order_lease(kernel::i_clock const& clock, platform::i_table& table,
+table_lease::table_lease(kernel::i_clock const& clock, platform::i_table& table,
                          kernel::post_function post,
-                         order_lease_options options)
+                         table_lease_options options)
     : clock_(clock)
     , table_(table)
     , post_(std::move(post))
@@ -32,7 +29,7 @@
 {
 }
 
-std::optional<std::uint64_t> order_lease::fencing_number() const
+std::optional<std::uint64_t> table_lease::fencing_number() const
 {
     // A process that was paused finds the time passed when it asks again.
     if (epoch_ == 0 || clock_.now() + options_.margin >= valid_until_)
@@ -40,18 +37,33 @@
     return epoch_;
 }
 
-void order_lease::tick()
+void table_lease::tick()
 {
     if (busy_ || clock_.now() < next_renewal_)
         return;
     read();
 }
 
-void order_lease::read()
+void table_lease::release()
+{
+    if (epoch_ == 0)
+        return;
+    epoch_ = 0;
+    next_renewal_ = clock_.now();
+    if (busy_ || !seen_)
+        return;
+    json const content{{"epoch", seen_->epoch}, {"holder", no_holder}};
+    // If this write is lost, the lease expires by itself.
+    table_.commit({{{options_.row_key, seen_->version}},
+                   {{options_.row_key, content.dump()}}},
+                  options_.table_timeout, [](auto const&) {});
+}
+
+void table_lease::read()
 {
     busy_ = true;
     table_.read(
-        row_key(options_.endpoint), options_.table_timeout,
+        options_.row_key, options_.table_timeout,
         [this, post = post_, alive = std::weak_ptr(lifetime_)](auto const& res)
         {
             post(
@@ -66,7 +78,7 @@
         });
 }
 
-void order_lease::on_row(std::optional<platform::row> const& row)
+void table_lease::on_row(std::optional<platform::row> const& row)
 {
     observation found;
     if (row)
@@ -86,16 +98,17 @@
         write(found);
 }
 
-bool order_lease::may_write(observation const& seen) const
+bool table_lease::may_write(observation const& seen) const
 {
-    if (seen.version == 0 || seen.holder == options_.holder)
+    if (seen.version == 0 || seen.holder == options_.holder ||
+        seen.holder == no_holder)
         return true;
     // Clocks of VMs are not compared: the lease of another holder has expired
     // when its row did not change for the whole duration on our own clock.
     return clock_.now() - seen.since >= options_.duration;
 }
 
-void order_lease::write(observation const& seen)
+void table_lease::write(observation const& seen)
 {
     observation next = seen;
     next.version = seen.version + 1;
@@ -104,9 +117,9 @@
     if (seen.holder != options_.holder)
         next.epoch = seen.epoch + 1;
     json const content{{"epoch", next.epoch}, {"holder", next.holder}};
-    auto const key = row_key(options_.endpoint);
     busy_ = true;
-    table_.commit({{{key, seen.version}}, {{key, content.dump()}}},
+    table_.commit({{{options_.row_key, seen.version}},
+                   {{options_.row_key, content.dump()}}},
                   options_.table_timeout,
                   [this, next, post = post_,
                    alive = std::weak_ptr(lifetime_)](auto const& res)
@@ -122,7 +135,7 @@
                   });
 }
 
-void order_lease::on_written(
+void table_lease::on_written(
     kernel::result<platform::transaction_outcome> const& res,
     observation const& written)
 {
--- /dev/null
+++ b/packages/admission/internal/weight_load_slots.cpp
@@ -0,0 +1,63 @@
+#include "admission/weight_load_slots.hpp"
+
+#include "admission/table_lease.hpp"
+#include "kernel/types/hash128.hpp"
+
+#include <fmt/format.h>
+
+namespace endiveward::admission
+{
+
+weight_load_slots::weight_load_slots(kernel::i_clock const& clock,
+                                     platform::i_table& table,
+                                     kernel::post_function const& post,
+                                     std::string const& holder)
+    // Holders start at different slots, so that they collide less.
+    : current_(kernel::hash_bytes(holder).low % slot_count)
+{
+    for (std::size_t n = 0; n < slot_count; ++n)
+        leases_.push_back(std::make_unique<table_lease>(
+            clock, table, post,
+            table_lease_options{fmt::format("weights/slots/{}", n), holder}));
+}
+
+weight_load_slots::~weight_load_slots() = default;
+
+bool weight_load_slots::held() const
+{
+    return wanted_ && leases_[current_]->fencing_number().has_value();
+}
+
+void weight_load_slots::release()
+{
+    wanted_ = false;
+    for (auto const& it : leases_)
+        it->release();
+}
+
+void weight_load_slots::tick()
+{
+    if (!wanted_)
+        return;
+    if (held())
+        return leases_[current_]->tick();
+    // Both are watched, since only a lease that was seen before can be known
+    // to have expired.
+    for (auto const& it : leases_)
+        it->tick();
+    for (std::size_t n = 0; n < slot_count; ++n)
+    {
+        if (leases_[n]->fencing_number())
+        {
+            current_ = n;
+            break;
+        }
+    }
+    for (std::size_t n = 0; n < slot_count; ++n)
+    {
+        if (n != current_)
+            leases_[n]->release();
+    }
+}
+
+} // namespace endiveward::admission
--- a/packages/admission/order_lease.hpp
+++ b/packages/admission/table_lease.hpp
@@ -1,10 +1,9 @@
-#ifndef ENDIVEWARD_ADMISSION_ORDER_LEASE_HPP
-#define ENDIVEWARD_ADMISSION_ORDER_LEASE_HPP
+#ifndef ENDIVEWARD_ADMISSION_TABLE_LEASE_HPP
+#define ENDIVEWARD_ADMISSION_TABLE_LEASE_HPP
 
 #include "admission/i_order_lease.hpp"
 #include "kernel/i_clock.hpp"
 #include "kernel/post_function.hpp"
-#include "kernel/types/identifiers.hpp"
 #include "kernel/types/result.hpp"
 
 #include <chrono>
@@ -22,31 +21,35 @@
 namespace endiveward::admission
 {
 
-struct order_lease_options
+struct table_lease_options
 {
-    kernel::endpoint_id endpoint;
+    std::string row_key;
     /// Distinguishes holders; unique for each life of a process.
     std::string holder;
     std::chrono::milliseconds duration{10'000};
     std::chrono::milliseconds renew_interval{3000};
-    /// Orders are not sent this close to the expiry.
+    /// The lease is not relied upon this close to its expiry.
     std::chrono::milliseconds margin{2000};
     std::chrono::milliseconds table_timeout{1000};
 };
 
-/// A lease on an endpoint, kept in a row of the platform's table.
-class order_lease : public i_order_lease
+/// A lease kept in a row of the platform's table. Its epoch, which grows with
+/// each change of holder, is the fencing number.
+class table_lease : public i_order_lease
 {
     kernel::i_clock const& clock_;
     platform::i_table& table_;
     kernel::post_function post_;
 
 public:
-    order_lease(kernel::i_clock const& clock, platform::i_table& table,
-                kernel::post_function post, order_lease_options options);
+    table_lease(kernel::i_clock const& clock, platform::i_table& table,
+                kernel::post_function post, table_lease_options options);
 
     void tick() override;
     std::optional<std::uint64_t> fencing_number() const override;
+    /// Gives the lease back, so that another process need not wait for its
+    /// expiry.
+    void release();
 
 private:
     /// The row as last read or written.
@@ -65,7 +68,7 @@
     void on_written(kernel::result<platform::transaction_outcome> const& res,
                     observation const& written);
 
-    order_lease_options const options_;
+    table_lease_options const options_;
     bool busy_ = false;
     std::optional<observation> seen_;
     /// Held until `valid_until_` with this fencing number.
--- /dev/null
+++ b/packages/admission/tests/claim_sweeper_test.cpp
@@ -0,0 +1,49 @@
+#include "admission/claim_sweeper.hpp"
+
+#include "admission/types/claim_record.hpp"
+#include "kernel/manual_clock.hpp"
+#include "platform/tests/support/fake_table.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+namespace endiveward::admission
+{
+
+namespace
+{
+
+using std::chrono::hours;
+using std::chrono::seconds;
+
+} // namespace
+
+// Guards against a table that grows for ever, and against the deletion of a
+// claim that still protects a call.
+TEST_CASE("claim rows are deleted after their retention period only")
+{
+    kernel::manual_clock clock;
+    platform::testing::fake_table table;
+    claim_sweeper sweeper(
+        clock, table, [](std::function<void()> const& task) { task(); },
+        hours(24), seconds(1));
+    clock.advance(hours(48));
+    constexpr int rows = 250;
+    for (int n = 0; n < rows; ++n)
+    {
+        claim_record record;
+        record.written_at = clock.wall_now() - hours(n < 120 ? 25 : 23);
+        auto const key = fmt::format("claims/w/{:03}", n);
+        table.rows[key] = {key, encode(record), 1};
+    }
+    table.rows["claims/w/other"] = {"claims/w/other", "not a claim", 1};
+    table.rows["config/head"] = {"config/head", "{}", 1};
+
+    for (int n = 0; n < 3; ++n)
+        sweeper.tick();
+    CHECK(sweeper.deleted() == 120);
+    CHECK(table.rows.size() == rows - 120 + 2);
+    CHECK(table.rows.contains("claims/w/120"));
+}
+
+} // namespace endiveward::admission
--- a/packages/admission/tests/idempotency_ledger_test.cpp
+++ b/packages/admission/tests/idempotency_ledger_test.cpp
@@ -247,6 +247,24 @@
     CHECK(second.replayed("k") == answer);
 }
 
+// Guards against a late write that hits the row of a newer attempt, after the
+// row of this attempt has been deleted.
+TEST_CASE_METHOD(ledger_fixture, "writes are not repeated for ever")
+{
+    auto const held = first.granted("k");
+    table.set_down(true);
+    first.ledger.release(held);
+    first.run();
+    table.set_down(false);
+    clock.advance(std::chrono::hours(25));
+    table.rows.erase("claims/w/k");
+    second.granted("k");
+    first.ledger.tick();
+    first.run();
+    agent_under_test third(clock, table, 3);
+    CHECK(third.refused("k").run == kernel::run_state::unknown);
+}
+
 // Guards against an answer that is cut to the size limit.
 TEST_CASE_METHOD(ledger_fixture,
                  "an answer that is not kept is reported as run")
--- a/packages/admission/tests/order_lease_test.cpp
+++ b/packages/admission/tests/table_lease_test.cpp
@@ -1,4 +1,4 @@
-#include "admission/order_lease.hpp"
+#include "admission/table_lease.hpp"
 
 #include "kernel/manual_clock.hpp"
 #include "platform/tests/support/fake_table.hpp"
@@ -15,17 +15,17 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-order_lease make_lease(kernel::i_clock const& clock, platform::i_table& table,
+table_lease make_lease(kernel::i_clock const& clock, platform::i_table& table,
                        std::string holder)
 {
     return {clock, table, [](std::function<void()> const& task) { task(); },
-            order_lease_options{kernel::endpoint_id("e"), std::move(holder)}};
+            table_lease_options{"leases/e", std::move(holder)}};
 }
 
 class lease_fixture
 {
 public:
-    void run_for(seconds duration, order_lease& lease)
+    void run_for(seconds duration, table_lease& lease)
     {
         for (seconds n{0}; n < duration; ++n)
         {
@@ -36,8 +36,8 @@
 
     kernel::manual_clock clock;
     platform::testing::fake_table table;
-    order_lease first = make_lease(clock, table, "first");
-    order_lease second = make_lease(clock, table, "second");
+    table_lease first = make_lease(clock, table, "first");
+    table_lease second = make_lease(clock, table, "second");
 };
 
 } // namespace
@@ -98,4 +98,16 @@
     CHECK(first.fencing_number() == 1);
 }
 
+// Guards against a successor that waits for a lease that was given back, and
+// against one with the same fencing number.
+TEST_CASE_METHOD(lease_fixture, "a released lease is free at once")
+{
+    first.tick();
+    REQUIRE(first.fencing_number() == 1);
+    first.release();
+    CHECK_FALSE(first.fencing_number());
+    second.tick();
+    CHECK(second.fencing_number() == 2);
+}
+
 } // namespace endiveward::admission
--- a/packages/admission/types/claim_record.hpp
+++ b/packages/admission/types/claim_record.hpp
@@ -13,6 +13,9 @@
 namespace endiveward::admission
 {
 
+/// Claim rows have this prefix, then `<workspace>/<idempotency key>`.
+inline constexpr char const* claim_prefix = "claims/";
+
 enum class claim_state : std::uint8_t
 {
     /// The call may be running or may have run.
--- /dev/null
+++ b/packages/admission/weight_load_slots.hpp
@@ -0,0 +1,49 @@
+#ifndef ENDIVEWARD_ADMISSION_WEIGHT_LOAD_SLOTS_HPP
+#define ENDIVEWARD_ADMISSION_WEIGHT_LOAD_SLOTS_HPP
+
+#include "admission/i_weight_load_slots.hpp"
+#include "kernel/i_clock.hpp"
+#include "kernel/post_function.hpp"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace endiveward::platform
+{
+class i_table;
+}
+
+namespace endiveward::admission
+{
+
+class table_lease;
+
+/// Slots for weight loads, one lease of the platform's table each.
+class weight_load_slots : public i_weight_load_slots
+{
+public:
+    /// More than two loads at once slow each other down.
+    static constexpr std::size_t slot_count = 2;
+
+    weight_load_slots(kernel::i_clock const& clock, platform::i_table& table,
+                      kernel::post_function const& post,
+                      std::string const& holder);
+    ~weight_load_slots() override;
+
+    void request() override { wanted_ = true; }
+    bool held() const override;
+    void release() override;
+    void tick() override;
+
+private:
+    std::vector<std::unique_ptr<table_lease>> leases_;
+    bool wanted_ = false;
+    /// The slot that is held or tried next.
+    std::size_t current_;
+};
+
+} // namespace endiveward::admission
+
+#endif
