--- /dev/null
+++ b/packages/placement/internal/endpoint_record.cpp
@@ -0,0 +1,175 @@
+#include "placement/internal/endpoint_record.hpp"
+
+#include "placement/types/placement_request.hpp"
+
+#include <algorithm>
+
+namespace endiveward::placement
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using seconds = std::chrono::duration<double>;
+
+// Four times the default verdict timeout: a call without a verdict for that
+// long has been given up or is covered by a later report.
+constexpr auto max_unanswered_age = 1s;
+
+// Wait that one queued call adds where no report gives a better figure.
+constexpr seconds default_wait_per_call = 200ms;
+
+} // namespace
+
+endpoint_record::endpoint_record(endpoint_status const& status,
+                                 std::size_t max_hints, kernel::steady_time now)
+    : status_(status)
+    , weight_seed_(kernel::hash_bytes(status.id.str()).low)
+    , max_hints_(max_hints)
+    , hints_(max_hints)
+    , engine_(status.load.engine_incarnation)
+    , reported_at_(now)
+{
+}
+
+void endpoint_record::update(endpoint_status const& status,
+                             kernel::steady_time now)
+{
+    wire::load_report const previous = status_.load;
+    status_ = status;
+    status_.load = previous;
+    report(status.load, now);
+}
+
+bool endpoint_record::report(wire::load_report const& load,
+                             kernel::steady_time now)
+{
+    if (retired(load.engine_incarnation))
+        return false;
+    bool const same_agent =
+        load.agent_incarnation == status_.load.agent_incarnation;
+    if (!same_agent)
+        unanswered_.clear();
+    // An agent that drains exits, so a report without the flag is older.
+    bool const draining = status_.load.draining && same_agent;
+    change_engine(load.engine_incarnation);
+    status_.load = load;
+    status_.load.draining = load.draining || draining;
+    reported_at_ = now;
+    return true;
+}
+
+void endpoint_record::record_hit(placement_request const& request,
+                                 std::uint64_t hit_bytes, bool will_run,
+                                 kernel::steady_time now)
+{
+    if (status_.load.engine_incarnation == 0)
+        return;
+    hints_.record(request.levels, hit_bytes, will_run, now);
+}
+
+std::uint64_t endpoint_record::expected_hit(placement_request const& request,
+                                            kernel::steady_time now) const
+{
+    if (status_.load.engine_incarnation == 0)
+        return 0;
+    return hints_.expected_bytes(request.levels, now);
+}
+
+void endpoint_record::sent(kernel::steady_time now)
+{
+    ++in_flight_;
+    while (!unanswered_.empty() &&
+           now - unanswered_.front() > max_unanswered_age)
+        unanswered_.pop_front();
+    unanswered_.push_back(now);
+}
+
+void endpoint_record::answered()
+{
+    if (!unanswered_.empty())
+        unanswered_.pop_front();
+}
+
+void endpoint_record::finished(placement_request const& request, bool answered)
+{
+    if (answered)
+        hints_.confirm(request.levels);
+    if (in_flight_ > 0)
+        --in_flight_;
+    // A call may end without a verdict, for example by a lost connection.
+    while (unanswered_.size() > in_flight_)
+        unanswered_.pop_front();
+}
+
+bool endpoint_record::can_serve(placement_request const& request) const
+{
+    if (!status_.available || status_.load.draining)
+        return false;
+    if (request.model.empty())
+        return true;
+    return std::any_of(status_.load.models.begin(), status_.load.models.end(),
+                       [&](wire::loaded_model const& it) {
+                           return it.model == request.model &&
+                                  it.version == request.version;
+                       });
+}
+
+// A queue that nobody feeds drains in real time. Other routers may feed it,
+// so the estimate falls at half that speed.
+seconds endpoint_record::expected_wait(kernel::steady_time now) const
+{
+    auto const& load = status_.load;
+    seconds const aged = seconds(load.queue_wait) - (now - reported_at_) / 2;
+    seconds const reported = std::max(aged, seconds(0));
+    std::size_t const extra = unreported(now);
+    std::size_t const known = load.running + load.queued;
+    if (load.capacity == 0 || known + extra < load.capacity)
+        return reported;
+    std::size_t const free = load.capacity > known ? load.capacity - known : 0;
+    seconds per_call = default_wait_per_call;
+    if (load.queue_wait > 0ms)
+        per_call = seconds(load.queue_wait) / (load.queued + 1);
+    return reported + per_call * (extra - std::min(extra, free));
+}
+
+double endpoint_record::occupancy(kernel::steady_time now) const
+{
+    auto const& load = status_.load;
+    double const calls =
+        load.running + load.queued + static_cast<double>(unreported(now));
+    return calls / std::max<double>(load.capacity, 1.0);
+}
+
+bool endpoint_record::retired(kernel::incarnation engine) const
+{
+    return engine != 0 && std::find(retired_.begin(), retired_.end(), engine) !=
+                              retired_.end();
+}
+
+// Reports of a dead incarnation may still arrive; remembering the last few
+// keeps them from bringing back its load and hints. An unknown incarnation
+// (zero) is no proof that the engine restarted.
+void endpoint_record::change_engine(kernel::incarnation engine)
+{
+    if (engine == 0 || engine == engine_)
+        return;
+    hints_ = hit_hints(max_hints_);
+    if (engine_ != 0)
+    {
+        retired_[next_retired_] = engine_;
+        next_retired_ = (next_retired_ + 1) % retired_.size();
+    }
+    engine_ = engine;
+}
+
+std::size_t endpoint_record::unreported(kernel::steady_time now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(unanswered_.begin(), unanswered_.end(),
+                      [&](kernel::steady_time it)
+                      { return now - it <= max_unanswered_age; }));
+}
+
+} // namespace endiveward::placement
--- /dev/null
+++ b/packages/placement/internal/endpoint_record.hpp
@@ -0,0 +1,72 @@
+#ifndef ENDIVEWARD_PLACEMENT_INTERNAL_ENDPOINT_RECORD_HPP
+#define ENDIVEWARD_PLACEMENT_INTERNAL_ENDPOINT_RECORD_HPP
+
+#include "kernel/i_clock.hpp"
+#include "placement/internal/hit_hints.hpp"
+#include "placement/types/endpoint_status.hpp"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+namespace endiveward::placement
+{
+
+struct placement_request;
+
+/// What one router knows of an endpoint.
+class endpoint_record
+{
+public:
+    endpoint_record(endpoint_status const& status, std::size_t max_hints,
+                    kernel::steady_time now);
+
+    endpoint_status const& status() const { return status_; }
+    /// Input to the rendezvous weight.
+    std::uint64_t weight_seed() const { return weight_seed_; }
+    std::size_t hint_count() const { return hints_.size(); }
+
+    void update(endpoint_status const& status, kernel::steady_time now);
+    /// Takes a report; false if it is one of a dead engine incarnation.
+    bool report(wire::load_report const& load, kernel::steady_time now);
+    void record_hit(placement_request const& request, std::uint64_t hit_bytes,
+                    bool will_run, kernel::steady_time now);
+
+    /// Bytes of the prompt believed to be in the cache of this engine.
+    std::uint64_t expected_hit(placement_request const& request,
+                               kernel::steady_time now) const;
+
+    void sent(kernel::steady_time now);
+    /// The agent has answered the oldest call without a verdict.
+    void answered();
+    /// `answered` calls have computed the levels of their prompt.
+    void finished(placement_request const& request, bool answered);
+
+    bool can_serve(placement_request const& request) const;
+    /// Wait of a call that is sent now.
+    std::chrono::duration<double> expected_wait(kernel::steady_time now) const;
+    /// Calls per place, to order endpoints whose expected wait is equal.
+    double occupancy(kernel::steady_time now) const;
+
+private:
+    bool retired(kernel::incarnation engine) const;
+    void change_engine(kernel::incarnation engine);
+    std::size_t unreported(kernel::steady_time now) const;
+
+    endpoint_status status_;
+    std::uint64_t weight_seed_;
+    std::size_t max_hints_;
+    hit_hints hints_;
+    kernel::incarnation engine_; // last known one, never back to zero
+    kernel::steady_time reported_at_;
+    std::array<kernel::incarnation, 4> retired_{};
+    std::size_t next_retired_ = 0;
+    std::size_t in_flight_ = 0;
+    std::deque<kernel::steady_time> unanswered_;
+};
+
+} // namespace endiveward::placement
+
+#endif
--- /dev/null
+++ b/packages/placement/internal/hit_hints.hpp
@@ -0,0 +1,61 @@
+#ifndef ENDIVEWARD_PLACEMENT_INTERNAL_HIT_HINTS_HPP
+#define ENDIVEWARD_PLACEMENT_INTERNAL_HIT_HINTS_HPP
+
+#include "kernel/i_clock.hpp"
+#include "kernel/types/hash128.hpp"
+#include "wire/types/prefix_level.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <span>
+#include <unordered_map>
+
+namespace endiveward::placement
+{
+
+/// Prefix levels that one engine incarnation is believed to have cached.
+/// Keeps the `limit` most recent ones. Level hashes derive from a
+/// `cache_namespace`, so hints never match another workspace or version.
+class hit_hints
+{
+public:
+    using duration = kernel::steady_time::duration;
+
+    explicit hit_hints(std::size_t limit);
+
+    /// Bytes of the deepest level believed to be cached.
+    std::uint64_t expected_bytes(std::span<wire::prefix_level const> levels,
+                                 kernel::steady_time now) const;
+    /// The agent found `hit_bytes` of the prompt in the cache. `will_run`: the
+    /// engine computes the rest, so that all levels will be cached.
+    void record(std::span<wire::prefix_level const> levels,
+                std::uint64_t hit_bytes, bool will_run,
+                kernel::steady_time now);
+    /// A call with these levels has ended, so they are computed.
+    void confirm(std::span<wire::prefix_level const> levels);
+    std::size_t size() const { return entries_.size(); }
+
+private:
+    struct entry
+    {
+        kernel::hash128 level;
+        kernel::steady_time seen;
+        bool computed; // false while the engine may not have computed it
+    };
+    using entry_list = std::list<entry>;
+
+    void learn(kernel::hash128 const& level, bool hit, kernel::steady_time now);
+    void touch(kernel::hash128 const& level, bool computed,
+               kernel::steady_time now);
+    void drop(kernel::hash128 const& level);
+
+    std::size_t limit_;
+    duration retention_;
+    entry_list entries_; // most recent first
+    std::unordered_map<kernel::hash128, entry_list::iterator> index_;
+};
+
+} // namespace endiveward::placement
+
+#endif
--- /dev/null
+++ b/packages/placement/internal/placement.cpp
@@ -0,0 +1,250 @@
+#include "placement/placement.hpp"
+
+#include "placement/internal/endpoint_record.hpp"
+#include "placement/types/placement_choice.hpp"
+#include "placement/types/placement_request.hpp"
+#include "wire/types/verdict.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace endiveward::placement
+{
+
+namespace
+{
+
+using seconds = std::chrono::duration<double>;
+using record_list = std::vector<endpoint_record const*>;
+using record_iterator = record_list::iterator;
+
+std::chrono::milliseconds to_milliseconds(seconds time)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(time);
+}
+
+kernel::error no_eligible_endpoint()
+{
+    return {kernel::error_kind::no_eligible_endpoint,
+            "no available endpoint serves this request; check the rules, the "
+            "loaded model versions and the state of the endpoints",
+            kernel::run_state::not_run, std::nullopt};
+}
+
+kernel::error all_refused(std::chrono::milliseconds wait)
+{
+    return {kernel::error_kind::overloaded,
+            "every eligible endpoint refused this request; retry later",
+            kernel::run_state::not_run,
+            std::max(wait, std::chrono::milliseconds(1))};
+}
+
+// Sorts the first `n` by descending rendezvous weight.
+void sort_by_weight(record_iterator first, record_iterator last, std::size_t n,
+                    std::uint64_t key)
+{
+    using weighted = std::pair<std::uint64_t, endpoint_record const*>;
+    std::vector<weighted> items;
+    items.reserve(static_cast<std::size_t>(last - first));
+    for (auto it = first; it != last; ++it)
+        items.emplace_back(kernel::mix64(key, (*it)->weight_seed()), *it);
+    auto const before = [](weighted const& lhs, weighted const& rhs)
+    { return lhs.first > rhs.first; };
+    auto const middle =
+        items.begin() + static_cast<std::ptrdiff_t>(std::min(n, items.size()));
+    std::partial_sort(items.begin(), middle, items.end(), before);
+    std::transform(items.begin(), items.end(), first,
+                   [](weighted const& it) { return it.second; });
+}
+
+bool contains(std::vector<kernel::endpoint_id> const& ids,
+              kernel::endpoint_id const& id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+placement::placement(std::shared_ptr<kernel::i_clock const> clock,
+                     kernel::region_id own_region, placement_options options)
+    : clock_(std::move(clock))
+    , own_region_(std::move(own_region))
+    , options_(options)
+{
+    options_.candidates = std::max<std::size_t>(options_.candidates, 1);
+    options_.prefill_bytes_per_second =
+        std::max<std::uint64_t>(options_.prefill_bytes_per_second, 1);
+}
+
+placement::~placement() = default;
+
+void placement::update_endpoint(endpoint_status const& status)
+{
+    std::lock_guard const lock(mutex_);
+    auto const now = clock_->now();
+    auto& record = records_[status.id];
+    if (record == nullptr)
+        record = std::make_unique<endpoint_record>(
+            status, options_.max_hints_per_endpoint, now);
+    else
+        record->update(status, now);
+}
+
+void placement::remove_endpoint(kernel::endpoint_id const& id)
+{
+    std::lock_guard const lock(mutex_);
+    records_.erase(id);
+}
+
+kernel::result<placement_choice>
+placement::choose(placement_request const& request)
+{
+    std::lock_guard const lock(mutex_);
+    record_list records = eligible(request);
+    if (records.empty())
+        return no_eligible_endpoint();
+
+    auto const now = clock_->now();
+    seconds least = records.front()->expected_wait(now);
+    for (auto const* it : records)
+        least = std::min(least, it->expected_wait(now));
+    std::erase_if(records, [&](endpoint_record const* it)
+                  { return contains(request.excluded, it->status().id); });
+    if (records.empty())
+        return all_refused(to_milliseconds(least));
+
+    rank(request, records);
+    return cheapest(request, records);
+}
+
+void placement::on_sent(placement_request const&,
+                        kernel::endpoint_id const& endpoint)
+{
+    std::lock_guard const lock(mutex_);
+    if (auto* record = find(endpoint))
+        record->sent(clock_->now());
+}
+
+void placement::on_verdict(placement_request const& request,
+                           kernel::endpoint_id const& endpoint,
+                           wire::verdict const& answer)
+{
+    std::lock_guard const lock(mutex_);
+    auto* record = find(endpoint);
+    if (record == nullptr)
+        return;
+    record->answered();
+    auto const now = clock_->now();
+    if (record->report(answer.load, now))
+        record->record_hit(request, answer.hit_bytes,
+                           !answer.refusal.has_value(), now);
+}
+
+void placement::on_finished(placement_request const& request,
+                            kernel::endpoint_id const& endpoint,
+                            wire::load_report const* load)
+{
+    std::lock_guard const lock(mutex_);
+    auto* record = find(endpoint);
+    if (record == nullptr)
+        return;
+    bool const known = load != nullptr && record->report(*load, clock_->now());
+    record->finished(request, known);
+}
+
+std::size_t placement::hint_count(kernel::endpoint_id const& endpoint) const
+{
+    std::lock_guard const lock(mutex_);
+    auto const it = records_.find(endpoint);
+    return it == records_.end() ? 0 : it->second->hint_count();
+}
+
+// An endpoint that refused this request still counts as available, so that
+// an overloaded region does not push its load into the others.
+placement::record_list
+placement::eligible(placement_request const& request) const
+{
+    record_list local;
+    record_list remote;
+    if (request.allowed == nullptr)
+        return local;
+    for (auto const& id : *request.allowed)
+    {
+        auto const it = records_.find(id);
+        if (it == records_.end() || !it->second->can_serve(request))
+            continue;
+        bool const is_local = it->second->status().region == own_region_;
+        (is_local ? local : remote).push_back(it->second.get());
+    }
+    return local.empty() ? remote : local;
+}
+
+// Each outer level keeps half of the endpoints, but never fewer than are
+// compared by cost: a large workspace can use half of a pool, and requests
+// that share more levels share more of their endpoints.
+void placement::rank(placement_request const& request, record_list& records)
+{
+    if (!request.idempotency_key.empty())
+    {
+        std::uint64_t const key =
+            kernel::hash_bytes(request.idempotency_key).low;
+        sort_by_weight(records.begin(), records.end(), 1, key);
+        records.resize(1);
+        return;
+    }
+    std::size_t n = records.size();
+    std::size_t const k = options_.candidates;
+    for (std::size_t i = 0; i + 1 < request.levels.size(); ++i)
+    {
+        auto const last = records.begin() + static_cast<std::ptrdiff_t>(n);
+        n = std::min(n, std::max(k, (n + 1) / 2));
+        sort_by_weight(records.begin(), last, n, request.levels[i].hash.low);
+    }
+    std::uint64_t const key =
+        request.levels.empty() ? ++turn_ : request.levels.back().hash.low;
+    sort_by_weight(records.begin(),
+                   records.begin() + static_cast<std::ptrdiff_t>(n), k, key);
+    records.resize(std::min(records.size(), k));
+}
+
+placement_choice placement::cheapest(placement_request const& request,
+                                     record_list const& ranked) const
+{
+    auto const now = clock_->now();
+    std::uint64_t const deepest =
+        request.levels.empty() ? 0 : request.levels.back().bytes;
+    double const rate = static_cast<double>(options_.prefill_bytes_per_second);
+    placement_choice best;
+    std::pair<double, double> best_cost;
+    double share = 0.5;
+    for (auto const* it : ranked)
+    {
+        double const hinted =
+            static_cast<double>(it->expected_hit(request, now));
+        // Without a hint the rank stands for it: the first ranks are where
+        // other routers, or this one before a restart, send the prefix.
+        double const hit =
+            hinted + share * (static_cast<double>(deepest) - hinted);
+        share /= 2;
+        double const missing =
+            std::max(static_cast<double>(request.prompt_bytes) - hit, 0.0);
+        seconds const wait = it->expected_wait(now);
+        std::pair const cost{wait.count() +
+                                 options_.recompute_weight * missing / rate,
+                             it->occupancy(now)};
+        if (!best.endpoint.empty() && cost >= best_cost)
+            continue;
+        best_cost = cost;
+        best = {it->status().id, static_cast<std::uint64_t>(hit),
+                to_milliseconds(wait)};
+    }
+    return best;
+}
+
+endpoint_record* placement::find(kernel::endpoint_id const& id)
+{
+    auto const it = records_.find(id);
+    return it == records_.end() ? nullptr : it->second.get();
+}
+
+} // namespace endiveward::placement
--- /dev/null
+++ b/packages/placement/internal/prefix_levels.cpp
@@ -0,0 +1,97 @@
+#include "placement/prefix_levels.hpp"
+
+#include "placement/cache_namespace.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace endiveward::placement
+{
+
+namespace
+{
+
+/// Chains whole blocks. Only a block that spans two parts is copied.
+class block_chain
+{
+public:
+    explicit block_chain(kernel::hash128 const& root)
+        : hash_(root)
+    {
+    }
+
+    void append(std::string_view bytes)
+    {
+        if (pending_ > 0)
+            bytes.remove_prefix(fill(bytes));
+        while (bytes.size() >= block_bytes)
+        {
+            add_block(bytes.substr(0, block_bytes));
+            bytes.remove_prefix(block_bytes);
+        }
+        if (!bytes.empty())
+            fill(bytes);
+    }
+
+    wire::prefix_level level() const { return {hash_, chained_}; }
+
+private:
+    std::size_t fill(std::string_view bytes)
+    {
+        std::size_t const n = std::min(bytes.size(), block_bytes - pending_);
+        std::memcpy(buf_.data() + pending_, bytes.data(), n);
+        pending_ += n;
+        if (pending_ < block_bytes)
+            return n;
+        add_block({buf_.data(), block_bytes});
+        pending_ = 0;
+        return n;
+    }
+
+    void add_block(std::string_view block)
+    {
+        hash_ = kernel::hash_chained(hash_, block);
+        chained_ += block_bytes;
+    }
+
+    kernel::hash128 hash_;
+    std::uint64_t chained_ = 0;
+    std::size_t pending_ = 0;
+    std::array<char, block_bytes> buf_;
+};
+
+// The outer levels are shared with other prompts, the deepest with later
+// turns of the same conversation; levels in the middle serve neither.
+void drop_middle(std::vector<wire::prefix_level>& levels)
+{
+    if (levels.size() <= max_prefix_levels)
+        return;
+    auto const first = levels.begin() + max_prefix_levels / 2;
+    levels.erase(first, levels.end() - max_prefix_levels / 2);
+}
+
+} // namespace
+
+std::vector<wire::prefix_level>
+make_prefix_levels(cache_namespace const& space,
+                   std::span<std::string_view const> parts)
+{
+    block_chain chain(space.hash());
+    std::vector<wire::prefix_level> levels;
+    levels.reserve(std::min(parts.size(), max_prefix_levels + 1));
+    std::uint64_t last = 0;
+    for (auto const& it : parts)
+    {
+        chain.append(it);
+        auto const level = chain.level();
+        if (level.bytes == last)
+            continue;
+        last = level.bytes;
+        levels.push_back(level);
+    }
+    drop_middle(levels);
+    return levels;
+}
+
+} // namespace endiveward::placement
--- /dev/null
+++ b/packages/placement/tests/placement_test.cpp
@@ -0,0 +1,554 @@
+#include "kernel/manual_clock.hpp"
+#include "placement/cache_namespace.hpp"
+#include "placement/placement.hpp"
+#include "placement/prefix_levels.hpp"
+#include "placement/types/endpoint_status.hpp"
+#include "placement/types/placement_choice.hpp"
+#include "placement/types/placement_request.hpp"
+#include "wire/types/verdict.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <map>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace endiveward::placement
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+kernel::model_id const model("m");
+kernel::model_version const version("1");
+
+kernel::endpoint_id endpoint(int i)
+{
+    return kernel::endpoint_id("e" + std::to_string(i));
+}
+
+wire::load_report idle(kernel::incarnation engine = 1)
+{
+    wire::load_report load;
+    load.agent_incarnation = 1;
+    load.engine_incarnation = engine;
+    load.capacity = 8;
+    load.models = {{model, version}};
+    return load;
+}
+
+wire::load_report busy(std::chrono::milliseconds wait)
+{
+    wire::load_report load = idle();
+    load.running = load.capacity;
+    load.queued = 4;
+    load.queue_wait = wait;
+    return load;
+}
+
+endpoint_status status(int i, std::string const& region = "here")
+{
+    return {endpoint(i), kernel::region_id(region), kernel::zone_id("z"), true,
+            idle()};
+}
+
+struct fixture
+{
+    explicit fixture(int endpoints, placement_options options = {})
+        : sut(clock, kernel::region_id("here"), options)
+    {
+        auto ids = std::make_shared<std::vector<kernel::endpoint_id>>();
+        for (int i = 0; i < endpoints; ++i)
+        {
+            ids->push_back(endpoint(i));
+            sut.update_endpoint(status(i));
+        }
+        allowed = ids;
+    }
+
+    placement_request request(std::vector<std::string> const& texts,
+                              std::string const& workspace = "w") const
+    {
+        cache_namespace const space(kernel::workspace_id(workspace), model,
+                                    version, "");
+        std::vector<std::string_view> const parts(texts.begin(), texts.end());
+        placement_request made;
+        made.allowed = allowed;
+        made.model = model;
+        made.version = version;
+        made.levels = make_prefix_levels(space, parts);
+        for (auto const& it : texts)
+            made.prompt_bytes += it.size();
+        return made;
+    }
+
+    placement_choice choose(placement_request const& request)
+    {
+        auto const res = sut.choose(request);
+        REQUIRE(kernel::ok(res));
+        return kernel::value(res);
+    }
+
+    kernel::error_kind refusal(placement_request const& request)
+    {
+        auto const res = sut.choose(request);
+        REQUIRE_FALSE(kernel::ok(res));
+        return kernel::failure(res).kind;
+    }
+
+    /// Sends the request and gets an accepting verdict.
+    void run(placement_request const& request, kernel::endpoint_id const& to,
+             std::uint64_t hit_bytes, wire::load_report const& load)
+    {
+        sut.on_sent(request, to);
+        wire::verdict answer;
+        answer.hit_bytes = hit_bytes;
+        answer.load = load;
+        sut.on_verdict(request, to, answer);
+        sut.on_finished(request, to, &load);
+    }
+
+    std::shared_ptr<kernel::manual_clock> clock =
+        std::make_shared<kernel::manual_clock>();
+    placement sut;
+    std::shared_ptr<std::vector<kernel::endpoint_id> const> allowed;
+};
+
+std::string text(char c, std::size_t blocks)
+{
+    return std::string(blocks * block_bytes, c);
+}
+
+// An endpoint other than the first choice.
+kernel::endpoint_id other_than(kernel::endpoint_id const& id)
+{
+    return id == endpoint(0) ? endpoint(1) : endpoint(0);
+}
+
+} // namespace
+
+// Guards against routers that place the same prefix differently, which would
+// make a restarted router start cold (G3).
+TEST_CASE("routers without a history agree on the endpoint")
+{
+    fixture left(12);
+    fixture right(12);
+    for (char c = 'a'; c < 'z'; ++c)
+    {
+        auto const request = left.request({text('p', 8), text(c, 16)});
+        CHECK(left.choose(request).endpoint == right.choose(request).endpoint);
+    }
+}
+
+// Guards against one endpoint that gets all prompts of an outer level.
+TEST_CASE("prompts that share an outer level spread over endpoints")
+{
+    fixture f(12);
+    std::unordered_set<kernel::endpoint_id> seen;
+    for (char c = 'a'; c <= 'z'; ++c)
+        seen.insert(f.choose(f.request({text('p', 8), text(c, 16)})).endpoint);
+    CHECK(seen.size() > 1);
+    CHECK(seen.size() <= 8);
+}
+
+// Guards against a lost endpoint that moves prefixes of the others.
+TEST_CASE("losing an endpoint moves only its own prefixes")
+{
+    fixture f(12);
+    std::map<char, kernel::endpoint_id> before;
+    for (char c = 'a'; c <= 'z'; ++c)
+        before[c] = f.choose(f.request({text(c, 16)})).endpoint;
+    auto gone = status(3);
+    gone.available = false;
+    f.sut.update_endpoint(gone);
+    for (auto const& [c, id] : before)
+    {
+        auto const now = f.choose(f.request({text(c, 16)})).endpoint;
+        CHECK(now != endpoint(3));
+        if (id != endpoint(3))
+            CHECK(now == id);
+    }
+}
+
+// Guards against work for an endpoint that leaves (G7).
+TEST_CASE("draining, leaving and removed endpoints are never chosen")
+{
+    fixture f(2);
+    auto const request = f.request({text('a', 16)});
+    auto const first = f.choose(request).endpoint;
+    int const i = first == endpoint(0) ? 0 : 1;
+    auto const second = other_than(first);
+
+    SECTION("draining by verdict")
+    {
+        auto load = idle();
+        load.draining = true;
+        f.run(request, first, 0, load);
+    }
+    SECTION("draining by the end of a call")
+    {
+        auto load = idle();
+        load.draining = true;
+        f.sut.on_sent(request, first);
+        f.sut.on_finished(request, first, &load);
+    }
+    SECTION("a report from before the drain arrives late")
+    {
+        auto load = idle();
+        load.draining = true;
+        f.run(request, first, 0, load);
+        f.run(request, first, 0, idle());
+    }
+    SECTION("leaving")
+    {
+        auto gone = status(i);
+        gone.available = false;
+        f.sut.update_endpoint(gone);
+    }
+    SECTION("removed")
+    {
+        f.sut.remove_endpoint(first);
+    }
+
+    for (int n = 0; n < 50; ++n)
+        CHECK(f.choose(request).endpoint == second);
+    auto keyed = request;
+    for (int n = 0; n < 50; ++n)
+    {
+        keyed.idempotency_key = std::to_string(n);
+        CHECK(f.choose(keyed).endpoint == second);
+    }
+    f.sut.remove_endpoint(second);
+    CHECK(f.refusal(request) == kernel::error_kind::no_eligible_endpoint);
+}
+
+// Guards against hints of an engine that died with its cache (G1).
+TEST_CASE("hints of a dead engine incarnation never count")
+{
+    fixture f(2);
+    auto const request = f.request({text('a', 64)});
+    auto const home = f.choose(request).endpoint;
+    auto const other = other_than(home);
+    f.run(request, other, 0, idle(1));
+    f.run(request, other, 64 * block_bytes, idle(1));
+    REQUIRE(f.choose(request).endpoint == other);
+    REQUIRE(f.sut.hint_count(other) == 1);
+
+    SECTION("a restart seen on another call")
+    {
+        f.run(f.request({text('z', 1)}), other, 0, idle(2));
+        CHECK(f.sut.hint_count(other) == 1);
+    }
+    SECTION("a restart seen by membership")
+    {
+        auto restarted = status(other == endpoint(0) ? 0 : 1);
+        restarted.load = idle(2);
+        f.sut.update_endpoint(restarted);
+        CHECK(f.sut.hint_count(other) == 0);
+    }
+    SECTION("a verdict of the dead engine arrives late")
+    {
+        f.run(f.request({text('z', 1)}), other, 0, idle(2));
+        f.run(request, other, 64 * block_bytes, idle(1));
+        CHECK(f.sut.hint_count(other) == 1);
+    }
+    CHECK(f.choose(request).endpoint == home);
+}
+
+// Guards against an endpoint that stays unusable after a lost connection, when
+// membership does not know the incarnation for a while.
+TEST_CASE("an unknown incarnation does not retire the engine")
+{
+    fixture f(1);
+    auto const request = f.request({text('a', 64)});
+    f.run(request, endpoint(0), 0, idle(1));
+    auto lost = status(0);
+    lost.available = false;
+    lost.load = {};
+    f.sut.update_endpoint(lost);
+    CHECK(f.refusal(request) == kernel::error_kind::no_eligible_endpoint);
+    f.sut.update_endpoint(status(0));
+    CHECK(f.choose(request).endpoint == endpoint(0));
+    CHECK(f.choose(request).expected_hit_bytes == 64 * block_bytes);
+}
+
+// Guards against hits counted across workspaces (G1).
+TEST_CASE("hints of another workspace never count")
+{
+    fixture f(1);
+    auto const mine = f.request({text('a', 64)}, "w");
+    auto const theirs = f.request({text('a', 64)}, "x");
+    auto const before = f.choose(theirs).expected_hit_bytes;
+    f.run(mine, endpoint(0), 0, idle());
+    CHECK(f.choose(mine).expected_hit_bytes == 64 * block_bytes);
+    CHECK(f.choose(theirs).expected_hit_bytes == before);
+}
+
+// Guards against hits counted across weights versions (G1), and against calls
+// for weights that the engine has not loaded.
+TEST_CASE("hints of other weights never count")
+{
+    fixture f(1);
+    auto const old = f.request({text('a', 64)});
+    auto newer = old;
+    newer.version = kernel::model_version("2");
+    cache_namespace const space(kernel::workspace_id("w"), model, newer.version,
+                                "");
+    std::string const body = text('a', 64);
+    std::vector<std::string_view> const parts{body};
+    newer.levels = make_prefix_levels(space, parts);
+    CHECK(f.refusal(newer) == kernel::error_kind::no_eligible_endpoint);
+
+    auto load = idle();
+    load.models.push_back({model, newer.version});
+    f.run(old, endpoint(0), 0, load);
+    CHECK(f.choose(old).expected_hit_bytes == 64 * block_bytes);
+    CHECK(f.choose(newer).expected_hit_bytes < 64 * block_bytes);
+}
+
+// Guards against routers whose memory grows with the number of prefixes.
+TEST_CASE("hints are bounded and the oldest goes first")
+{
+    placement_options options;
+    options.max_hints_per_endpoint = 4;
+    fixture f(1, options);
+    for (char c = 'a'; c <= 'z'; ++c)
+        f.run(f.request({text(c, 4)}), endpoint(0), 0, idle());
+    CHECK(f.sut.hint_count(endpoint(0)) == 4);
+    CHECK(f.choose(f.request({text('z', 4)})).expected_hit_bytes ==
+          4 * block_bytes);
+    CHECK(f.choose(f.request({text('a', 4)})).expected_hit_bytes <
+          4 * block_bytes);
+}
+
+// Guards against hints that outlive the entries of a cache that evicts within
+// seconds.
+TEST_CASE("misses shorten the life of hints")
+{
+    fixture f(1);
+    auto const probe = f.request({text('p', 4)});
+    for (int i = 0; i < 40; ++i)
+    {
+        f.run(probe, endpoint(0), 0, idle());
+        f.clock->advance(2s);
+    }
+    CHECK(f.choose(probe).expected_hit_bytes < 4 * block_bytes);
+}
+
+// Guards against hints that are given up because a burst of calls arrives
+// before the engine has computed their common prefix.
+TEST_CASE("misses on a prefix that is being computed do not shorten hints")
+{
+    fixture f(1);
+    auto const probe = f.request({text('p', 4)});
+    wire::verdict answer;
+    answer.load = idle();
+    for (int i = 0; i < 40; ++i)
+    {
+        f.sut.on_sent(probe, endpoint(0));
+        f.sut.on_verdict(probe, endpoint(0), answer);
+        f.clock->advance(5ms);
+    }
+    f.clock->advance(10s);
+    CHECK(f.choose(probe).expected_hit_bytes == 4 * block_bytes);
+}
+
+// Guards against a hot prefix that queues behind itself while others idle.
+TEST_CASE("a hot prefix overflows when its endpoint is busy")
+{
+    fixture f(12);
+    auto const request = f.request({text('a', 64)});
+    auto const home = f.choose(request).endpoint;
+    f.run(request, home, 64 * block_bytes, busy(10s));
+    auto const next = f.choose(request).endpoint;
+    CHECK(next != home);
+    f.run(request, home, 64 * block_bytes, busy(100ms));
+    CHECK(f.choose(request).endpoint == home);
+}
+
+// Guards against a weight that has no effect: it alone decides between a
+// longer wait and recomputation.
+TEST_CASE("recompute_weight trades wait for recomputation")
+{
+    placement_options latency;
+    latency.recompute_weight = 1.0;
+    placement_options locality;
+    locality.recompute_weight = 8.0;
+    fixture low(2, latency);
+    fixture high(2, locality);
+    auto const request = low.request({text('a', 40)});
+    auto const home = low.choose(request).endpoint;
+    // 40 KiB take about a second to recompute.
+    low.run(request, home, 40 * block_bytes, busy(3s));
+    high.run(request, home, 40 * block_bytes, busy(3s));
+    CHECK(low.choose(request).endpoint != home);
+    CHECK(high.choose(request).endpoint == home);
+}
+
+// Guards against a burst that goes to one endpoint before any report returns.
+TEST_CASE("own calls in flight count until the agent reports them")
+{
+    fixture f(2);
+    auto const request = f.request({text('a', 1)});
+    std::unordered_map<kernel::endpoint_id, int> sent;
+    for (int i = 0; i < 40; ++i)
+    {
+        auto const to = f.choose(request).endpoint;
+        f.sut.on_sent(request, to);
+        ++sent[to];
+    }
+    CHECK(sent[endpoint(0)] >= 8);
+    CHECK(sent[endpoint(1)] >= 8);
+    // Calls without any answer stop counting, here after a frozen agent.
+    f.clock->advance(5s);
+    CHECK(f.choose(request).expected_wait == 0ms);
+}
+
+// Guards against an old report that keeps traffic away for ever.
+TEST_CASE("a reported wait ages")
+{
+    fixture f(2);
+    auto const request = f.request({text('a', 64)});
+    auto const home = f.choose(request).endpoint;
+    f.run(request, home, 64 * block_bytes, busy(10s));
+    REQUIRE(f.choose(request).endpoint != home);
+    f.clock->advance(25s);
+    CHECK(f.choose(request).endpoint == home);
+}
+
+// Guards against a keyed retry that reaches another agent, which cannot answer
+// from memory (4.4).
+TEST_CASE("calls with one idempotency key keep their endpoint")
+{
+    fixture f(12);
+    auto request = f.request({text('a', 16)});
+    request.idempotency_key = "key";
+    auto const home = f.choose(request).endpoint;
+    f.run(request, home, 0, busy(60s));
+    CHECK(f.choose(request).endpoint == home);
+    auto other = f.request({text('b', 32)});
+    other.idempotency_key = "key";
+    CHECK(f.choose(other).endpoint == home);
+
+    std::unordered_set<kernel::endpoint_id> seen;
+    for (int i = 0; i < 100; ++i)
+    {
+        request.idempotency_key = std::to_string(i);
+        seen.insert(f.choose(request).endpoint);
+    }
+    CHECK(seen.size() > 6);
+}
+
+// Guards against a retry that returns to the endpoint that refused.
+TEST_CASE("excluded endpoints are not chosen again")
+{
+    fixture f(3);
+    auto request = f.request({text('a', 16)});
+    std::unordered_set<kernel::endpoint_id> seen;
+    for (int i = 0; i < 3; ++i)
+    {
+        auto const to = f.choose(request).endpoint;
+        CHECK(seen.insert(to).second);
+        request.excluded.push_back(to);
+    }
+    CHECK(f.refusal(request) == kernel::error_kind::overloaded);
+    auto const res = f.sut.choose(request);
+    CHECK(kernel::failure(res).retry_after.has_value());
+    CHECK(kernel::failure(res).run == kernel::run_state::not_run);
+}
+
+// Guards against traffic that leaves its region while it can be served there.
+TEST_CASE("other regions serve only while no local endpoint is available")
+{
+    fixture f(2);
+    f.sut.update_endpoint(status(1, "away"));
+    auto request = f.request({text('a', 16)});
+    f.run(request, endpoint(0), 0, busy(60s));
+    CHECK(f.choose(request).endpoint == endpoint(0));
+    // A refusal for overload is no reason to move the load elsewhere.
+    request.excluded = {endpoint(0)};
+    CHECK(f.refusal(request) == kernel::error_kind::overloaded);
+    request.excluded.clear();
+    auto gone = status(0);
+    gone.available = false;
+    f.sut.update_endpoint(gone);
+    CHECK(f.choose(request).endpoint == endpoint(1));
+}
+
+// Guards against endpoints outside the rules (G7 and selectors).
+TEST_CASE("only allowed endpoints are chosen")
+{
+    fixture f(12);
+    auto request = f.request({text('a', 16)});
+    request.allowed = std::make_shared<std::vector<kernel::endpoint_id> const>(
+        std::vector{endpoint(5)});
+    CHECK(f.choose(request).endpoint == endpoint(5));
+    request.allowed = nullptr;
+    CHECK(f.refusal(request) == kernel::error_kind::no_eligible_endpoint);
+}
+
+// Guards against services and short prompts that all go to one endpoint.
+TEST_CASE("calls without levels spread over the endpoints")
+{
+    fixture f(6);
+    placement_request request;
+    request.allowed = f.allowed;
+    std::unordered_map<kernel::endpoint_id, int> sent;
+    for (int i = 0; i < 600; ++i)
+        ++sent[f.choose(request).endpoint];
+    CHECK(sent.size() == 6);
+    for (auto const& [id, n] : sent)
+        CHECK(n > 50);
+}
+
+// Guards against counts that go below zero or stay when a call ends without a
+// verdict or after its endpoint was replaced.
+TEST_CASE("ends of unknown calls are harmless")
+{
+    fixture f(1);
+    auto const request = f.request({text('a', 16)});
+    f.sut.on_finished(request, endpoint(0), nullptr);
+    f.sut.on_finished(request, endpoint(7), nullptr);
+    f.sut.on_verdict(request, endpoint(7), {});
+    for (int i = 0; i < 100; ++i)
+    {
+        f.sut.on_sent(request, endpoint(0));
+        f.sut.on_finished(request, endpoint(0), nullptr);
+    }
+    CHECK(f.choose(request).expected_wait == 0ms);
+}
+
+// Guards against data races between traffic threads and membership; meant for
+// runs under a thread sanitizer.
+TEST_CASE("placement is safe for concurrent use")
+{
+    fixture f(12);
+    auto const request = f.request({text('a', 16)});
+    std::atomic<int> chosen{0};
+    std::vector<std::thread> threads;
+    threads.reserve(4);
+    for (int t = 0; t < 4; ++t)
+        threads.emplace_back(
+            [&]
+            {
+                for (int i = 0; i < 500; ++i)
+                {
+                    auto const res = f.sut.choose(request);
+                    if (!kernel::ok(res))
+                        continue;
+                    ++chosen;
+                    f.run(request, kernel::value(res).endpoint, 0, idle());
+                    f.sut.update_endpoint(status(i % 12));
+                }
+            });
+    for (auto& it : threads)
+        it.join();
+    CHECK(chosen == 2000);
+}
+
+} // namespace endiveward::placement
