Order candidates by the second prefix level

Cause: the deepest level is usually a request's own text, so requests that share policy and engagement landed on different endpoints.

--- a/packages/placement/internal/placement.cpp
+++ b/packages/placement/internal/placement.cpp
@@ -57,6 +57,19 @@
                    [](weighted const& it) { return it.second; });
 }
 
+// The level that orders the candidates: the second, unless it adds so little
+// to the first that it is more likely one request's own text than a shared
+// part. Deeper levels are often unique to a request and would scatter prompts
+// that share all the rest.
+std::size_t anchor_level(std::vector<wire::prefix_level> const& levels)
+{
+    constexpr std::uint64_t min_share = 8;
+    if (levels.size() < 2)
+        return 0;
+    std::uint64_t const added = levels[1].bytes - levels[0].bytes;
+    return added * min_share >= levels[1].bytes ? 1 : 0;
+}
+
 bool contains(std::vector<kernel::endpoint_id> const& ids,
               kernel::endpoint_id const& id)
 {
@@ -179,9 +192,10 @@
     return local.empty() ? remote : local;
 }
 
-// Each outer level keeps half of the endpoints, but never fewer than are
-// compared by cost: a large workspace can use half of a pool, and requests
-// that share more levels share more of their endpoints.
+// The outermost level keeps half of the endpoints, but never fewer than are
+// compared by cost, so that a large workspace can use half of a pool. The
+// anchor orders them: all prompts below it share their ranks, and its blocks
+// are computed on few endpoints.
 void placement::rank(placement_request const& request, record_list& records)
 {
     if (!request.idempotency_key.empty())
@@ -192,19 +206,25 @@
         records.resize(1);
         return;
     }
+    std::size_t const k = std::min(options_.candidates, records.size());
+    if (request.levels.empty())
+    {
+        sort_by_weight(records.begin(), records.end(), k, ++turn_);
+        records.resize(k);
+        return;
+    }
+    std::size_t const anchor = anchor_level(request.levels);
     std::size_t n = records.size();
-    std::size_t const k = options_.candidates;
-    for (std::size_t i = 0; i + 1 < request.levels.size(); ++i)
+    if (anchor > 0)
     {
-        auto const last = records.begin() + static_cast<std::ptrdiff_t>(n);
-        n = std::min(n, std::max(k, (n + 1) / 2));
-        sort_by_weight(records.begin(), last, n, request.levels[i].hash.low);
+        n = std::max(k, (n + 1) / 2);
+        sort_by_weight(records.begin(), records.end(), n,
+                       request.levels.front().hash.low);
     }
-    std::uint64_t const key =
-        request.levels.empty() ? ++turn_ : request.levels.back().hash.low;
     sort_by_weight(records.begin(),
-                   records.begin() + static_cast<std::ptrdiff_t>(n), k, key);
-    records.resize(std::min(records.size(), k));
+                   records.begin() + static_cast<std::ptrdiff_t>(n), k,
+                   request.levels[anchor].hash.low);
+    records.resize(k);
 }
 
 placement_choice placement::cheapest(placement_request const& request,
