Compare 16 candidates by cost instead of 8

Cause: with 8 of 12 endpoints a request could not reach an idle one outside its subset, so queues grew, overflow scattered prefixes and cost more recomputation. One unit test relied on the default of 8 and now sets it.

--- a/bench/policy/workload.hpp
+++ b/bench/policy/workload.hpp
@@ -43,7 +43,7 @@
     std::chrono::microseconds network_latency{500};
     std::chrono::milliseconds load_report_lag{0};
     double recompute_weight = 1.0;
-    std::size_t candidates = 8;
+    std::size_t candidates = 16;
 
     double rate_per_s = 40;
     sim_time duration{};
--- a/packages/placement/tests/placement_test.cpp
+++ b/packages/placement/tests/placement_test.cpp
@@ -148,7 +148,9 @@
 // Guards against one endpoint that gets all prompts of an outer level.
 TEST_CASE("prompts that share an outer level spread over endpoints")
 {
-    fixture f(12);
+    placement_options options;
+    options.candidates = 8;
+    fixture f(12, options);
     std::unordered_set<kernel::endpoint_id> seen;
     for (char c = 'a'; c <= 'z'; ++c)
         seen.insert(f.choose(f.request({text('p', 8), text(c, 16)})).endpoint);
