--- /dev/null
+++ b/packages/agent/internal/agent_metrics.hpp
@@ -0,0 +1,56 @@
+#ifndef ENDIVEWARD_AGENT_AGENT_METRICS_HPP
+#define ENDIVEWARD_AGENT_AGENT_METRICS_HPP
+
+#include "kernel/types/error_kind.hpp"
+#include "wire/types/call_outcome.hpp"
+
+#include <memory>
+
+namespace prometheus
+{
+class Counter;
+class Gauge;
+class Registry;
+template <typename T>
+class Family;
+} // namespace prometheus
+
+namespace endiveward::agent
+{
+
+/// Metrics of the agent, with prefix `endiveward_agent_`.
+class agent_metrics
+{
+public:
+    explicit agent_metrics(std::shared_ptr<prometheus::Registry> registry);
+
+    void count_end(wire::call_outcome outcome);
+    void count_refusal(kernel::error_kind kind);
+
+private:
+    std::shared_ptr<prometheus::Registry> registry_;
+    prometheus::Family<prometheus::Counter>& ends_;
+    prometheus::Family<prometheus::Counter>& refusals_;
+
+public:
+    prometheus::Counter& resumes;
+    prometheus::Counter& duplicate_invokes;
+    prometheus::Counter& dropped_messages;
+    prometheus::Counter& orphans_cancelled;
+    prometheus::Counter& replayed_answers;
+    prometheus::Counter& prompt_bytes;
+    prometheus::Counter& cached_bytes;
+    prometheus::Counter& cache_relistings;
+    prometheus::Counter& cache_events;
+    prometheus::Gauge& running;
+    prometheus::Gauge& queued;
+    prometheus::Gauge& capacity;
+    prometheus::Gauge& connections;
+    prometheus::Gauge& endpoint_up;
+    prometheus::Gauge& draining;
+    prometheus::Gauge& cache_blocks;
+};
+
+} // namespace endiveward::agent
+
+#endif
--- /dev/null
+++ b/packages/agent/internal/call.hpp
@@ -0,0 +1,67 @@
+#ifndef ENDIVEWARD_AGENT_CALL_HPP
+#define ENDIVEWARD_AGENT_CALL_HPP
+
+#include "admission/i_stream_buffer.hpp"
+#include "admission/types/claim.hpp"
+#include "kernel/i_clock.hpp"
+#include "wire/types/call_end.hpp"
+#include "wire/types/invoke.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace endiveward::wire
+{
+class i_connection;
+}
+
+namespace endiveward::agent
+{
+
+enum class call_state : std::uint8_t
+{
+    /// Waits for the configuration that the router had.
+    undecided,
+    queued,
+    /// Has a place at the endpoint and waits for the ledger.
+    claiming,
+    running,
+    ended
+};
+
+/// A call that a router sent to this agent.
+struct call
+{
+    std::uint64_t id = 0;
+    wire::invoke request;
+    kernel::hash128 request_hash;
+    call_state state = call_state::undecided;
+    kernel::steady_time deadline;
+    std::uint64_t hit_bytes = 0;
+
+    /// Null while no router is connected for it.
+    std::shared_ptr<wire::i_connection> connection;
+    /// Id of the call on `connection`.
+    std::uint64_t call_id = 0;
+    std::optional<kernel::steady_time> orphaned_at;
+
+    std::unique_ptr<admission::i_stream_buffer> buffer;
+    std::uint64_t next_to_send = 0;
+    bool paused = false;
+    bool end_sent = false;
+
+    std::optional<admission::claim> claim;
+    /// The answer so far, kept for the ledger.
+    std::string answer;
+    bool answer_kept = true;
+
+    kernel::steady_time started_at;
+    std::optional<wire::call_end> end;
+    kernel::steady_time ended_at;
+};
+
+} // namespace endiveward::agent
+
+#endif
--- /dev/null
+++ b/packages/agent/internal/call_sender.hpp
@@ -0,0 +1,48 @@
+#ifndef ENDIVEWARD_AGENT_CALL_SENDER_HPP
+#define ENDIVEWARD_AGENT_CALL_SENDER_HPP
+
+#include "kernel/types/error.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace endiveward::config
+{
+class i_config_state;
+}
+namespace endiveward::wire
+{
+class i_connection;
+}
+
+namespace endiveward::agent
+{
+
+class load_reporter;
+struct call;
+
+/// Sends the messages of calls to routers.
+class call_sender
+{
+    std::shared_ptr<load_reporter> load_;
+    std::shared_ptr<config::i_config_state const> configuration_;
+
+public:
+    call_sender(std::shared_ptr<load_reporter> load,
+                std::shared_ptr<config::i_config_state const> configuration);
+
+    void send_verdict(call const& which,
+                      std::optional<kernel::error> refusal) const;
+    /// Sends buffered chunks that were not sent, then the end if it is known.
+    void send_available(call& which) const;
+    /// Answers a message for a stream that cannot be continued.
+    static void send_lost_stream(wire::i_connection& to, std::uint64_t call_id);
+
+private:
+    void send_end(call& which) const;
+};
+
+} // namespace endiveward::agent
+
+#endif
--- /dev/null
+++ b/packages/agent/internal/load_reporter.cpp
@@ -0,0 +1,68 @@
+#include "agent/internal/load_reporter.hpp"
+
+#include "admission/i_admission_queue.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace endiveward::agent
+{
+
+load_reporter::load_reporter(
+    std::shared_ptr<admission::i_admission_queue> queue,
+    kernel::incarnation agent, std::size_t max_capacity)
+    : queue_(std::move(queue))
+    , agent_(agent)
+    , max_capacity_(max_capacity)
+    , published_(std::make_shared<wire::load_report const>())
+{
+    queue_->set_capacity(max_capacity_);
+    report();
+}
+
+void load_reporter::update_engine(engine_load load)
+{
+    engine_ = std::move(load);
+    std::sort(engine_.models.begin(), engine_.models.end());
+    // An engine that reports no capacity is limited by the settings alone.
+    auto const capacity = engine_.capacity == 0
+                              ? max_capacity_
+                              : std::min(engine_.capacity, max_capacity_);
+    queue_->set_capacity(capacity);
+    report();
+}
+
+void load_reporter::mark_engine_lost()
+{
+    engine_.models.clear();
+    report();
+}
+
+bool load_reporter::serves(kernel::model_id const& model,
+                           kernel::model_version const& version) const
+{
+    return std::binary_search(engine_.models.begin(), engine_.models.end(),
+                              wire::loaded_model{model, version});
+}
+
+kernel::incarnation load_reporter::engine_incarnation() const
+{
+    return engine_.incarnation;
+}
+
+wire::load_report load_reporter::report()
+{
+    wire::load_report load;
+    load.agent_incarnation = agent_;
+    load.engine_incarnation = engine_.incarnation;
+    load.running = static_cast<std::uint32_t>(queue_->running());
+    load.queued = static_cast<std::uint32_t>(queue_->queued());
+    load.capacity = static_cast<std::uint32_t>(queue_->capacity());
+    load.queue_wait = queue_->estimated_wait();
+    load.draining = queue_->draining();
+    load.models = engine_.models;
+    published_.store(std::make_shared<wire::load_report const>(load));
+    return load;
+}
+
+} // namespace endiveward::agent
--- /dev/null
+++ b/packages/agent/tests/call_executor_test.cpp
@@ -0,0 +1,530 @@
+#include "agent/internal/agent_metrics.hpp"
+#include "agent/internal/call_executor.hpp"
+#include "agent/internal/load_reporter.hpp"
+#include "agent/tests/fakes.hpp"
+#include "kernel/manual_clock.hpp"
+
+#include <catch2/catch.hpp>
+#include <prometheus/registry.h>
+
+namespace endiveward::agent
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using kernel::error_kind;
+using kernel::run_state;
+
+struct agent_under_test
+{
+    agent_under_test()
+    {
+        executor_services services;
+        services.clock = clock;
+        services.queue = queue;
+        services.ledger = ledger;
+        services.cache = cache;
+        services.configuration = configuration;
+        services.endpoint = endpoint;
+        services.load = load;
+        services.metrics = std::make_shared<agent_metrics>(
+            std::make_shared<prometheus::Registry>());
+        services.make_buffer = [] { return std::make_unique<fake_buffer>(); };
+        services.cache_salt = [](wire::invoke const&) { return "salt"; };
+        executor.emplace(services, endpoint_identity{own_id, {}});
+        engine_load loaded;
+        loaded.incarnation = 7;
+        loaded.capacity = 1;
+        loaded.models = {{kernel::model_id("m"), kernel::model_version("v1")}};
+        load->update_engine(loaded);
+    }
+
+    wire::invoke make_invoke(std::uint64_t call_id) const
+    {
+        wire::invoke it;
+        it.call_id = call_id;
+        it.stream_id = {1, call_id};
+        it.workspace = kernel::workspace_id("w");
+        it.model = kernel::model_id("m");
+        it.version = kernel::model_version("v1");
+        it.method = "POST";
+        it.path = "/v1/completions";
+        it.body = R"({"prompt":"x","cache_salt":"forged"})";
+        it.streaming = true;
+        it.idempotent = true;
+        it.deadline = 60s;
+        it.config_version = 1;
+        return it;
+    }
+
+    void advance(std::chrono::milliseconds step)
+    {
+        clock->advance(step);
+        executor->tick();
+    }
+
+    kernel::endpoint_id const own_id{"e1"};
+    std::shared_ptr<kernel::manual_clock> clock =
+        std::make_shared<kernel::manual_clock>();
+    std::shared_ptr<fake_queue> queue = std::make_shared<fake_queue>(*clock);
+    std::shared_ptr<fake_ledger> ledger = std::make_shared<fake_ledger>();
+    std::shared_ptr<fake_cache> cache = std::make_shared<fake_cache>();
+    std::shared_ptr<fake_config_state> configuration =
+        std::make_shared<fake_config_state>();
+    std::shared_ptr<fake_endpoint> endpoint = std::make_shared<fake_endpoint>();
+    std::shared_ptr<load_reporter> load =
+        std::make_shared<load_reporter>(queue, 5, 16);
+    std::optional<call_executor> executor;
+    std::shared_ptr<fake_connection> router =
+        std::make_shared<fake_connection>();
+    std::shared_ptr<fake_connection> other =
+        std::make_shared<fake_connection>();
+};
+
+wire::verdict only_verdict(fake_connection const& conn)
+{
+    auto const all = conn.all<wire::verdict>();
+    REQUIRE(all.size() == 1);
+    return all.front();
+}
+
+wire::call_end only_end(fake_connection const& conn)
+{
+    auto const all = conn.all<wire::call_end>();
+    REQUIRE(all.size() == 1);
+    return all.front();
+}
+
+} // namespace
+
+// Guards against an answer that is lost, changed or out of order on the plain
+// path, and against the caller choosing the cache namespace.
+TEST_CASE("a call runs and its answer is relayed in order")
+{
+    agent_under_test agent;
+    auto request = agent.make_invoke(1);
+    request.prefix_levels = {{{1, 2}, 4096}};
+    agent.executor->on_invoke(agent.router, request);
+    auto const verdict = only_verdict(*agent.router);
+    CHECK_FALSE(verdict.refusal);
+    CHECK(verdict.hit_bytes == 4096);
+    CHECK(verdict.load.engine_incarnation == 7);
+    REQUIRE(agent.endpoint->started.size() == 1);
+    auto const& body = agent.endpoint->started[0].request.body;
+    CHECK(body.find("\"cache_salt\":\"salt\"") != std::string::npos);
+    CHECK(body.find("forged") == std::string::npos);
+    agent.endpoint->part(0, "a");
+    agent.endpoint->part(0, "b");
+    agent.endpoint->finish(0);
+    CHECK(agent.router->answer() == "ab");
+    auto const end = only_end(*agent.router);
+    CHECK(end.outcome == wire::call_outcome::complete);
+    CHECK(end.chunks == 2);
+}
+
+// Guards against chunks that are lost, repeated or reordered when the router's
+// connection breaks in the middle of a stream.
+TEST_CASE("a stream is resumed on another connection")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.endpoint->part(0, "0");
+    agent.endpoint->part(0, "1");
+    agent.endpoint->part(0, "2");
+    agent.executor->on_ack(agent.router, {1, 1});
+    agent.executor->on_connection_closed(agent.router);
+    agent.endpoint->part(0, "3");
+    agent.executor->on_resume(agent.other, {9, {1, 1}, 2});
+    agent.endpoint->part(0, "4");
+    agent.endpoint->finish(0);
+    CHECK(agent.other->answer(2) == "234");
+    for (auto const& it : agent.other->all<wire::chunk>())
+        CHECK(it.call_id == 9);
+    CHECK(only_end(*agent.other).chunks == 5);
+    CHECK(agent.router->all<wire::call_end>().empty());
+    CHECK(agent.endpoint->started.size() == 1);
+}
+
+// Guards against a short answer: the router may lose the connection after the
+// stream has ended.
+TEST_CASE("a stream that has ended is kept for the resume window")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.endpoint->part(0, "0");
+    agent.endpoint->finish(0);
+    agent.executor->on_connection_closed(agent.router);
+    agent.advance(9s);
+    agent.executor->on_resume(agent.other, {3, {1, 1}, 0});
+    CHECK(agent.other->answer() == "0");
+    CHECK(only_end(*agent.other).outcome == wire::call_outcome::complete);
+    agent.advance(2s);
+    auto const late = std::make_shared<fake_connection>();
+    agent.executor->on_resume(late, {4, {1, 1}, 0});
+    auto const end = only_end(*late);
+    CHECK(end.outcome == wire::call_outcome::failed);
+    CHECK(end.failure->run == run_state::unknown);
+}
+
+// Guards against a gap: released chunks cannot be sent again.
+TEST_CASE("a resume below the acknowledged chunks fails")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.endpoint->part(0, "0");
+    agent.endpoint->part(0, "1");
+    agent.executor->on_ack(agent.router, {1, 2});
+    agent.executor->on_connection_closed(agent.router);
+    agent.executor->on_resume(agent.other, {2, {1, 1}, 1});
+    CHECK(only_end(*agent.other).failure->kind ==
+          error_kind::stream_interrupted);
+    CHECK(agent.other->all<wire::chunk>().empty());
+}
+
+// Guards against calls of dead routers that occupy the endpoint for ever.
+TEST_CASE("a call without a router is cancelled after the resume window")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.executor->on_connection_closed(agent.router);
+    agent.advance(9s);
+    CHECK(agent.endpoint->cancelled.empty());
+    agent.advance(1s);
+    CHECK(agent.endpoint->cancelled.size() == 1);
+    CHECK(agent.queue->running() == 0);
+}
+
+// Guards against a second run when a router repeats an invoke.
+TEST_CASE("a repeated invoke does not run twice")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.endpoint->part(0, "0");
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    CHECK(agent.router->all<wire::verdict>().size() == 1);
+
+    auto again = agent.make_invoke(1);
+    again.call_id = 5;
+    agent.executor->on_connection_closed(agent.router);
+    agent.executor->on_invoke(agent.other, again);
+    agent.endpoint->part(0, "1");
+    agent.endpoint->finish(0);
+    CHECK(agent.endpoint->started.size() == 1);
+    CHECK(agent.other->answer() == "01");
+    CHECK(only_end(*agent.other).call_id == 5);
+}
+
+// Guards against an answer that reaches the caller of another request.
+TEST_CASE("a stream id of another request is refused")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    auto forged = agent.make_invoke(1);
+    forged.workspace = kernel::workspace_id("other");
+    agent.executor->on_invoke(agent.other, forged);
+    auto const verdict = only_verdict(*agent.other);
+    REQUIRE(verdict.refusal);
+    CHECK(verdict.refusal->kind == error_kind::invalid_request);
+    agent.endpoint->part(0, "secret");
+    CHECK(agent.other->all<wire::chunk>().empty());
+}
+
+// Guards against a false claim that an answer is complete.
+TEST_CASE("a call whose engine dies never ends as complete")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.endpoint->part(0, "0");
+    agent.endpoint->finish(0, kernel::error{error_kind::stream_interrupted,
+                                            "broken",
+                                            run_state::unknown,
+                                            {}});
+    auto const end = only_end(*agent.router);
+    CHECK(end.outcome == wire::call_outcome::failed);
+    CHECK(end.failure->run == run_state::unknown);
+}
+
+// Guards against a late or wrong answer for a call that waited too long.
+TEST_CASE("a queued call whose deadline passes ends as not run")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    auto second = agent.make_invoke(2);
+    second.deadline = 100ms;
+    agent.executor->on_invoke(agent.router, second);
+    CHECK(agent.endpoint->started.size() == 1);
+    agent.advance(100ms);
+    auto const end = only_end(*agent.router);
+    CHECK(end.call_id == 2);
+    CHECK(end.chunks == 0);
+    CHECK(end.failure->kind == error_kind::deadline_exceeded);
+    CHECK(end.failure->run == run_state::not_run);
+    agent.endpoint->finish(0);
+    CHECK(agent.endpoint->started.size() == 1);
+}
+
+// Guards against "not run" for a call that the engine has.
+TEST_CASE("a running call whose deadline passes ends as unknown")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.advance(60s);
+    auto const end = only_end(*agent.router);
+    CHECK(end.failure->kind == error_kind::deadline_exceeded);
+    CHECK(end.failure->run == run_state::unknown);
+    CHECK(agent.endpoint->cancelled.size() == 1);
+    agent.endpoint->part(0, "late");
+    agent.endpoint->finish(0);
+    CHECK(agent.router->all<wire::call_end>().size() == 1);
+    CHECK(agent.router->all<wire::chunk>().empty());
+}
+
+// Guards against the use of selectors that were replaced.
+TEST_CASE("a router with an older configuration is refused")
+{
+    agent_under_test agent;
+    agent.configuration->set(2);
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    auto const verdict = only_verdict(*agent.router);
+    REQUIRE(verdict.refusal);
+    CHECK(verdict.refusal->kind == error_kind::stale_configuration);
+    CHECK(verdict.refusal->run == run_state::not_run);
+    CHECK(verdict.config_version == 2);
+    CHECK(agent.endpoint->started.empty());
+}
+
+// Guards against a decision by an old configuration of the agent.
+TEST_CASE("an agent behind the router updates before it decides")
+{
+    agent_under_test agent;
+    auto request = agent.make_invoke(1);
+    request.config_version = 3;
+    agent.executor->on_invoke(agent.router, request);
+    CHECK(agent.router->all<wire::verdict>().empty());
+    auto const asked = agent.router->all<wire::config_request>();
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].known_version == 1);
+
+    SECTION("the update allows the call")
+    {
+        agent.configuration->set(3);
+        agent.executor->on_configuration(agent.router);
+        CHECK_FALSE(only_verdict(*agent.router).refusal);
+        CHECK(agent.endpoint->started.size() == 1);
+    }
+    SECTION("the update forbids the call")
+    {
+        agent.configuration->set(3, false);
+        agent.executor->on_configuration(agent.router);
+        CHECK(only_verdict(*agent.router).refusal->kind ==
+              error_kind::not_eligible);
+        CHECK(agent.endpoint->started.empty());
+    }
+    SECTION("the update is too old")
+    {
+        agent.configuration->set(2);
+        agent.executor->on_configuration(agent.router);
+        CHECK(only_verdict(*agent.router).refusal->kind ==
+              error_kind::stale_configuration);
+    }
+    SECTION("the update never comes")
+    {
+        agent.advance(60s);
+        auto const refusal = only_verdict(*agent.router).refusal;
+        CHECK(refusal->kind == error_kind::deadline_exceeded);
+        CHECK(refusal->run == run_state::not_run);
+    }
+}
+
+// Guards against traffic that the selectors forbid and against a version that
+// the engine has not loaded.
+TEST_CASE("calls that may not run here are refused")
+{
+    agent_under_test agent;
+    auto request = agent.make_invoke(1);
+    SECTION("selectors")
+    {
+        agent.configuration->set(1, false);
+    }
+    SECTION("version")
+    {
+        request.version = kernel::model_version("v2");
+    }
+    SECTION("service")
+    {
+        request.target = wire::target_kind::service;
+    }
+    SECTION("engine lost")
+    {
+        agent.load->mark_engine_lost();
+    }
+    agent.executor->on_invoke(agent.router, request);
+    auto const verdict = only_verdict(*agent.router);
+    REQUIRE(verdict.refusal);
+    CHECK(verdict.refusal->kind == error_kind::not_eligible);
+    CHECK(verdict.refusal->run == run_state::not_run);
+    CHECK(agent.endpoint->started.empty());
+}
+
+// Guards against a call that starts under rules that changed while it waited.
+TEST_CASE("a queued call is checked again before it starts")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.executor->on_invoke(agent.router, agent.make_invoke(2));
+    agent.configuration->set(2, false);
+    agent.endpoint->finish(0);
+    CHECK(agent.endpoint->started.size() == 1);
+    auto const ends = agent.router->all<wire::call_end>();
+    REQUIRE(ends.size() == 2);
+    auto const& failed = ends[0].call_id == 2 ? ends[0] : ends[1];
+    CHECK(failed.failure->kind == error_kind::not_eligible);
+    CHECK(failed.failure->run == run_state::not_run);
+    CHECK(agent.queue->running() == 0);
+}
+
+// Guards against unbounded memory when a router does not acknowledge.
+TEST_CASE("the endpoint is paused while the buffer is full")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.endpoint->part(0, std::string(fake_buffer::limit, 'x'));
+    CHECK(agent.endpoint->paused.size() == 1);
+    agent.executor->on_ack(agent.router, {1, 1});
+    CHECK(agent.endpoint->paused.empty());
+}
+
+// Guards against an acknowledgement that releases chunks not yet sent.
+TEST_CASE("an acknowledgement above the sent chunks is dropped")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.executor->on_ack(agent.router, {1, 5});
+    agent.endpoint->part(0, "0");
+    agent.executor->on_connection_closed(agent.router);
+    agent.executor->on_resume(agent.other, {1, {1, 1}, 0});
+    CHECK(agent.other->answer() == "0");
+}
+
+// Guards against work that nobody waits for.
+TEST_CASE("a cancelled call frees its place")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.executor->on_invoke(agent.router, agent.make_invoke(2));
+    agent.executor->on_cancel(agent.router, {2});
+    auto const queued = only_end(*agent.router);
+    CHECK(queued.outcome == wire::call_outcome::cancelled);
+    CHECK(queued.failure->run == run_state::not_run);
+    agent.executor->on_cancel(agent.router, {1});
+    CHECK(agent.endpoint->cancelled.size() == 1);
+    CHECK(agent.router->all<wire::call_end>()[1].failure->run ==
+          run_state::unknown);
+    CHECK(agent.queue->running() == 0);
+    CHECK(agent.queue->queued() == 0);
+}
+
+// Guards against a keyed call that starts before its claim is certain.
+TEST_CASE("a keyed call starts only with its claim")
+{
+    agent_under_test agent;
+    auto request = agent.make_invoke(1);
+    request.idempotent = false;
+    request.idempotency_key = "k";
+    agent.executor->on_invoke(agent.router, request);
+    CHECK_FALSE(only_verdict(*agent.router).refusal);
+    CHECK(agent.endpoint->started.empty());
+
+    SECTION("granted and complete")
+    {
+        agent.ledger->grant();
+        agent.endpoint->part(0, "answer");
+        agent.endpoint->finish(0);
+        REQUIRE(agent.ledger->completed.size() == 1);
+        CHECK(agent.ledger->completed[0]->body == "answer");
+    }
+    SECTION("granted, but the outcome is unknown")
+    {
+        agent.ledger->grant();
+        agent.endpoint->finish(0, kernel::error{error_kind::outcome_unknown,
+                                                "broken",
+                                                run_state::unknown,
+                                                {}});
+        REQUIRE(agent.ledger->completed.size() == 1);
+        CHECK_FALSE(agent.ledger->completed[0]);
+    }
+    SECTION("granted, but no byte was sent")
+    {
+        agent.ledger->grant();
+        agent.endpoint->finish(0, kernel::error{error_kind::connection_lost,
+                                                "refused",
+                                                run_state::not_run,
+                                                {}});
+        CHECK(agent.ledger->completed.empty());
+        CHECK(agent.ledger->released == 1);
+    }
+    SECTION("granted after the deadline")
+    {
+        agent.advance(60s);
+        agent.ledger->grant();
+        CHECK(agent.endpoint->started.empty());
+        CHECK(agent.ledger->released == 1);
+        CHECK(only_end(*agent.router).failure->run == run_state::not_run);
+    }
+    SECTION("granted after a cancel")
+    {
+        agent.executor->on_cancel(agent.router, {1});
+        agent.ledger->grant();
+        CHECK(agent.endpoint->started.empty());
+        CHECK(agent.ledger->released == 1);
+    }
+    SECTION("the store is down")
+    {
+        agent.ledger->answer(kernel::error{error_kind::store_unavailable,
+                                           "down", run_state::not_run,
+                                           std::chrono::seconds(1)});
+        CHECK(agent.endpoint->started.empty());
+        auto const end = only_end(*agent.router);
+        CHECK(end.failure->kind == error_kind::store_unavailable);
+        CHECK(end.failure->retry_after == 1s);
+    }
+    SECTION("the answer of an earlier attempt is repeated event by event")
+    {
+        agent.ledger->answer(admission::claim_decision(admission::stored_answer{
+            200, "text/event-stream", "data: 1\n\ndata: 2\n\n"}));
+        CHECK(agent.endpoint->started.empty());
+        CHECK(agent.router->answer() == "data: 1\n\ndata: 2\n\n");
+        auto const end = only_end(*agent.router);
+        CHECK(end.outcome == wire::call_outcome::complete);
+        CHECK(end.chunks == 2);
+        CHECK(end.http_status == 200);
+    }
+    CHECK(agent.queue->running() == 0);
+}
+
+// Guards against cut calls and new work while an endpoint leaves.
+TEST_CASE("a draining agent refuses new calls and finishes the others")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.executor->on_invoke(agent.router, agent.make_invoke(2));
+    agent.executor->drain();
+    CHECK(agent.load->latest().draining);
+    agent.executor->on_invoke(agent.other, agent.make_invoke(3));
+    auto const refused = only_verdict(*agent.other);
+    CHECK(refused.refusal->kind == error_kind::draining);
+    CHECK(refused.refusal->run == run_state::not_run);
+    agent.endpoint->part(0, "0");
+    agent.endpoint->finish(0);
+    REQUIRE(agent.endpoint->started.size() == 2);
+    agent.endpoint->finish(1);
+    CHECK(agent.executor->open_calls() == 0);
+    // The last chunk may still be on its way.
+    CHECK_FALSE(agent.executor->idle());
+    agent.executor->on_ack(agent.router, {1, 1});
+    CHECK(agent.executor->idle());
+}
+
+} // namespace endiveward::agent
--- /dev/null
+++ b/packages/agent/types/endpoint_call.hpp
@@ -0,0 +1,29 @@
+#ifndef ENDIVEWARD_AGENT_ENDPOINT_CALL_HPP
+#define ENDIVEWARD_AGENT_ENDPOINT_CALL_HPP
+
+#include "wire/types/header.hpp"
+#include "wire/types/target_kind.hpp"
+
+#include <string>
+#include <vector>
+
+namespace endiveward::agent
+{
+
+/// A request to the endpoint.
+struct endpoint_call
+{
+    wire::target_kind target = wire::target_kind::engine;
+    std::string method;
+    std::string path;
+    std::vector<wire::header> headers;
+    std::string body;
+    bool streaming = false;
+    /// Engines only: name of the stream and expected weights version.
+    std::string stream_id;
+    std::string model_version;
+};
+
+} // namespace endiveward::agent
+
+#endif
