--- /dev/null
+++ b/packages/agent/tests/fake_engine.hpp
@@ -0,0 +1,171 @@
+#ifndef ENDIVEWARD_AGENT_TESTS_FAKE_ENGINE_HPP
+#define ENDIVEWARD_AGENT_TESTS_FAKE_ENGINE_HPP
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace endiveward::agent
+{
+
+/// An HTTP server with one prepared answer per connection, in order. After its
+/// answer a connection is closed. Answers are raw bytes; a prepared answer may
+/// wait for `release`.
+class fake_engine
+{
+public:
+    struct prepared
+    {
+        std::string bytes;
+        /// Sent after `release`, if not empty.
+        std::string later = {};
+    };
+
+    explicit fake_engine(std::vector<prepared> answers)
+        : answers_(std::move(answers))
+        , acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0})
+        , port_(acceptor_.local_endpoint().port())
+        , thread_([this] { run(); })
+    {
+    }
+
+    ~fake_engine()
+    {
+        release();
+        {
+            std::lock_guard const lock(mutex_);
+            stopping_ = true;
+        }
+        // Unblocks `accept`.
+        std::error_code ec;
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), port_}, ec);
+        thread_.join();
+    }
+
+    std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(port_);
+    }
+
+    void release()
+    {
+        std::lock_guard const lock(mutex_);
+        released_ = true;
+        changed_.notify_all();
+    }
+
+    /// Head and body of the requests so far.
+    std::vector<std::string> requests()
+    {
+        std::lock_guard const lock(mutex_);
+        return requests_;
+    }
+
+    /// Waits for a number of requests.
+    bool wait_for_requests(std::size_t count)
+    {
+        std::unique_lock lock(mutex_);
+        return changed_.wait_for(lock, std::chrono::seconds(30),
+                                 [&] { return requests_.size() >= count; });
+    }
+
+private:
+    void run()
+    {
+        for (std::size_t n = 0;; ++n)
+        {
+            std::error_code ec;
+            asio::ip::tcp::socket socket(context_);
+            acceptor_.accept(socket, ec);
+            {
+                std::lock_guard const lock(mutex_);
+                if (stopping_)
+                    return;
+            }
+            serve(socket, n < answers_.size() ? answers_[n] : prepared{});
+        }
+    }
+
+    void serve(asio::ip::tcp::socket& socket, prepared const& answer)
+    {
+        std::error_code ec;
+        auto const request = read_request(socket, ec);
+        {
+            std::lock_guard const lock(mutex_);
+            requests_.push_back(request);
+            changed_.notify_all();
+        }
+        asio::write(socket, asio::buffer(answer.bytes), ec);
+        if (!answer.later.empty())
+        {
+            std::unique_lock lock(mutex_);
+            changed_.wait(lock, [&] { return released_; });
+            lock.unlock();
+            asio::write(socket, asio::buffer(answer.later), ec);
+        }
+        socket.shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+    }
+
+    static std::string read_request(asio::ip::tcp::socket& socket,
+                                    std::error_code& ec)
+    {
+        std::string text;
+        asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", ec);
+        auto const head = text.find("\r\n\r\n") + 4;
+        auto const field = text.find("Content-Length: ");
+        if (ec || field == std::string::npos || field > head)
+            return text;
+        auto const size = std::stoul(text.substr(field + 16));
+        std::size_t const missing = head + size - text.size();
+        if (missing > 0)
+            asio::read(socket, asio::dynamic_buffer(text),
+                       asio::transfer_exactly(missing), ec);
+        return text;
+    }
+
+    std::vector<prepared> answers_;
+    asio::io_context context_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::uint16_t port_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<std::string> requests_;
+    bool released_ = false;
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
+/// Head of a streamed answer. Its body ends with the connection.
+inline std::string stream_head(std::string const& version,
+                               std::string const& incarnation)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+           "X-Model-Version: " +
+           version + "\r\nX-Engine-Incarnation: " + incarnation +
+           "\r\nConnection: close\r\n\r\n";
+}
+
+inline std::string plain_answer(std::string const& status,
+                                std::string const& body,
+                                std::string const& fields = {})
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\n" +
+           fields + "Content-Length: " + std::to_string(body.size()) +
+           "\r\nConnection: close\r\n\r\n" + body;
+}
+
+} // namespace endiveward::agent
+
+#endif
