--- /dev/null
+++ b/packages/agent/internal/load_poller.cpp
@@ -0,0 +1,77 @@
+#include "agent/internal/load_poller.hpp"
+
+#include "agent/i_endpoint_client.hpp"
+#include "agent/internal/agent_metrics.hpp"
+#include "agent/internal/load_reporter.hpp"
+
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <prometheus/gauge.h>
+
+#include <utility>
+
+namespace endiveward::agent
+{
+
+namespace
+{
+
+// One lost answer of a busy engine must not take it out of rotation.
+constexpr unsigned failures_until_lost = 2;
+
+log4cplus::Logger logger()
+{
+    return log4cplus::Logger::getInstance("agent.endpoint");
+}
+
+} // namespace
+
+load_poller::load_poller(std::shared_ptr<i_endpoint_client> endpoint,
+                         std::shared_ptr<load_reporter> load,
+                         std::shared_ptr<agent_metrics> metrics,
+                         std::function<void()> on_report)
+    : endpoint_(std::move(endpoint))
+    , load_(std::move(load))
+    , metrics_(std::move(metrics))
+    , on_report_(std::move(on_report))
+{
+}
+
+void load_poller::poll()
+{
+    if (std::exchange(waiting_, true))
+        return;
+    endpoint_->load([self = shared_from_this()](kernel::result<engine_load> res)
+                    { self->on_answer(std::move(res)); });
+}
+
+void load_poller::on_answer(kernel::result<engine_load> answer)
+{
+    waiting_ = false;
+    if (!kernel::ok(answer))
+        return on_failure(kernel::failure(answer));
+    failures_ = 0;
+    metrics_->endpoint_up.Set(1);
+    auto load = kernel::value(std::move(answer));
+    if (!std::exchange(up_, true) ||
+        load.incarnation != load_->engine_incarnation())
+        LOG4CPLUS_INFO(logger(), "the engine answers with incarnation "
+                                     << load.incarnation << " and "
+                                     << load.models.size() << " models");
+    load_->update_engine(std::move(load));
+    on_report_();
+}
+
+void load_poller::on_failure(kernel::error const& reason)
+{
+    if (++failures_ < failures_until_lost)
+        return;
+    metrics_->endpoint_up.Set(0);
+    load_->mark_engine_lost();
+    if (std::exchange(up_, false))
+        LOG4CPLUS_WARN(logger(), "the engine does not answer; new calls are "
+                                 "refused: "
+                                     << reason.message);
+}
+
+} // namespace endiveward::agent
--- /dev/null
+++ b/packages/agent/internal/load_poller.hpp
@@ -0,0 +1,46 @@
+#ifndef ENDIVEWARD_AGENT_LOAD_POLLER_HPP
+#define ENDIVEWARD_AGENT_LOAD_POLLER_HPP
+
+#include "agent/types/engine_load.hpp"
+#include "kernel/types/result.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace endiveward::agent
+{
+
+class agent_metrics;
+class i_endpoint_client;
+class load_reporter;
+
+/// Reads the engine's load report. Used on the traffic thread.
+class load_poller : public std::enable_shared_from_this<load_poller>
+{
+    std::shared_ptr<i_endpoint_client> endpoint_;
+    std::shared_ptr<load_reporter> load_;
+    std::shared_ptr<agent_metrics> metrics_;
+
+public:
+    /// `on_report` is called after each report.
+    load_poller(std::shared_ptr<i_endpoint_client> endpoint,
+                std::shared_ptr<load_reporter> load,
+                std::shared_ptr<agent_metrics> metrics,
+                std::function<void()> on_report);
+
+    /// Sends a query, unless one is under way.
+    void poll();
+
+private:
+    void on_answer(kernel::result<engine_load> answer);
+    void on_failure(kernel::error const& reason);
+
+    std::function<void()> on_report_;
+    bool waiting_ = false;
+    bool up_ = false;
+    unsigned failures_ = 0;
+};
+
+} // namespace endiveward::agent
+
+#endif
--- /dev/null
+++ b/packages/agent/internal/router_connections.cpp
@@ -0,0 +1,142 @@
+#include "agent/internal/router_connections.hpp"
+
+#include "agent/internal/agent_metrics.hpp"
+#include "agent/internal/call_executor.hpp"
+#include "agent/internal/load_reporter.hpp"
+#include "config/i_config_state.hpp"
+#include "config/i_configuration.hpp"
+#include "wire/i_connection.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+
+#include <utility>
+
+namespace endiveward::agent
+{
+
+router_connections::router_connections(
+    std::shared_ptr<call_executor> executor,
+    std::shared_ptr<config::i_config_state> configuration,
+    std::shared_ptr<load_reporter> load, std::shared_ptr<agent_metrics> metrics)
+    : executor_(std::move(executor))
+    , configuration_(std::move(configuration))
+    , load_(std::move(load))
+    , metrics_(std::move(metrics))
+{
+}
+
+void router_connections::on_open(connection_ptr const& conn)
+{
+    connections_.insert(conn);
+    update_size();
+    catch_up(conn, conn->peer().config_version);
+    if (draining_)
+        conn->send(wire::draining{});
+}
+
+void router_connections::on_message(connection_ptr const& conn,
+                                    wire::message msg)
+{
+    std::visit([&](auto& it) { handle(conn, it); }, msg);
+}
+
+void router_connections::on_closed(connection_ptr const& conn,
+                                   kernel::error const&)
+{
+    connections_.erase(conn);
+    update_size();
+    executor_->on_connection_closed(conn);
+}
+
+void router_connections::broadcast_heartbeat()
+{
+    auto const msg = make_heartbeat();
+    for (auto const& it : connections_)
+        it->send(msg);
+}
+
+void router_connections::announce_draining()
+{
+    draining_ = true;
+    for (auto const& it : connections_)
+        it->send(wire::draining{});
+}
+
+void router_connections::close_all()
+{
+    for (auto const& it : connections_)
+        it->close();
+}
+
+void router_connections::handle(connection_ptr const& conn, wire::invoke& msg)
+{
+    executor_->on_invoke(conn, std::move(msg));
+}
+
+void router_connections::handle(connection_ptr const& conn,
+                                wire::chunk_ack const& msg)
+{
+    executor_->on_ack(conn, msg);
+}
+
+void router_connections::handle(connection_ptr const& conn,
+                                wire::cancel const& msg)
+{
+    executor_->on_cancel(conn, msg);
+}
+
+void router_connections::handle(connection_ptr const& conn,
+                                wire::resume const& msg)
+{
+    executor_->on_resume(conn, msg);
+}
+
+void router_connections::handle(connection_ptr const& conn,
+                                wire::heartbeat const& msg)
+{
+    if (msg.probe)
+        conn->send(make_heartbeat());
+    catch_up(conn, msg.config_version);
+}
+
+void router_connections::handle(connection_ptr const& conn,
+                                wire::config_request const& msg)
+{
+    conn->send(configuration_->update_since(msg.known_version));
+}
+
+void router_connections::handle(connection_ptr const& conn,
+                                wire::config_update const& msg)
+{
+    // The executor judges by the version in force, also after a bad update.
+    configuration_->apply(msg);
+    executor_->on_configuration(conn);
+}
+
+template <typename T>
+void router_connections::handle(connection_ptr const&, T const&)
+{
+    metrics_->dropped_messages.Increment();
+}
+
+void router_connections::catch_up(connection_ptr const& conn,
+                                  std::uint64_t peer_version)
+{
+    auto const own = configuration_->current()->version();
+    if (peer_version > own)
+        conn->send(wire::config_request{own});
+}
+
+wire::heartbeat router_connections::make_heartbeat() const
+{
+    return {configuration_->current()->version(), load_->report(), false};
+}
+
+void router_connections::update_size()
+{
+    size_ = connections_.size();
+    metrics_->connections.Set(static_cast<double>(connections_.size()));
+}
+
+} // namespace endiveward::agent
--- /dev/null
+++ b/packages/agent/internal/router_connections.hpp
@@ -0,0 +1,75 @@
+#ifndef ENDIVEWARD_AGENT_ROUTER_CONNECTIONS_HPP
+#define ENDIVEWARD_AGENT_ROUTER_CONNECTIONS_HPP
+
+#include "wire/i_connection_observer.hpp"
+#include "wire/types/message.hpp"
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <set>
+
+namespace endiveward::config
+{
+class i_config_state;
+}
+
+namespace endiveward::agent
+{
+
+class agent_metrics;
+class call_executor;
+class load_reporter;
+
+/// The connections of routers: passes calls to the executor and exchanges
+/// configuration and heartbeats. Used on the traffic thread.
+class router_connections : public wire::i_connection_observer
+{
+    std::shared_ptr<call_executor> executor_;
+    std::shared_ptr<config::i_config_state> configuration_;
+    std::shared_ptr<load_reporter> load_;
+    std::shared_ptr<agent_metrics> metrics_;
+
+public:
+    using connection_ptr = std::shared_ptr<wire::i_connection>;
+
+    router_connections(std::shared_ptr<call_executor> executor,
+                       std::shared_ptr<config::i_config_state> configuration,
+                       std::shared_ptr<load_reporter> load,
+                       std::shared_ptr<agent_metrics> metrics);
+
+    void on_open(connection_ptr const& conn) override;
+    void on_message(connection_ptr const& conn, wire::message msg) override;
+    void on_closed(connection_ptr const& conn,
+                   kernel::error const& reason) override;
+
+    void broadcast_heartbeat();
+    /// Tells all routers, also those that connect later.
+    void announce_draining();
+    void close_all();
+    /// From any thread.
+    std::size_t size() const { return size_.load(); }
+
+private:
+    void handle(connection_ptr const& conn, wire::invoke& msg);
+    void handle(connection_ptr const& conn, wire::chunk_ack const& msg);
+    void handle(connection_ptr const& conn, wire::cancel const& msg);
+    void handle(connection_ptr const& conn, wire::resume const& msg);
+    void handle(connection_ptr const& conn, wire::heartbeat const& msg);
+    void handle(connection_ptr const& conn, wire::config_request const& msg);
+    void handle(connection_ptr const& conn, wire::config_update const& msg);
+    /// Messages that no router sends to an agent.
+    template <typename T>
+    void handle(connection_ptr const& conn, T const& msg);
+    void catch_up(connection_ptr const& conn, std::uint64_t peer_version);
+    wire::heartbeat make_heartbeat() const;
+    void update_size();
+
+    std::set<connection_ptr> connections_;
+    std::atomic<std::size_t> size_{0};
+    bool draining_ = false;
+};
+
+} // namespace endiveward::agent
+
+#endif
