--- /dev/null
+++ b/packages/agent/agent_module.cpp
@@ -0,0 +1,106 @@
+#include "agent/agent_module.hpp"
+
+#include "agent/internal/agent_core.hpp"
+#include "config/i_config_state.hpp"
+#include "kernel/i_random_source.hpp"
+#include "kernel/service_registry.hpp"
+#include "kernel/thread_pool.hpp"
+#include "observe/operator_server.hpp"
+#include "placement/cache_namespace.hpp"
+#include "platform/i_table.hpp"
+
+#include <prometheus/registry.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace endiveward::agent
+{
+
+namespace
+{
+
+std::string make_cache_salt(wire::invoke const& request)
+{
+    return placement::cache_namespace(request.workspace, request.model,
+                                      request.version, {})
+        .salt();
+}
+
+template <typename T>
+void throw_if_failed(kernel::result<T> const& res)
+{
+    if (!kernel::ok(res))
+        throw std::runtime_error(kernel::failure(res).message);
+}
+
+} // namespace
+
+class agent_module::operators
+{
+public:
+    operators(config::common_settings const& settings, agent_core const& core,
+              std::shared_ptr<prometheus::Registry> metrics)
+        : server_({settings.listen_operators.address,
+                   settings.listen_operators.port,
+                   settings.operator_token,
+                   std::move(metrics),
+                   {core.state()},
+                   [&core] { return core.ready(); }})
+    {
+    }
+    void start() { throw_if_failed(server_.start()); }
+    void stop() { server_.stop(); }
+
+private:
+    observe::operator_server server_;
+};
+
+agent_module::agent_module(config::agent_settings settings,
+                           std::function<void()> on_drained)
+    : settings_(std::move(settings))
+    , on_drained_(std::move(on_drained))
+{
+}
+
+agent_module::~agent_module() = default;
+
+void agent_module::resolve_services(kernel::service_registry const& registry)
+{
+    agent_environment env;
+    env.clock = registry.get<kernel::i_clock>("clock");
+    env.random = registry.get<kernel::i_random_source>("random");
+    env.traffic = registry.get<kernel::thread_pool>("traffic_pool");
+    env.metrics = registry.get<prometheus::Registry>("metrics");
+    env.configuration = registry.get<config::i_config_state>("config_state");
+    env.table = registry.get<platform::i_table>("table");
+    env.cache_salt = &make_cache_salt;
+    env.on_drained = on_drained_;
+    auto const metrics = env.metrics;
+    core_ = std::make_unique<agent_core>(settings_, std::move(env));
+    operators_ = std::make_unique<operators>(settings_.common, *core_, metrics);
+}
+
+void agent_module::init()
+{
+    throw_if_failed(core_->start());
+    operators_->start();
+}
+
+void agent_module::deinit()
+{
+    operators_->stop();
+    core_->stop();
+}
+
+void agent_module::drain()
+{
+    core_->drain();
+}
+
+std::size_t agent_module::open_calls() const
+{
+    return core_->open_calls();
+}
+
+} // namespace endiveward::agent
--- /dev/null
+++ b/packages/agent/internal/agent_core.cpp
@@ -0,0 +1,234 @@
+#include "agent/internal/agent_core.hpp"
+
+#include "admission/admission_queue.hpp"
+#include "admission/cache_index.hpp"
+#include "admission/idempotency_ledger.hpp"
+#include "admission/stream_buffer.hpp"
+#include "agent/internal/agent_identity.hpp"
+#include "agent/internal/agent_metrics.hpp"
+#include "agent/internal/agent_state_source.hpp"
+#include "agent/internal/cache_feeder.hpp"
+#include "agent/internal/drain_controller.hpp"
+#include "agent/internal/http_endpoint_client.hpp"
+#include "agent/internal/load_poller.hpp"
+#include "agent/internal/load_reporter.hpp"
+#include "agent/internal/periodic_task.hpp"
+#include "agent/internal/router_connections.hpp"
+#include "config/i_config_state.hpp"
+#include "kernel/i_random_source.hpp"
+#include "kernel/thread_pool.hpp"
+#include "platform/i_table.hpp"
+#include "wire/acceptor.hpp"
+#include "wire/types/wire_counters.hpp"
+
+#include <asio/post.hpp>
+#include <prometheus/gauge.h>
+
+#include <algorithm>
+#include <future>
+#include <utility>
+
+namespace endiveward::agent
+{
+
+namespace
+{
+
+constexpr std::size_t stream_buffer_bytes = 1U << 20U;
+// Bounds how late a queued call learns that its deadline has passed.
+constexpr std::chrono::milliseconds tick_interval{10};
+constexpr std::chrono::milliseconds load_interval{500};
+constexpr std::chrono::seconds second{1};
+constexpr std::chrono::seconds heartbeat_interval{30};
+
+} // namespace
+
+agent_core::agent_core(config::agent_settings settings, agent_environment env)
+    : env_(std::move(env))
+    , settings_(std::move(settings))
+    // Zero means unknown.
+    , incarnation_(std::max<kernel::incarnation>(env_.random->next(), 1))
+    , metrics_(std::make_shared<agent_metrics>(env_.metrics))
+{
+    make_calls();
+    make_connections();
+    make_tasks();
+}
+
+agent_core::~agent_core() = default;
+
+asio::io_context& agent_core::context() const
+{
+    return env_.traffic->context(0);
+}
+
+bool agent_core::has_engine() const
+{
+    return settings_.kind == config::endpoint_kind::engine;
+}
+
+void agent_core::make_calls()
+{
+    auto const post = [&context = context()](std::function<void()> task)
+    { asio::post(context, std::move(task)); };
+    admission::idempotency_options ledger_options;
+    ledger_options.endpoint = settings_.endpoint;
+    ledger_options.table_timeout = settings_.common.platform_timeout;
+    queue_ = std::make_shared<admission::admission_queue>(*env_.clock,
+                                                          settings_.max_queue);
+    cache_ = std::make_shared<admission::cache_index>();
+    ledger_ = std::make_shared<admission::idempotency_ledger>(
+        *env_.clock, *env_.random, *env_.table, post, ledger_options);
+    endpoint_ = std::make_shared<http_endpoint_client>(context(),
+                                                       settings_.endpoint_url);
+    load_ = std::make_shared<load_reporter>(queue_, incarnation_,
+                                            settings_.capacity);
+    executor_services services;
+    services.clock = env_.clock;
+    services.queue = queue_;
+    services.ledger = ledger_;
+    services.cache = cache_;
+    services.configuration = env_.configuration;
+    services.endpoint = endpoint_;
+    services.load = load_;
+    services.metrics = metrics_;
+    services.make_buffer = []
+    { return std::make_unique<admission::stream_buffer>(stream_buffer_bytes); };
+    services.cache_salt = env_.cache_salt;
+    executor_ = std::make_shared<call_executor>(
+        std::move(services),
+        endpoint_identity{settings_.endpoint, settings_.service});
+}
+
+void agent_core::make_connections()
+{
+    connections_ = std::make_shared<router_connections>(
+        executor_, env_.configuration, load_, metrics_);
+    state_ = std::make_shared<agent_state_source>(
+        load_, connections_, env_.configuration, settings_.endpoint.str());
+    wire::hello own;
+    own.role = wire::process_role::agent;
+    own.process = settings_.common.name;
+    own.incarnation = incarnation_;
+    own.region = settings_.common.region;
+    own.zone = settings_.common.zone;
+    own.endpoint = settings_.endpoint;
+    options_ = std::make_shared<wire::connection_options>();
+    options_->key = settings_.common.cluster_key;
+    options_->identity = std::make_shared<agent_identity>(
+        load_, env_.configuration, std::move(own));
+    options_->random = env_.random;
+    options_->counters = std::make_shared<wire::wire_counters>();
+    options_->observer = connections_;
+    acceptor_ = std::make_unique<wire::acceptor>(*env_.traffic, options_);
+    env_.configuration->subscribe(
+        [&context = context(), weak = std::weak_ptr(executor_)](
+            std::shared_ptr<config::i_configuration const> const&)
+        {
+            asio::post(context,
+                       [weak]
+                       {
+                           if (auto const executor = weak.lock())
+                               executor->on_configuration(nullptr);
+                       });
+        });
+}
+
+void agent_core::make_tasks()
+{
+    drain_ = std::make_shared<drain_controller>(env_.clock, executor_,
+                                                connections_, env_.on_drained);
+    auto const add =
+        [this](std::chrono::milliseconds interval, std::function<void()> task)
+    {
+        tasks_.push_back(std::make_shared<periodic_task>(context(), interval,
+                                                         std::move(task)));
+    };
+    add(tick_interval,
+        [this]
+        {
+            executor_->tick();
+            drain_->tick();
+        });
+    add(second,
+        [this]
+        {
+            ledger_->tick();
+            publish_gauges();
+        });
+    add(heartbeat_interval, [this] { connections_->broadcast_heartbeat(); });
+    if (!has_engine())
+        return;
+    feeder_ =
+        std::make_shared<cache_feeder>(context(), endpoint_, cache_, metrics_);
+    poller_ = std::make_shared<load_poller>(
+        endpoint_, load_, metrics_,
+        [this]
+        {
+            feeder_->on_engine(load_->engine_incarnation());
+            executor_->pump();
+        });
+    add(load_interval, [this] { poller_->poll(); });
+}
+
+kernel::result<std::uint16_t> agent_core::start()
+{
+    auto const& address = settings_.common.listen_peers;
+    auto port = acceptor_->listen(address.address, address.port);
+    if (!kernel::ok(port))
+        return port;
+    asio::post(context(),
+               [this]
+               {
+                   for (auto const& it : tasks_)
+                       it->start();
+                   if (feeder_)
+                       feeder_->start();
+               });
+    return port;
+}
+
+void agent_core::stop()
+{
+    acceptor_->stop();
+    std::promise<void> stopped;
+    asio::post(context(),
+               [&]
+               {
+                   for (auto const& it : tasks_)
+                       it->stop();
+                   if (feeder_)
+                       feeder_->stop();
+                   connections_->close_all();
+                   stopped.set_value();
+               });
+    stopped.get_future().wait();
+}
+
+void agent_core::drain()
+{
+    asio::post(context(), [this] { drain_->start(); });
+}
+
+bool agent_core::ready() const
+{
+    auto const load = load_->latest();
+    return !load.draining && (!has_engine() || !load.models.empty());
+}
+
+std::size_t agent_core::open_calls() const
+{
+    auto const load = load_->latest();
+    return load.running + load.queued;
+}
+
+void agent_core::publish_gauges() const
+{
+    auto const load = load_->report();
+    metrics_->running.Set(load.running);
+    metrics_->queued.Set(load.queued);
+    metrics_->capacity.Set(load.capacity);
+    metrics_->draining.Set(load.draining ? 1 : 0);
+}
+
+} // namespace endiveward::agent
--- /dev/null
+++ b/packages/agent/internal/agent_core.hpp
@@ -0,0 +1,113 @@
+#ifndef ENDIVEWARD_AGENT_AGENT_CORE_HPP
+#define ENDIVEWARD_AGENT_AGENT_CORE_HPP
+
+#include "agent/internal/call_executor.hpp"
+#include "config/types/agent_settings.hpp"
+#include "observe/i_state_source.hpp"
+#include "wire/connection_options.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace asio
+{
+class io_context;
+}
+namespace prometheus
+{
+class Registry;
+}
+namespace endiveward::kernel
+{
+class thread_pool;
+}
+namespace endiveward::platform
+{
+class i_table;
+}
+namespace endiveward::wire
+{
+class acceptor;
+}
+
+namespace endiveward::agent
+{
+
+class cache_feeder;
+class drain_controller;
+class load_poller;
+class periodic_task;
+class router_connections;
+
+/// What the agent takes from other modules.
+struct agent_environment
+{
+    std::shared_ptr<kernel::i_clock> clock;
+    std::shared_ptr<kernel::i_random_source> random;
+    /// One thread, which runs all calls.
+    std::shared_ptr<kernel::thread_pool> traffic;
+    std::shared_ptr<prometheus::Registry> metrics;
+    std::shared_ptr<config::i_config_state> configuration;
+    std::shared_ptr<platform::i_table> table;
+    /// The value for the engine's `cache_salt`.
+    std::function<std::string(wire::invoke const&)> cache_salt;
+    /// Called once on the traffic thread when a drain has finished.
+    std::function<void()> on_drained;
+};
+
+/// The parts of an agent process, put together.
+class agent_core
+{
+    agent_environment env_;
+
+public:
+    agent_core(config::agent_settings settings, agent_environment env);
+    ~agent_core();
+    agent_core(agent_core const&) = delete;
+    agent_core& operator=(agent_core const&) = delete;
+
+    /// Listens for routers and starts polling. Gives the port in use.
+    kernel::result<std::uint16_t> start();
+    /// Ends all connections and polling; call before the thread stops.
+    void stop();
+    /// Refuses new calls and finishes the others.
+    void drain();
+    /// Whether the endpoint may get calls. From any thread.
+    bool ready() const;
+    /// Calls queued or running. From any thread.
+    std::size_t open_calls() const;
+    std::shared_ptr<observe::i_state_source> state() const { return state_; }
+
+private:
+    void make_calls();
+    void make_connections();
+    void make_tasks();
+    void publish_gauges() const;
+    bool has_engine() const;
+    asio::io_context& context() const;
+
+    config::agent_settings const settings_;
+    kernel::incarnation const incarnation_;
+    std::shared_ptr<agent_metrics> metrics_;
+    std::shared_ptr<admission::i_admission_queue> queue_;
+    std::shared_ptr<admission::i_cache_index> cache_;
+    std::shared_ptr<admission::i_idempotency_ledger> ledger_;
+    std::shared_ptr<i_endpoint_client> endpoint_;
+    std::shared_ptr<load_reporter> load_;
+    std::shared_ptr<call_executor> executor_;
+    std::shared_ptr<router_connections> connections_;
+    std::shared_ptr<drain_controller> drain_;
+    std::shared_ptr<load_poller> poller_;
+    std::shared_ptr<cache_feeder> feeder_;
+    std::shared_ptr<observe::i_state_source> state_;
+    std::shared_ptr<wire::connection_options> options_;
+    std::unique_ptr<wire::acceptor> acceptor_;
+    std::vector<std::shared_ptr<periodic_task>> tasks_;
+};
+
+} // namespace endiveward::agent
+
+#endif
--- a/packages/agent/internal/call_executor.cpp
+++ b/packages/agent/internal/call_executor.cpp
@@ -26,8 +26,6 @@
 {
 
 constexpr std::chrono::minutes max_deadline{10};
-// Used until the first calls have ended.
-constexpr std::chrono::milliseconds first_average{1000};
 // Weight of a new measurement in the average is one over this.
 constexpr int average_weight = 8;
 // Answers above this size are not given to the ledger; a repetition of the
@@ -59,7 +57,7 @@
     : services_(std::move(services))
     , policy_(services_.load, std::move(own))
     , sender_(services_.load, services_.configuration)
-    , average_service_(first_average)
+    , average_service_(0)
 {
 }
 
@@ -358,7 +356,7 @@
                 which.ended_at - which.started_at);
         // A call that did not run says nothing about the time that calls take.
         if (before == call_state::running)
-            average_service_ += (measured - average_service_) / average_weight;
+            average_service_ = average_with(measured);
         services_.queue->finish(which.id, before == call_state::running
                                               ? measured
                                               : average_service_);
@@ -367,6 +365,14 @@
     pump();
 }
 
+std::chrono::milliseconds
+call_executor::average_with(std::chrono::milliseconds measured) const
+{
+    if (average_service_ == average_service_.zero())
+        return measured;
+    return average_service_ + (measured - average_service_) / average_weight;
+}
+
 void call_executor::settle_claim(call& which) const
 {
     if (!which.claim)
--- a/packages/agent/internal/call_executor.hpp
+++ b/packages/agent/internal/call_executor.hpp
@@ -105,12 +105,15 @@
     void settle_claim(call& which) const;
     void continue_stream(call& which, std::uint64_t next);
     void drop_message() const;
+    std::chrono::milliseconds
+    average_with(std::chrono::milliseconds measured) const;
     kernel::steady_time now() const;
 
     call_policy policy_;
     call_sender sender_;
     call_table calls_;
     std::set<wire::i_connection const*> config_requests_;
+    /// Moving average of the time that calls take; 0 before the first.
     std::chrono::milliseconds average_service_;
     bool pumping_ = false;
 };
--- /dev/null
+++ b/packages/agent/tests/drain_controller_test.cpp
@@ -0,0 +1,168 @@
+#include "agent/internal/agent_metrics.hpp"
+#include "agent/internal/call_executor.hpp"
+#include "agent/internal/drain_controller.hpp"
+#include "agent/internal/load_reporter.hpp"
+#include "agent/internal/router_connections.hpp"
+#include "agent/tests/fakes.hpp"
+#include "kernel/manual_clock.hpp"
+
+#include <catch2/catch.hpp>
+#include <prometheus/registry.h>
+
+namespace endiveward::agent
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A service endpoint with connections of routers.
+struct process_under_test
+{
+    process_under_test()
+    {
+        executor_services services;
+        services.clock = clock;
+        services.queue = queue;
+        services.ledger = std::make_shared<fake_ledger>();
+        services.cache = std::make_shared<fake_cache>();
+        services.configuration = configuration;
+        services.endpoint = endpoint;
+        services.load = load;
+        services.metrics = metrics;
+        services.make_buffer = [] { return std::make_unique<fake_buffer>(); };
+        executor = std::make_shared<call_executor>(
+            services, endpoint_identity{kernel::endpoint_id("e"),
+                                        kernel::service_id("gate")});
+        connections = std::make_shared<router_connections>(
+            executor, configuration, load, metrics);
+        drain = std::make_shared<drain_controller>(clock, executor, connections,
+                                                   [this] { ++drained; });
+    }
+
+    void advance(std::chrono::milliseconds step)
+    {
+        clock->advance(step);
+        executor->tick();
+        drain->tick();
+    }
+
+    static wire::invoke make_invoke(std::uint64_t call_id)
+    {
+        wire::invoke it;
+        it.call_id = call_id;
+        it.stream_id = {1, call_id};
+        it.service = kernel::service_id("gate");
+        it.target = wire::target_kind::service;
+        it.method = "POST";
+        it.path = "/check";
+        it.deadline = 60s;
+        it.config_version = 1;
+        return it;
+    }
+
+    std::shared_ptr<kernel::manual_clock> clock =
+        std::make_shared<kernel::manual_clock>();
+    std::shared_ptr<fake_queue> queue = std::make_shared<fake_queue>(*clock);
+    std::shared_ptr<fake_config_state> configuration =
+        std::make_shared<fake_config_state>();
+    std::shared_ptr<fake_endpoint> endpoint = std::make_shared<fake_endpoint>();
+    std::shared_ptr<load_reporter> load =
+        std::make_shared<load_reporter>(queue, 5, 16);
+    std::shared_ptr<agent_metrics> metrics = std::make_shared<agent_metrics>(
+        std::make_shared<prometheus::Registry>());
+    std::shared_ptr<call_executor> executor;
+    std::shared_ptr<router_connections> connections;
+    std::shared_ptr<drain_controller> drain;
+    std::shared_ptr<fake_connection> router =
+        std::make_shared<fake_connection>();
+    int drained = 0;
+};
+
+} // namespace
+
+// Guards against a planned stop that cuts a call, and against new work.
+TEST_CASE("draining ends after the last call")
+{
+    process_under_test process;
+    process.connections->on_open(process.router);
+    process.connections->on_message(process.router,
+                                    process_under_test::make_invoke(1));
+    process.drain->start();
+    CHECK(process.router->all<wire::draining>().size() == 1);
+    process.advance(5s);
+    CHECK(process.drained == 0);
+
+    process.connections->on_message(process.router,
+                                    process_under_test::make_invoke(2));
+    auto const verdicts = process.router->all<wire::verdict>();
+    REQUIRE(verdicts.size() == 2);
+    CHECK(verdicts[1].refusal->kind == kernel::error_kind::draining);
+
+    auto const late = std::make_shared<fake_connection>();
+    process.connections->on_open(late);
+    CHECK(late->all<wire::draining>().size() == 1);
+
+    process.endpoint->part(0, "ok");
+    process.endpoint->finish(0);
+    process.advance(5s);
+    CHECK(process.drained == 0);
+    process.connections->on_message(process.router, wire::chunk_ack{1, 1});
+    process.advance(0s);
+    process.advance(drain_controller::linger);
+    CHECK(process.drained == 1);
+    process.advance(5s);
+    CHECK(process.drained == 1);
+}
+
+// Guards against a drain that never ends because a router is gone.
+TEST_CASE("an answer that no router fetches delays a drain for 10 s only")
+{
+    process_under_test process;
+    process.connections->on_open(process.router);
+    process.connections->on_message(process.router,
+                                    process_under_test::make_invoke(1));
+    process.drain->start();
+    process.connections->on_closed(process.router, {});
+    process.endpoint->part(0, "ok");
+    process.endpoint->finish(0);
+    process.advance(9s);
+    process.advance(drain_controller::linger);
+    process.advance(drain_controller::linger);
+    CHECK(process.drained == 1);
+}
+
+// Guards against configuration that spreads only through the store.
+TEST_CASE("configuration is exchanged with routers")
+{
+    process_under_test process;
+    process.connections->on_open(process.router);
+    CHECK(process.router->all<wire::config_request>().empty());
+    process.connections->on_message(process.router,
+                                    wire::heartbeat{4, {}, true});
+    CHECK(process.router->all<wire::heartbeat>().size() == 1);
+    REQUIRE(process.router->all<wire::config_request>().size() == 1);
+    process.connections->on_message(process.router,
+                                    wire::config_update{1, 4, true, "{}"});
+    CHECK(process.configuration->current()->version() == 4);
+    process.connections->on_message(process.router, wire::config_request{2});
+    auto const updates = process.router->all<wire::config_update>();
+    REQUIRE(updates.size() == 1);
+    CHECK(updates[0].from_version == 2);
+    CHECK(updates[0].to_version == 4);
+}
+
+// Guards against a crash or a wrong reaction on messages for routers.
+TEST_CASE("messages that no router sends are dropped")
+{
+    process_under_test process;
+    process.connections->on_open(process.router);
+    process.connections->on_message(process.router, wire::draining{});
+    process.connections->on_message(process.router, wire::verdict{});
+    process.connections->on_message(process.router, wire::chunk_ack{7, 1});
+    process.connections->on_message(process.router, wire::cancel{7});
+    CHECK(process.router->sent.empty());
+}
+
+} // namespace endiveward::agent
--- a/packages/agent/tests/fakes.hpp
+++ b/packages/agent/tests/fakes.hpp
@@ -200,6 +200,7 @@
             completed.emplace_back(std::nullopt);
     }
     void release(admission::claim const&) override { ++released; }
+    void tick() override {}
 
     void grant()
     {
