--- a/packages/agent/internal/endpoint_exchange.cpp
+++ b/packages/agent/internal/endpoint_exchange.cpp
@@ -329,10 +329,10 @@
 {
     auto result = result_;
     result.failure = std::move(reason);
-    end(std::move(result));
+    end(result);
 }
 
-void endpoint_exchange::end(endpoint_result result)
+void endpoint_exchange::end(endpoint_result const& result)
 {
     if (std::exchange(ended_, true))
         return;
--- a/packages/agent/internal/endpoint_exchange.hpp
+++ b/packages/agent/internal/endpoint_exchange.hpp
@@ -55,7 +55,7 @@
     void read_usage(std::string const& json);
     void complete();
     void fail(kernel::error reason);
-    void end(endpoint_result result);
+    void end(endpoint_result const& result);
 
     std::uint64_t const id_;
     std::string const base_url_;
--- a/packages/agent/internal/http_endpoint_client.cpp
+++ b/packages/agent/internal/http_endpoint_client.cpp
@@ -249,7 +249,7 @@
 
 void http_endpoint_client::fetch(
     http_request request,
-    std::function<void(int, std::string, std::string)> on_done)
+    std::function<void(int, std::string, std::string)> const& on_done)
 {
     struct answer
     {
--- a/packages/agent/internal/http_endpoint_client.hpp
+++ b/packages/agent/internal/http_endpoint_client.hpp
@@ -45,8 +45,9 @@
 
     void on_part(std::uint64_t id, std::string bytes) override;
     void on_end(std::uint64_t id, endpoint_result const& end) override;
-    void fetch(http_request request,
-               std::function<void(int, std::string, std::string)> on_done);
+    void
+    fetch(http_request request,
+          std::function<void(int, std::string, std::string)> const& on_done);
 
     std::string const base_url_;
     http_transport transport_;
--- a/packages/agent/internal/load_reporter.cpp
+++ b/packages/agent/internal/load_reporter.cpp
@@ -23,7 +23,6 @@
 void load_reporter::update_engine(engine_load load)
 {
     engine_ = std::move(load);
-    std::sort(engine_.models.begin(), engine_.models.end());
     // An engine that reports no capacity is limited by the settings alone.
     auto const capacity = engine_.capacity == 0
                               ? max_capacity_
@@ -41,8 +40,9 @@
 bool load_reporter::serves(kernel::model_id const& model,
                            kernel::model_version const& version) const
 {
-    return std::binary_search(engine_.models.begin(), engine_.models.end(),
-                              wire::loaded_model{model, version});
+    return std::find(engine_.models.begin(), engine_.models.end(),
+                     wire::loaded_model{model, version}) !=
+           engine_.models.end();
 }
 
 kernel::incarnation load_reporter::engine_incarnation() const
--- a/packages/agent/tests/cache_feeder_test.cpp
+++ b/packages/agent/tests/cache_feeder_test.cpp
@@ -21,6 +21,12 @@
 struct feeder_under_test
 {
     feeder_under_test() { feeder->start(); }
+    // The handlers own the feeder, which owns the endpoint.
+    ~feeder_under_test()
+    {
+        endpoint->listings.clear();
+        endpoint->event_polls.clear();
+    }
 
     void list(kernel::incarnation engine, std::uint64_t last_event)
     {
@@ -128,6 +134,8 @@
     poller->poll();
     endpoint->loads[3](answer);
     CHECK(load->serves(model, version));
+    // The handlers own the poller, which owns the endpoint.
+    endpoint->loads.clear();
 }
 
 } // namespace endiveward::agent
