--- a/apps/endiveward_agent/main.cpp
+++ b/apps/endiveward_agent/main.cpp
@@ -118,7 +118,7 @@
         LOG4CPLUS_ERROR(logger(), "cannot start: " << ex.what());
         return exit_start;
     }
-    signal_handler const signals(control, agent);
+    signal_handler signals(control, agent);
     auto const guard = asio::make_work_guard(control);
     LOG4CPLUS_INFO(logger(), "serving endpoint " << settings.endpoint.str());
     control.run();
@@ -188,7 +188,7 @@
         return load_and_run(args["settings"].as<std::string>(),
                             args.count("check") > 0);
     }
-    catch (cxxopts::OptionException const& ex)
+    catch (cxxopts::exceptions::exception const& ex)
     {
         std::cerr << ex.what() << "; see endiveward-agent --help\n";
         return exit_usage;
