--- /dev/null
+++ b/packages/observe/internal/logging.cpp
@@ -0,0 +1,80 @@
+#include "observe/logging.hpp"
+
+#include "observe/internal/json_layout.hpp"
+
+#include <fmt/format.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/logger.h>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace endiveward::observe
+{
+
+namespace
+{
+
+struct level_row
+{
+    std::string_view name;
+    log4cplus::LogLevel level;
+};
+
+constexpr std::array level_rows{level_row{"trace", log4cplus::TRACE_LOG_LEVEL},
+                                level_row{"debug", log4cplus::DEBUG_LOG_LEVEL},
+                                level_row{"info", log4cplus::INFO_LOG_LEVEL},
+                                level_row{"warn", log4cplus::WARN_LOG_LEVEL},
+                                level_row{"error", log4cplus::ERROR_LOG_LEVEL}};
+
+std::optional<log4cplus::LogLevel> parse_level(std::string_view name)
+{
+    for (auto const& it : level_rows)
+    {
+        if (it.name == name)
+            return it.level;
+    }
+    return std::nullopt;
+}
+
+std::unique_ptr<log4cplus::Layout> make_layout(bool json)
+{
+    if (json)
+        return std::make_unique<json_layout>();
+    return std::make_unique<log4cplus::PatternLayout>(
+        LOG4CPLUS_TEXT("%d{%Y-%m-%dT%H:%M:%S.%qZ} %-5p %c: %m%n"));
+}
+
+} // namespace
+
+kernel::result<kernel::done> init_logging(std::string const& level, bool json)
+{
+    auto const parsed = parse_level(level);
+    if (!parsed)
+        return kernel::error{
+            kernel::error_kind::invalid_settings,
+            fmt::format("'{}' is not a log level; use trace, debug, info, warn "
+                        "or error",
+                        level),
+            kernel::run_state::not_run,
+            {}};
+    log4cplus::initialize();
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    log4cplus::SharedAppenderPtr const appender(
+        new log4cplus::ConsoleAppender(true, true));
+    appender->setLayout(make_layout(json));
+    root.addAppender(appender);
+    root.setLogLevel(*parsed);
+    return kernel::done{};
+}
+
+void shutdown_logging()
+{
+    log4cplus::Logger::shutdown();
+}
+
+} // namespace endiveward::observe
