--- /dev/null
+++ b/packages/router/agent_channel.hpp
@@ -0,0 +1,73 @@
+#ifndef ENDIVEWARD_ROUTER_AGENT_CHANNEL_HPP
+#define ENDIVEWARD_ROUTER_AGENT_CHANNEL_HPP
+
+#include "router/types/call_event.hpp"
+#include "wire/i_connection.hpp"
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+namespace endiveward::router
+{
+
+class i_call_listener;
+
+/// One open connection to an agent and the calls that it carries. Safe for
+/// concurrent use.
+class agent_channel
+{
+public:
+    explicit agent_channel(std::shared_ptr<wire::i_connection> conn);
+
+    wire::hello const& peer() const { return conn_->peer(); }
+    std::shared_ptr<wire::i_connection> const& connection() const
+    {
+        return conn_;
+    }
+
+    /// Gives an id that is unique for the connection's lifetime, or nothing if
+    /// the connection is lost.
+    std::optional<std::uint64_t>
+    open_call(std::weak_ptr<i_call_listener> listener, leg_number leg);
+    /// Later messages of the call are dropped and counted.
+    void close_call(std::uint64_t call_id);
+    void send(wire::message const& msg, wire::write_handler handler = {});
+
+    /// Passes a message to its call; false if no such call is open.
+    bool dispatch(wire::verdict msg);
+    bool dispatch(wire::chunk msg);
+    bool dispatch(wire::call_end msg);
+    /// Tells all calls that the connection is lost.
+    void on_lost();
+
+    std::size_t open_calls() const;
+    /// Whether anything was sent since the last time this was asked.
+    bool take_used() { return used_.exchange(false); }
+
+private:
+    struct entry
+    {
+        std::weak_ptr<i_call_listener> listener;
+        leg_number leg = 0;
+    };
+
+    std::optional<entry> find(std::uint64_t call_id) const;
+    template <typename Event, typename Message>
+    bool pass_on(Message msg);
+
+    std::shared_ptr<wire::i_connection> const conn_;
+    mutable std::mutex mutex_;
+    std::atomic<bool> used_{false};
+    bool lost_ = false;
+    std::uint64_t last_id_ = 0;
+    std::unordered_map<std::uint64_t, entry> calls_;
+};
+
+} // namespace endiveward::router
+
+#endif
--- /dev/null
+++ b/packages/router/agent_connections.hpp
@@ -0,0 +1,114 @@
+#ifndef ENDIVEWARD_ROUTER_AGENT_CONNECTIONS_HPP
+#define ENDIVEWARD_ROUTER_AGENT_CONNECTIONS_HPP
+
+#include "config/types/socket_address.hpp"
+#include "kernel/types/identifiers.hpp"
+#include "observe/i_state_source.hpp"
+#include "router/i_agent_directory.hpp"
+#include "wire/i_connection_observer.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace endiveward::config
+{
+class i_config_state;
+}
+
+namespace endiveward::kernel
+{
+class i_random_source;
+class thread_pool;
+} // namespace endiveward::kernel
+
+namespace endiveward::placement
+{
+class i_placement;
+}
+
+namespace endiveward::platform
+{
+class i_vm_list;
+}
+
+namespace endiveward::wire
+{
+struct connection_options;
+}
+
+namespace endiveward::router
+{
+
+struct agent_connections_options
+{
+    /// One thread; timers and list of VMs.
+    std::shared_ptr<kernel::thread_pool> control;
+    /// Threads of the connections.
+    std::shared_ptr<kernel::thread_pool> traffic;
+    std::shared_ptr<kernel::i_random_source> random;
+    std::shared_ptr<config::i_config_state> configuration;
+    std::shared_ptr<placement::i_placement> placement;
+    /// Null if the platform has no list.
+    std::shared_ptr<platform::i_vm_list> vms;
+    kernel::region_id region;
+    std::vector<config::socket_address> seeds;
+    std::chrono::milliseconds vm_poll_interval{3000};
+    std::chrono::milliseconds vm_timeout{1000};
+    std::chrono::milliseconds heartbeat_interval{30'000};
+    /// Counts messages that belong to no open call; may be empty.
+    std::function<void()> on_dropped;
+};
+
+/// Membership: keeps one authenticated connection to each agent known from the
+/// seeds and the list of VMs, and tells placement which endpoints are
+/// available.
+class agent_connections : public wire::i_connection_observer,
+                          public i_agent_directory,
+                          public observe::i_state_source
+{
+public:
+    explicit agent_connections(agent_connections_options options);
+    ~agent_connections() override;
+    agent_connections(agent_connections const&) = delete;
+    agent_connections& operator=(agent_connections const&) = delete;
+
+    /// Starts connecting; `wire_options` names this object as observer.
+    void start(std::shared_ptr<wire::connection_options const> wire_options);
+    /// Closes all connections and starts no more.
+    void stop();
+    /// Connections to agents that are open.
+    std::size_t open_agents() const;
+
+    // wire::i_connection_observer
+    void on_open(std::shared_ptr<wire::i_connection> const& conn) override;
+    void on_message(std::shared_ptr<wire::i_connection> const& conn,
+                    wire::message msg) override;
+    void on_closed(std::shared_ptr<wire::i_connection> const& conn,
+                   kernel::error const& reason) override;
+
+    // i_agent_directory
+    std::shared_ptr<agent_channel>
+    find(kernel::endpoint_id const& endpoint) const override;
+    void when_open(kernel::endpoint_id const& endpoint,
+                   std::weak_ptr<void> owner, channel_handler handler) override;
+    void suspect(kernel::endpoint_id const& endpoint) override;
+    void on_draining(kernel::endpoint_id const& endpoint) override;
+    void catch_up(kernel::endpoint_id const& endpoint,
+                  kernel::config_version version, std::weak_ptr<void> owner,
+                  std::function<void()> handler) override;
+
+    // observe::i_state_source
+    std::string_view section() const override { return "agents"; }
+    nlohmann::json dump() const override;
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace endiveward::router
+
+#endif
--- /dev/null
+++ b/packages/router/call_machine.hpp
@@ -0,0 +1,101 @@
+#ifndef ENDIVEWARD_ROUTER_CALL_MACHINE_HPP
+#define ENDIVEWARD_ROUTER_CALL_MACHINE_HPP
+
+#include "router/types/call_action.hpp"
+#include "router/types/call_event.hpp"
+#include "router/types/call_policy.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace endiveward::router
+{
+
+/// Decides what happens to a call: events in, actions out, no I/O and no
+/// clock. A call ends with exactly one of `finish_stream`, `finish_whole`,
+/// `finish_error` and `abandon`.
+class call_machine
+{
+public:
+    using actions = std::vector<call_action>;
+
+    /// `take_retry` takes a token from the retry budget.
+    call_machine(call_policy policy, std::function<bool()> take_retry);
+
+    actions start();
+    actions handle(call_event event);
+
+    bool finished() const { return phase_ == phase::finished; }
+    std::size_t attempts() const { return attempts_; }
+    /// Events that were dropped because they were late or repeated.
+    std::size_t dropped() const { return dropped_; }
+
+private:
+    enum class phase
+    {
+        choosing,
+        awaiting_verdict,
+        receiving,
+        resuming,
+        catching_up,
+        finished
+    };
+
+    void on(endpoint_chosen& event);
+    void on(no_endpoint_chosen& event);
+    void on(invoke_written& event);
+    void on(verdict_arrived& event);
+    void on(chunk_arrived& event);
+    void on(end_arrived& event);
+    void on(link_lost& event);
+    void on(resume_failed& event);
+    void on(verdict_timer_expired& event);
+    void on(configuration_caught_up& event);
+    void on(caller_received& event);
+    void on(caller_left& event);
+    void on(deadline_passed& event);
+
+    bool is_current(leg_number leg);
+    bool in_flight() const;
+    void on_refused(wire::verdict const& answer);
+    void on_attempt_failed(kernel::error failure);
+    void on_attempt_lost();
+    void on_incomplete(wire::call_end const& end);
+    void accept(wire::chunk& piece);
+    void resume();
+    void give_up_resuming();
+    void choose_again();
+    void retry_or_fail(kernel::error const& failure);
+    void release(std::optional<wire::load_report> load = {});
+    void complete(wire::call_end const& end);
+    void fail(kernel::error failure);
+    kernel::error lost_error() const;
+
+    call_policy const policy_;
+    std::function<bool()> const take_retry_;
+
+    actions out_;
+    phase phase_ = phase::choosing;
+    leg_number leg_ = 0;
+    std::size_t attempts_ = 0;
+    std::size_t resumes_ = 0;
+    std::size_t dropped_ = 0;
+    kernel::endpoint_id endpoint_;
+    std::vector<kernel::endpoint_id> excluded_;
+    std::optional<kernel::error> last_failure_;
+    std::optional<wire::write_outcome> written_;
+    bool occupied_ = false;
+    bool lost_ = false;
+    bool leg_is_resume_ = false;
+    /// An attempt may have reached an endpoint.
+    bool possibly_ran_ = false;
+    /// Bytes of the answer were passed on to the caller.
+    bool forwarded_ = false;
+    std::uint64_t next_ = 0;
+};
+
+} // namespace endiveward::router
+
+#endif
--- /dev/null
+++ b/packages/router/i_agent_directory.hpp
@@ -0,0 +1,44 @@
+#ifndef ENDIVEWARD_ROUTER_I_AGENT_DIRECTORY_HPP
+#define ENDIVEWARD_ROUTER_I_AGENT_DIRECTORY_HPP
+
+#include "kernel/types/identifiers.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace endiveward::router
+{
+
+class agent_channel;
+
+/// The connections to agents, by endpoint. Safe for concurrent use.
+class i_agent_directory
+{
+public:
+    using channel_handler = std::function<void(std::shared_ptr<agent_channel>)>;
+
+    virtual ~i_agent_directory() = default;
+
+    /// The open connection; null if there is none.
+    virtual std::shared_ptr<agent_channel>
+    find(kernel::endpoint_id const& endpoint) const = 0;
+    /// Calls the handler once with the open connection, now or when one opens.
+    /// A handler whose owner has expired is dropped.
+    virtual void when_open(kernel::endpoint_id const& endpoint,
+                           std::weak_ptr<void> owner,
+                           channel_handler handler) = 0;
+    /// Takes the endpoint out of rotation until its agent answers a probe.
+    virtual void suspect(kernel::endpoint_id const& endpoint) = 0;
+    /// The agent refuses new calls from now on.
+    virtual void on_draining(kernel::endpoint_id const& endpoint) = 0;
+    /// Calls the handler when the configuration in force has reached the
+    /// version, fetching it from the endpoint's agent if necessary.
+    virtual void catch_up(kernel::endpoint_id const& endpoint,
+                          kernel::config_version version,
+                          std::weak_ptr<void> owner,
+                          std::function<void()> handler) = 0;
+};
+
+} // namespace endiveward::router
+
+#endif
--- /dev/null
+++ b/packages/router/internal/agent_connections.cpp
@@ -0,0 +1,788 @@
+#include "router/agent_connections.hpp"
+
+#include "config/i_config_state.hpp"
+#include "config/i_configuration.hpp"
+#include "kernel/i_random_source.hpp"
+#include "kernel/thread_pool.hpp"
+#include "kernel/types/result.hpp"
+#include "placement/i_placement.hpp"
+#include "placement/types/endpoint_status.hpp"
+#include "platform/i_vm_list.hpp"
+#include "router/agent_channel.hpp"
+#include "router/internal/backoff.hpp"
+#include "wire/connector.hpp"
+#include "wire/i_connection.hpp"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <fmt/format.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace endiveward::router
+{
+
+namespace
+{
+
+log4cplus::Logger& logger()
+{
+    static auto instance =
+        log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("endiveward.agents"));
+    return instance;
+}
+
+std::string key_of(config::socket_address const& address)
+{
+    return fmt::format("{}:{}", address.address, address.port);
+}
+
+} // namespace
+
+class agent_connections::impl
+    : public std::enable_shared_from_this<agent_connections::impl>
+{
+    agent_connections_options const options_;
+
+public:
+    explicit impl(agent_connections_options options)
+        : options_(std::move(options))
+        , vm_timer_(options_.control->context(0))
+        , heartbeat_timer_(options_.control->context(0))
+    {
+    }
+
+    void start(std::shared_ptr<wire::connection_options const> wire_options)
+    {
+        options_.configuration->subscribe(
+            [weak = weak_from_this()](
+                std::shared_ptr<config::i_configuration const> const& next)
+            {
+                if (auto const self = weak.lock())
+                    self->on_configuration(next->version());
+            });
+        asio::post(
+            options_.control->context(0),
+            [self = shared_from_this(), wire_options = std::move(wire_options)]
+            {
+                self->connector_.emplace(wire_options);
+                for (auto const& it : self->options_.seeds)
+                    self->add_link(it, true);
+                self->poll_vms();
+                self->wait_for_heartbeat();
+            });
+    }
+
+    void stop()
+    {
+        std::vector<std::shared_ptr<agent_channel>> channels;
+        {
+            std::lock_guard const lock(mutex_);
+            stopped_ = true;
+            for (auto const& [conn, it] : peers_)
+                channels.push_back(it.channel);
+        }
+        for (auto const& it : channels)
+            it->connection()->close();
+        asio::post(options_.control->context(0),
+                   [self = shared_from_this()]
+                   {
+                       // The connector's options own the observer.
+                       self->connector_.reset();
+                       self->vm_timer_.cancel();
+                       self->heartbeat_timer_.cancel();
+                       for (auto& [key, link] : self->links_)
+                           link.timer->cancel();
+                   });
+    }
+
+    std::size_t open_agents() const
+    {
+        std::lock_guard const lock(mutex_);
+        return agents_.size();
+    }
+
+    void on_open(std::shared_ptr<wire::i_connection> const& conn)
+    {
+        std::lock_guard const lock(mutex_);
+        peers_[conn.get()].channel = std::make_shared<agent_channel>(conn);
+    }
+
+    void on_message(std::shared_ptr<wire::i_connection> const& conn,
+                    wire::message msg)
+    {
+        auto const channel = channel_of(conn);
+        if (!channel)
+            return;
+        std::visit([&](auto& it) { on(channel, std::move(it)); }, msg);
+    }
+
+    void on_closed(std::shared_ptr<wire::i_connection> const& conn,
+                   kernel::error const& reason)
+    {
+        peer lost;
+        bool was_agent = false;
+        {
+            std::lock_guard const lock(mutex_);
+            auto const it = peers_.find(conn.get());
+            if (it == peers_.end())
+                return;
+            lost = std::move(it->second);
+            peers_.erase(it);
+            was_agent = remove_agent(lost);
+        }
+        lost.channel->on_lost();
+        if (was_agent)
+            LOG4CPLUS_WARN(logger(), "connection to the agent of endpoint "
+                                         << conn->peer().endpoint.str()
+                                         << " closed: " << reason.message);
+        if (lost.link.empty())
+            return;
+        asio::post(options_.control->context(0),
+                   [self = shared_from_this(), key = lost.link]
+                   { self->on_link_down(key); });
+    }
+
+    std::shared_ptr<agent_channel>
+    find(kernel::endpoint_id const& endpoint) const
+    {
+        std::lock_guard const lock(mutex_);
+        auto const it = agents_.find(endpoint);
+        return it == agents_.end() ? nullptr : it->second.channel;
+    }
+
+    void when_open(kernel::endpoint_id const& endpoint,
+                   std::weak_ptr<void> owner, channel_handler handler)
+    {
+        std::shared_ptr<agent_channel> channel;
+        {
+            std::lock_guard const lock(mutex_);
+            auto const it = agents_.find(endpoint);
+            if (it != agents_.end())
+                channel = it->second.channel;
+            else
+                add_open_waiter(endpoint, std::move(owner), handler);
+        }
+        if (channel)
+            handler(channel);
+    }
+
+    void suspect(kernel::endpoint_id const& endpoint)
+    {
+        auto const channel =
+            change(endpoint, [](agent& it) { it.suspect = true; });
+        if (!channel)
+            return;
+        LOG4CPLUS_WARN(logger(), "endpoint " << endpoint.str()
+                                             << " gave no verdict in time; out "
+                                                "of rotation until it answers");
+        channel->send(wire::heartbeat{current_version(), {}, true});
+    }
+
+    void on_draining(kernel::endpoint_id const& endpoint)
+    {
+        change(endpoint, [](agent& it) { it.load.draining = true; });
+    }
+
+    void catch_up(kernel::endpoint_id const& endpoint,
+                  kernel::config_version version, std::weak_ptr<void> owner,
+                  std::function<void()> handler)
+    {
+        {
+            std::lock_guard const lock(mutex_);
+            std::erase_if(config_waiters_,
+                          [](auto const& it) { return it.owner.expired(); });
+            config_waiters_.push_back(
+                {version, std::move(owner), std::move(handler)});
+        }
+        auto const known = current_version();
+        if (known >= version)
+            on_configuration(known);
+        else if (auto const channel = find(endpoint))
+            channel->send(wire::config_request{known});
+    }
+
+    nlohmann::json dump() const
+    {
+        auto out = nlohmann::json::array();
+        std::lock_guard const lock(mutex_);
+        for (auto const& [id, it] : agents_)
+            out.push_back({{"endpoint", id.str()},
+                           {"zone", it.channel->peer().zone.str()},
+                           {"available", is_available(it)},
+                           {"suspect", it.suspect},
+                           {"leaving", it.leaving},
+                           {"draining", it.load.draining},
+                           {"running", it.load.running},
+                           {"queued", it.load.queued},
+                           {"calls", it.channel->open_calls()}});
+        return out;
+    }
+
+private:
+    /// The other side of an open connection.
+    struct peer
+    {
+        std::shared_ptr<agent_channel> channel;
+        /// Key in `links_`; empty if the other side connected.
+        std::string link;
+    };
+
+    /// An agent with an open connection.
+    struct agent
+    {
+        std::shared_ptr<agent_channel> channel;
+        wire::load_report load;
+        bool suspect = false;
+        bool leaving = false;
+    };
+
+    /// An address to which a connection is kept.
+    struct link
+    {
+        config::socket_address address;
+        bool seed = false;
+        bool listed = false;
+        bool leaving = false;
+        bool connected = false;
+        kernel::endpoint_id endpoint;
+        backoff delays;
+        std::unique_ptr<asio::steady_timer> timer;
+    };
+
+    struct open_waiter
+    {
+        std::weak_ptr<void> owner;
+        channel_handler handler;
+    };
+
+    struct config_waiter
+    {
+        kernel::config_version version = 0;
+        std::weak_ptr<void> owner;
+        std::function<void()> handler;
+    };
+
+    kernel::config_version current_version() const
+    {
+        return options_.configuration->current()->version();
+    }
+
+    std::shared_ptr<agent_channel>
+    channel_of(std::shared_ptr<wire::i_connection> const& conn) const
+    {
+        std::lock_guard const lock(mutex_);
+        auto const it = peers_.find(conn.get());
+        return it == peers_.end() ? nullptr : it->second.channel;
+    }
+
+    /// The caller holds the mutex. An agent that has connected again by
+    /// another link stays.
+    bool remove_agent(peer const& lost)
+    {
+        auto const it = agents_.find(lost.channel->peer().endpoint);
+        if (it == agents_.end() || it->second.channel != lost.channel)
+            return false;
+        options_.placement->update_endpoint(status_of(it->second, false));
+        agents_.erase(it);
+        return true;
+    }
+
+    static bool is_available(agent const& it)
+    {
+        return !it.suspect && !it.leaving && !it.load.draining;
+    }
+
+    static placement::endpoint_status status_of(agent const& it, bool available)
+    {
+        auto const& peer = it.channel->peer();
+        return {peer.endpoint, peer.region, peer.zone, available, it.load};
+    }
+
+    void add_open_waiter(kernel::endpoint_id const& endpoint,
+                         std::weak_ptr<void> owner,
+                         channel_handler const& handler)
+    {
+        std::erase_if(open_waiters_,
+                      [](auto const& it) { return it.second.owner.expired(); });
+        open_waiters_.emplace(endpoint, open_waiter{std::move(owner), handler});
+    }
+
+    /// Changes what is known of an agent and tells placement.
+    template <typename F>
+    std::shared_ptr<agent_channel> change(kernel::endpoint_id const& endpoint,
+                                          F const& modify)
+    {
+        // Placement is told under the lock, so that two changes reach it in
+        // the order in which they were made.
+        std::lock_guard const lock(mutex_);
+        auto const it = agents_.find(endpoint);
+        if (it == agents_.end())
+            return nullptr;
+        modify(it->second);
+        options_.placement->update_endpoint(
+            status_of(it->second, is_available(it->second)));
+        return it->second.channel;
+    }
+
+    // Calls
+
+    template <typename Message>
+    void on_call_message(std::shared_ptr<agent_channel> const& channel,
+                         Message msg)
+    {
+        if (!channel->dispatch(std::move(msg)) && options_.on_dropped)
+            options_.on_dropped();
+    }
+
+    /// Placement learns the load from the call; this keeps what a later change
+    /// of availability reports.
+    void note_load(agent_channel const& channel, wire::load_report const& load)
+    {
+        bool drains = false;
+        {
+            std::lock_guard const lock(mutex_);
+            auto const it = agents_.find(channel.peer().endpoint);
+            if (it == agents_.end())
+                return;
+            drains = load.draining && !it->second.load.draining;
+            it->second.load = load;
+        }
+        if (drains)
+            on_draining(channel.peer().endpoint);
+    }
+
+    void on(std::shared_ptr<agent_channel> const& channel, wire::verdict msg)
+    {
+        note_load(*channel, msg.load);
+        request_newer(*channel, msg.config_version);
+        on_call_message(channel, std::move(msg));
+    }
+
+    void on(std::shared_ptr<agent_channel> const& channel, wire::chunk msg)
+    {
+        on_call_message(channel, std::move(msg));
+    }
+
+    void on(std::shared_ptr<agent_channel> const& channel, wire::call_end msg)
+    {
+        note_load(*channel, msg.load);
+        on_call_message(channel, std::move(msg));
+    }
+
+    // Control
+
+    void on(std::shared_ptr<agent_channel> const& channel, wire::heartbeat msg)
+    {
+        if (channel->peer().role == wire::process_role::agent)
+            change(channel->peer().endpoint,
+                   [&](agent& it)
+                   {
+                       it.load = std::move(msg.load);
+                       it.suspect = false;
+                   });
+        if (msg.probe)
+            channel->send(wire::heartbeat{current_version(), {}, false});
+        request_newer(*channel, msg.config_version);
+    }
+
+    void on(std::shared_ptr<agent_channel> const& channel, wire::draining)
+    {
+        on_draining(channel->peer().endpoint);
+    }
+
+    void on(std::shared_ptr<agent_channel> const& channel,
+            wire::config_request msg)
+    {
+        channel->send(options_.configuration->update_since(msg.known_version));
+    }
+
+    void on(std::shared_ptr<agent_channel> const& channel,
+            wire::config_update msg)
+    {
+        auto const res = options_.configuration->apply(msg);
+        if (kernel::ok(res))
+            return;
+        auto const& err = kernel::failure(res);
+        if (err.kind == kernel::error_kind::stale_configuration)
+            channel->send(wire::config_request{current_version()});
+        else
+            LOG4CPLUS_ERROR(logger(), "configuration update to version "
+                                          << msg.to_version
+                                          << " refused: " << err.message);
+    }
+
+    void on(std::shared_ptr<agent_channel> const& channel, wire::gossip msg)
+    {
+        request_newer(*channel, msg.config_version);
+    }
+
+    /// Messages that only agents receive.
+    template <typename Message>
+    void on(std::shared_ptr<agent_channel> const&, Message const&)
+    {
+        if (options_.on_dropped)
+            options_.on_dropped();
+    }
+
+    void request_newer(agent_channel& channel, kernel::config_version version)
+    {
+        auto const known = current_version();
+        if (version > known)
+            channel.send(wire::config_request{known});
+    }
+
+    void on_configuration(kernel::config_version version)
+    {
+        std::vector<config_waiter> ready;
+        {
+            std::lock_guard const lock(mutex_);
+            std::erase_if(config_waiters_,
+                          [&](auto& it)
+                          {
+                              if (it.version > version)
+                                  return false;
+                              ready.push_back(std::move(it));
+                              return true;
+                          });
+        }
+        for (auto const& it : ready)
+        {
+            if (auto const owner = it.owner.lock())
+                it.handler();
+        }
+    }
+
+    // Membership, control thread
+
+    void add_link(config::socket_address const& address, bool seed)
+    {
+        auto const key = key_of(address);
+        auto& added = links_[key];
+        added.address = address;
+        added.seed = added.seed || seed;
+        if (added.timer)
+            return;
+        added.timer =
+            std::make_unique<asio::steady_timer>(options_.control->context(0));
+        connect_later(key);
+    }
+
+    void connect_later(std::string const& key)
+    {
+        auto const it = links_.find(key);
+        if (it == links_.end() || !connector_)
+            return;
+        it->second.timer->expires_after(
+            it->second.delays.next(*options_.random));
+        it->second.timer->async_wait(
+            [self = shared_from_this(), key](std::error_code ec)
+            {
+                if (!ec)
+                    self->connect(key);
+            });
+    }
+
+    void connect(std::string const& key)
+    {
+        auto const it = links_.find(key);
+        if (it == links_.end() || !connector_)
+            return;
+        auto const& address = it->second.address;
+        connector_->connect(
+            options_.traffic->next_context(), address.address, address.port,
+            [self = shared_from_this(),
+             key](kernel::result<std::shared_ptr<wire::i_connection>> res)
+            { self->on_connected(key, std::move(res)); });
+    }
+
+    /// Runs on the connection's thread.
+    void
+    on_connected(std::string const& key,
+                 kernel::result<std::shared_ptr<wire::i_connection>> const& res)
+    {
+        if (!kernel::ok(res))
+        {
+            asio::post(options_.control->context(0),
+                       [self = shared_from_this(), key]
+                       { self->connect_later(key); });
+            return;
+        }
+        auto const& conn = kernel::value(res);
+        if (!keep_link(key, conn))
+        {
+            conn->close();
+            return;
+        }
+        if (conn->peer().role == wire::process_role::agent)
+            add_agent(conn);
+        request_newer(*channel_of(conn), conn->peer().config_version);
+        asio::post(
+            options_.control->context(0),
+            [self = shared_from_this(), key, endpoint = conn->peer().endpoint]
+            { self->on_link_up(key, endpoint); });
+    }
+
+    /// False if this process is stopping.
+    bool keep_link(std::string const& key,
+                   std::shared_ptr<wire::i_connection> const& conn)
+    {
+        std::lock_guard const lock(mutex_);
+        if (stopped_)
+            return false;
+        peers_.at(conn.get()).link = key;
+        return true;
+    }
+
+    void add_agent(std::shared_ptr<wire::i_connection> const& conn)
+    {
+        auto const& peer = conn->peer();
+        std::vector<open_waiter> waiters;
+        std::shared_ptr<agent_channel> channel;
+        {
+            std::lock_guard const lock(mutex_);
+            channel = peers_.at(conn.get()).channel;
+            agents_[peer.endpoint] = {channel, peer.load, false, false};
+            auto const [begin, end] = open_waiters_.equal_range(peer.endpoint);
+            for (auto it = begin; it != end; ++it)
+                waiters.push_back(std::move(it->second));
+            open_waiters_.erase(begin, end);
+        }
+        change(peer.endpoint, [](agent&) {});
+        LOG4CPLUS_INFO(logger(), "connected to the agent of endpoint "
+                                     << peer.endpoint.str());
+        for (auto const& it : waiters)
+        {
+            if (auto const owner = it.owner.lock())
+                it.handler(channel);
+        }
+    }
+
+    void on_link_up(std::string const& key, kernel::endpoint_id const& endpoint)
+    {
+        auto const it = links_.find(key);
+        if (it == links_.end())
+            return;
+        it->second.connected = true;
+        it->second.endpoint = endpoint;
+        it->second.delays.reset();
+        apply_leaving(it->second);
+    }
+
+    void apply_leaving(link const& it)
+    {
+        if (it.endpoint.empty())
+            return;
+        change(it.endpoint, [&](agent& to) { to.leaving = it.leaving; });
+    }
+
+    void wait_for_heartbeat()
+    {
+        heartbeat_timer_.expires_after(options_.heartbeat_interval);
+        heartbeat_timer_.async_wait(
+            [self = shared_from_this()](std::error_code ec)
+            {
+                if (ec)
+                    return;
+                self->send_heartbeats();
+                self->wait_for_heartbeat();
+            });
+    }
+
+    void send_heartbeats()
+    {
+        std::vector<std::shared_ptr<agent_channel>> idle;
+        {
+            std::lock_guard const lock(mutex_);
+            for (auto const& [conn, it] : peers_)
+            {
+                if (!it.channel->take_used())
+                    idle.push_back(it.channel);
+            }
+        }
+        for (auto const& it : idle)
+            it->send(wire::heartbeat{current_version(), {}, false});
+    }
+
+    void poll_vms()
+    {
+        if (!options_.vms || !connector_)
+            return;
+        options_.vms->list(options_.vm_timeout,
+                           [weak = weak_from_this()](
+                               kernel::result<std::vector<platform::vm>> res)
+                           {
+                               auto const self = weak.lock();
+                               if (!self)
+                                   return;
+                               asio::post(self->options_.control->context(0),
+                                          [self, res = std::move(res)]
+                                          { self->on_vms(res); });
+                           });
+    }
+
+    void on_vms(kernel::result<std::vector<platform::vm>> const& res)
+    {
+        if (kernel::ok(res))
+            apply_vms(kernel::value(res));
+        // Between half and one and a half intervals, so that routers that
+        // started together do not poll together.
+        auto const interval = options_.vm_poll_interval;
+        auto const jitter = std::chrono::milliseconds(
+            options_.random->next() %
+            (static_cast<std::uint64_t>(interval.count()) + 1));
+        vm_timer_.expires_after(interval / 2 + jitter);
+        vm_timer_.async_wait(
+            [self = shared_from_this()](std::error_code ec)
+            {
+                if (!ec)
+                    self->poll_vms();
+            });
+    }
+
+    void apply_vms(std::vector<platform::vm> const& vms)
+    {
+        std::set<std::string> listed;
+        for (auto const& it : vms)
+        {
+            if (it.role != platform::vm_role::agent ||
+                it.region != options_.region)
+                continue;
+            config::socket_address const address{it.address, it.port};
+            auto const key = key_of(address);
+            listed.insert(key);
+            add_link(address, false);
+            auto& found = links_[key];
+            found.listed = true;
+            if (std::exchange(found.leaving, it.leaving) != it.leaving)
+                apply_leaving(found);
+        }
+        remove_unlisted(listed);
+    }
+
+    /// The list lags, so that an agent with an open connection is kept.
+    void remove_unlisted(std::set<std::string> const& listed)
+    {
+        std::erase_if(links_,
+                      [&](auto& it)
+                      {
+                          auto& [key, found] = it;
+                          if (found.seed || listed.contains(key) ||
+                              (found.connected && find(found.endpoint)))
+                              return false;
+                          found.timer->cancel();
+                          if (!found.endpoint.empty())
+                              options_.placement->remove_endpoint(
+                                  found.endpoint);
+                          return true;
+                      });
+    }
+
+    void on_link_down(std::string const& key)
+    {
+        auto const it = links_.find(key);
+        if (it == links_.end())
+            return;
+        it->second.connected = false;
+        connect_later(key);
+    }
+
+    mutable std::mutex mutex_;
+    bool stopped_ = false;
+    std::unordered_map<wire::i_connection const*, peer> peers_;
+    std::map<kernel::endpoint_id, agent> agents_;
+    std::multimap<kernel::endpoint_id, open_waiter> open_waiters_;
+    std::vector<config_waiter> config_waiters_;
+
+    // Control thread only.
+    std::optional<wire::connector> connector_;
+    std::map<std::string, link> links_;
+    asio::steady_timer vm_timer_;
+    asio::steady_timer heartbeat_timer_;
+};
+
+agent_connections::agent_connections(agent_connections_options options)
+    : impl_(std::make_shared<impl>(std::move(options)))
+{
+}
+
+agent_connections::~agent_connections() = default;
+
+void agent_connections::start(
+    std::shared_ptr<wire::connection_options const> wire_options)
+{
+    impl_->start(std::move(wire_options));
+}
+
+void agent_connections::stop()
+{
+    impl_->stop();
+}
+
+std::size_t agent_connections::open_agents() const
+{
+    return impl_->open_agents();
+}
+
+void agent_connections::on_open(std::shared_ptr<wire::i_connection> const& conn)
+{
+    impl_->on_open(conn);
+}
+
+void agent_connections::on_message(
+    std::shared_ptr<wire::i_connection> const& conn, wire::message msg)
+{
+    impl_->on_message(conn, std::move(msg));
+}
+
+void agent_connections::on_closed(
+    std::shared_ptr<wire::i_connection> const& conn,
+    kernel::error const& reason)
+{
+    impl_->on_closed(conn, reason);
+}
+
+std::shared_ptr<agent_channel>
+agent_connections::find(kernel::endpoint_id const& endpoint) const
+{
+    return impl_->find(endpoint);
+}
+
+void agent_connections::when_open(kernel::endpoint_id const& endpoint,
+                                  std::weak_ptr<void> owner,
+                                  channel_handler handler)
+{
+    impl_->when_open(endpoint, std::move(owner), std::move(handler));
+}
+
+void agent_connections::suspect(kernel::endpoint_id const& endpoint)
+{
+    impl_->suspect(endpoint);
+}
+
+void agent_connections::on_draining(kernel::endpoint_id const& endpoint)
+{
+    impl_->on_draining(endpoint);
+}
+
+void agent_connections::catch_up(kernel::endpoint_id const& endpoint,
+                                 kernel::config_version version,
+                                 std::weak_ptr<void> owner,
+                                 std::function<void()> handler)
+{
+    impl_->catch_up(endpoint, version, std::move(owner), std::move(handler));
+}
+
+nlohmann::json agent_connections::dump() const
+{
+    return impl_->dump();
+}
+
+} // namespace endiveward::router
--- /dev/null
+++ b/packages/router/internal/call_machine.cpp
@@ -0,0 +1,431 @@
+#include "router/call_machine.hpp"
+
+#include <string_view>
+#include <utility>
+
+namespace endiveward::router
+{
+
+namespace
+{
+
+constexpr std::string_view event_prefix = "data:";
+
+/// Whether another endpoint may succeed where one failed with this kind.
+bool helps_elsewhere(kernel::error_kind kind)
+{
+    switch (kind)
+    {
+    case kernel::error_kind::overloaded:
+    case kernel::error_kind::draining:
+    case kernel::error_kind::not_eligible:
+    case kernel::error_kind::connection_lost:
+    case kernel::error_kind::outcome_unknown:
+    case kernel::error_kind::stream_interrupted:
+    case kernel::error_kind::protocol_violation:
+        return true;
+    default:
+        return false;
+    }
+}
+
+kernel::error outcome_unknown(char const* message)
+{
+    return {kernel::error_kind::outcome_unknown,
+            message,
+            kernel::run_state::unknown,
+            {}};
+}
+
+} // namespace
+
+call_machine::call_machine(call_policy policy, std::function<bool()> take_retry)
+    : policy_(policy)
+    , take_retry_(std::move(take_retry))
+{
+}
+
+call_machine::actions call_machine::start()
+{
+    choose_again();
+    return std::exchange(out_, {});
+}
+
+call_machine::actions call_machine::handle(call_event event)
+{
+    if (finished())
+    {
+        ++dropped_;
+        return {};
+    }
+    std::visit([this](auto& it) { on(it); }, event);
+    return std::exchange(out_, {});
+}
+
+bool call_machine::is_current(leg_number leg)
+{
+    if (leg == leg_ && in_flight())
+        return true;
+    ++dropped_;
+    return false;
+}
+
+bool call_machine::in_flight() const
+{
+    return phase_ == phase::awaiting_verdict || phase_ == phase::receiving ||
+           phase_ == phase::resuming;
+}
+
+void call_machine::on(endpoint_chosen& event)
+{
+    if (phase_ != phase::choosing)
+    {
+        ++dropped_;
+        return;
+    }
+    ++attempts_;
+    ++leg_;
+    leg_is_resume_ = false;
+    phase_ = phase::awaiting_verdict;
+    endpoint_ = std::move(event.endpoint);
+    written_.reset();
+    lost_ = false;
+    occupied_ = true;
+    resumes_ = 0;
+    out_.emplace_back(send_invoke{leg_, endpoint_});
+    out_.emplace_back(start_verdict_timer{leg_});
+}
+
+void call_machine::on(no_endpoint_chosen& event)
+{
+    if (phase_ != phase::choosing)
+    {
+        ++dropped_;
+        return;
+    }
+    // The refusal of an endpoint says more than the lack of further ones.
+    fail(last_failure_ ? *last_failure_ : std::move(event.reason));
+}
+
+void call_machine::on(invoke_written& event)
+{
+    if (event.leg != leg_ || !in_flight())
+        return;
+    written_ = event.outcome;
+    if (phase_ != phase::awaiting_verdict)
+        return;
+    if (event.outcome == wire::write_outcome::not_started)
+    {
+        release();
+        retry_or_fail({kernel::error_kind::connection_lost,
+                       "the connection to the endpoint's agent was lost before "
+                       "the request was sent; retry",
+                       kernel::run_state::not_run,
+                       {}});
+        return;
+    }
+    if (lost_ || event.outcome == wire::write_outcome::uncertain)
+        on_attempt_lost();
+}
+
+void call_machine::on(link_lost& event)
+{
+    if (!is_current(event.leg))
+        return;
+    if (phase_ == phase::awaiting_verdict && !written_)
+    {
+        // Whether the invoke was sent is known when its write handler runs.
+        lost_ = true;
+        return;
+    }
+    on_attempt_lost();
+}
+
+void call_machine::on_attempt_lost()
+{
+    possibly_ran_ = true;
+    if (policy_.idempotent && next_ == 0 && !leg_is_resume_)
+    {
+        release();
+        retry_or_fail(lost_error());
+        return;
+    }
+    resume();
+}
+
+kernel::error call_machine::lost_error() const
+{
+    if (next_ == 0)
+        return outcome_unknown("the connection to the endpoint's agent was "
+                               "lost; check whether the call took effect "
+                               "before repeating it");
+    return {kernel::error_kind::stream_interrupted,
+            "the answer broke off and could not be resumed; repeat the call if "
+            "that is safe",
+            kernel::run_state::unknown,
+            {}};
+}
+
+void call_machine::resume()
+{
+    if (resumes_ >= policy_.max_resumes)
+    {
+        give_up_resuming();
+        return;
+    }
+    ++resumes_;
+    ++leg_;
+    leg_is_resume_ = true;
+    phase_ = phase::resuming;
+    out_.emplace_back(send_resume{leg_, endpoint_, next_});
+}
+
+void call_machine::on(resume_failed& event)
+{
+    if (event.leg == leg_ && phase_ == phase::resuming)
+        give_up_resuming();
+}
+
+void call_machine::give_up_resuming()
+{
+    on_attempt_failed(lost_error());
+}
+
+void call_machine::on(verdict_arrived& event)
+{
+    if (!is_current(event.leg))
+        return;
+    if (event.verdict.refusal && phase_ != phase::receiving)
+    {
+        on_refused(event.verdict);
+        return;
+    }
+    if (phase_ != phase::receiving)
+        phase_ = phase::receiving;
+    else
+        ++dropped_;
+}
+
+void call_machine::on_refused(wire::verdict const& answer)
+{
+    release(answer.load);
+    bool const is_stale =
+        answer.refusal->kind == kernel::error_kind::stale_configuration &&
+        answer.refusal->run == kernel::run_state::not_run && !leg_is_resume_;
+    if (!is_stale)
+    {
+        on_attempt_failed(*answer.refusal);
+        return;
+    }
+    last_failure_ = *answer.refusal;
+    if (attempts_ >= policy_.max_attempts)
+    {
+        fail(*answer.refusal);
+        return;
+    }
+    // No token is taken: a configuration change makes many calls stale at once
+    // and none of them has cost an endpoint any work.
+    phase_ = phase::catching_up;
+    out_.emplace_back(catch_up{leg_, endpoint_, answer.config_version});
+    out_.emplace_back(start_verdict_timer{leg_});
+}
+
+void call_machine::on_attempt_failed(kernel::error failure)
+{
+    release();
+    // An agent that does not know a stream cannot say that it never ran, and
+    // an answer that has begun has run.
+    if (leg_is_resume_ || next_ > 0)
+        failure.run = kernel::run_state::unknown;
+    bool const not_run = failure.run == kernel::run_state::not_run;
+    if (!not_run)
+        possibly_ran_ = true;
+    bool const may_repeat = not_run || (policy_.idempotent && !forwarded_);
+    if (may_repeat && helps_elsewhere(failure.kind))
+        retry_or_fail(failure);
+    else
+        fail(std::move(failure));
+}
+
+void call_machine::on(verdict_timer_expired& event)
+{
+    if (event.leg != leg_)
+        return;
+    if (phase_ == phase::catching_up)
+    {
+        choose_again();
+        return;
+    }
+    if (phase_ != phase::awaiting_verdict)
+        return;
+    out_.emplace_back(suspect_endpoint{endpoint_});
+    out_.emplace_back(send_cancel{leg_});
+    on_attempt_failed(outcome_unknown(
+        "the endpoint's agent did not answer; check whether the call took "
+        "effect before repeating it"));
+}
+
+void call_machine::on(configuration_caught_up& event)
+{
+    if (event.leg == leg_ && phase_ == phase::catching_up)
+        choose_again();
+}
+
+void call_machine::on(chunk_arrived& event)
+{
+    if (!is_current(event.leg))
+        return;
+    if (event.chunk.number < next_)
+    {
+        ++dropped_;
+        return;
+    }
+    if (event.chunk.number > next_)
+    {
+        ++dropped_;
+        possibly_ran_ = true;
+        resume();
+        return;
+    }
+    accept(event.chunk);
+}
+
+void call_machine::accept(wire::chunk& piece)
+{
+    // An answer that is not a series of events, e.g. an engine's error, is
+    // passed on as a whole with the status that comes with its end.
+    if (next_ == 0)
+        forwarded_ = policy_.streaming && piece.bytes.starts_with(event_prefix);
+    phase_ = phase::receiving;
+    possibly_ran_ = true;
+    resumes_ = 0;
+    ++next_;
+    if (forwarded_)
+    {
+        out_.emplace_back(forward_chunk{std::move(piece.bytes), next_});
+        return;
+    }
+    out_.emplace_back(collect_chunk{std::move(piece.bytes)});
+    out_.emplace_back(send_ack{leg_, next_});
+}
+
+void call_machine::on(caller_received& event)
+{
+    if (in_flight())
+        out_.emplace_back(send_ack{leg_, event.next});
+}
+
+void call_machine::on(end_arrived& event)
+{
+    if (!is_current(event.leg))
+        return;
+    auto const& end = event.end;
+    if (end.outcome != wire::call_outcome::complete || end.failure)
+    {
+        release(end.load);
+        on_attempt_failed(end.failure ? *end.failure
+                                      : outcome_unknown("the call was ended by "
+                                                        "the endpoint's "
+                                                        "agent"));
+        return;
+    }
+    if (end.chunks == next_)
+        complete(end);
+    else
+        on_incomplete(end);
+}
+
+void call_machine::on_incomplete(wire::call_end const& end)
+{
+    possibly_ran_ = true;
+    if (end.chunks > next_)
+    {
+        resume();
+        return;
+    }
+    fail({kernel::error_kind::stream_interrupted,
+          "the endpoint's agent counted fewer chunks than it sent; repeat the "
+          "call if that is safe",
+          kernel::run_state::unknown,
+          {}});
+}
+
+void call_machine::complete(wire::call_end const& end)
+{
+    release(end.load);
+    phase_ = phase::finished;
+    // A stream without any event is still a stream.
+    if (forwarded_ ||
+        (policy_.streaming && next_ == 0 && end.http_status == 200))
+        out_.emplace_back(finish_stream{});
+    else
+        out_.emplace_back(finish_whole{end.http_status, end.content_type});
+}
+
+void call_machine::on(caller_left&)
+{
+    if (in_flight())
+        out_.emplace_back(send_cancel{leg_});
+    release();
+    phase_ = phase::finished;
+    out_.emplace_back(abandon{});
+}
+
+void call_machine::on(deadline_passed&)
+{
+    if (in_flight())
+    {
+        possibly_ran_ = true;
+        out_.emplace_back(send_cancel{leg_});
+    }
+    auto const run =
+        possibly_ran_ ? kernel::run_state::unknown : kernel::run_state::not_run;
+    fail({kernel::error_kind::deadline_exceeded,
+          "the deadline passed; retry later or allow more time with "
+          "X-Request-Timeout-Ms",
+          run,
+          {}});
+}
+
+void call_machine::choose_again()
+{
+    phase_ = phase::choosing;
+    out_.emplace_back(choose_endpoint{excluded_});
+}
+
+void call_machine::retry_or_fail(kernel::error const& failure)
+{
+    excluded_.push_back(endpoint_);
+    last_failure_ = failure;
+    if (attempts_ >= policy_.max_attempts || !take_retry_())
+    {
+        fail(failure);
+        return;
+    }
+    if (next_ > 0)
+        out_.emplace_back(discard_collected{});
+    next_ = 0;
+    choose_again();
+}
+
+void call_machine::release(std::optional<wire::load_report> load)
+{
+    if (!std::exchange(occupied_, false))
+        return;
+    out_.emplace_back(release_endpoint{endpoint_, std::move(load)});
+}
+
+void call_machine::fail(kernel::error failure)
+{
+    release();
+    phase_ = phase::finished;
+    // An earlier attempt may have run, so that "not run" would be false.
+    if (possibly_ran_ && failure.run == kernel::run_state::not_run)
+    {
+        failure.kind = kernel::error_kind::outcome_unknown;
+        failure.run = kernel::run_state::unknown;
+    }
+    out_.emplace_back(finish_error{std::move(failure), forwarded_});
+}
+
+} // namespace endiveward::router
--- /dev/null
+++ b/packages/router/types/call_action.hpp
@@ -0,0 +1,129 @@
+#ifndef ENDIVEWARD_ROUTER_CALL_ACTION_HPP
+#define ENDIVEWARD_ROUTER_CALL_ACTION_HPP
+
+#include "kernel/types/error.hpp"
+#include "kernel/types/identifiers.hpp"
+#include "router/types/call_event.hpp"
+#include "wire/types/load_report.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace endiveward::router
+{
+
+/// Answered by `endpoint_chosen` or `no_endpoint_chosen`.
+struct choose_endpoint
+{
+    std::vector<kernel::endpoint_id> excluded;
+};
+
+struct send_invoke
+{
+    leg_number leg = 0;
+    kernel::endpoint_id endpoint;
+};
+
+/// Continues the stream on the next connection to the endpoint.
+struct send_resume
+{
+    leg_number leg = 0;
+    kernel::endpoint_id endpoint;
+    std::uint64_t next = 0;
+};
+
+struct send_cancel
+{
+    leg_number leg = 0;
+};
+
+struct send_ack
+{
+    leg_number leg = 0;
+    std::uint64_t next = 0;
+};
+
+struct start_verdict_timer
+{
+    leg_number leg = 0;
+};
+
+/// The endpoint gave no verdict in time; takes it out of rotation until it
+/// answers a probe.
+struct suspect_endpoint
+{
+    kernel::endpoint_id endpoint;
+};
+
+/// Fetches the configuration from the endpoint's agent; answered by
+/// `configuration_caught_up`.
+struct catch_up
+{
+    leg_number leg = 0;
+    kernel::endpoint_id endpoint;
+    kernel::config_version version = 0;
+};
+
+/// The call no longer occupies the endpoint. Follows each `send_invoke` exactly
+/// once.
+struct release_endpoint
+{
+    kernel::endpoint_id endpoint;
+    std::optional<wire::load_report> load;
+};
+
+/// Passes a chunk on to the caller at once; answered by `caller_received`.
+struct forward_chunk
+{
+    std::string bytes;
+    std::uint64_t next = 0;
+};
+
+/// Keeps a chunk of a whole answer.
+struct collect_chunk
+{
+    std::string bytes;
+};
+
+/// Drops the collected chunks before a new attempt.
+struct discard_collected
+{
+};
+
+/// Ends a complete stream.
+struct finish_stream
+{
+};
+
+/// Answers with the collected chunks.
+struct finish_whole
+{
+    int http_status = 200;
+    std::string content_type;
+};
+
+/// Ends the call with an error, after chunks were forwarded if `in_stream`.
+struct finish_error
+{
+    kernel::error failure;
+    bool in_stream = false;
+};
+
+/// Ends a call whose caller has left.
+struct abandon
+{
+};
+
+using call_action =
+    std::variant<choose_endpoint, send_invoke, send_resume, send_cancel,
+                 send_ack, start_verdict_timer, suspect_endpoint, catch_up,
+                 release_endpoint, forward_chunk, collect_chunk,
+                 discard_collected, finish_stream, finish_whole, finish_error,
+                 abandon>;
+
+} // namespace endiveward::router
+
+#endif
