--- a/packages/router/call_machine.hpp
+++ b/packages/router/call_machine.hpp
@@ -29,6 +29,8 @@
 
     bool finished() const { return phase_ == phase::finished; }
     std::size_t attempts() const { return attempts_; }
+    /// The leg whose events count.
+    leg_number leg() const { return leg_; }
     /// Events that were dropped because they were late or repeated.
     std::size_t dropped() const { return dropped_; }
 
--- /dev/null
+++ b/packages/router/caller_server.hpp
@@ -0,0 +1,56 @@
+#ifndef ENDIVEWARD_ROUTER_CALLER_SERVER_HPP
+#define ENDIVEWARD_ROUTER_CALLER_SERVER_HPP
+
+#include "kernel/types/result.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace asio
+{
+class io_context;
+}
+
+namespace endiveward::router
+{
+
+class caller_api;
+
+struct caller_server_options
+{
+    std::string address;
+    /// 0 takes a free port.
+    std::uint16_t port = 0;
+    std::size_t max_body_bytes = 8U << 20U;
+    std::size_t max_header_bytes = 64U << 10U;
+    std::size_t max_connections = 4096;
+    std::chrono::milliseconds read_timeout{10'000};
+    std::chrono::milliseconds max_deadline{600'000};
+};
+
+/// HTTP towards callers, on an external `io_context` with one thread.
+class caller_server
+{
+public:
+    caller_server(asio::io_context& context, caller_server_options options,
+                  std::shared_ptr<caller_api> api);
+    ~caller_server();
+    caller_server(caller_server const&) = delete;
+    caller_server& operator=(caller_server const&) = delete;
+
+    /// Listens; gives the port in use. The context may run already.
+    kernel::result<std::uint16_t> start();
+    /// Closes the listener; open connections go on.
+    void stop_accepting();
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace endiveward::router
+
+#endif
--- a/packages/router/internal/call_machine.cpp
+++ b/packages/router/internal/call_machine.cpp
@@ -29,6 +29,13 @@
     }
 }
 
+bool is_message(call_event const& event)
+{
+    return std::holds_alternative<verdict_arrived>(event) ||
+           std::holds_alternative<chunk_arrived>(event) ||
+           std::holds_alternative<end_arrived>(event);
+}
+
 kernel::error outcome_unknown(char const* message)
 {
     return {kernel::error_kind::outcome_unknown,
@@ -55,7 +62,8 @@
 {
     if (finished())
     {
-        ++dropped_;
+        if (is_message(event))
+            ++dropped_;
         return {};
     }
     std::visit([this](auto& it) { on(it); }, event);
--- /dev/null
+++ b/packages/router/relay_services.hpp
@@ -0,0 +1,63 @@
+#ifndef ENDIVEWARD_ROUTER_RELAY_SERVICES_HPP
+#define ENDIVEWARD_ROUTER_RELAY_SERVICES_HPP
+
+#include "kernel/types/identifiers.hpp"
+#include "wire/types/prefix_level.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace endiveward::config
+{
+class i_config_state;
+}
+
+namespace endiveward::kernel
+{
+class i_clock;
+class i_random_source;
+} // namespace endiveward::kernel
+
+namespace endiveward::placement
+{
+class i_placement;
+}
+
+namespace endiveward::router
+{
+
+class i_agent_directory;
+class router_metrics;
+
+/// What all calls of a process share.
+struct relay_services
+{
+    using level_maker = std::function<std::vector<wire::prefix_level>(
+        kernel::workspace_id const&, kernel::model_id const&,
+        kernel::model_version const&, std::vector<std::string> const& parts)>;
+
+    std::shared_ptr<kernel::i_clock const> clock;
+    std::shared_ptr<kernel::i_random_source> random;
+    std::shared_ptr<config::i_config_state const> configuration;
+    std::shared_ptr<placement::i_placement> placement;
+    std::shared_ptr<i_agent_directory> agents;
+    std::shared_ptr<router_metrics> metrics;
+    /// See `placement::make_prefix_levels`.
+    level_maker make_levels;
+    /// See `placement::retry_budget`.
+    std::function<void()> on_request;
+    std::function<bool()> take_retry;
+    std::chrono::milliseconds verdict_timeout{250};
+    /// Half of the time for which agents keep a stream, so that there is time
+    /// for a second attempt.
+    std::chrono::milliseconds resume_timeout{5000};
+    std::size_t max_attempts = 3;
+};
+
+} // namespace endiveward::router
+
+#endif
