--- /dev/null
+++ b/packages/router/tests/call_machine_test.cpp
@@ -0,0 +1,808 @@
+#include "router/call_machine.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+namespace endiveward::router
+{
+
+namespace
+{
+
+using kernel::error_kind;
+using kernel::run_state;
+using wire::write_outcome;
+
+kernel::endpoint_id const first("a");
+kernel::endpoint_id const second("b");
+
+/// A machine whose actions are kept until a test looks for them.
+class machine_under_test
+{
+public:
+    explicit machine_under_test(call_policy policy, std::size_t tokens = 100)
+        : tokens_(tokens)
+        , machine_(policy,
+                   [this]
+                   {
+                       if (tokens_ == 0)
+                           return false;
+                       --tokens_;
+                       return true;
+                   })
+    {
+        keep(machine_.start());
+    }
+
+    void operator()(call_event event)
+    {
+        keep(machine_.handle(std::move(event)));
+    }
+
+    void choose(kernel::endpoint_id const& endpoint)
+    {
+        REQUIRE(has<choose_endpoint>());
+        (*this)(endpoint_chosen{endpoint});
+    }
+    void written(write_outcome outcome)
+    {
+        (*this)(invoke_written{machine_.leg(), outcome});
+    }
+    void accept() { (*this)(verdict_arrived{machine_.leg(), {}}); }
+    void refuse(error_kind kind, run_state run = run_state::not_run,
+                kernel::config_version version = 0)
+    {
+        wire::verdict answer;
+        answer.refusal = kernel::error{kind, "refused; retry", run, {}};
+        answer.config_version = version;
+        (*this)(verdict_arrived{machine_.leg(), answer});
+    }
+    void chunk(std::uint64_t number)
+    {
+        (*this)(chunk_arrived{machine_.leg(),
+                              {0, number, "data: " + std::to_string(number)}});
+    }
+    void lose() { (*this)(link_lost{machine_.leg()}); }
+    void end(std::uint64_t chunks)
+    {
+        (*this)(end_arrived{machine_.leg(), complete_end(chunks)});
+    }
+    void end_failed(error_kind kind, run_state run)
+    {
+        wire::call_end end;
+        end.failure = kernel::error{kind, "failed; retry", run, {}};
+        (*this)(end_arrived{machine_.leg(), end});
+    }
+    static wire::call_end complete_end(std::uint64_t chunks)
+    {
+        wire::call_end end;
+        end.chunks = chunks;
+        end.outcome = wire::call_outcome::complete;
+        end.http_status = 200;
+        return end;
+    }
+
+    /// Whether the last event led to such an action.
+    template <typename T>
+    bool has() const
+    {
+        return find<T>() != nullptr;
+    }
+    template <typename T>
+    T const& get() const
+    {
+        auto const* it = find<T>();
+        REQUIRE(it != nullptr);
+        return *it;
+    }
+    call_machine::actions const& last() const { return last_; }
+    call_machine const& machine() const { return machine_; }
+
+    void check_error(error_kind kind, run_state run) const
+    {
+        auto const& failure = get<finish_error>().failure;
+        CHECK(kernel::to_string(failure.kind) == kernel::to_string(kind));
+        CHECK(kernel::to_string(failure.run) == kernel::to_string(run));
+        CHECK(machine_.finished());
+    }
+
+private:
+    void keep(call_machine::actions actions) { last_ = std::move(actions); }
+
+    template <typename T>
+    T const* find() const
+    {
+        for (auto const& it : last_)
+        {
+            if (auto const* found = std::get_if<T>(&it))
+                return found;
+        }
+        return nullptr;
+    }
+
+    std::size_t tokens_;
+    call_machine machine_;
+    call_machine::actions last_;
+};
+
+call_policy stream(bool idempotent)
+{
+    call_policy out;
+    out.streaming = true;
+    out.idempotent = idempotent;
+    return out;
+}
+
+call_policy whole(bool idempotent)
+{
+    call_policy out;
+    out.idempotent = idempotent;
+    return out;
+}
+
+} // namespace
+
+// Guards against a refusal reaching the caller while another endpoint is free.
+TEST_CASE("a definite refusal sends the call to the next endpoint")
+{
+    auto const kind = GENERATE(error_kind::overloaded, error_kind::draining,
+                               error_kind::not_eligible);
+    machine_under_test call(stream(false));
+    call.choose(first);
+    call.refuse(kind);
+    CHECK(call.get<release_endpoint>().endpoint == first);
+    REQUIRE(call.get<choose_endpoint>().excluded ==
+            std::vector<kernel::endpoint_id>{first});
+    call.choose(second);
+    CHECK(call.get<send_invoke>().endpoint == second);
+}
+
+// Guards against a refusal that another endpoint would only repeat.
+TEST_CASE("a refusal of the request itself is final")
+{
+    auto const kind =
+        GENERATE(error_kind::invalid_request, error_kind::key_reused,
+                 error_kind::deadline_exceeded, error_kind::store_unavailable);
+    machine_under_test call(stream(true));
+    call.choose(first);
+    call.refuse(kind);
+    call.check_error(kind, run_state::not_run);
+}
+
+// Guards against a second run of a call that must run once (G6).
+TEST_CASE("a refusal with an unknown outcome is final if not idempotent")
+{
+    machine_under_test call(stream(false));
+    call.choose(first);
+    call.refuse(error_kind::outcome_unknown, run_state::unknown);
+    call.check_error(error_kind::outcome_unknown, run_state::unknown);
+}
+
+// Guards against retries that multiply the load of an overloaded system.
+TEST_CASE("without a token of the retry budget the refusal is final")
+{
+    machine_under_test call(stream(true), 1);
+    call.choose(first);
+    call.refuse(error_kind::overloaded);
+    call.choose(second);
+    call.refuse(error_kind::overloaded);
+    call.check_error(error_kind::overloaded, run_state::not_run);
+}
+
+// Guards against more attempts than allowed.
+TEST_CASE("the number of attempts is limited")
+{
+    machine_under_test call(stream(true));
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        call.choose(first);
+        call.refuse(error_kind::overloaded);
+    }
+    call.check_error(error_kind::overloaded, run_state::not_run);
+    CHECK(call.machine().attempts() == 3);
+}
+
+// Guards against the loss of a call that was never sent.
+TEST_CASE("a connection lost before the write sends any call elsewhere")
+{
+    auto const idempotent = GENERATE(true, false);
+    machine_under_test call(stream(idempotent));
+    call.choose(first);
+    SECTION("the loss is reported first")
+    {
+        call.lose();
+        CHECK(call.last().empty());
+        call.written(write_outcome::not_started);
+    }
+    SECTION("the write is reported first")
+    {
+        call.written(write_outcome::not_started);
+    }
+    CHECK(call.has<release_endpoint>());
+    CHECK(call.has<choose_endpoint>());
+}
+
+// Guards against a second run after the invoke may have arrived (G6).
+TEST_CASE("a connection lost after the write is not retried elsewhere if not "
+          "idempotent")
+{
+    auto const outcome =
+        GENERATE(write_outcome::written, write_outcome::uncertain);
+    auto const loss_first = GENERATE(true, false);
+    machine_under_test call(stream(false));
+    call.choose(first);
+    if (loss_first)
+    {
+        call.lose();
+        CHECK(call.last().empty());
+    }
+    call.written(outcome);
+    if (!loss_first && outcome == write_outcome::written)
+        call.lose();
+    // The agent may still have the answer.
+    CHECK_FALSE(call.has<choose_endpoint>());
+    CHECK(call.get<send_resume>().next == 0);
+    SECTION("the agent cannot be reached")
+    {
+        call(resume_failed{call.machine().leg()});
+        call.check_error(error_kind::outcome_unknown, run_state::unknown);
+    }
+    SECTION("the agent does not know the stream and says it never ran")
+    {
+        call.end_failed(error_kind::draining, run_state::not_run);
+        call.check_error(error_kind::draining, run_state::unknown);
+    }
+    SECTION("the agent has the answer")
+    {
+        call.chunk(0);
+        call.end(1);
+        CHECK(call.has<finish_stream>());
+    }
+}
+
+// Guards against an error for a call that can simply be repeated.
+TEST_CASE("a connection lost after the write is retried if idempotent")
+{
+    machine_under_test call(stream(true));
+    call.choose(first);
+    call.written(write_outcome::written);
+    SECTION("before the verdict") {}
+    SECTION("after the verdict")
+    {
+        call.accept();
+    }
+    call.lose();
+    CHECK(call.has<release_endpoint>());
+    CHECK(call.has<choose_endpoint>());
+}
+
+// Guards against "not run" for a call of which one attempt may have run (G5).
+TEST_CASE("after an attempt with unknown outcome no refusal says not run")
+{
+    machine_under_test call(stream(true));
+    call.choose(first);
+    call.written(write_outcome::written);
+    call.lose();
+    call.choose(second);
+    SECTION("refused")
+    {
+        call.refuse(error_kind::invalid_request);
+    }
+    SECTION("no further endpoint")
+    {
+        call.refuse(error_kind::overloaded);
+        call(no_endpoint_chosen{{error_kind::no_eligible_endpoint,
+                                 "none; retry later",
+                                 run_state::not_run,
+                                 {}}});
+    }
+    call.check_error(error_kind::outcome_unknown, run_state::unknown);
+}
+
+// Guards against lost or repeated chunks after a cut (G2).
+TEST_CASE("a stream that was cut is resumed at the next chunk")
+{
+    auto const idempotent = GENERATE(true, false);
+    machine_under_test call(stream(idempotent));
+    call.choose(first);
+    call.written(write_outcome::written);
+    call.accept();
+    call.chunk(0);
+    call.chunk(1);
+    auto const old_leg = call.machine().leg();
+    call.lose();
+    CHECK(call.get<send_resume>().next == 2);
+    CHECK(call.get<send_resume>().endpoint == first);
+    // Repeated by the agent, and late from the old connection.
+    call.chunk(1);
+    CHECK(call.last().empty());
+    call(chunk_arrived{old_leg, {0, 2, "data: late"}});
+    CHECK(call.last().empty());
+    call.chunk(2);
+    CHECK(call.get<forward_chunk>().bytes == "data: 2");
+    call.end(3);
+    CHECK(call.has<finish_stream>());
+}
+
+// Guards against output already sent being followed by another answer.
+TEST_CASE("a stream that cannot be resumed ends with an error")
+{
+    machine_under_test call(stream(true));
+    call.choose(first);
+    call.accept();
+    call.chunk(0);
+    call.lose();
+    call.written(write_outcome::written);
+    call(resume_failed{call.machine().leg()});
+    CHECK(call.get<finish_error>().in_stream);
+    call.check_error(error_kind::stream_interrupted, run_state::unknown);
+}
+
+// Guards against a partial answer mixed with that of a later attempt.
+TEST_CASE("a whole answer that cannot be resumed is discarded and retried")
+{
+    machine_under_test call(whole(true));
+    call.choose(first);
+    call.accept();
+    call.chunk(0);
+    CHECK(call.get<send_ack>().next == 1);
+    call.written(write_outcome::written);
+    call.lose();
+    call(resume_failed{call.machine().leg()});
+    CHECK(call.has<discard_collected>());
+    call.choose(second);
+    call.accept();
+    call.chunk(0);
+    call.end(1);
+    CHECK(call.has<finish_whole>());
+}
+
+// Guards against a gap that is passed on as if nothing were missing (G2).
+TEST_CASE("a gap in the chunks is resumed, never skipped")
+{
+    machine_under_test call(stream(false));
+    call.choose(first);
+    call.accept();
+    call.chunk(0);
+    call.chunk(2);
+    CHECK_FALSE(call.has<forward_chunk>());
+    CHECK(call.get<send_resume>().next == 1);
+}
+
+// Guards against chunks shown twice.
+TEST_CASE("a repeated chunk is dropped")
+{
+    machine_under_test call(stream(false));
+    call.choose(first);
+    call.accept();
+    call.chunk(0);
+    call.chunk(0);
+    CHECK(call.last().empty());
+    CHECK(call.machine().dropped() == 1);
+}
+
+// Guards against truncated output that looks complete (G2).
+TEST_CASE("an end with missing chunks is never complete")
+{
+    machine_under_test call(stream(false));
+    call.choose(first);
+    call.accept();
+    call.chunk(0);
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        call.end(2);
+        CHECK_FALSE(call.has<finish_stream>());
+        CHECK(call.get<send_resume>().next == 1);
+    }
+    call.end(2);
+    CHECK(call.get<finish_error>().in_stream);
+    call.check_error(error_kind::stream_interrupted, run_state::unknown);
+}
+
+// Guards against an end that counts fewer chunks than were shown.
+TEST_CASE("an end with too few chunks is an error")
+{
+    machine_under_test call(stream(true));
+    call.choose(first);
+    call.accept();
+    call.chunk(0);
+    call.chunk(1);
+    call.end(1);
+    call.check_error(error_kind::stream_interrupted, run_state::unknown);
+}
+
+// Guards against answers of an earlier attempt in a later one (G4).
+TEST_CASE("messages of an earlier attempt have no effect")
+{
+    machine_under_test call(stream(true));
+    call.choose(first);
+    auto const old_leg = call.machine().leg();
+    call(verdict_timer_expired{old_leg});
+    CHECK(call.get<suspect_endpoint>().endpoint == first);
+    CHECK(call.get<send_cancel>().leg == old_leg);
+    call.choose(second);
+    call(verdict_arrived{old_leg, {}});
+    call(chunk_arrived{old_leg, {0, 0, "data: old"}});
+    call(end_arrived{old_leg, machine_under_test::complete_end(1)});
+    call(link_lost{old_leg});
+    call(invoke_written{old_leg, write_outcome::not_started});
+    call(verdict_timer_expired{old_leg});
+    CHECK(call.last().empty());
+    CHECK(call.machine().dropped() == 4);
+    call.accept();
+    call.chunk(0);
+    CHECK(call.get<forward_chunk>().bytes == "data: 0");
+}
+
+// Guards against a second run when an agent is only slow (G6).
+TEST_CASE("a missing verdict ends a call that is not idempotent as unknown")
+{
+    machine_under_test call(stream(false));
+    call.choose(first);
+    call(verdict_timer_expired{call.machine().leg()});
+    CHECK(call.has<suspect_endpoint>());
+    CHECK(call.has<send_cancel>());
+    call.check_error(error_kind::outcome_unknown, run_state::unknown);
+}
+
+// Guards against a timer that ends a call after its verdict.
+TEST_CASE("the verdict timer has no effect after the verdict")
+{
+    machine_under_test call(stream(false));
+    call.choose(first);
+    call.accept();
+    call(verdict_timer_expired{call.machine().leg()});
+    CHECK(call.last().empty());
+    CHECK_FALSE(call.machine().finished());
+}
+
+// Guards against a call decided under an old configuration (G9).
+TEST_CASE("a stale configuration is caught up and the call evaluated again")
+{
+    machine_under_test call(stream(false), 0);
+    call.choose(first);
+    call.refuse(error_kind::stale_configuration, run_state::not_run, 7);
+    CHECK(call.get<catch_up>().version == 7);
+    CHECK(call.get<catch_up>().endpoint == first);
+    SECTION("caught up")
+    {
+        call(configuration_caught_up{call.machine().leg()});
+    }
+    SECTION("the agent does not send it")
+    {
+        call(verdict_timer_expired{call.machine().leg()});
+    }
+    CHECK(call.get<choose_endpoint>().excluded.empty());
+}
+
+// Guards against an endless exchange with an agent that is always newer.
+TEST_CASE("a configuration that stays stale ends the call")
+{
+    machine_under_test call(stream(false));
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        call.choose(first);
+        call.refuse(error_kind::stale_configuration, run_state::not_run, 7);
+        call(configuration_caught_up{call.machine().leg()});
+    }
+    CHECK(call.machine().finished());
+    CHECK(call.machine().attempts() == 3);
+}
+
+// Guards against a wrong run state when time is up (G5).
+TEST_CASE("the deadline gives the final answer at once")
+{
+    machine_under_test call(stream(true));
+    SECTION("nothing was sent")
+    {
+        call(deadline_passed{});
+        CHECK_FALSE(call.has<send_cancel>());
+        call.check_error(error_kind::deadline_exceeded, run_state::not_run);
+    }
+    SECTION("refused, and the next endpoint not chosen yet")
+    {
+        call.choose(first);
+        call.refuse(error_kind::overloaded);
+        call(deadline_passed{});
+        call.check_error(error_kind::deadline_exceeded, run_state::not_run);
+    }
+    SECTION("an endpoint has the call")
+    {
+        call.choose(first);
+        call(deadline_passed{});
+        CHECK(call.has<send_cancel>());
+        CHECK(call.has<release_endpoint>());
+        call.check_error(error_kind::deadline_exceeded, run_state::unknown);
+    }
+}
+
+// Guards against work for a caller who has left.
+TEST_CASE("a call whose caller left is cancelled without an answer")
+{
+    machine_under_test call(stream(false));
+    call.choose(first);
+    call.accept();
+    call(caller_left{});
+    CHECK(call.has<send_cancel>());
+    CHECK(call.has<release_endpoint>());
+    CHECK(call.has<abandon>());
+    call.end(0);
+    CHECK(call.last().empty());
+}
+
+// Guards against an agent that is told to drop chunks the caller has not got.
+TEST_CASE("a forwarded chunk is acknowledged when the caller has received it")
+{
+    machine_under_test call(stream(false));
+    call.choose(first);
+    call.accept();
+    call.chunk(0);
+    CHECK_FALSE(call.has<send_ack>());
+    call(caller_received{1});
+    CHECK(call.get<send_ack>().next == 1);
+}
+
+// Guards against an engine's error body sent as an event stream with status
+// 200.
+TEST_CASE("an answer to a streaming call that is no stream is passed on whole")
+{
+    machine_under_test call(stream(true));
+    call.choose(first);
+    call.accept();
+    call(chunk_arrived{call.machine().leg(), {0, 0, "{\"error\":{}}"}});
+    CHECK(call.has<collect_chunk>());
+    auto end = machine_under_test::complete_end(1);
+    end.http_status = 400;
+    call(end_arrived{call.machine().leg(), end});
+    CHECK(call.get<finish_whole>().http_status == 400);
+}
+
+// Guards against a refusal after queueing that is not retried.
+TEST_CASE("a call that ends not run after its verdict goes elsewhere")
+{
+    machine_under_test call(stream(false));
+    call.choose(first);
+    call.accept();
+    call.end_failed(error_kind::draining, run_state::not_run);
+    CHECK(call.has<choose_endpoint>());
+}
+
+namespace
+{
+
+/// Feeds random events and checks what must hold for every history.
+class fuzzer
+{
+public:
+    explicit fuzzer(std::uint64_t seed)
+        : engine_(seed)
+        , idempotent_(pick(2) == 0)
+        , streaming_(pick(2) == 0)
+        , machine_(make_policy(), [this] { return pick(4) != 0; })
+    {
+    }
+
+    void run()
+    {
+        check(machine_.start());
+        for (int n = 0; n < 200 && !machine_.finished(); ++n)
+            feed(make_event());
+        feed(deadline_passed{});
+        CHECK(machine_.finished());
+        CHECK(ends_ == 1);
+        CHECK(occupied_ == 0);
+        CHECK(machine_.attempts() <= 3);
+        feed(make_event());
+        CHECK(ends_ == 1);
+    }
+
+private:
+    void feed(call_event event)
+    {
+        check(machine_.handle(std::move(event)));
+        definite_ = false;
+    }
+
+    call_policy make_policy() const
+    {
+        call_policy out;
+        out.idempotent = idempotent_;
+        out.streaming = streaming_;
+        return out;
+    }
+
+    std::uint64_t pick(std::uint64_t range) { return engine_() % range; }
+
+    leg_number pick_leg()
+    {
+        auto const leg = machine_.leg();
+        return pick(8) == 0 && leg > 0 ? leg - 1 : leg;
+    }
+
+    kernel::error pick_error()
+    {
+        return {static_cast<error_kind>(
+                    pick(static_cast<std::uint64_t>(error_kind::internal) + 1)),
+                "failed; retry",
+                static_cast<run_state>(pick(3)),
+                {}};
+    }
+
+    call_event make_event()
+    {
+        auto const leg = pick_leg();
+        // Events that mostly end a call are rarer than those that go on.
+        switch (pick(28))
+        {
+        case 0:
+            if (pick(6) == 0)
+                return no_endpoint_chosen{pick_error()};
+            return endpoint_chosen{first};
+        case 1:
+            return make_written(leg);
+        case 2:
+            return make_verdict(leg);
+        case 3:
+            return make_end(leg);
+        case 4:
+            return link_lost{leg};
+        case 5:
+            return resume_failed{leg};
+        case 6:
+            return verdict_timer_expired{leg};
+        case 7:
+            return configuration_caught_up{leg};
+        case 8:
+        case 9:
+        case 10:
+        case 11:
+            return endpoint_chosen{first};
+        default:
+            return make_chunk(leg);
+        }
+    }
+
+    call_event make_written(leg_number leg)
+    {
+        auto const outcome = static_cast<write_outcome>(pick(3));
+        if (leg == machine_.leg() && outcome == write_outcome::not_started)
+            definite_ = true;
+        return invoke_written{leg, outcome};
+    }
+
+    call_event make_verdict(leg_number leg)
+    {
+        wire::verdict answer;
+        if (pick(2) == 0)
+            answer.refusal = pick_error();
+        note_definite(leg, answer.refusal);
+        return verdict_arrived{leg, answer};
+    }
+
+    call_event make_end(leg_number leg)
+    {
+        auto end =
+            machine_under_test::complete_end(pick(2) == 0 ? next_ : pick(4));
+        if (pick(2) == 0)
+        {
+            end.outcome = wire::call_outcome::failed;
+            end.failure = pick_error();
+        }
+        last_end_ = end;
+        note_definite(leg, end.failure);
+        return end_arrived{leg, end};
+    }
+
+    call_event make_chunk(leg_number leg)
+    {
+        auto const number = pick(3) == 0 ? pick(5) : next_;
+        return chunk_arrived{leg, {0, number, make_bytes(number)}};
+    }
+
+    static std::string make_bytes(std::uint64_t number)
+    {
+        return "data: " + std::to_string(number);
+    }
+
+    void note_definite(leg_number leg,
+                       std::optional<kernel::error> const& failure)
+    {
+        if (leg == machine_.leg() && failure &&
+            failure->run == run_state::not_run)
+            definite_ = true;
+    }
+
+    void check(call_machine::actions const& actions)
+    {
+        for (auto const& it : actions)
+            std::visit([this](auto const& action) { on(action); }, it);
+    }
+
+    void on(send_invoke const&)
+    {
+        CHECK(occupied_ == 0);
+        ++occupied_;
+        CHECK_FALSE(shown_);
+        next_ = 0;
+    }
+    void on(choose_endpoint const&)
+    {
+        // Only a definite "not run", in this very event or before catching up,
+        // lets such a call be sent again.
+        if (!idempotent_ && machine_.attempts() > 0)
+            CHECK((definite_ || stale_));
+        stale_ = false;
+    }
+    void on(catch_up const&)
+    {
+        CHECK(definite_);
+        stale_ = true;
+    }
+    void on(release_endpoint const&) { --occupied_; }
+    void on(forward_chunk const& action)
+    {
+        CHECK(action.bytes == make_bytes(next_));
+        ++next_;
+        shown_ = true;
+    }
+    void on(collect_chunk const& action)
+    {
+        CHECK(action.bytes == make_bytes(next_));
+        ++next_;
+    }
+    void on(send_resume const& action) { CHECK(action.next == next_); }
+    void on(finish_stream const&) { on_complete(); }
+    void on(finish_whole const&)
+    {
+        CHECK_FALSE(shown_);
+        on_complete();
+    }
+    void on(finish_error const& action)
+    {
+        ++ends_;
+        CHECK(action.in_stream == shown_);
+        if (shown_)
+            CHECK(action.failure.run != run_state::not_run);
+    }
+    void on(abandon const&) { ++ends_; }
+    template <typename Action>
+    void on(Action const&)
+    {
+    }
+
+    void on_complete()
+    {
+        ++ends_;
+        CHECK(last_end_.chunks == next_);
+        CHECK(last_end_.outcome == wire::call_outcome::complete);
+    }
+
+    std::mt19937_64 engine_;
+    bool idempotent_;
+    bool streaming_;
+    call_machine machine_;
+    int occupied_ = 0;
+    int ends_ = 0;
+    /// The current event says for certain that the attempt did not run.
+    bool definite_ = false;
+    bool stale_ = false;
+    bool shown_ = false;
+    std::uint64_t next_ = 0;
+    wire::call_end last_end_;
+};
+
+} // namespace
+
+// Guards against any order of events that runs a call twice, shows truncated
+// or reordered output, gives two final answers or leaks an endpoint's slot.
+TEST_CASE("random histories keep the guarantees of a call")
+{
+    for (std::uint64_t seed = 1; seed <= 20'000; ++seed)
+    {
+        INFO("seed " << seed);
+        fuzzer(seed).run();
+    }
+}
+
+} // namespace endiveward::router
