--- a/packages/router/i_agent_directory.hpp
+++ b/packages/router/i_agent_directory.hpp
@@ -26,7 +26,7 @@
     /// A handler whose owner has expired is dropped.
     virtual void when_open(kernel::endpoint_id const& endpoint,
                            std::weak_ptr<void> owner,
-                           channel_handler handler) = 0;
+                           channel_handler const& handler) = 0;
     /// Takes the endpoint out of rotation until its agent answers a probe.
     virtual void suspect(kernel::endpoint_id const& endpoint) = 0;
     /// The agent refuses new calls from now on.
--- a/packages/router/internal/agent_connections.cpp
+++ b/packages/router/internal/agent_connections.cpp
@@ -159,7 +159,7 @@
     }
 
     void when_open(kernel::endpoint_id const& endpoint,
-                   std::weak_ptr<void> owner, channel_handler handler)
+                   std::weak_ptr<void> owner, channel_handler const& handler)
     {
         std::shared_ptr<agent_channel> channel;
         {
@@ -399,13 +399,13 @@
     }
 
     void on(std::shared_ptr<agent_channel> const& channel,
-            wire::config_request msg)
+            wire::config_request const& msg)
     {
         channel->send(options_.configuration->update_since(msg.known_version));
     }
 
     void on(std::shared_ptr<agent_channel> const& channel,
-            wire::config_update msg)
+            wire::config_update const& msg)
     {
         auto const res = options_.configuration->apply(msg);
         if (kernel::ok(res))
@@ -419,7 +419,8 @@
                                           << " refused: " << err.message);
     }
 
-    void on(std::shared_ptr<agent_channel> const& channel, wire::gossip msg)
+    void on(std::shared_ptr<agent_channel> const& channel,
+            wire::gossip const& msg)
     {
         request_newer(*channel, msg.config_version);
     }
@@ -498,9 +499,9 @@
         auto const& address = it->second.address;
         connector_->connect(
             options_.traffic->next_context(), address.address, address.port,
-            [self = shared_from_this(),
-             key](kernel::result<std::shared_ptr<wire::i_connection>> res)
-            { self->on_connected(key, std::move(res)); });
+            [self = shared_from_this(), key](
+                kernel::result<std::shared_ptr<wire::i_connection>> const& res)
+            { self->on_connected(key, res); });
     }
 
     /// Runs on the connection's thread.
@@ -697,8 +698,8 @@
     mutable std::mutex mutex_;
     bool stopped_ = false;
     std::unordered_map<wire::i_connection const*, peer> peers_;
-    std::map<kernel::endpoint_id, agent> agents_;
-    std::multimap<kernel::endpoint_id, open_waiter> open_waiters_;
+    std::unordered_map<kernel::endpoint_id, agent> agents_;
+    std::unordered_multimap<kernel::endpoint_id, open_waiter> open_waiters_;
     std::vector<config_waiter> config_waiters_;
 
     // Control thread only.
@@ -757,9 +758,9 @@
 
 void agent_connections::when_open(kernel::endpoint_id const& endpoint,
                                   std::weak_ptr<void> owner,
-                                  channel_handler handler)
+                                  channel_handler const& handler)
 {
-    impl_->when_open(endpoint, std::move(owner), std::move(handler));
+    impl_->when_open(endpoint, std::move(owner), handler);
 }
 
 void agent_connections::suspect(kernel::endpoint_id const& endpoint)
--- a/packages/router/internal/caller_api.cpp
+++ b/packages/router/internal/caller_api.cpp
@@ -65,8 +65,7 @@
                           not_run(kernel::error_kind::invalid_key,
                                   "the API key is missing or unknown; send "
                                   "'Authorization: Bearer <key>'"));
-        return route(std::move(request), std::move(response), *config,
-                     *workspace);
+        return route(request, std::move(response), *config, *workspace);
     }
 
     std::size_t active_calls() const
@@ -89,7 +88,7 @@
              kernel::to_hex(kernel::hash128{random.next(), random.next()})});
     }
 
-    std::function<void()> route(caller_request request,
+    std::function<void()> route(caller_request const& request,
                                 std::shared_ptr<i_caller_response> response,
                                 config::i_configuration const& config,
                                 config::workspace_entry const& workspace)
--- a/packages/router/tests/fakes.hpp
+++ b/packages/router/tests/fakes.hpp
@@ -15,9 +15,8 @@
 #include "wire/types/verdict.hpp"
 
 #include <algorithm>
-#include <map>
 #include <mutex>
-#include <set>
+#include <unordered_map>
 
 namespace endiveward::router
 {
@@ -200,7 +199,7 @@
 
 private:
     mutable std::mutex mutex_;
-    std::map<kernel::endpoint_id, bool> available_;
+    std::unordered_map<kernel::endpoint_id, bool> available_;
     int in_flight_ = 0;
 };
 
