--- /dev/null
+++ b/packages/admission/table_lease.hpp
@@ -0,0 +1,83 @@
+#ifndef ENDIVEWARD_ADMISSION_TABLE_LEASE_HPP
+#define ENDIVEWARD_ADMISSION_TABLE_LEASE_HPP
+
+#include "admission/i_order_lease.hpp"
+#include "kernel/i_clock.hpp"
+#include "kernel/post_function.hpp"
+#include "kernel/types/result.hpp"
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace endiveward::platform
+{
+class i_table;
+struct row;
+struct transaction_outcome;
+} // namespace endiveward::platform
+
+namespace endiveward::admission
+{
+
+struct table_lease_options
+{
+    std::string row_key;
+    /// Distinguishes holders; unique for each life of a process.
+    std::string holder;
+    std::chrono::milliseconds duration{10'000};
+    std::chrono::milliseconds renew_interval{3000};
+    /// The lease is not relied upon this close to its expiry.
+    std::chrono::milliseconds margin{2000};
+    std::chrono::milliseconds table_timeout{1000};
+};
+
+/// A lease kept in a row of the platform's table. Its epoch, which grows with
+/// each change of holder, is the fencing number.
+class table_lease : public i_order_lease
+{
+    kernel::i_clock const& clock_;
+    platform::i_table& table_;
+    kernel::post_function post_;
+
+public:
+    table_lease(kernel::i_clock const& clock, platform::i_table& table,
+                kernel::post_function post, table_lease_options options);
+
+    void tick() override;
+    std::optional<std::uint64_t> fencing_number() const override;
+    /// Gives the lease back, so that another process need not wait for its
+    /// expiry.
+    void release();
+
+private:
+    /// The row as last read or written.
+    struct observation
+    {
+        std::uint64_t version = 0;
+        std::uint64_t epoch = 0;
+        std::string holder;
+        kernel::steady_time since;
+    };
+
+    void read();
+    void on_row(std::optional<platform::row> const& row);
+    bool may_write(observation const& seen) const;
+    void write(observation const& seen);
+    void on_written(kernel::result<platform::transaction_outcome> const& res,
+                    observation const& written);
+
+    table_lease_options const options_;
+    bool busy_ = false;
+    std::optional<observation> seen_;
+    /// Held until `valid_until_` with this fencing number.
+    std::uint64_t epoch_ = 0;
+    kernel::steady_time valid_until_;
+    kernel::steady_time next_renewal_;
+    std::shared_ptr<char> const lifetime_ = std::make_shared<char>();
+};
+
+} // namespace endiveward::admission
+
+#endif
