--- a/packages/router/agent_connections.hpp
+++ b/packages/router/agent_connections.hpp
@@ -93,7 +93,8 @@
     std::shared_ptr<agent_channel>
     find(kernel::endpoint_id const& endpoint) const override;
     void when_open(kernel::endpoint_id const& endpoint,
-                   std::weak_ptr<void> owner, channel_handler const& handler) override;
+                   std::weak_ptr<void> owner,
+                   channel_handler const& handler) override;
     void suspect(kernel::endpoint_id const& endpoint) override;
     void on_draining(kernel::endpoint_id const& endpoint) override;
     void catch_up(kernel::endpoint_id const& endpoint,
--- a/packages/router/caller_api.hpp
+++ b/packages/router/caller_api.hpp
@@ -45,6 +45,8 @@
     std::function<void()> handle(caller_request request,
                                  std::shared_ptr<i_caller_response> response);
 
+    /// Refuses requests with `draining` from now on.
+    void refuse_new_calls();
     /// Calls in progress.
     std::size_t active_calls() const;
 
--- a/packages/router/internal/caller_api.cpp
+++ b/packages/router/internal/caller_api.cpp
@@ -17,6 +17,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <mutex>
 #include <unordered_map>
 
@@ -57,6 +58,11 @@
         auto const checked = check_request(request, limits_);
         if (!kernel::ok(checked))
             return refuse(request, *response, kernel::failure(checked));
+        if (refusing_)
+            return refuse(request, *response,
+                          not_run(kernel::error_kind::draining,
+                                  "this process is stopping; retry on a new "
+                                  "connection"));
         // The configuration is held as long as the entry is used.
         auto const config = options_.services->configuration->current();
         auto const* workspace = config->authenticate(bearer_token_of(request));
@@ -68,6 +74,8 @@
         return route(request, std::move(response), *config, *workspace);
     }
 
+    void refuse_new_calls() { refusing_ = true; }
+
     std::size_t active_calls() const
     {
         std::lock_guard const lock(mutex_);
@@ -227,6 +235,7 @@
     }
 
     request_limits const limits_;
+    std::atomic<bool> refusing_{false};
     mutable std::mutex mutex_;
     std::uint64_t last_call_ = 0;
     std::unordered_map<std::uint64_t, std::shared_ptr<call_relay>> calls_;
@@ -246,6 +255,11 @@
     return impl_->handle(std::move(request), std::move(response));
 }
 
+void caller_api::refuse_new_calls()
+{
+    impl_->refuse_new_calls();
+}
+
 std::size_t caller_api::active_calls() const
 {
     return impl_->active_calls();
--- /dev/null
+++ b/packages/router/router_module.cpp
@@ -0,0 +1,307 @@
+#include "router/router_module.hpp"
+
+#include "config/i_config_state.hpp"
+#include "config/i_configuration.hpp"
+#include "config/types/router_settings.hpp"
+#include "kernel/i_random_source.hpp"
+#include "kernel/service_registry.hpp"
+#include "kernel/thread_pool.hpp"
+#include "observe/operator_server.hpp"
+#include "placement/cache_namespace.hpp"
+#include "placement/i_placement.hpp"
+#include "placement/prefix_levels.hpp"
+#include "placement/retry_budget.hpp"
+#include "platform/i_vm_list.hpp"
+#include "router/agent_connections.hpp"
+#include "router/caller_api.hpp"
+#include "router/caller_server.hpp"
+#include "router/config_state_source.hpp"
+#include "router/relay_services.hpp"
+#include "router/router_identity.hpp"
+#include "router/router_metrics.hpp"
+#include "wire/acceptor.hpp"
+#include "wire/connection_options.hpp"
+#include "wire/types/wire_counters.hpp"
+
+#include <asio/steady_timer.hpp>
+#include <prometheus/registry.h>
+
+#include <atomic>
+#include <stdexcept>
+
+namespace endiveward::router
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds metrics_interval{1};
+
+std::vector<wire::prefix_level>
+make_levels(kernel::workspace_id const& workspace,
+            kernel::model_id const& model, kernel::model_version const& version,
+            std::vector<std::string> const& parts)
+{
+    placement::cache_namespace const space(workspace, model, version, {});
+    std::vector<std::string_view> const views(parts.begin(), parts.end());
+    return placement::make_prefix_levels(space, views);
+}
+
+template <typename T>
+T const& value_or_throw(kernel::result<T> const& res)
+{
+    if (!kernel::ok(res))
+        throw std::runtime_error(kernel::failure(res).message);
+    return kernel::value(res);
+}
+
+} // namespace
+
+class router_module::impl
+{
+public:
+    explicit impl(config::router_settings settings)
+        : settings_(std::move(settings))
+        , traffic_(std::make_shared<kernel::thread_pool>(
+              settings_.common.traffic_threads))
+        , budget_(std::make_shared<placement::retry_budget>(
+              settings_.retry_share, settings_.retry_burst))
+        , metrics_timer_(control_->context(0))
+    {
+    }
+
+    void resolve(kernel::service_registry const& registry)
+    {
+        services_->clock = registry.get<kernel::i_clock const>("clock");
+        random_ = registry.get<kernel::i_random_source>("random");
+        configuration_ = registry.get<config::i_config_state>("config_state");
+        services_->placement =
+            registry.get<placement::i_placement>("placement");
+        if (registry.contains("vm_list"))
+            vms_ = registry.get<platform::i_vm_list>("vm_list");
+    }
+
+    void init()
+    {
+        make_connections();
+        make_services();
+        make_wire_options();
+        make_servers();
+        control_->start();
+        traffic_->start();
+        http_.start();
+        operator_port_ = value_or_throw(operators_->start());
+        auto const& peers = settings_.common.listen_peers;
+        value_or_throw(acceptor_->listen(peers.address, peers.port));
+        connections_->start(wire_options_);
+        caller_port_ = value_or_throw(callers_->start());
+        update_metrics();
+    }
+
+    void deinit()
+    {
+        if (acceptor_)
+            acceptor_->stop();
+        if (connections_)
+            connections_->stop();
+        if (operators_)
+            operators_->stop();
+        http_.stop();
+        traffic_->stop();
+        control_->stop();
+    }
+
+    bool ready() const
+    {
+        return !stopping_ && configuration_->current()->version() > 0 &&
+               connections_->open_agents() > 0;
+    }
+
+    std::size_t active_calls() const { return api_->active_calls(); }
+    std::uint16_t caller_port() const { return caller_port_; }
+    std::uint16_t operator_port() const { return operator_port_; }
+    void announce_stop() { stopping_ = true; }
+
+    void close_listeners()
+    {
+        api_->refuse_new_calls();
+        callers_->stop_accepting();
+        acceptor_->stop();
+    }
+
+private:
+    void make_connections()
+    {
+        agent_connections_options options;
+        options.control = control_;
+        options.traffic = traffic_;
+        options.random = random_;
+        options.configuration = configuration_;
+        options.placement = services_->placement;
+        options.vms = vms_;
+        options.region = settings_.common.region;
+        options.seeds = settings_.common.seeds;
+        options.vm_poll_interval = settings_.vm_poll_interval;
+        options.vm_timeout = settings_.common.platform_timeout;
+        options.on_dropped = [metrics = metrics_] { metrics->on_dropped(1); };
+        connections_ = std::make_shared<agent_connections>(std::move(options));
+    }
+
+    void make_services()
+    {
+        services_->random = random_;
+        services_->configuration = configuration_;
+        services_->agents = connections_;
+        services_->metrics = metrics_;
+        services_->make_levels = make_levels;
+        services_->on_request = [budget = budget_] { budget->on_request(); };
+        services_->take_retry = [budget = budget_]
+        { return budget->try_retry(); };
+        services_->verdict_timeout = settings_.verdict_timeout;
+        services_->max_attempts = settings_.max_attempts;
+    }
+
+    void make_wire_options()
+    {
+        wire_options_ = std::make_shared<wire::connection_options>();
+        wire_options_->key = settings_.common.cluster_key;
+        wire_options_->identity = std::make_shared<router_identity>(
+            settings_.common, random_->next(), configuration_);
+        wire_options_->random = random_;
+        wire_options_->counters = counters_;
+        wire_options_->observer = connections_;
+        acceptor_ = std::make_unique<wire::acceptor>(*traffic_, wire_options_);
+    }
+
+    void make_servers()
+    {
+        caller_api_options api;
+        api.services = services_;
+        api.traffic = traffic_;
+        api.max_body_bytes = settings_.max_body_bytes;
+        api.max_header_bytes = settings_.max_header_bytes;
+        api.default_deadline = settings_.default_deadline;
+        api.max_deadline = settings_.max_deadline;
+        api_ = std::make_shared<caller_api>(std::move(api));
+
+        caller_server_options callers;
+        callers.address = settings_.listen_callers.address;
+        callers.port = settings_.listen_callers.port;
+        callers.max_body_bytes = settings_.max_body_bytes;
+        callers.max_header_bytes = settings_.max_header_bytes;
+        callers.max_connections = settings_.max_connections;
+        callers.read_timeout = settings_.read_timeout;
+        callers.max_deadline = settings_.max_deadline;
+        callers_ = std::make_unique<caller_server>(http_.context(0),
+                                                   std::move(callers), api_);
+
+        observe::operator_server_options operators;
+        operators.address = settings_.common.listen_operators.address;
+        operators.port = settings_.common.listen_operators.port;
+        operators.token = settings_.common.operator_token;
+        operators.metrics = registry_;
+        operators.sources = {
+            connections_,
+            std::make_shared<config_state_source>(configuration_)};
+        operators.ready = [this] { return ready(); };
+        operators_ =
+            std::make_unique<observe::operator_server>(std::move(operators));
+    }
+
+    void update_metrics()
+    {
+        metrics_->collect(*counters_);
+        metrics_->set_open_agents(connections_->open_agents());
+        metrics_timer_.expires_after(metrics_interval);
+        metrics_timer_.async_wait(
+            [this](std::error_code ec)
+            {
+                if (!ec)
+                    update_metrics();
+            });
+    }
+
+    config::router_settings const settings_;
+    std::shared_ptr<kernel::thread_pool> control_ =
+        std::make_shared<kernel::thread_pool>(1);
+    std::shared_ptr<kernel::thread_pool> traffic_;
+    kernel::thread_pool http_{1};
+    std::shared_ptr<prometheus::Registry> registry_ =
+        std::make_shared<prometheus::Registry>();
+    std::shared_ptr<router_metrics> metrics_ =
+        std::make_shared<router_metrics>(registry_);
+    std::shared_ptr<wire::wire_counters> counters_ =
+        std::make_shared<wire::wire_counters>();
+    std::shared_ptr<placement::retry_budget> budget_;
+    std::shared_ptr<relay_services> services_ =
+        std::make_shared<relay_services>();
+    std::shared_ptr<kernel::i_random_source> random_;
+    std::shared_ptr<config::i_config_state> configuration_;
+    std::shared_ptr<platform::i_vm_list> vms_;
+    std::shared_ptr<agent_connections> connections_;
+    std::shared_ptr<wire::connection_options> wire_options_;
+    std::unique_ptr<wire::acceptor> acceptor_;
+    std::shared_ptr<caller_api> api_;
+    std::unique_ptr<caller_server> callers_;
+    std::unique_ptr<observe::operator_server> operators_;
+    asio::steady_timer metrics_timer_;
+    std::atomic<bool> stopping_{false};
+    std::uint16_t caller_port_ = 0;
+    std::uint16_t operator_port_ = 0;
+};
+
+router_module::router_module(config::router_settings settings)
+    : impl_(std::make_unique<impl>(std::move(settings)))
+{
+}
+
+router_module::~router_module() = default;
+
+void router_module::register_services(kernel::service_registry&) {}
+
+void router_module::resolve_services(kernel::service_registry const& registry)
+{
+    impl_->resolve(registry);
+}
+
+void router_module::init()
+{
+    impl_->init();
+}
+
+void router_module::deinit()
+{
+    impl_->deinit();
+}
+
+bool router_module::ready() const
+{
+    return impl_->ready();
+}
+
+std::size_t router_module::active_calls() const
+{
+    return impl_->active_calls();
+}
+
+std::uint16_t router_module::caller_port() const
+{
+    return impl_->caller_port();
+}
+
+std::uint16_t router_module::operator_port() const
+{
+    return impl_->operator_port();
+}
+
+void router_module::announce_stop()
+{
+    impl_->announce_stop();
+}
+
+void router_module::close_listeners()
+{
+    impl_->close_listeners();
+}
+
+} // namespace endiveward::router
--- a/packages/router/tests/router_test.cpp
+++ b/packages/router/tests/router_test.cpp
@@ -402,6 +402,19 @@
     CHECK(router.configuration->current()->version() == 7);
 }
 
+// Guards against new work in a process that waits for its last call (G8).
+TEST_CASE("a draining router refuses new requests as not run")
+{
+    fake_agent const agent("a", answer_all);
+    router_under_test const router({&agent});
+    router.api->refuse_new_calls();
+    auto const answer = router.post("/v1/chat/completions", stream_body);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(error_of(answer).at("code") == "draining");
+    CHECK(error_of(answer).at("run") == "not_run");
+    CHECK(agent.received().empty());
+}
+
 // Guards against a frozen agent that stays in rotation, and against an unknown
 // outcome reported as "not run" (G5).
 TEST_CASE("an agent without a verdict is out of rotation until it answers")
