--- a/packages/router/tests/router_test.cpp
+++ b/packages/router/tests/router_test.cpp
@@ -415,6 +415,49 @@
     CHECK(agent.received().empty());
 }
 
+// Guards against new work for an endpoint that is leaving (G7).
+TEST_CASE("an agent that drains is out of rotation at once")
+{
+    fake_agent const agent("a",
+                           [](connection const& conn, wire::message const& msg)
+                           {
+                               if (std::holds_alternative<wire::invoke>(msg))
+                                   conn->send(wire::draining{});
+                               answer_all(conn, msg);
+                           });
+    router_under_test const router({&agent});
+    CHECK(contains(router.post("/v1/chat/completions", stream_body), "[DONE]"));
+    CHECK_FALSE(router.placement->is_available(kernel::endpoint_id("a")));
+    auto const answer = router.post("/v1/chat/completions", stream_body);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(error_of(answer).at("code") == "no_eligible_endpoint");
+}
+
+// Guards against an endpoint that is lost for good after one cut, and against
+// a candidate without a connection.
+TEST_CASE("a lost agent is no candidate until it is connected again")
+{
+    std::atomic<int> cuts{0};
+    fake_agent const agent("a",
+                           [&](connection const& conn, wire::message const& msg)
+                           {
+                               if (!std::holds_alternative<wire::invoke>(msg))
+                                   return;
+                               if (cuts++ == 0)
+                                   conn->close();
+                               else
+                                   answer_all(conn, msg);
+                           });
+    router_under_test const router({&agent});
+    // The only endpoint is excluded for the rest of the call.
+    auto const answer = router.post("/v1/chat/completions", stream_body);
+    CHECK(error_of(answer).at("code") == "outcome_unknown");
+    REQUIRE(router_under_test::eventually(
+        [&]
+        { return router.placement->is_available(kernel::endpoint_id("a")); }));
+    CHECK(contains(router.post("/v1/chat/completions", stream_body), "[DONE]"));
+}
+
 // Guards against a frozen agent that stays in rotation, and against an unknown
 // outcome reported as "not run" (G5).
 TEST_CASE("an agent without a verdict is out of rotation until it answers")
