--- /dev/null
+++ b/stand_ins/platform/weight_store.hpp
@@ -0,0 +1,43 @@
+#ifndef ENDIVEWARD_STAND_INS_WEIGHT_STORE_HPP
+#define ENDIVEWARD_STAND_INS_WEIGHT_STORE_HPP
+
+#include <chrono>
+#include <cstddef>
+
+namespace endiveward::stand_ins
+{
+
+/// Decides how long loading weights takes: the base time for up to two loads
+/// at once, in proportion longer for more.
+class weight_store
+{
+public:
+    explicit weight_store(std::chrono::milliseconds base)
+        : base_(base)
+    {
+    }
+
+    /// Begins a load and gives its time.
+    std::chrono::milliseconds begin()
+    {
+        constexpr std::size_t full_speed_loads = 2;
+        ++loading_;
+        if (loading_ > most_)
+            most_ = loading_;
+        if (loading_ <= full_speed_loads)
+            return base_;
+        return base_ * loading_ / full_speed_loads;
+    }
+    void end() { --loading_; }
+    /// The most loads at once so far.
+    std::size_t most() const { return most_; }
+
+private:
+    std::chrono::milliseconds base_;
+    std::size_t loading_ = 0;
+    std::size_t most_ = 0;
+};
+
+} // namespace endiveward::stand_ins
+
+#endif
