--- a/tests/support/http_client.cpp
+++ b/tests/support/http_client.cpp
@@ -1,6 +1,7 @@
 #include "support/http_client.hpp"
 
 #include <curl/curl.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <cctype>
@@ -65,7 +66,8 @@
     // Without this libcurl waits for `100 Continue` before larger bodies.
     list = curl_slist_append(list, "Expect:");
     for (auto const& [name, value] : call.headers)
-        list = curl_slist_append(list, (name + ": " + value).c_str());
+        list =
+            curl_slist_append(list, fmt::format("{}: {}", name, value).c_str());
     CURL* const it = handle.get();
     curl_easy_setopt(it, CURLOPT_URL, call.url.c_str());
     curl_easy_setopt(it, CURLOPT_CUSTOMREQUEST, call.method.c_str());
