--- a/stand_ins/common/freeze_gate.hpp
+++ b/stand_ins/common/freeze_gate.hpp
@@ -17,8 +17,14 @@
         until_ = std::chrono::steady_clock::now() + time;
     }
 
-    /// Returns when the stand-in is not frozen.
-    void pass() const { std::this_thread::sleep_until(until_.load()); }
+    /// Returns when the stand-in is not frozen; a shorter time set later
+    /// counts.
+    void pass() const
+    {
+        constexpr std::chrono::milliseconds step{5};
+        while (std::chrono::steady_clock::now() < until_.load())
+            std::this_thread::sleep_for(step);
+    }
 
 private:
     std::atomic<std::chrono::steady_clock::time_point> until_{
--- a/stand_ins/engine/batch.cpp
+++ b/stand_ins/engine/batch.cpp
@@ -24,14 +24,17 @@
     return true;
 }
 
-void batch::wait_and_start(place const& which,
+bool batch::wait_and_start(place const& which,
                            std::function<bool()> const& cancelled)
 {
     std::unique_lock lock(mutex_);
     changed_.wait(lock, [&] { return cancelled() || is_next(which); });
+    bool const starts = !cancelled();
     waiting_.erase(which);
-    ++running_;
+    if (starts)
+        ++running_;
     changed_.notify_all();
+    return starts;
 }
 
 void batch::leave()
--- a/stand_ins/engine/batch.hpp
+++ b/stand_ins/engine/batch.hpp
@@ -24,7 +24,8 @@
     place join(int priority);
     /// Whether the request is next and there is room; it then runs.
     bool try_start(place const& which);
-    void wait_and_start(place const& which,
+    /// Waits for room; false if the request was cancelled before it ran.
+    bool wait_and_start(place const& which,
                         std::function<bool()> const& cancelled);
     /// Ends a running request.
     void leave();
--- a/stand_ins/engine/engine_service.cpp
+++ b/stand_ins/engine/engine_service.cpp
@@ -199,8 +199,9 @@
 void engine_service::run(job& work)
 {
     auto const place = batch_.join(work.priority);
-    batch_.wait_and_start(place, [&work] { return work.events.cancelled(); });
-    if (!work.events.cancelled())
+    bool const starts = batch_.wait_and_start(
+        place, [&work] { return work.events.cancelled(); });
+    if (starts)
     {
         {
             std::lock_guard const lock(mutex_);
@@ -209,8 +210,8 @@
         }
         prefill(work);
         generate(work);
+        batch_.leave();
     }
-    batch_.leave();
     std::lock_guard const lock(mutex_);
     ++counts_[work.events.finished() ? "completed" : "cancelled"];
 }
@@ -388,6 +389,7 @@
             events.cancel();
         it = old ? jobs_.erase(it) : std::next(it);
     }
+    batch_.wake();
 }
 
 json engine_service::models_json()
--- a/stand_ins/engine/tests/engine_service_test.cpp
+++ b/stand_ins/engine/tests/engine_service_test.cpp
@@ -2,6 +2,7 @@
 #include "engine/prompt.hpp"
 
 #include "support/http_client.hpp"
+#include "support/wait.hpp"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -32,7 +33,12 @@
 /// An engine on a free port.
 struct running_engine
 {
-    engine_service service{fast_options()};
+    explicit running_engine(engine_options const& options = fast_options())
+        : service(options)
+    {
+    }
+
+    engine_service service;
     http_server server{"127.0.0.1", 0, [this](auto& req, auto& reply) {
                            service.handle(req, reply);
                        }};
@@ -138,6 +144,70 @@
     CHECK(streamed_text(first.body + rest.body) == answer_text(body));
 }
 
+// Guards against work for callers that are gone.
+TEST_CASE("a stream that nobody reads is cancelled after its retention")
+{
+    auto options = fast_options();
+    options.stream_retention = std::chrono::milliseconds(0);
+    options.token_interval = std::chrono::milliseconds(1);
+    running_engine engine(options);
+    json body = chat("long");
+    body["stream"] = true;
+    body["max_tokens"] = 1'000'000;
+    auto call = completion(engine, body);
+    call.on_data = [](std::string_view) { return false; };
+    CHECK_FALSE(send(call).complete);
+    CHECK(wait_until([&engine] { return engine.stats()["cancelled"] == 1; }));
+    CHECK(engine.stats()["running"] == 0);
+}
+
+// Guards against a cancelled stream that looks complete or runs on.
+TEST_CASE("a cancelled stream ends incomplete")
+{
+    auto options = fast_options();
+    options.token_interval = std::chrono::milliseconds(1);
+    running_engine engine(options);
+    json body = chat("long");
+    body["stream"] = true;
+    body["max_tokens"] = 1'000'000;
+    auto call = completion(engine, body);
+    http_call cancel;
+    cancel.method = "DELETE";
+    cancel.url = engine.url("/v1/streams/stream-1");
+    bool sent = false;
+    call.on_data = [&](std::string_view)
+    {
+        if (!sent)
+            CHECK(send(cancel).status == 200);
+        sent = true;
+        return true;
+    };
+    auto const answer = send(call);
+    CHECK_FALSE(answer.complete);
+    CHECK(answer.body.find("[DONE]") == std::string::npos);
+    CHECK(wait_until([&engine] { return engine.stats()["cancelled"] == 1; }));
+}
+
+// Guards against switches without effect: a frozen engine that answers, a
+// wrong version that is not reported, and forgotten streams that resume.
+TEST_CASE("switches change what callers see")
+{
+    running_engine engine;
+    json const body = chat("x");
+    post(engine.url("/admin/wrong_version"), R"({"on":true})");
+    CHECK(send(completion(engine, body)).headers.at("x-model-version") ==
+          "unknown");
+    post(engine.url("/admin/forget_streams"), "{}");
+    CHECK(get(engine.url("/v1/streams/stream-1?from=0")).status == 404);
+    post(engine.url("/admin/freeze"), R"({"ms":3600000})");
+    auto call = completion(engine, body);
+    call.timeout = std::chrono::milliseconds(100);
+    CHECK(send(call).status == 0);
+    post(engine.url("/admin/freeze"), R"({"ms":0})");
+    CHECK(send(completion(engine, body)).status == 200);
+    CHECK(post(engine.url("/admin/no_such_switch"), "{}").status == 404);
+}
+
 // Guards against orders of a former lease holder that take effect.
 TEST_CASE("an old fencing number is refused")
 {
--- a/stand_ins/platform/main.cpp
+++ b/stand_ins/platform/main.cpp
@@ -1,3 +1,8 @@
+#if defined(__GNUC__) && !defined(__clang__)
+// GCC 12 reports -Wrestrict falsely for string concatenation in cxxopts.
+#pragma GCC diagnostic ignored "-Wrestrict"
+#endif
+
 #include "common/listen_address.hpp"
 #include "platform/platform_service.hpp"
 
--- a/tests/support/support_test.cpp
+++ b/tests/support/support_test.cpp
@@ -35,7 +35,7 @@
 TEST_CASE("a deployment starts stand-ins that serve and crash on order")
 {
     deployment running(stand_ins_only());
-    std::string const url = running.endpoint_url(0);
+    std::string const& url = running.endpoint_url(0);
     CHECK(post(url + "/v1/completions", completion).status == 200);
     CHECK(post(running.endpoint_url(1) + "/check", R"({"pass":"p"})").status ==
           200);
@@ -59,7 +59,7 @@
     deployment running(what);
     auto const order =
         R"({"order":"load","model":"m","version":"v2","fencing_number":1})";
-    std::string const url = running.endpoint_url(0);
+    std::string const& url = running.endpoint_url(0);
     CHECK(post(url + "/v1/orders", order).status == 200);
     CHECK(deployment::stats(running.platform_url())["weight_reads"] == 1);
     deployment::operate(running.platform_url(), "throttle_weights");
