--- a/stand_ins/engine/engine_service.cpp
+++ b/stand_ins/engine/engine_service.cpp
@@ -332,7 +332,7 @@
 bool engine_service::takes_break()
 {
     std::lock_guard const lock(mutex_);
-    if (break_after_ < 0 || break_times_ == 0)
+    if (break_times_ == 0)
         return false;
     if (break_after_ > 0)
     {
@@ -340,6 +340,7 @@
         return false;
     }
     --break_times_;
+    break_after_ = break_interval_;
     ++counts_["broken_connections"];
     return true;
 }
@@ -544,7 +545,8 @@
     else if (what == "break_connection")
     {
         std::lock_guard const lock(mutex_);
-        break_after_ = body.at("after_events").get<std::int64_t>();
+        break_interval_ = body.at("after_events").get<std::int64_t>();
+        break_after_ = break_interval_;
         break_times_ = body.value("times", 1ULL);
     }
     else if (what == "lose_events")
--- a/stand_ins/engine/engine_service.hpp
+++ b/stand_ins/engine/engine_service.hpp
@@ -94,13 +94,14 @@
     std::map<std::string, std::uint64_t> counts_;
     std::optional<nlohmann::json> reported_load_;
     kernel::steady_time load_reported_at_;
+    /// Connections that are still to break, each after the interval's events.
+    std::uint64_t break_times_ = 0;
+    std::int64_t break_interval_ = 0;
+    std::int64_t break_after_ = 0;
 
     std::atomic<bool> crash_on_start_{false};
     std::atomic<bool> wrong_version_{false};
     std::atomic<bool> stopping_{false};
-    /// Events until the connection of the next stream breaks; negative: off.
-    std::atomic<std::int64_t> break_after_{-1};
-    std::atomic<std::uint64_t> break_times_{0};
     /// Generator threads that are running.
     std::atomic<std::size_t> generators_{0};
 };
--- a/stand_ins/engine/tests/engine_service_test.cpp
+++ b/stand_ins/engine/tests/engine_service_test.cpp
@@ -81,6 +81,15 @@
     return text;
 }
 
+std::size_t count_events(std::string const& body)
+{
+    std::size_t count = 0;
+    for (auto at = body.find("id: "); at != std::string::npos;
+         at = body.find("id: ", at + 1))
+        ++count;
+    return count;
+}
+
 } // namespace
 
 // Guards against answers that a test cannot check.
@@ -129,19 +138,20 @@
     running_engine engine;
     json body = chat("approve <<pass-3>>");
     body["stream"] = true;
-    post(engine.url("/admin/break_connection"), R"({"after_events":3})");
+    post(engine.url("/admin/break_connection"),
+         R"({"after_events":3,"times":2})");
     auto const first = send(completion(engine, body));
     CHECK_FALSE(first.complete);
     CHECK(first.body.find("[DONE]") == std::string::npos);
-    std::size_t received = 0;
-    for (auto at = first.body.find("id: "); at != std::string::npos;
-         at = first.body.find("id: ", at + 1))
-        ++received;
-    CHECK(received == 3);
-    auto const rest =
-        get(engine.url(fmt::format("/v1/streams/stream-1?from={}", received)));
+    CHECK(count_events(first.body) == 3);
+    auto const second = get(engine.url("/v1/streams/stream-1?from=3"));
+    CHECK_FALSE(second.complete);
+    CHECK(count_events(second.body) == 3);
+    auto const rest = get(engine.url("/v1/streams/stream-1?from=6"));
     CHECK(rest.complete);
-    CHECK(streamed_text(first.body + rest.body) == answer_text(body));
+    CHECK(streamed_text(first.body + second.body + rest.body) ==
+          answer_text(body));
+    CHECK(engine.stats()["executions"] == 1);
 }
 
 // Guards against work for callers that are gone.
--- a/stand_ins/platform/main.cpp
+++ b/stand_ins/platform/main.cpp
@@ -23,13 +23,16 @@
             ("vm-lag-ms", "Delay of the VM list",                       //
              cxxopts::value<std::int64_t>()->default_value("0"))        //
             ("load-time-ms", "Time to load weights, up to two at once", //
-             cxxopts::value<std::int64_t>()->default_value("1000"));
+             cxxopts::value<std::int64_t>()->default_value("1000"))     //
+            ("max-loads", "Weight loads at once, 0 for any",            //
+             cxxopts::value<std::size_t>()->default_value("0"));
         auto const args = options.parse(argc, argv);
         auto const at = parse_listen_address(args["listen"].as<std::string>());
         block_stop_signals();
         platform_service service(
             {milliseconds(args["vm-lag-ms"].as<std::int64_t>()),
-             milliseconds(args["load-time-ms"].as<std::int64_t>())});
+             milliseconds(args["load-time-ms"].as<std::int64_t>()),
+             args["max-loads"].as<std::size_t>()});
         http_server server(at.address, at.port,
                            [&service](auto& req, auto& rep)
                            { service.handle(req, rep); });
--- a/stand_ins/platform/platform_service.cpp
+++ b/stand_ins/platform/platform_service.cpp
@@ -59,7 +59,7 @@
 
 platform_service::platform_service(platform_options const& options)
     : vms_(options.vm_lag)
-    , weights_(options.load_time)
+    , weights_(options.load_time, options.max_loads)
 {
 }
 
@@ -180,16 +180,17 @@
 
 void platform_service::weights(http_request const& req, i_http_reply& reply)
 {
-    if (weights_throttled_)
-        return send_json(reply, 429, error_body("too many loads"),
-                         {{"Retry-After", "1"}});
-    milliseconds time{0};
+    std::optional<milliseconds> time;
     {
         std::lock_guard const lock(mutex_);
-        ++counts_["weight_reads"];
-        time = weights_.begin();
+        if (!weights_throttled_)
+            time = weights_.begin();
+        ++counts_[time ? "weight_reads" : "weight_refusals"];
     }
-    std::this_thread::sleep_for(time);
+    if (!time)
+        return send_json(reply, 429, error_body("too many loads"),
+                         {{"Retry-After", "1"}});
+    std::this_thread::sleep_for(*time);
     {
         std::lock_guard const lock(mutex_);
         weights_.end();
--- a/stand_ins/platform/platform_service.hpp
+++ b/stand_ins/platform/platform_service.hpp
@@ -19,6 +19,8 @@
 {
     std::chrono::milliseconds vm_lag{0};
     std::chrono::milliseconds load_time{1000};
+    /// Weight loads at once; more are refused. 0 means no limit.
+    std::size_t max_loads = 0;
 };
 
 /// The platform's HTTP interface (docs/design.md, section 8.2) and the
--- a/stand_ins/platform/tests/platform_test.cpp
+++ b/stand_ins/platform/tests/platform_test.cpp
@@ -18,7 +18,7 @@
 /// A platform on a free port.
 struct running_platform
 {
-    platform_service service{{milliseconds(0), milliseconds(0)}};
+    platform_service service{{milliseconds(0), milliseconds(0), 0}};
     http_server server{"127.0.0.1", 0, [this](auto& req, auto& reply) {
                            service.handle(req, reply);
                        }};
@@ -79,6 +79,11 @@
     CHECK(store.begin() == milliseconds(1500));
     store.end();
     CHECK(store.most() == 3);
+    weight_store limited(milliseconds(1000), 1);
+    CHECK(limited.begin());
+    CHECK_FALSE(limited.begin());
+    limited.end();
+    CHECK(limited.begin());
 }
 
 // Guards against an outage that runs a transaction, and against a lost answer
--- a/stand_ins/platform/weight_store.hpp
+++ b/stand_ins/platform/weight_store.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 
 namespace endiveward::stand_ins
 {
@@ -12,14 +13,18 @@
 class weight_store
 {
 public:
-    explicit weight_store(std::chrono::milliseconds base)
+    /// `limit` loads may run at once; 0 means no limit.
+    explicit weight_store(std::chrono::milliseconds base, std::size_t limit = 0)
         : base_(base)
+        , limit_(limit)
     {
     }
 
-    /// Begins a load and gives its time.
-    std::chrono::milliseconds begin()
+    /// Begins a load and gives its time; none if the limit is reached.
+    std::optional<std::chrono::milliseconds> begin()
     {
+        if (limit_ != 0 && loading_ >= limit_)
+            return std::nullopt;
         constexpr std::size_t full_speed_loads = 2;
         ++loading_;
         if (loading_ > most_)
@@ -34,6 +39,7 @@
 
 private:
     std::chrono::milliseconds base_;
+    std::size_t limit_;
     std::size_t loading_ = 0;
     std::size_t most_ = 0;
 };
--- a/tests/support/wait.cpp
+++ b/tests/support/wait.cpp
@@ -6,12 +6,34 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <random>
+#include <stdexcept>
 #include <system_error>
 #include <thread>
 
 namespace endiveward::test_support
 {
 
+namespace
+{
+
+bool is_free(std::uint16_t port)
+{
+    int const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        throw std::system_error(errno, std::generic_category(), "socket");
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_port = htons(port);
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bool const bound =
+        ::bind(fd, reinterpret_cast<sockaddr*>(&local), sizeof(local)) == 0;
+    ::close(fd);
+    return bound;
+}
+
+} // namespace
+
 bool wait_until(std::function<bool()> const& condition,
                 std::chrono::milliseconds limit)
 {
@@ -33,20 +55,19 @@
 
 std::uint16_t free_port()
 {
-    int const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in local{};
-    local.sin_family = AF_INET;
-    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t n = sizeof(local);
-    auto* const address = reinterpret_cast<sockaddr*>(&local);
-    bool const bound = fd >= 0 && ::bind(fd, address, n) == 0 &&
-                       ::getsockname(fd, address, &n) == 0;
-    int const error = errno;
-    if (fd >= 0)
-        ::close(fd);
-    if (!bound)
-        throw std::system_error(error, std::generic_category(), "free_port");
-    return ntohs(local.sin_port);
+    // Below the ports that Linux gives to outgoing connections, which could
+    // take a port before the process that is to listen on it starts.
+    constexpr unsigned first = 20'000;
+    constexpr unsigned count = 12'000;
+    constexpr int attempts = 1000;
+    std::random_device source;
+    for (int n = 0; n < attempts; ++n)
+    {
+        auto const port = static_cast<std::uint16_t>(first + source() % count);
+        if (is_free(port))
+            return port;
+    }
+    throw std::runtime_error("no free port from 20000 to 31999");
 }
 
 } // namespace endiveward::test_support
