--- /dev/null
+++ b/packages/config/internal/settings_reader.hpp
@@ -0,0 +1,87 @@
+#ifndef ENDIVEWARD_CONFIG_INTERNAL_SETTINGS_READER_HPP
+#define ENDIVEWARD_CONFIG_INTERNAL_SETTINGS_READER_HPP
+
+#include "config/types/socket_address.hpp"
+
+#include <toml++/toml.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace endiveward::config
+{
+
+/// Reads typed values from a parsed TOML file and collects all errors. Keys
+/// that were never asked for are unknown.
+class settings_reader
+{
+public:
+    enum class need
+    {
+        required,
+        optional
+    };
+
+    settings_reader(std::string file, toml::table const& root);
+
+    /// Leaves `out` unchanged if the key is absent or wrong.
+    void text(std::string_view table, std::string_view key, need presence,
+              std::string& out);
+    void integer(std::string_view table, std::string_view key,
+                 std::int64_t least, std::int64_t greatest, std::int64_t& out);
+    void real(std::string_view table, std::string_view key, double least,
+              double greatest, double& out);
+    /// Reads an integer number of milliseconds.
+    void milliseconds(std::string_view table, std::string_view key,
+                      std::int64_t least, std::int64_t greatest,
+                      std::chrono::milliseconds& out);
+    void address(std::string_view table, std::string_view key,
+                 socket_address& out);
+    void addresses(std::string_view table, std::string_view key,
+                   std::vector<socket_address>& out);
+    void url(std::string_view table, std::string_view key, need presence,
+             std::string& out);
+    /// Gives the index of the value in `choices`, or nothing.
+    std::optional<std::size_t>
+    choice(std::string_view table, std::string_view key,
+           std::initializer_list<std::string_view> choices);
+    /// Reads a secret from `<name>_file` or from the environment variable that
+    /// `<name>_env` names. Exactly one of the two keys must be present.
+    void secret(std::string_view table, std::string_view name,
+                std::size_t min_bytes, std::string& out);
+
+    /// Records an error at a key; it names file, line, key and remedy.
+    void fail(std::string_view table, std::string_view key,
+              std::string_view problem);
+    /// Records an error for every key that was not asked for.
+    void refuse_unknown_keys();
+    /// All errors, one a line; empty if there are none.
+    std::string errors() const;
+
+private:
+    toml::node const* find(std::string_view table, std::string_view key);
+    toml::node const* find(std::string_view table, std::string_view key,
+                           need presence);
+    std::optional<socket_address> parse_address(std::string_view text) const;
+    std::string resolve_path(std::string const& path) const;
+    void fail_at(std::size_t line, std::string const& key,
+                 std::string_view problem);
+    std::size_t line_of(std::string_view table, std::string_view key) const;
+
+    std::string file_;
+    toml::table const& root_;
+    std::set<std::pair<std::string, std::string>> known_;
+    std::vector<std::string> errors_;
+};
+
+} // namespace endiveward::config
+
+#endif
--- a/packages/platform/types/vm.hpp
+++ b/packages/platform/types/vm.hpp
@@ -4,7 +4,9 @@
 #include "kernel/types/identifiers.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace endiveward::platform
 {
@@ -16,6 +18,10 @@
     other
 };
 
+std::string_view to_string(vm_role role);
+/// Nothing if the text names no role.
+std::optional<vm_role> parse_vm_role(std::string_view text);
+
 /// An entry of the platform's list of VMs.
 struct vm
 {
