--- /dev/null
+++ b/packages/config/config_state.hpp
@@ -0,0 +1,68 @@
+#ifndef ENDIVEWARD_CONFIG_CONFIG_STATE_HPP
+#define ENDIVEWARD_CONFIG_CONFIG_STATE_HPP
+
+#include "config/i_config_state.hpp"
+#include "config/types/change.hpp"
+#include "kernel/snapshot.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace endiveward::config
+{
+
+class configuration;
+
+/// Keeps the configuration in force and the changes that led to it. The body of
+/// an update is an array of changes, the first being version
+/// `from_version + 1`, or a snapshot. An observer must not call `apply`.
+class config_state : public i_config_state
+{
+public:
+    /// Changes that are kept for `update_since`.
+    static constexpr std::size_t default_kept_changes = 1024;
+
+    explicit config_state(std::size_t kept_changes = default_kept_changes);
+
+    std::shared_ptr<i_configuration const> current() const override;
+    /// Errors besides `stale_configuration`: `invalid_request` for an update
+    /// that does not parse or apply; nothing is changed then.
+    kernel::result<kernel::config_version>
+    apply(wire::config_update const& update) override;
+    wire::config_update
+    update_since(kernel::config_version known) const override;
+    void subscribe(observer on_change) override;
+
+    /// The configuration in force with its data.
+    std::shared_ptr<configuration const> compiled() const;
+
+private:
+    using compiled_pointer = std::shared_ptr<configuration const>;
+
+    kernel::result<kernel::config_version>
+    apply_snapshot(wire::config_update const& update);
+    kernel::result<kernel::config_version>
+    apply_changes(wire::config_update const& update);
+    void publish(compiled_pointer next, std::deque<std::string> recent);
+
+    std::size_t const kept_changes_;
+    kernel::snapshot<configuration> current_;
+    /// Serializes updates together with their notifications, so that observers
+    /// see versions in order.
+    std::mutex apply_mutex_;
+    mutable std::mutex recent_mutex_;
+    /// JSON of the changes up to the version in force.
+    std::deque<std::string> recent_;
+    kernel::config_version recent_version_ = 0;
+    std::vector<observer> observers_;
+};
+
+/// Body of an update from the JSON forms of its changes.
+std::string changes_body(std::vector<std::string> const& changes);
+
+} // namespace endiveward::config
+
+#endif
--- /dev/null
+++ b/packages/config/configuration.hpp
@@ -0,0 +1,103 @@
+#ifndef ENDIVEWARD_CONFIG_CONFIGURATION_HPP
+#define ENDIVEWARD_CONFIG_CONFIGURATION_HPP
+
+#include "config/i_configuration.hpp"
+#include "config/types/config_data.hpp"
+#include "config/types/label_set.hpp"
+#include "config/types/rule_entry.hpp"
+#include "kernel/types/result.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace endiveward::config
+{
+
+/// A configuration with its rules compiled. Immutable, so that it is safe for
+/// concurrent use. Workspaces, model versions and services are grouped into
+/// classes whose members the rules cannot tell apart.
+class configuration : public i_configuration
+{
+public:
+    /// A rule in force, and where it comes from: `rule/<id>` or
+    /// `move/<id>/<stage>/<number>`.
+    struct effective_rule
+    {
+        std::string name;
+        rule_selectors selectors;
+    };
+    /// Objects with the same values of the labels that the rules look at.
+    struct object_class
+    {
+        label_set labels;
+        /// Ids; `<model>/<version>` for model versions.
+        std::vector<std::string> members;
+        /// One bit for each effective rule that matches.
+        std::vector<std::uint64_t> rules;
+    };
+
+    /// Version 0, empty.
+    configuration();
+
+    /// Errors have kind `invalid_request` (a selector does not parse).
+    static kernel::result<std::shared_ptr<configuration const>>
+    compile(std::shared_ptr<config_data const> data);
+
+    kernel::config_version version() const override;
+    workspace_entry const*
+    find_workspace(kernel::workspace_id const& id) const override;
+    model_entry const* find_model(kernel::model_id const& id) const override;
+    service_entry const*
+    find_service(kernel::service_id const& id) const override;
+    endpoint_entry const*
+    find_endpoint(kernel::endpoint_id const& id) const override;
+    std::vector<kernel::model_id> models() const override;
+    workspace_entry const*
+    authenticate(std::string_view api_key) const override;
+    std::shared_ptr<endpoint_list const>
+    allowed_endpoints(traffic const& what) const override;
+    bool allows(traffic const& what,
+                kernel::endpoint_id const& endpoint) const override;
+
+    std::shared_ptr<config_data const> data() const { return data_; }
+    std::vector<effective_rule> const& rules() const { return rules_; }
+    std::vector<object_class> const& workspace_classes() const
+    {
+        return workspace_classes_;
+    }
+    /// The first rule that decides on the traffic; nothing if none matches.
+    std::optional<std::size_t> deciding_rule(traffic const& what) const;
+
+private:
+    struct class_table;
+    class compiler;
+
+    using list_pointer = std::shared_ptr<endpoint_list const>;
+
+    object_class const* target_class(traffic const& what) const;
+
+    std::shared_ptr<config_data const> data_;
+    list_pointer nothing_;
+    std::vector<effective_rule> rules_;
+    std::vector<object_class> workspace_classes_;
+    std::vector<object_class> version_classes_;
+    std::vector<object_class> service_classes_;
+    /// Class indexes by id.
+    std::unordered_map<std::string, std::size_t> workspaces_;
+    std::unordered_map<std::string,
+                       std::vector<std::pair<std::string, std::size_t>>>
+        versions_;
+    std::unordered_map<std::string, std::size_t> services_;
+    /// For each service, or "" for engines, the endpoints of each rule.
+    std::unordered_map<std::string, std::vector<list_pointer>> endpoints_;
+};
+
+} // namespace endiveward::config
+
+#endif
