Add libcurl clients of the platform

Transactions use a connection of their own: on a reused one libcurl repeats a request whose connection breaks, and the repetition of a transaction that took effect is answered as not committed.

--- a/packages/config/internal/store_follower.cpp
+++ b/packages/config/internal/store_follower.cpp
@@ -59,12 +59,13 @@
 private:
     void read()
     {
-        reader_.read(state_->current()->version(),
-                     [weak = weak_from_this()](kernel::result<log_reading> res)
-                     {
-                         if (auto const self = weak.lock())
-                             self->take(res);
-                     });
+        reader_.read(
+            state_->current()->version(),
+            [weak = weak_from_this()](kernel::result<log_reading> const& res)
+            {
+                if (auto const self = weak.lock())
+                    self->take(res);
+            });
     }
 
     void take(kernel::result<log_reading> const& res)
--- /dev/null
+++ b/packages/platform/http_table.hpp
@@ -0,0 +1,36 @@
+#ifndef ENDIVEWARD_PLATFORM_HTTP_TABLE_HPP
+#define ENDIVEWARD_PLATFORM_HTTP_TABLE_HPP
+
+#include "platform/i_table.hpp"
+
+#include <memory>
+#include <string>
+
+namespace endiveward::platform
+{
+
+class http_client;
+
+/// The platform's table over HTTP. Values must be UTF-8.
+class http_table : public i_table
+{
+public:
+    http_table(std::shared_ptr<http_client> client, std::string base_url);
+
+    void commit(table_transaction transaction,
+                std::chrono::milliseconds timeout,
+                handler<transaction_outcome> on_done) override;
+    void read(std::string key, std::chrono::milliseconds timeout,
+              handler<std::optional<row>> on_done) override;
+    void scan(std::string prefix, std::string after, std::size_t limit,
+              std::chrono::milliseconds timeout,
+              handler<std::vector<row>> on_done) override;
+
+private:
+    std::shared_ptr<http_client> client_;
+    std::string base_url_;
+};
+
+} // namespace endiveward::platform
+
+#endif
--- /dev/null
+++ b/packages/platform/http_vm_list.hpp
@@ -0,0 +1,29 @@
+#ifndef ENDIVEWARD_PLATFORM_HTTP_VM_LIST_HPP
+#define ENDIVEWARD_PLATFORM_HTTP_VM_LIST_HPP
+
+#include "platform/i_vm_list.hpp"
+
+#include <memory>
+#include <string>
+
+namespace endiveward::platform
+{
+
+class http_client;
+
+/// The platform's list of VMs over HTTP.
+class http_vm_list : public i_vm_list
+{
+public:
+    http_vm_list(std::shared_ptr<http_client> client, std::string base_url);
+
+    void list(std::chrono::milliseconds timeout, handler on_done) override;
+
+private:
+    std::shared_ptr<http_client> client_;
+    std::string base_url_;
+};
+
+} // namespace endiveward::platform
+
+#endif
--- /dev/null
+++ b/packages/platform/tests/http_clients_test.cpp
@@ -0,0 +1,257 @@
+#include "platform/http_client.hpp"
+#include "platform/http_object_store.hpp"
+#include "platform/http_table.hpp"
+#include "platform/http_vm_list.hpp"
+#include "platform/tests/support/scripted_server.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <future>
+#include <memory>
+
+using namespace endiveward;
+using platform::tests::scripted_server;
+
+namespace
+{
+
+// Long enough that it only ends a request that really gets no answer.
+constexpr std::chrono::milliseconds long_timeout{30'000};
+
+template <typename T, typename Start>
+kernel::result<T> await(Start const& start)
+{
+    auto const promise = std::make_shared<std::promise<kernel::result<T>>>();
+    start([promise](kernel::result<T> res)
+          { promise->set_value(std::move(res)); });
+    return promise->get_future().get();
+}
+
+struct clients
+{
+    scripted_server server;
+    std::shared_ptr<platform::http_client> http =
+        std::make_shared<platform::http_client>();
+    platform::http_table table{http, server.url()};
+    platform::http_object_store objects{http, server.url()};
+    platform::http_vm_list vms{http, server.url()};
+
+    kernel::result<platform::transaction_outcome>
+    commit(std::chrono::milliseconds timeout = long_timeout)
+    {
+        return await<platform::transaction_outcome>(
+            [&](auto on_done)
+            {
+                table.commit({{{"a", 0}, {"b", 7}}, {{"a", "x"}, {"b", {}}}},
+                             timeout, on_done);
+            });
+    }
+
+    kernel::result<std::optional<platform::row>> read(std::string const& key)
+    {
+        return await<std::optional<platform::row>>(
+            [&](auto on_done) { table.read(key, long_timeout, on_done); });
+    }
+};
+
+/// A loopback port that nothing listens on.
+std::string refused_url()
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+    return "http://127.0.0.1:" +
+           std::to_string(acceptor.local_endpoint().port());
+}
+
+std::string body_of(std::string const& request)
+{
+    return request.substr(request.find("\r\n\r\n") + 4);
+}
+
+} // namespace
+
+TEST_CASE("a transaction is sent and answered as published", "[http_table]")
+{
+    // Guards against a request or answer that the platform reads differently.
+    clients it;
+    it.server.push_response(200, R"({"committed":true})");
+    it.server.push_response(409, R"({"committed":false,"failed_keys":["b"]})");
+    auto const won = it.commit();
+    REQUIRE(kernel::ok(won));
+    CHECK(kernel::value(won).committed);
+    auto const lost = it.commit();
+    REQUIRE(kernel::ok(lost));
+    CHECK_FALSE(kernel::value(lost).committed);
+    CHECK(kernel::value(lost).failed_keys == std::vector<std::string>{"b"});
+    auto const request = it.server.requests().at(0);
+    CHECK(request.find("POST /v1/transactions HTTP/1.1\r\n") == 0);
+    CHECK(nlohmann::json::parse(body_of(request)) ==
+          nlohmann::json::parse(
+              R"({"conditions":[{"key":"a","version":0},
+                                {"key":"b","version":7}],
+                  "writes":[{"key":"a","value":"x"},
+                            {"key":"b","value":null}]})"));
+}
+
+TEST_CASE("only refused connections and 503 are not run", "[http_table]")
+{
+    // Guards against "not run" for a transaction that may have taken effect.
+    struct indefinite
+    {
+        scripted_server::step step;
+        kernel::run_state run;
+    };
+    auto const it = GENERATE(values<indefinite>({
+        {{"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", true, false},
+         kernel::run_state::not_run},
+        {{"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", true, false},
+         kernel::run_state::unknown},
+        {{"HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n", true, false},
+         kernel::run_state::unknown},
+        {{"HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\n{}", true, false},
+         kernel::run_state::unknown},
+        {{"HTTP/1.1 200 x\r\nContent-Length: 1\r\n\r\n{", true, false},
+         kernel::run_state::unknown},
+        {{"HTTP/1.1 409 x\r\nContent-Length: 18\r\n\r\n{\"committed\":true}",
+          true, false},
+         kernel::run_state::unknown},
+        {{"HTTP/1.1 200 x\r\nContent-Length: 18\r\n\r\n{\"committed\"", true,
+          false},
+         kernel::run_state::unknown},
+        {{"HTTP/1.1 20", true, false}, kernel::run_state::unknown},
+        {{"", true, false}, kernel::run_state::unknown},
+    }));
+    INFO(it.step.answer);
+    clients client;
+    client.server.push(it.step);
+    auto const res = client.commit();
+    REQUIRE_FALSE(kernel::ok(res));
+    CHECK(kernel::failure(res).kind == kernel::error_kind::store_unavailable);
+    CHECK(kernel::failure(res).run == it.run);
+    CHECK(client.server.requests().size() == 1);
+}
+
+TEST_CASE("a refused connection is not run", "[http_table]")
+{
+    // Guards against a needless "unknown" while the store is down.
+    auto const http = std::make_shared<platform::http_client>();
+    platform::http_table table(http, refused_url());
+    auto const res = await<platform::transaction_outcome>(
+        [&](auto on_done) { table.commit({}, long_timeout, on_done); });
+    REQUIRE_FALSE(kernel::ok(res));
+    CHECK(kernel::failure(res).kind == kernel::error_kind::store_unavailable);
+    CHECK(kernel::failure(res).run == kernel::run_state::not_run);
+}
+
+TEST_CASE("a request that times out after it was sent is unknown",
+          "[http_table]")
+{
+    // Guards against "not run" after a time-out. The client is stopped once
+    // the server has the request, so that the result does not depend on time.
+    scripted_server server;
+    server.push({"", true, true});
+    auto http = std::make_shared<platform::http_client>();
+    std::promise<kernel::run_state> run;
+    platform::http_table(http, server.url())
+        .commit({}, long_timeout,
+                [&](auto const& res)
+                { run.set_value(kernel::failure(res).run); });
+    while (server.requests().empty())
+        std::this_thread::yield();
+    http.reset();
+    CHECK(run.get_future().get() == kernel::run_state::unknown);
+}
+
+TEST_CASE("a transaction is never repeated on a broken connection",
+          "[http_table]")
+{
+    // Guards against libcurl's repetition on reused connections: the second
+    // try would find the first one's writes and be answered "not committed".
+    clients it;
+    it.server.push_response(404, "", "", false);
+    it.server.push({"", true, false});
+    it.server.push_response(409, R"({"committed":false,"failed_keys":["a"]})");
+    // Leaves an open connection that a careless client would reuse.
+    REQUIRE(kernel::ok(it.read("k")));
+    auto const res = it.commit();
+    REQUIRE_FALSE(kernel::ok(res));
+    CHECK(kernel::failure(res).run == kernel::run_state::unknown);
+    std::size_t commits = 0;
+    for (auto const& request : it.server.requests())
+        commits += request.starts_with("POST") ? 1 : 0;
+    CHECK(commits == 1);
+}
+
+TEST_CASE("rows are read and scanned", "[http_table]")
+{
+    // Guards against keys that are not encoded and rows that are not found.
+    clients it;
+    it.server.push_response(200, R"({"key":"a/b &","value":"v","version":3})");
+    it.server.push_response(404, "");
+    it.server.push_response(
+        200, R"({"rows":[{"key":"k1","value":"","version":1}]})");
+    it.server.push_response(503, "", "Retry-After: 7\r\n");
+    auto const found = it.read("a/b &");
+    REQUIRE(kernel::ok(found));
+    CHECK(kernel::value(found) == platform::row{"a/b &", "v", 3});
+    auto const absent = it.read("k");
+    REQUIRE(kernel::ok(absent));
+    CHECK_FALSE(kernel::value(absent));
+    auto const rows = await<std::vector<platform::row>>(
+        [&](auto on_done)
+        { it.table.scan("k", "k0", 5, long_timeout, on_done); });
+    REQUIRE(kernel::ok(rows));
+    CHECK(kernel::value(rows) == std::vector<platform::row>{{"k1", "", 1}});
+    auto const busy = it.read("k");
+    REQUIRE_FALSE(kernel::ok(busy));
+    CHECK(kernel::failure(busy).retry_after == std::chrono::seconds(7));
+    CHECK(it.server.requests().at(0).find(
+              "GET /v1/row?key=a%2Fb%20%26 HTTP/1.1\r\n") == 0);
+    CHECK(it.server.requests().at(2).find(
+              "GET /v1/rows?prefix=k&after=k0&limit=5 HTTP/1.1\r\n") == 0);
+}
+
+TEST_CASE("objects keep their bytes", "[http_object_store]")
+{
+    // Guards against bytes that are cut at a zero or changed.
+    std::string const bytes("a\0b\xff\n", 5);
+    clients it;
+    it.server.push_response(200, "");
+    it.server.push_response(200, bytes);
+    it.server.push_response(404, "");
+    auto const stored = await<kernel::done>(
+        [&](auto on_done)
+        { it.objects.put("k", bytes, long_timeout, on_done); });
+    CHECK(kernel::ok(stored));
+    auto const get = [&]
+    {
+        return await<std::optional<std::string>>(
+            [&](auto on_done) { it.objects.get("k", long_timeout, on_done); });
+    };
+    CHECK(kernel::value(get()) == bytes);
+    CHECK_FALSE(kernel::value(get()));
+    auto const request = it.server.requests().at(0);
+    CHECK(request.find("PUT /v1/object?key=k HTTP/1.1\r\n") == 0);
+    CHECK(body_of(request) == bytes);
+}
+
+TEST_CASE("the list of VMs is read", "[http_vm_list]")
+{
+    // Guards against a list that fails as a whole for a role that is new.
+    clients it;
+    it.server.push_response(200, R"({"vms":[
+        {"id":"v1","role":"agent","address":"127.0.0.1","port":7000,
+         "region":"r","zone":"z","endpoint":"e","leaving":true},
+        {"id":"v2","role":"new","address":"127.0.0.1","port":1,"region":"r",
+         "zone":"z","endpoint":null,"leaving":false}]})");
+    auto const res = await<std::vector<platform::vm>>(
+        [&](auto on_done) { it.vms.list(long_timeout, on_done); });
+    REQUIRE(kernel::ok(res));
+    auto const& vms = kernel::value(res);
+    REQUIRE(vms.size() == 2);
+    CHECK(vms[0].role == platform::vm_role::agent);
+    CHECK(vms[0].endpoint.str() == "e");
+    CHECK(vms[0].leaving);
+    CHECK(vms[1].role == platform::vm_role::other);
+}
