--- a/packages/config/configuration.hpp
+++ b/packages/config/configuration.hpp
@@ -71,6 +71,9 @@
     {
         return workspace_classes_;
     }
+    /// Index into `workspace_classes`.
+    std::optional<std::size_t>
+    workspace_class(kernel::workspace_id const& id) const;
     /// The first rule that decides on the traffic; nothing if none matches.
     std::optional<std::size_t> deciding_rule(traffic const& what) const;
 
--- a/packages/config/internal/configuration.cpp
+++ b/packages/config/internal/configuration.cpp
@@ -286,6 +286,15 @@
     return nullptr;
 }
 
+std::optional<std::size_t>
+configuration::workspace_class(kernel::workspace_id const& id) const
+{
+    auto const it = workspaces_.find(id.str());
+    if (it == workspaces_.end())
+        return std::nullopt;
+    return it->second;
+}
+
 std::optional<std::size_t>
 configuration::deciding_rule(traffic const& what) const
 {
