--- a/packages/cli/internal/subcommands.cpp
+++ b/packages/cli/internal/subcommands.cpp
@@ -611,7 +611,7 @@
     return {std::cout, std::cerr, open_platform};
 }
 
-std::vector<subcommand> subcommands(environment env)
+std::vector<subcommand> subcommands(environment const& env)
 {
     return {make_subcommand<settings_check>(env, "settings",
                                             "check a settings file"),
--- a/packages/cli/subcommands.hpp
+++ b/packages/cli/subcommands.hpp
@@ -50,7 +50,8 @@
 /// Standard streams and the platform's HTTP services.
 environment default_environment();
 
-std::vector<subcommand> subcommands(environment env = default_environment());
+std::vector<subcommand>
+subcommands(environment const& env = default_environment());
 
 } // namespace endiveward::cli
 
--- /dev/null
+++ b/packages/config/config_distribution.hpp
@@ -0,0 +1,60 @@
+#ifndef ENDIVEWARD_CONFIG_CONFIG_DISTRIBUTION_HPP
+#define ENDIVEWARD_CONFIG_CONFIG_DISTRIBUTION_HPP
+
+#include "kernel/types/identifiers.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace endiveward::config
+{
+
+/// A process that may need a configuration update.
+struct distribution_member
+{
+    enum class role : std::uint8_t
+    {
+        router,
+        agent
+    };
+
+    kernel::process_id id;
+    role kind = role::router;
+    /// Last version that it reported.
+    kernel::config_version version = 0;
+
+    bool operator==(distribution_member const&) const = default;
+};
+
+/// Decides whom a router tells about a new version; does no I/O. Every router
+/// with the same members decides alike, so that the agents are shared out
+/// without communication.
+class config_distribution
+{
+public:
+    /// Routers that push to each agent; the second covers for the first.
+    static constexpr std::size_t routers_per_agent = 2;
+    static constexpr std::size_t gossip_fanout = 4;
+
+    explicit config_distribution(kernel::process_id self);
+
+    /// Whether this router is among the first two for an agent. `routers` are
+    /// the live routers; this one counts whether or not it is listed.
+    bool pushes_to(kernel::process_id const& agent,
+                   std::vector<kernel::process_id> const& routers) const;
+
+    /// The members to send `version` to: the agents that this router pushes
+    /// to, and at most four routers. Members that have the version are left
+    /// out. The routers differ from version to version, so that updates mix.
+    std::vector<kernel::process_id>
+    targets(kernel::config_version version,
+            std::vector<distribution_member> const& members) const;
+
+private:
+    kernel::process_id self_;
+};
+
+} // namespace endiveward::config
+
+#endif
