Add stateful property test of the change log

The oracle reads the log without the code under test. Three planted faults must be found by the same property.

--- a/cmake/endiveward.cmake
+++ b/cmake/endiveward.cmake
@@ -17,12 +17,12 @@
 
 # Declares one Catch2 executable from the test files of a package and registers
 # each test case with CTest.
-#   endiveward_tests(<name> [DEPENDS <target>...])
+#   endiveward_tests(<name> [DEPENDS <target>...] [ENVIRONMENT <name=value>])
 function(endiveward_tests name)
   if(NOT ENDIVEWARD_BUILD_TESTS)
     return()
   endif()
-  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "ENVIRONMENT" "DEPENDS" ${ARGN})
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS
        ${CMAKE_CURRENT_SOURCE_DIR}/*_test.cpp)
   if(NOT sources)
@@ -34,5 +34,5 @@
   target_link_libraries(endiveward_${name}_tests PRIVATE ${ARG_DEPENDS}
                                                          endiveward_test_main)
   catch_discover_tests(endiveward_${name}_tests TEST_PREFIX "${name}: "
-                       PROPERTIES TIMEOUT 120)
+                       PROPERTIES TIMEOUT 120 ENVIRONMENT "${ARG_ENVIRONMENT}")
 endfunction()
--- /dev/null
+++ b/packages/config/tests/change_log_property_test.cpp
@@ -0,0 +1,429 @@
+#include "config/change_log.hpp"
+#include "config/configuration.hpp"
+#include "platform/tests/support/fake_object_store.hpp"
+#include "platform/tests/support/fake_table.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <set>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace endiveward;
+using platform::tests::commit_fault;
+
+namespace
+{
+
+constexpr std::size_t operator_count = 3;
+constexpr std::size_t rule_count = 2;
+
+/// What happens around one commit.
+struct disturbance
+{
+    commit_fault first = commit_fault::none;
+    commit_fault second = commit_fault::none;
+    /// Commits its own change just before the first submission.
+    std::optional<std::size_t> racer_before;
+    /// Commits its own change after the first answer was lost.
+    std::optional<std::size_t> racer_after;
+    bool deliver_before_second = false;
+    bool outage_after_loss = false;
+    std::size_t stale_reads = 0;
+    std::size_t stale_age = 1;
+};
+
+/// Operators on one table, and what their outcomes promise.
+template <typename Log>
+class world
+{
+public:
+    world()
+    {
+        for (std::size_t i = 0; i < operator_count; ++i)
+        {
+            config::change_log_options options;
+            options.max_rounds = 10;
+            options.wait = [this](auto) { on_wait(); };
+            logs_.at(i) = std::make_unique<Log>(table_, objects_, options);
+        }
+    }
+
+    void prepare(std::size_t op, std::size_t rule, bool remove,
+                 std::size_t stale_reads)
+    {
+        table_->set_stale_reads(stale_reads, 1);
+        // A stale answer may end the read early; the change is then prepared
+        // from older versions.
+        static_cast<void>(logs_.at(op)->catch_up());
+        table_->set_stale_reads(0, 0);
+        auto const number = std::to_string(++changes_);
+        auto const id = "r" + std::to_string(rule);
+        std::vector<config::change_operation> operations;
+        if (remove)
+            operations.emplace_back(
+                config::delete_object{config::object_kind::rule, id});
+        else
+            operations.emplace_back(config::put_object<config::rule_entry>{
+                {id, 0, {"", "", "n=" + number}}});
+        pending_.at(op) = logs_.at(op)->prepare(
+            "change-" + number, "op-" + std::to_string(op), operations);
+    }
+
+    void commit(std::size_t op, disturbance const& what)
+    {
+        if (!pending_.at(op))
+            return;
+        outage_ = what.outage_after_loss;
+        racer_after_ = what.racer_after == op ? std::nullopt : what.racer_after;
+        if (what.first != commit_fault::none)
+            table_->push_fault(what.first);
+        if (what.second != commit_fault::none)
+            table_->push_fault(what.second);
+        auto const racer =
+            what.racer_before == op ? std::nullopt : what.racer_before;
+        table_->before_next_commit([this, racer] { race(racer); });
+        if (what.deliver_before_second)
+            table_->before_next_commit([this] { table_->deliver_delayed(); });
+        table_->set_stale_reads(what.stale_reads, what.stale_age);
+        auto const change = *pending_.at(op);
+        refused_.erase(change.id);
+        auto const res = logs_.at(op)->commit(change);
+        reset_disturbances();
+        note(change, res);
+        verify();
+    }
+
+    void deliver()
+    {
+        table_->deliver_delayed();
+        verify();
+    }
+
+private:
+    using outcome = kernel::result<config::commit_outcome>;
+
+    void on_wait()
+    {
+        race(std::exchange(racer_after_, std::nullopt));
+        if (outage_)
+            table_->set_unavailable(true);
+    }
+
+    void race(std::optional<std::size_t> op)
+    {
+        if (!op || !pending_.at(*op))
+            return;
+        // The faults that are waiting belong to the other operator, but may
+        // hit this one as well; no outcome relies on whom they hit.
+        auto const change = *pending_.at(*op);
+        racer_after_.reset();
+        refused_.erase(change.id);
+        note(change, logs_.at(*op)->commit(change));
+    }
+
+    void reset_disturbances()
+    {
+        outage_ = false;
+        racer_after_.reset();
+        table_->set_unavailable(false);
+        table_->set_stale_reads(0, 0);
+        table_->clear_faults();
+    }
+
+    void note(config::change const& change, outcome const& res)
+    {
+        if (!kernel::ok(res))
+        {
+            if (kernel::failure(res).run == kernel::run_state::not_run)
+                refused_.insert(change.id);
+            return;
+        }
+        if (auto const* won =
+                std::get_if<config::change_committed>(&kernel::value(res)))
+        {
+            RC_ASSERT(
+                committed_.try_emplace(change.id, won->version).first->second ==
+                won->version);
+            return;
+        }
+        auto const& lost =
+            std::get<config::change_conflict>(kernel::value(res));
+        lost_.insert(change.id);
+        RC_ASSERT(lost.winner.version > lost.seen);
+        winners_[lost.winner.version] = lost.winner.id;
+    }
+
+    /// Compares every outcome so far with the log, read without the code under
+    /// test.
+    void verify() const
+    {
+        std::map<std::string, std::uint64_t> last;
+        std::map<std::string, std::uint64_t> ids;
+        std::map<std::string, std::string> rules;
+        std::uint64_t version = 0;
+        auto const rows = table_->rows();
+        for (auto const& [key, row] : rows)
+        {
+            if (!key.starts_with("config/log/"))
+                continue;
+            ++version;
+            RC_ASSERT(key == config::log_key(version));
+            RC_ASSERT(row.version == 1U);
+            auto const change = nlohmann::json::parse(row.value);
+            RC_ASSERT(ids.emplace(change.at("id"), version).second);
+            for (auto const& it : change.at("seen").items())
+            {
+                // A different version would be a lost update.
+                RC_ASSERT(last[it.key()] == it.value());
+                last[it.key()] = version;
+            }
+            apply(change.at("operations"), rules);
+        }
+        for (auto const& [id, at] : committed_)
+            RC_ASSERT(ids.contains(id) && ids.at(id) == at);
+        for (auto const& id : lost_)
+            RC_ASSERT(!ids.contains(id));
+        for (auto const& id : refused_)
+            RC_ASSERT(!ids.contains(id));
+        for (auto const& [at, id] : winners_)
+            RC_ASSERT(ids.contains(id) && ids.at(id) == at);
+        RC_ASSERT((version == 0 ||
+                   rows.at("config/head").value == std::to_string(version)));
+        verify_reader(version, rules);
+    }
+
+    static void apply(nlohmann::json const& operations,
+                      std::map<std::string, std::string>& rules)
+    {
+        for (auto const& it : operations)
+            if (it.at("op") == "delete_rule")
+                rules.erase(it.at("id").get<std::string>());
+            else
+                rules[it.at("rule").at("id")] = it.at("rule").at("endpoints");
+    }
+
+    void verify_reader(std::uint64_t version,
+                       std::map<std::string, std::string> const& rules) const
+    {
+        config::change_log reader(table_, objects_);
+        auto const res = reader.catch_up();
+        RC_ASSERT(kernel::ok(res));
+        RC_ASSERT(kernel::value(res)->version() == version);
+        std::map<std::string, std::string> actual;
+        for (auto const& [id, it] : kernel::value(res)->data()->rules)
+            actual[id] = it->selectors.endpoints;
+        RC_ASSERT(actual == rules);
+    }
+
+    std::shared_ptr<platform::tests::fake_table> table_ =
+        std::make_shared<platform::tests::fake_table>();
+    std::shared_ptr<platform::tests::fake_object_store> objects_ =
+        std::make_shared<platform::tests::fake_object_store>();
+    std::array<std::unique_ptr<Log>, operator_count> logs_;
+    std::array<std::optional<config::change>, operator_count> pending_;
+    std::size_t changes_ = 0;
+    bool outage_ = false;
+    std::optional<std::size_t> racer_after_;
+    std::map<std::string, std::uint64_t> committed_;
+    std::map<std::uint64_t, std::string> winners_;
+    /// Changes that lost a conflict; they never commit, even if repeated.
+    std::set<std::string> lost_;
+    /// Changes whose last attempt was certainly not run.
+    std::set<std::string> refused_;
+};
+
+/// Which operators have a change.
+struct model
+{
+    std::array<bool, operator_count> prepared{};
+};
+
+std::size_t any_below(std::size_t limit)
+{
+    return *rc::gen::inRange<std::size_t>(0, limit);
+}
+
+template <typename Log>
+class prepare_command : public rc::state::Command<model, world<Log>>
+{
+public:
+    void apply(model& state) const override { state.prepared.at(op_) = true; }
+    void run(model const&, world<Log>& sut) const override
+    {
+        sut.prepare(op_, rule_, remove_, stale_reads_);
+    }
+    void show(std::ostream& os) const override
+    {
+        os << "prepare(operator " << op_ << ", rule " << rule_ << ", remove "
+           << remove_ << ", stale " << stale_reads_ << ")";
+    }
+
+private:
+    std::size_t op_ = any_below(operator_count);
+    std::size_t rule_ = any_below(rule_count);
+    bool remove_ = any_below(4) == 0;
+    std::size_t stale_reads_ = any_below(3);
+};
+
+template <typename Log>
+class commit_command : public rc::state::Command<model, world<Log>>
+{
+public:
+    commit_command()
+    {
+        what_.first = static_cast<commit_fault>(any_below(5));
+        what_.second = static_cast<commit_fault>(any_below(5));
+        if (any_below(2) == 0)
+            what_.racer_before = any_below(operator_count);
+        if (any_below(2) == 0)
+            what_.racer_after = any_below(operator_count);
+        what_.deliver_before_second = any_below(2) == 0;
+        what_.outage_after_loss = any_below(5) == 0;
+        what_.stale_reads = any_below(8);
+        what_.stale_age = 1 + any_below(3);
+    }
+    void checkPreconditions(model const& state) const override
+    {
+        RC_PRE(state.prepared.at(op_));
+    }
+    void run(model const&, world<Log>& sut) const override
+    {
+        sut.commit(op_, what_);
+    }
+    void show(std::ostream& os) const override
+    {
+        os << "commit(operator " << op_ << ", faults "
+           << static_cast<int>(what_.first) << " "
+           << static_cast<int>(what_.second) << ", racers "
+           << static_cast<int>(what_.racer_before.value_or(9)) << " "
+           << static_cast<int>(what_.racer_after.value_or(9)) << ", deliver "
+           << what_.deliver_before_second << ", outage "
+           << what_.outage_after_loss << ", stale " << what_.stale_reads << "/"
+           << what_.stale_age << ")";
+    }
+
+private:
+    std::size_t op_ = any_below(operator_count);
+    disturbance what_;
+};
+
+template <typename Log>
+class deliver_command : public rc::state::Command<model, world<Log>>
+{
+public:
+    void run(model const&, world<Log>& sut) const override { sut.deliver(); }
+    void show(std::ostream& os) const override { os << "deliver()"; }
+};
+
+template <typename Log>
+rc::detail::TestResult check_log()
+{
+    return rc::detail::checkTestable(
+        []
+        {
+            world<Log> sut;
+            rc::state::check(model(), sut,
+                             rc::state::gen::execOneOfWithArgs<
+                                 prepare_command<Log>, commit_command<Log>,
+                                 commit_command<Log>, deliver_command<Log>>());
+        });
+}
+
+bool is_success(rc::detail::TestResult const& res)
+{
+    return res.is<rc::detail::SuccessResult>();
+}
+
+bool is_counterexample(rc::detail::TestResult const& res)
+{
+    return res.is<rc::detail::FailureResult>();
+}
+
+/// Planted fault: overwrites what another operator changed.
+class log_without_conflicts : public config::change_log
+{
+public:
+    using change_log::change_log;
+
+protected:
+    std::optional<config::change_conflict>
+    find_conflict(config::change const&) const override
+    {
+        return std::nullopt;
+    }
+};
+
+/// Planted fault: does not look for its own change after a lost answer.
+class log_without_read_back : public config::change_log
+{
+public:
+    using change_log::change_log;
+
+protected:
+    kernel::result<std::optional<config::change_committed>>
+    find_committed(config::change const&) override
+    {
+        return std::optional<config::change_committed>();
+    }
+};
+
+/// Planted fault: neither checks nor writes the change id.
+class log_without_change_id : public config::change_log
+{
+public:
+    using change_log::change_log;
+
+protected:
+    platform::table_transaction
+    make_transaction(config::change const& what) const override
+    {
+        auto res = change_log::make_transaction(what);
+        res.conditions.pop_back();
+        res.writes.pop_back();
+        return res;
+    }
+    kernel::result<std::optional<config::change_committed>>
+    find_committed(config::change const&) override
+    {
+        return std::optional<config::change_committed>();
+    }
+    std::optional<config::change_conflict>
+    find_conflict(config::change const& what) const override
+    {
+        auto res = change_log::find_conflict(what);
+        return res && res->winner.id == what.id ? std::nullopt : res;
+    }
+};
+
+} // namespace
+
+TEST_CASE("outcomes of racing operators agree with the log",
+          "[change_log][property]")
+{
+    // Guards against lost updates, double commits, and outcomes that are wrong
+    // after lost answers, slow transactions, outages and stale reads.
+    auto const res = check_log<config::change_log>();
+    std::ostringstream message;
+    rc::detail::printResultMessage(res, message);
+    INFO(message.str());
+    CHECK(is_success(res));
+}
+
+TEST_CASE("the property finds planted faults", "[change_log][property]")
+{
+    // Guards against a property that passes whatever the change log does.
+    CHECK(is_counterexample(check_log<log_without_conflicts>()));
+    CHECK(is_counterexample(check_log<log_without_read_back>()));
+    CHECK(is_counterexample(check_log<log_without_change_id>()));
+}
--- a/packages/platform/tests/support/fake_table.hpp
+++ b/packages/platform/tests/support/fake_table.hpp
@@ -66,6 +66,13 @@
         std::lock_guard const lock(mutex_);
         faults_.push_back(fault);
     }
+    /// Forgets faults and hooks that have not been used.
+    void clear_faults()
+    {
+        std::lock_guard const lock(mutex_);
+        faults_.clear();
+        hooks_.clear();
+    }
     /// The next `count` reads and scans see the rows as they were `age`
     /// committed transactions ago.
     void set_stale_reads(std::size_t count, std::size_t age)
