--- a/packages/admission/tests/claim_sweeper_test.cpp
+++ b/packages/admission/tests/claim_sweeper_test.cpp
@@ -23,7 +23,7 @@
 TEST_CASE("claim rows are deleted after their retention period only")
 {
     kernel::manual_clock clock;
-    platform::testing::fake_table table;
+    platform::tests::fake_table table;
     claim_sweeper sweeper(
         clock, table, [](std::function<void()> const& task) { task(); },
         hours(24), seconds(1));
@@ -34,16 +34,16 @@
         claim_record record;
         record.written_at = clock.wall_now() - hours(n < 120 ? 25 : 23);
         auto const key = fmt::format("claims/w/{:03}", n);
-        table.rows[key] = {key, encode(record), 1};
+        table.put(key, encode(record));
     }
-    table.rows["claims/w/other"] = {"claims/w/other", "not a claim", 1};
-    table.rows["config/head"] = {"config/head", "{}", 1};
+    table.put("claims/w/other", "not a claim");
+    table.put("config/head", "{}");
 
     for (int n = 0; n < 3; ++n)
         sweeper.tick();
     CHECK(sweeper.deleted() == 120);
-    CHECK(table.rows.size() == rows - 120 + 2);
-    CHECK(table.rows.contains("claims/w/120"));
+    CHECK(table.rows().size() == rows - 120 + 2);
+    CHECK(table.rows().contains("claims/w/120"));
 }
 
 } // namespace endiveward::admission
--- a/packages/admission/tests/idempotency_ledger_property_test.cpp
+++ b/packages/admission/tests/idempotency_ledger_property_test.cpp
@@ -16,8 +16,8 @@
 namespace
 {
 
-using platform::testing::fake_table;
-using fault = fake_table::fault;
+using platform::tests::fake_table;
+using fault = platform::tests::commit_fault;
 using std::chrono::seconds;
 
 /// Faults that a correct ledger must not have; each is planted at the table's
@@ -273,12 +273,12 @@
 
 struct fault_step : command
 {
-    fault kind = *rc::gen::element(fault::unavailable, fault::answer_lost,
-                                   fault::request_lost, fault::late);
+    fault kind = *rc::gen::element(fault::not_run, fault::lost_after,
+                                   fault::lost_before, fault::delayed);
 
     void run(no_model const&, cluster& sut) const override
     {
-        sut.table.plan({kind});
+        sut.table.push_fault(kind);
     }
     void show(std::ostream& os) const override
     {
@@ -290,7 +290,7 @@
 {
     void run(no_model const&, cluster& sut) const override
     {
-        sut.table.deliver_late();
+        sut.table.deliver_delayed();
     }
     void show(std::ostream& os) const override { os << "deliver_late"; }
 };
--- a/packages/admission/tests/idempotency_ledger_test.cpp
+++ b/packages/admission/tests/idempotency_ledger_test.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-using fault = platform::testing::fake_table::fault;
+using fault = platform::tests::commit_fault;
 using decision = std::optional<kernel::result<claim_decision>>;
 using std::chrono::seconds;
 
@@ -100,7 +100,7 @@
 {
 public:
     kernel::manual_clock clock;
-    platform::testing::fake_table table;
+    platform::tests::fake_table table;
     agent_under_test first{clock, table, 1};
     agent_under_test second{clock, table, 2};
     stored_answer const answer{200, "text/plain", "admitted"};
@@ -147,8 +147,8 @@
 TEST_CASE_METHOD(ledger_fixture,
                  "a claim whose answer was lost is recognized by its attempt")
 {
-    auto const kind = GENERATE(fault::answer_lost, fault::request_lost);
-    table.plan({kind});
+    auto const kind = GENERATE(fault::lost_after, fault::lost_before);
+    table.push_fault(kind);
     first.granted("k");
     CHECK(second.refused("k").run == kernel::run_state::unknown);
 }
@@ -156,21 +156,21 @@
 // Guards against a claim that takes effect late, after a second attempt asked.
 TEST_CASE_METHOD(ledger_fixture, "a claim that arrives late is granted once")
 {
-    table.plan({fault::late});
+    table.push_fault(fault::delayed);
     first.granted("k");
-    table.deliver_late();
+    table.deliver_delayed();
     CHECK(second.refused("k").run == kernel::run_state::unknown);
 }
 
 // Guards against running a keyed call that no row protects.
 TEST_CASE_METHOD(ledger_fixture, "without the table a keyed call is not run")
 {
-    table.set_down(true);
+    table.set_unavailable(true);
     auto const err = first.refused("k");
     CHECK(err.kind == kernel::error_kind::store_unavailable);
     CHECK(err.run == kernel::run_state::not_run);
     CHECK(err.retry_after.has_value());
-    table.set_down(false);
+    table.set_unavailable(false);
     first.granted("k");
 }
 
@@ -188,7 +188,7 @@
                  "a repeated release does not free a newer attempt's claim")
 {
     auto const held = first.granted("k");
-    table.plan({fault::answer_lost});
+    table.push_fault(fault::lost_after);
     first.ledger.release(held);
     first.run();
     second.granted("k");
@@ -203,9 +203,10 @@
 TEST_CASE_METHOD(ledger_fixture,
                  "an agent may take over the row of its own abandoned attempt")
 {
-    table.plan({fault::late, fault::unavailable});
+    table.push_fault(fault::delayed);
+    table.push_fault(fault::not_run);
     CHECK(first.refused("k").run == kernel::run_state::not_run);
-    table.deliver_late();
+    table.deliver_delayed();
     CHECK(second.refused("k").run == kernel::run_state::unknown);
     first.granted("k");
 }
@@ -238,10 +239,10 @@
 TEST_CASE_METHOD(ledger_fixture, "an answer is recorded once the table is back")
 {
     auto const held = first.granted("k");
-    table.set_down(true);
+    table.set_unavailable(true);
     first.ledger.complete(held, &answer);
     first.run();
-    table.set_down(false);
+    table.set_unavailable(false);
     first.ledger.tick();
     first.run();
     CHECK(second.replayed("k") == answer);
@@ -252,12 +253,12 @@
 TEST_CASE_METHOD(ledger_fixture, "writes are not repeated for ever")
 {
     auto const held = first.granted("k");
-    table.set_down(true);
+    table.set_unavailable(true);
     first.ledger.release(held);
     first.run();
-    table.set_down(false);
+    table.set_unavailable(false);
     clock.advance(std::chrono::hours(25));
-    table.rows.erase("claims/w/k");
+    table.erase("claims/w/k");
     second.granted("k");
     first.ledger.tick();
     first.run();
@@ -292,7 +293,7 @@
         REQUIRE(it->has_value());
         CHECK(kernel::ok(**it));
     }
-    CHECK(table.commits == 2);
+    CHECK(table.commits() == 2);
 }
 
 // Guards against one used key that fails the whole batch it is in.
--- a/packages/admission/tests/table_lease_test.cpp
+++ b/packages/admission/tests/table_lease_test.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-using fault = platform::testing::fake_table::fault;
+using fault = platform::tests::commit_fault;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -35,7 +35,7 @@
     }
 
     kernel::manual_clock clock;
-    platform::testing::fake_table table;
+    platform::tests::fake_table table;
     table_lease first = make_lease(clock, table, "first");
     table_lease second = make_lease(clock, table, "second");
 };
@@ -80,10 +80,10 @@
 TEST_CASE_METHOD(lease_fixture, "a lease ends when the table stays down")
 {
     first.tick();
-    table.set_down(true);
+    table.set_unavailable(true);
     run_for(seconds(9), first);
     CHECK_FALSE(first.fencing_number());
-    table.set_down(false);
+    table.set_unavailable(false);
     run_for(seconds(2), first);
     CHECK(first.fencing_number() == 1);
 }
@@ -91,7 +91,7 @@
 // Guards against a lost answer that leaves the lease to nobody.
 TEST_CASE_METHOD(lease_fixture, "a lease whose answer was lost is recognized")
 {
-    table.plan({fault::none, fault::answer_lost});
+    table.push_fault(fault::lost_after);
     first.tick();
     CHECK_FALSE(first.fencing_number());
     run_for(seconds(1), first);
--- a/packages/admission/tests/weight_load_slots_test.cpp
+++ b/packages/admission/tests/weight_load_slots_test.cpp
@@ -39,7 +39,7 @@
     }
 
     kernel::manual_clock clock;
-    platform::testing::fake_table table;
+    platform::tests::fake_table table;
     std::vector<std::unique_ptr<weight_load_slots>> agents;
 };
 
@@ -83,7 +83,7 @@
 // Guards against loads that start while nobody can count them.
 TEST_CASE_METHOD(slots_fixture, "without the table no load starts")
 {
-    table.set_down(true);
+    table.set_unavailable(true);
     for (auto const& it : agents)
         it->request();
     for (int n = 0; n < 15; ++n)
--- a/packages/agent/tests/agent_core_test.cpp
+++ b/packages/agent/tests/agent_core_test.cpp
@@ -163,8 +163,8 @@
     std::shared_ptr<kernel::thread_pool> traffic =
         std::make_shared<kernel::thread_pool>(1);
     kernel::thread_pool routers{1};
-    std::shared_ptr<platform::testing::fake_table> table =
-        std::make_shared<platform::testing::fake_table>();
+    std::shared_ptr<platform::tests::fake_table> table =
+        std::make_shared<platform::tests::fake_table>();
     std::promise<void> drained;
     std::optional<agent_core> core;
     std::uint16_t port = 0;
--- a/packages/platform/tests/support/fake_table.hpp
+++ b/packages/platform/tests/support/fake_table.hpp
@@ -4,186 +4,283 @@
 #include "platform/i_table.hpp"
 
 #include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
-namespace endiveward::platform::testing
+namespace endiveward::platform::tests
 {
 
-/// An in-memory table with failures. Handlers run before the call returns,
-/// unless answers are held.
+/// What happens to a commit.
+enum class commit_fault : std::uint8_t
+{
+    none,
+    not_run,     ///< Refused before it ran.
+    lost_before, ///< No answer; it never takes effect.
+    lost_after,  ///< No answer, but it was evaluated.
+    delayed      ///< No answer; it is evaluated by `deliver_delayed`.
+};
+
+/// An in-memory table that fails on request. Handlers run before the method
+/// returns, on the caller's thread. Safe for concurrent use.
 class fake_table : public i_table
 {
 public:
-    enum class fault : std::uint8_t
+    void commit(table_transaction transaction, std::chrono::milliseconds,
+                handler<transaction_outcome> on_done) override
+    {
+        if (auto const hook = take_hook())
+            hook();
+        auto res = run_commit(std::move(transaction));
+        if (!hold(on_done, res))
+            on_done(std::move(res));
+    }
+
+    void read(std::string key, std::chrono::milliseconds,
+              handler<std::optional<row>> on_done) override
     {
-        none,
-        /// Refused; certainly without effect.
-        unavailable,
-        /// Takes effect, but the answer is lost.
-        answer_lost,
-        /// Has no effect, and the caller cannot tell.
-        request_lost,
-        /// The answer is lost, and the effect comes with `deliver_late`.
-        late
-    };
+        on_done(run_read(key));
+    }
 
-    /// The next operations meet these faults, in order.
-    void plan(std::initializer_list<fault> faults)
+    void scan(std::string prefix, std::string after, std::size_t limit,
+              std::chrono::milliseconds,
+              handler<std::vector<row>> on_done) override
     {
-        planned_.insert(planned_.end(), faults);
+        on_done(run_scan(prefix, after, limit));
     }
-    void set_down(bool down) { down_ = down; }
 
-    /// Answers wait until `release_answers`.
-    void hold_answers() { holding_ = true; }
+    /// While unavailable, every method gives `store_unavailable`, `not_run`.
+    void set_unavailable(bool unavailable)
+    {
+        std::lock_guard const lock(mutex_);
+        unavailable_ = unavailable;
+    }
+    /// Adds the fate of the next commit that has none yet.
+    void push_fault(commit_fault fault)
+    {
+        std::lock_guard const lock(mutex_);
+        faults_.push_back(fault);
+    }
+    /// Answers to commits wait until `release_answers`.
+    void hold_answers()
+    {
+        std::lock_guard const lock(mutex_);
+        holding_ = true;
+    }
     void release_answers()
     {
-        holding_ = false;
-        auto const held = std::move(held_);
-        held_.clear();
+        std::vector<std::function<void()>> held;
+        {
+            std::lock_guard const lock(mutex_);
+            holding_ = false;
+            held.swap(held_);
+        }
         for (auto const& it : held)
             it();
     }
-    /// Applies the transactions that met `fault::late`.
-    void deliver_late()
+    /// The next `count` reads and scans see the rows as they were `age`
+    /// committed transactions ago.
+    void set_stale_reads(std::size_t count, std::size_t age)
     {
-        auto const late = std::move(late_);
-        late_.clear();
-        for (auto const& it : late)
-            apply(it);
+        std::lock_guard const lock(mutex_);
+        stale_count_ = count;
+        stale_age_ = age;
     }
-
-    void commit(table_transaction transaction, std::chrono::milliseconds,
-                handler<transaction_outcome> on_done) override
+    /// Runs once before the next commit is evaluated; it may use the table.
+    void before_next_commit(std::function<void()> hook)
     {
-        ++commits;
-        switch (next_fault())
-        {
-        case fault::unavailable:
-            return answer<transaction_outcome>(on_done, unavailable());
-        case fault::answer_lost:
-            apply(transaction);
-            return answer<transaction_outcome>(on_done, lost());
-        case fault::request_lost:
-            return answer<transaction_outcome>(on_done, lost());
-        case fault::late:
-            late_.push_back(std::move(transaction));
-            return answer<transaction_outcome>(on_done, lost());
-        case fault::none:
-            break;
-        }
-        answer<transaction_outcome>(on_done, apply(transaction));
+        std::lock_guard const lock(mutex_);
+        hooks_.push_back(std::move(hook));
+    }
+    /// Evaluates delayed commits in their order; gives how many took effect.
+    std::size_t deliver_delayed()
+    {
+        std::lock_guard const lock(mutex_);
+        std::size_t res = 0;
+        for (auto const& it : std::exchange(delayed_, {}))
+            res += evaluate(it).committed ? 1 : 0;
+        return res;
     }
 
-    void read(std::string key, std::chrono::milliseconds,
-              handler<std::optional<row>> on_done) override
+    std::map<std::string, row> rows() const
+    {
+        std::lock_guard const lock(mutex_);
+        return rows_;
+    }
+    /// Writes a row without a transaction.
+    void put(std::string const& key, std::string value)
+    {
+        std::lock_guard const lock(mutex_);
+        write({key, std::move(value)});
+    }
+    void erase(std::string const& key)
+    {
+        std::lock_guard const lock(mutex_);
+        rows_.erase(key);
+    }
+    std::size_t commits() const
+    {
+        std::lock_guard const lock(mutex_);
+        return commits_;
+    }
+    std::size_t reads() const
     {
-        ++reads;
-        if (next_fault() != fault::none)
-            return answer<std::optional<row>>(on_done, unavailable());
-        answer<std::optional<row>>(on_done, find(key));
+        std::lock_guard const lock(mutex_);
+        return reads_;
     }
 
-    void scan(std::string prefix, std::string after, std::size_t limit,
-              std::chrono::milliseconds,
-              handler<std::vector<row>> on_done) override
+private:
+    // Older rows that stale reads can see.
+    static constexpr std::size_t kept_history = 16;
+
+    static kernel::error failed(kernel::run_state run)
     {
-        ++reads;
-        if (next_fault() != fault::none)
-            return answer<std::vector<row>>(on_done, unavailable());
-        std::vector<row> found;
-        for (auto it = rows.lower_bound(prefix);
-             it != rows.end() && it->first.starts_with(prefix) &&
-             found.size() < limit;
-             ++it)
-        {
-            if (it->first > after)
-                found.push_back(it->second);
-        }
-        answer<std::vector<row>>(on_done, std::move(found));
+        return {kernel::error_kind::store_unavailable,
+                "the table did not answer; retry later", run, std::nullopt};
     }
 
-    std::optional<row> find(std::string const& key) const
+    bool hold(handler<transaction_outcome> const& on_done,
+              kernel::result<transaction_outcome> const& res)
     {
-        auto const it = rows.find(key);
-        if (it == rows.end())
-            return std::nullopt;
-        return it->second;
+        std::lock_guard const lock(mutex_);
+        if (holding_)
+            held_.push_back([on_done, res] { on_done(res); });
+        return holding_;
     }
 
-    std::map<std::string, row> rows;
-    std::size_t commits = 0;
-    std::size_t reads = 0;
+    std::function<void()> take_hook()
+    {
+        std::lock_guard const lock(mutex_);
+        if (hooks_.empty())
+            return {};
+        auto res = std::move(hooks_.front());
+        hooks_.pop_front();
+        return res;
+    }
 
-private:
-    fault next_fault()
+    kernel::result<transaction_outcome>
+    run_commit(table_transaction transaction)
     {
-        if (down_)
-            return fault::unavailable;
-        if (planned_.empty())
-            return fault::none;
-        auto const next = planned_.front();
-        planned_.pop_front();
-        return next;
+        std::lock_guard const lock(mutex_);
+        ++commits_;
+        auto fault = commit_fault::none;
+        if (!faults_.empty())
+        {
+            fault = faults_.front();
+            faults_.pop_front();
+        }
+        if (unavailable_ || fault == commit_fault::not_run)
+            return failed(kernel::run_state::not_run);
+        if (fault == commit_fault::delayed)
+            delayed_.push_back(std::move(transaction));
+        else if (fault != commit_fault::lost_before)
+        {
+            auto res = evaluate(transaction);
+            if (fault == commit_fault::none)
+                return res;
+        }
+        return failed(kernel::run_state::unknown);
     }
 
-    transaction_outcome apply(table_transaction const& transaction)
+    transaction_outcome evaluate(table_transaction const& transaction)
     {
-        transaction_outcome outcome;
+        transaction_outcome res;
         for (auto const& it : transaction.conditions)
         {
-            auto const found = find(it.key);
-            if ((found ? found->version : 0) != it.version)
-                outcome.failed_keys.push_back(it.key);
+            auto const found = rows_.find(it.key);
+            auto const version =
+                found == rows_.end() ? 0 : found->second.version;
+            if (version != it.version)
+                res.failed_keys.push_back(it.key);
         }
-        outcome.committed = outcome.failed_keys.empty();
-        if (!outcome.committed)
-            return outcome;
+        res.committed = res.failed_keys.empty();
+        if (!res.committed)
+            return res;
+        history_.push_front(rows_);
+        if (history_.size() > kept_history)
+            history_.pop_back();
         for (auto const& it : transaction.writes)
+            write(it);
+        return res;
+    }
+
+    void write(row_write const& what)
+    {
+        if (!what.value)
         {
-            if (!it.value)
-            {
-                rows.erase(it.key);
-                continue;
-            }
-            auto& written = rows[it.key];
-            written = {it.key, *it.value, written.version + 1};
+            rows_.erase(what.key);
+            return;
         }
-        return outcome;
+        auto& it = rows_[what.key];
+        it.key = what.key;
+        it.value = *what.value;
+        ++it.version;
     }
 
-    template <typename T>
-    void answer(handler<T> const& on_done, kernel::result<T> res)
+    std::map<std::string, row> const& visible_rows()
     {
-        if (holding_)
-            held_.push_back([on_done, res] { on_done(res); });
-        else
-            on_done(res);
+        ++reads_;
+        if (stale_count_ == 0)
+            return rows_;
+        --stale_count_;
+        if (history_.empty() || stale_age_ == 0)
+            return rows_;
+        return history_[std::min(stale_age_, history_.size()) - 1];
     }
 
-    static kernel::error unavailable()
+    kernel::result<std::optional<row>> run_read(std::string const& key)
     {
-        return {kernel::error_kind::store_unavailable,
-                "the table is down",
-                kernel::run_state::not_run,
-                {}};
+        std::lock_guard const lock(mutex_);
+        if (unavailable_)
+            return failed(kernel::run_state::not_run);
+        auto const& rows = visible_rows();
+        auto const it = rows.find(key);
+        if (it == rows.end())
+            return std::optional<row>();
+        return std::optional<row>(it->second);
     }
-    static kernel::error lost()
+
+    kernel::result<std::vector<row>> run_scan(std::string const& prefix,
+                                              std::string const& after,
+                                              std::size_t limit)
     {
-        return {kernel::error_kind::store_unavailable,
-                "the answer was lost",
-                kernel::run_state::unknown,
-                {}};
+        std::lock_guard const lock(mutex_);
+        if (unavailable_)
+            return failed(kernel::run_state::not_run);
+        std::vector<row> res;
+        auto const& rows = visible_rows();
+        auto it = rows.upper_bound(after);
+        if (after < prefix)
+            it = rows.lower_bound(prefix);
+        for (; it != rows.end() && res.size() < limit &&
+               it->first.starts_with(prefix);
+             ++it)
+            res.push_back(it->second);
+        return res;
     }
 
-    bool down_ = false;
-    bool holding_ = false;
-    std::deque<fault> planned_;
+    mutable std::mutex mutex_;
+    std::map<std::string, row> rows_;
+    std::deque<std::map<std::string, row>> history_;
+    std::deque<commit_fault> faults_;
+    std::deque<std::function<void()>> hooks_;
+    std::vector<table_transaction> delayed_;
     std::vector<std::function<void()>> held_;
-    std::vector<table_transaction> late_;
+    bool holding_ = false;
+    bool unavailable_ = false;
+    std::size_t stale_count_ = 0;
+    std::size_t stale_age_ = 0;
+    std::size_t commits_ = 0;
+    std::size_t reads_ = 0;
 };
 
-} // namespace endiveward::platform::testing
+} // namespace endiveward::platform::tests
 
 #endif
