--- a/packages/platform/tests/support/fake_table.hpp
+++ b/packages/platform/tests/support/fake_table.hpp
@@ -68,6 +68,13 @@
         std::lock_guard const lock(mutex_);
         faults_.push_back(fault);
     }
+    /// Forgets faults and hooks that have not been used.
+    void clear_faults()
+    {
+        std::lock_guard const lock(mutex_);
+        faults_.clear();
+        hooks_.clear();
+    }
     /// Answers to commits wait until `release_answers`.
     void hold_answers()
     {
