Do not report a repeated change as not committed

Callers now say that a change is repeated. The property test no longer calls one change log within a call of itself, which its contract excludes.

--- a/packages/cli/internal/subcommands.cpp
+++ b/packages/cli/internal/subcommands.cpp
@@ -450,7 +450,7 @@
 
     int commit(config::change const& change)
     {
-        auto const res = log_->commit(change);
+        auto const res = log_->commit(change, args_.count("change-id") != 0);
         if (!kernel::ok(res))
             return fail(kernel::failure(res));
         if (auto const* conflict =
--- a/packages/config/change_log.hpp
+++ b/packages/config/change_log.hpp
@@ -81,10 +81,12 @@
                    std::vector<change_operation> operations) const;
 
     /// Commits a change at most once, however often it is called with the same
-    /// change. Errors: `invalid_request` and `not_found` for the operations;
-    /// `store_unavailable` if it is certainly not committed; `outcome_unknown`
-    /// if it may be or become committed: call again with the same change.
-    kernel::result<commit_outcome> commit(change const& what);
+    /// change. `repeated` must be set if the change may have been submitted
+    /// before, by any process. Errors: `invalid_request` and `not_found` for
+    /// the operations; `store_unavailable` if it is certainly not committed;
+    /// `outcome_unknown` if it may be or become committed: repeat the call.
+    kernel::result<commit_outcome> commit(change const& what,
+                                          bool repeated = false);
 
 protected:
     // Overridden by tests that plant faults.
--- a/packages/config/internal/change_log.cpp
+++ b/packages/config/internal/change_log.cpp
@@ -61,7 +61,8 @@
 struct change_log::attempt
 {
     change const& what;
-    /// A submission got no answer and may still take effect.
+    /// A submission, perhaps of an earlier call, got no answer and may have
+    /// taken effect or still do so.
     bool in_flight = false;
     std::optional<platform::table_transaction> transaction;
     /// Head version that `transaction` requires.
@@ -185,7 +186,8 @@
     return apply_change(copy, what);
 }
 
-kernel::result<commit_outcome> change_log::commit(change const& what)
+kernel::result<commit_outcome> change_log::commit(change const& what,
+                                                  bool repeated)
 {
     auto const invalid = [](std::string message)
     {
@@ -199,7 +201,7 @@
             return invalid(fmt::format("the change lacks the version of {} "
                                        "that its author saw",
                                        it));
-    attempt state{what, false, std::nullopt, 0};
+    attempt state{what, repeated, std::nullopt, 0};
     for (std::size_t i = 0; i < options_.max_rounds; ++i)
         if (auto res = run_round(state))
             return *res;
@@ -234,14 +236,16 @@
         state.transaction.reset();
     if (state.transaction)
         return submit(state);
-    if (state.in_flight && log_start_ > state.base)
-        return outcome(unconfirmed(state.what));
+    // A snapshot hides the log row that would show an earlier submission.
+    // Submitting again is safe even then, because the table checks the change
+    // id; saying that the change is not committed would not be.
+    bool const hidden = state.in_flight && log_start_ > state.base;
     if (auto const conflict = find_conflict(state.what))
-        return outcome(*conflict);
+        return hidden ? outcome(unconfirmed(state.what)) : outcome(*conflict);
     if (is_stale(state.what))
         return pause();
     if (auto const res = validate(state.what); !kernel::ok(res))
-        return outcome(kernel::failure(res));
+        return outcome(hidden ? unconfirmed(state.what) : kernel::failure(res));
     state.transaction = make_transaction(state.what);
     state.base = data().version;
     return submit(state);
--- a/packages/config/tests/change_log_test.cpp
+++ b/packages/config/tests/change_log_test.cpp
@@ -270,6 +270,25 @@
           1);
 }
 
+TEST_CASE("a repeated change is not refused as not committed", "[change_log]")
+{
+    // Guards against "not run" for a change that an earlier call committed,
+    // when the repetition reads stale answers and then loses the store.
+    platform_fakes fakes;
+    auto const first = fakes.operator_log();
+    auto const change = first->prepare("c1", "an", put_rule("r", "zone=a"));
+    REQUIRE(kernel::ok(first->commit(change)));
+    auto options = fakes.options();
+    options.max_rounds = 3;
+    options.wait = [&](auto) { fakes.table->set_unavailable(true); };
+    config::change_log other(fakes.table, fakes.objects, options);
+    fakes.table->set_stale_reads(2, 1);
+    fakes.table->push_fault(commit_fault::not_run);
+    auto const res = other.commit(change, true);
+    REQUIRE_FALSE(kernel::ok(res));
+    CHECK(kernel::failure(res).run == kernel::run_state::unknown);
+}
+
 TEST_CASE("a stale reader neither conflicts nor overwrites", "[change_log]")
 {
     // Guards against a false conflict and against a log row that is written
