--- a/apps/endiveward/process_services_module.cpp
+++ b/apps/endiveward/process_services_module.cpp
@@ -1,14 +1,26 @@
 #include "endiveward/process_services_module.hpp"
 
 #include "config/config_state.hpp"
+#include "config/store_follower.hpp"
 #include "kernel/secure_random_source.hpp"
 #include "kernel/service_registry.hpp"
 #include "kernel/system_clock.hpp"
 #include "placement/placement.hpp"
+#include "platform/http_client.hpp"
+#include "platform/http_object_store.hpp"
+#include "platform/http_table.hpp"
+#include "platform/http_vm_list.hpp"
 
 namespace endiveward::app
 {
 
+struct process_services_module::follower_services
+{
+    std::shared_ptr<config::i_config_state> state;
+    std::shared_ptr<kernel::i_clock const> clock;
+    std::shared_ptr<kernel::i_random_source> random;
+};
+
 process_services_module::process_services_module(
     config::router_settings settings)
     : settings_(std::move(settings))
@@ -20,10 +32,11 @@
 {
     auto const clock = std::make_shared<kernel::system_clock>();
     registry.add<kernel::i_clock const>("clock", clock);
-    registry.add<kernel::i_random_source>(
-        "random", std::make_shared<kernel::secure_random_source>());
-    registry.add<config::i_config_state>(
-        "config_state", std::make_shared<config::config_state>());
+    auto const random = std::make_shared<kernel::secure_random_source>();
+    registry.add<kernel::i_random_source>("random", random);
+    auto const state = std::make_shared<config::config_state>();
+    registry.add<config::i_config_state>("config_state", state);
+    register_platform(registry, {state, clock, random});
     placement::placement_options options;
     options.recompute_weight = settings_.recompute_weight;
     options.candidates = settings_.candidates;
@@ -33,4 +46,28 @@
                          clock, settings_.common.region, options));
 }
 
+void process_services_module::register_platform(
+    kernel::service_registry& registry, follower_services const& services) const
+{
+    auto const& common = settings_.common;
+    auto const client = std::make_shared<platform::http_client>();
+    if (!common.vm_list_url.empty())
+        registry.add<platform::i_vm_list>(
+            "vm_list", std::make_shared<platform::http_vm_list>(
+                           client, common.vm_list_url));
+    if (common.table_url.empty())
+        return;
+    config::log_reader reader(
+        std::make_shared<platform::http_table>(client, common.table_url),
+        std::make_shared<platform::http_object_store>(client,
+                                                      common.object_store_url),
+        common.platform_timeout);
+    config::store_follower_options options;
+    options.interval = settings_.store_poll_interval;
+    registry.add("store_follower",
+                 std::make_shared<config::store_follower>(
+                     std::move(reader), services.state, services.clock,
+                     services.random, std::move(options)));
+}
+
 } // namespace endiveward::app
--- a/apps/endiveward/process_services_module.hpp
+++ b/apps/endiveward/process_services_module.hpp
@@ -17,6 +17,11 @@
     void register_services(kernel::service_registry& registry) override;
 
 private:
+    struct follower_services;
+
+    void register_platform(kernel::service_registry& registry,
+                           follower_services const& services) const;
+
     config::router_settings const settings_;
 };
 
--- a/apps/endiveward/subcommands.cpp
+++ b/apps/endiveward/subcommands.cpp
@@ -2,23 +2,15 @@
 
 #include "endiveward/run_command.hpp"
 
-#include <array>
-
 namespace endiveward::app
 {
 
-namespace
-{
-
-constexpr std::array table{
-    subcommand{"run", "run a router", run_router},
-};
-
-} // namespace
-
-std::span<subcommand const> subcommands()
+std::vector<cli::subcommand> subcommands()
 {
-    return table;
+    std::vector<cli::subcommand> all{{"run", "run a router", run_router}};
+    for (auto& it : cli::subcommands())
+        all.push_back(std::move(it));
+    return all;
 }
 
 } // namespace endiveward::app
--- a/cmake/endiveward.cmake
+++ b/cmake/endiveward.cmake
@@ -18,7 +18,10 @@
   target_include_directories(endiveward_${name}
                              PUBLIC ${CMAKE_SOURCE_DIR}/packages)
   target_compile_options(endiveward_${name} PRIVATE -Wall -Wextra -Werror)
-  target_compile_definitions(endiveward_${name} PUBLIC ASIO_STANDALONE)
+  # Asio chooses its allocator by what was included before it; the definition
+  # makes all files agree, since memory passes between them.
+  target_compile_definitions(
+    endiveward_${name} PUBLIC ASIO_STANDALONE ASIO_HAS_STD_ALIGNED_ALLOC=1)
   target_link_libraries(endiveward_${name} PUBLIC ${ARG_DEPENDS}
                                                   Threads::Threads)
 endfunction()
--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -2,6 +2,7 @@
 
 #include "config/i_config_state.hpp"
 #include "config/i_configuration.hpp"
+#include "config/store_follower.hpp"
 #include "config/types/router_settings.hpp"
 #include "kernel/i_random_source.hpp"
 #include "kernel/service_registry.hpp"
@@ -36,6 +37,8 @@
 {
 
 constexpr std::chrono::seconds metrics_interval{1};
+// How often the follower is asked whether its next read is due.
+constexpr std::chrono::milliseconds follower_interval{100};
 
 std::vector<wire::prefix_level>
 make_levels(kernel::workspace_id const& workspace,
@@ -67,6 +70,7 @@
         , budget_(std::make_shared<placement::retry_budget>(
               settings_.retry_share, settings_.retry_burst))
         , metrics_timer_(control_->context(0))
+        , follower_timer_(control_->context(0))
     {
     }
 
@@ -79,6 +83,8 @@
             registry.get<placement::i_placement>("placement");
         if (registry.contains("vm_list"))
             vms_ = registry.get<platform::i_vm_list>("vm_list");
+        if (registry.contains("store_follower"))
+            follower_ = registry.get<config::store_follower>("store_follower");
     }
 
     void init()
@@ -96,6 +102,7 @@
         connections_->start(wire_options_);
         caller_port_ = value_or_throw(callers_->start());
         update_metrics();
+        follow_store();
     }
 
     void deinit()
@@ -221,6 +228,20 @@
             });
     }
 
+    void follow_store()
+    {
+        if (follower_ == nullptr)
+            return;
+        follower_->tick();
+        follower_timer_.expires_after(follower_interval);
+        follower_timer_.async_wait(
+            [this](std::error_code ec)
+            {
+                if (!ec)
+                    follow_store();
+            });
+    }
+
     config::router_settings const settings_;
     std::shared_ptr<kernel::thread_pool> control_ =
         std::make_shared<kernel::thread_pool>(1);
@@ -244,7 +265,9 @@
     std::shared_ptr<caller_api> api_;
     std::unique_ptr<caller_server> callers_;
     std::unique_ptr<observe::operator_server> operators_;
+    std::shared_ptr<config::store_follower> follower_;
     asio::steady_timer metrics_timer_;
+    asio::steady_timer follower_timer_;
     std::atomic<bool> stopping_{false};
     std::uint16_t caller_port_ = 0;
     std::uint16_t operator_port_ = 0;
