--- a/packages/agent/agent_module.cpp
+++ b/packages/agent/agent_module.cpp
@@ -1,6 +1,7 @@
 #include "agent/agent_module.hpp"
 
 #include "agent/internal/agent_core.hpp"
+#include "config/config_state_source.hpp"
 #include "config/i_config_state.hpp"
 #include "kernel/i_random_source.hpp"
 #include "kernel/service_registry.hpp"
@@ -40,12 +41,15 @@
 {
 public:
     operators(config::common_settings const& settings, agent_core const& core,
+              std::shared_ptr<config::i_config_state const> configuration,
               std::shared_ptr<prometheus::Registry> metrics)
         : server_({settings.listen_operators.address,
                    settings.listen_operators.port,
                    settings.operator_token,
                    std::move(metrics),
-                   {core.state()},
+                   {core.state(), std::make_shared<config::config_state_source>(
+                                      std::move(configuration), "agent",
+                                      settings.region, settings.zone)},
                    [&core] { return core.ready(); }})
     {
     }
@@ -77,8 +81,10 @@
     env.cache_salt = &make_cache_salt;
     env.on_drained = on_drained_;
     auto const metrics = env.metrics;
+    auto const configuration = env.configuration;
     core_ = std::make_unique<agent_core>(settings_, std::move(env));
-    operators_ = std::make_unique<operators>(settings_.common, *core_, metrics);
+    operators_ = std::make_unique<operators>(settings_.common, *core_,
+                                             configuration, metrics);
 }
 
 void agent_module::init()
--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -1,5 +1,6 @@
 #include "router/router_module.hpp"
 
+#include "config/config_state_source.hpp"
 #include "config/i_config_state.hpp"
 #include "config/i_configuration.hpp"
 #include "config/store_follower.hpp"
@@ -16,7 +17,6 @@
 #include "router/agent_connections.hpp"
 #include "router/caller_api.hpp"
 #include "router/caller_server.hpp"
-#include "router/config_state_source.hpp"
 #include "router/relay_services.hpp"
 #include "router/router_identity.hpp"
 #include "router/router_metrics.hpp"
@@ -208,8 +208,9 @@
         operators.token = settings_.common.operator_token;
         operators.metrics = registry_;
         operators.sources = {
-            connections_,
-            std::make_shared<config_state_source>(configuration_)};
+            connections_, std::make_shared<config::config_state_source>(
+                              configuration_, "router", settings_.common.region,
+                              settings_.common.zone)};
         operators.ready = [this] { return ready(); };
         operators_ =
             std::make_unique<observe::operator_server>(std::move(operators));
