--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -123,7 +123,7 @@
         it->policy = make_policy(kind_, load_, clock_, *this);
         ++it->life;
     }
-    for (auto const& it : workers_)
+    for (auto& it : workers_)
         tell_routers(it);
 }
 
@@ -185,7 +185,7 @@
 {
     if (now() > load_.duration)
         return;
-    for (auto const& it : workers_)
+    for (auto& it : workers_)
         tell_routers(it);
     after(heartbeat_interval, [this] { send_heartbeats(); });
 }
@@ -210,6 +210,7 @@
 
     it->worker = worker_index_.at(kernel::value(choice).endpoint);
     auto const& to = workers_[it->worker];
+    result_.chosen_unavailable += to.told_alive ? 0 : 1;
     it->attempt = ++next_attempt_;
     it->router_life = from.life;
     ++it->attempts;
@@ -436,8 +437,9 @@
                              hidden ? nullptr : &*load);
 }
 
-void simulation::tell_routers(worker const& at)
+void simulation::tell_routers(worker& at)
 {
+    at.told_alive = at.alive;
     placement::endpoint_status status;
     status.id = at.id;
     status.region = kernel::region_id("local");
--- a/bench/policy/simulation.hpp
+++ b/bench/policy/simulation.hpp
@@ -63,6 +63,8 @@
         wire::load_report published;
         bool alive = true;
         bool lost = false;
+        /// What the routers were told last.
+        bool told_alive = true;
         /// Calls queued or running, by attempt.
         std::unordered_map<std::uint64_t, std::shared_ptr<call>> calls;
         /// Blocks that those calls will have computed.
@@ -102,7 +104,7 @@
     void restart_worker(worker& at);
     void finished(std::shared_ptr<call> const& it,
                   std::optional<wire::load_report> load);
-    void tell_routers(worker const& at);
+    void tell_routers(worker& at);
 
     wire::load_report report(worker& at) const;
     wire::load_report current_load(worker const& at) const;
