Report the prefix levels that an endpoint used last

Cause: a router sees only its own share of the traffic, a sixth here, and sent prefixes elsewhere that another router had just placed.

--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -261,6 +261,7 @@
         return;
     }
     to.calls.emplace(it->attempt, it);
+    to.recent.add(it->spec->levels);
     for (auto const block : it->spec->blocks)
         ++to.pending[block];
     if (kind_ != policy_kind::trusting)
@@ -399,6 +400,7 @@
         std::make_unique<admission::admission_queue>(*clock_, load_.max_queue);
     to.queue->set_capacity(load_.slots);
     to.engine->restart();
+    to.recent.clear();
     to.published = current_load(to);
     after(detection, [this, &to] { tell_routers(to); });
     std::vector<std::uint64_t> attempts;
@@ -466,6 +468,7 @@
     load.queued = static_cast<std::uint32_t>(at.queue->queued());
     load.capacity = static_cast<std::uint32_t>(at.queue->capacity());
     load.queue_wait = at.queue->estimated_wait();
+    load.recent_levels = at.recent.list();
     load.models = {{kernel::model_id("m"), kernel::model_version("1")}};
     return load;
 }
--- a/bench/policy/simulation.hpp
+++ b/bench/policy/simulation.hpp
@@ -3,6 +3,7 @@
 
 #include "admission/admission_queue.hpp"
 #include "kernel/manual_clock.hpp"
+#include "placement/recent_levels.hpp"
 #include "placement/retry_budget.hpp"
 #include "placement/types/placement_request.hpp"
 #include "policy/block_ledger.hpp"
@@ -60,6 +61,7 @@
         std::size_t zone = 0;
         std::unique_ptr<engine_fake> engine;
         std::unique_ptr<admission::admission_queue> queue;
+        placement::recent_levels recent;
         wire::load_report published;
         bool alive = true;
         bool lost = false;
--- a/packages/placement/internal/endpoint_record.cpp
+++ b/packages/placement/internal/endpoint_record.cpp
@@ -54,7 +54,10 @@
     // An agent that drains exits, so a report without the flag is older.
     bool const draining = status_.load.draining && same_agent;
     change_engine(load.engine_incarnation);
+    if (load.engine_incarnation != 0)
+        hints_.add(load.recent_levels, now);
     status_.load = load;
+    status_.load.recent_levels.clear();
     status_.load.draining = load.draining || draining;
     reported_at_ = now;
     return true;
--- a/packages/placement/internal/hit_hints.cpp
+++ b/packages/placement/internal/hit_hints.cpp
@@ -52,6 +52,13 @@
     }
 }
 
+void hit_hints::add(std::span<wire::prefix_level const> levels,
+                    kernel::steady_time now)
+{
+    for (auto it = levels.rbegin(); it != levels.rend(); ++it)
+        touch(it->hash, false, now);
+}
+
 void hit_hints::confirm(std::span<wire::prefix_level const> levels)
 {
     for (auto const& it : levels)
--- a/packages/placement/internal/hit_hints.hpp
+++ b/packages/placement/internal/hit_hints.hpp
@@ -32,6 +32,9 @@
     void record(std::span<wire::prefix_level const> levels,
                 std::uint64_t hit_bytes, bool will_run,
                 kernel::steady_time now);
+    /// The agent accepted calls with these levels, most recent first.
+    void add(std::span<wire::prefix_level const> levels,
+             kernel::steady_time now);
     /// A call with these levels has ended, so they are computed.
     void confirm(std::span<wire::prefix_level const> levels);
     std::size_t size() const { return entries_.size(); }
--- a/packages/placement/tests/placement_test.cpp
+++ b/packages/placement/tests/placement_test.cpp
@@ -262,6 +262,24 @@
     CHECK(f.choose(request).endpoint == home);
 }
 
+// Guards against routers that do not know what the others have placed, and
+// against counting such levels for a dead engine (G1).
+TEST_CASE("levels reported by the agent count as hints of its engine")
+{
+    fixture f(2);
+    auto const request = f.request({text('a', 64)});
+    auto const home = f.choose(request).endpoint;
+    auto const other = other_than(home);
+    auto load = idle(1);
+    load.recent_levels = request.levels;
+    f.run(f.request({text('z', 1)}), other, 0, load);
+    CHECK(f.choose(request).endpoint == other);
+    f.run(f.request({text('z', 1)}), other, 0, idle(2));
+    CHECK(f.choose(request).endpoint == home);
+    f.run(f.request({text('z', 1)}), other, 0, load);
+    CHECK(f.choose(request).endpoint == home);
+}
+
 // Guards against an endpoint that stays unusable after a lost connection, when
 // membership does not know the incarnation for a while.
 TEST_CASE("an unknown incarnation does not retire the engine")
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -53,6 +53,31 @@
     return kernel::hash128{hash->high(), hash->low()};
 }
 
+std::vector<offset<fbs::prefix_level>>
+put(builder& fbb, std::vector<prefix_level> const& levels)
+{
+    std::vector<offset<fbs::prefix_level>> out;
+    out.reserve(levels.size());
+    for (auto const& it : levels)
+    {
+        auto const hash = put(it.hash);
+        out.push_back(fbs::Createprefix_level(fbb, &hash, it.bytes));
+    }
+    return out;
+}
+
+std::vector<prefix_level>
+get(flatbuffers::Vector<offset<fbs::prefix_level>> const* in)
+{
+    std::vector<prefix_level> out;
+    if (in == nullptr)
+        return out;
+    out.reserve(in->size());
+    for (auto const* it : *in)
+        out.push_back({get(it->hash()), it->bytes()});
+    return out;
+}
+
 offset<fbs::load_report> put(builder& fbb, load_report const& load)
 {
     std::vector<offset<fbs::loaded_model>> models;
@@ -60,10 +85,11 @@
     for (auto const& it : load.models)
         models.push_back(fbs::Createloaded_modelDirect(
             fbb, it.model.str().c_str(), it.version.str().c_str()));
+    auto const recent_levels = put(fbb, load.recent_levels);
     return fbs::Createload_reportDirect(
         fbb, load.agent_incarnation, load.engine_incarnation, load.running,
         load.queued, load.capacity, to_ms(load.queue_wait), load.draining,
-        &models);
+        &models, &recent_levels);
 }
 
 load_report get(fbs::load_report const* in)
@@ -78,6 +104,7 @@
     out.capacity = in->capacity();
     out.queue_wait = milliseconds(in->queue_wait_ms());
     out.draining = in->draining();
+    out.recent_levels = get(in->recent_levels());
     if (in->models() == nullptr)
         return out;
     out.models.reserve(in->models()->size());
@@ -164,13 +191,7 @@
     for (auto const& it : msg.headers)
         headers.push_back(
             fbs::CreateheaderDirect(fbb, it.name.c_str(), it.value.c_str()));
-    std::vector<offset<fbs::prefix_level>> levels;
-    levels.reserve(msg.prefix_levels.size());
-    for (auto const& it : msg.prefix_levels)
-    {
-        auto const hash = put(it.hash);
-        levels.push_back(fbs::Createprefix_level(fbb, &hash, it.bytes));
-    }
+    auto const levels = put(fbb, msg.prefix_levels);
     auto const stream_id = put(msg.stream_id);
     auto const workspace = fbb.CreateString(msg.workspace.str());
     auto const model = fbb.CreateString(msg.model.str());
@@ -214,11 +235,7 @@
     out.deadline = milliseconds(in.deadline_ms());
     out.priority = in.priority();
     out.config_version = in.config_version();
-    if (in.prefix_levels() != nullptr)
-    {
-        for (auto const* it : *in.prefix_levels())
-            out.prefix_levels.push_back({get(it->hash()), it->bytes()});
-    }
+    out.prefix_levels = get(in.prefix_levels());
     out.request_id = text(in.request_id());
     return out;
 }
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -10,10 +10,15 @@
 
 load_report make_load()
 {
-    return {1,    2,
-            3,    4,
-            5,    std::chrono::milliseconds(6),
-            true, {{kernel::model_id("m"), kernel::model_version("v")}}};
+    return {1,
+            2,
+            3,
+            4,
+            5,
+            std::chrono::milliseconds(6),
+            true,
+            {{kernel::model_id("m"), kernel::model_version("v")}},
+            {{{10, 11}, 12}, {{13, 14}, 15}}};
 }
 
 kernel::error make_error()
--- a/packages/wire/types/load_report.hpp
+++ b/packages/wire/types/load_report.hpp
@@ -3,6 +3,7 @@
 
 #include "kernel/types/identifiers.hpp"
 #include "wire/types/loaded_model.hpp"
+#include "wire/types/prefix_level.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -22,6 +23,9 @@
     std::chrono::milliseconds queue_wait{0};
     bool draining = false;
     std::vector<loaded_model> models;
+    /// Prefix levels of the calls that the endpoint accepted last, from any
+    /// router, most recent first.
+    std::vector<prefix_level> recent_levels;
 
     bool operator==(load_report const&) const = default;
 };
