Stop retries that are expected to miss the deadline

placement_request gains time_left; a request that was refused before is refused with overloaded, instead of another attempt, if the remaining endpoints are expected to keep it waiting longer.

--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -204,6 +204,7 @@
     if (now() >= it->deadline())
         return end(*it, result_.late);
     placing_ = it->spec;
+    it->request.time_left = round<milliseconds>(it->deadline() - now());
     auto const choice = from.policy->choose(it->request);
     if (!kernel::ok(choice))
         return end(*it, result_.refused);
--- a/packages/placement/internal/placement.cpp
+++ b/packages/placement/internal/placement.cpp
@@ -38,10 +38,12 @@
 
 kernel::error all_refused(std::chrono::milliseconds wait)
 {
-    return {kernel::error_kind::overloaded,
-            "every eligible endpoint refused this request; retry later",
-            kernel::run_state::not_run,
-            std::max(wait, std::chrono::milliseconds(1))};
+    return {
+        kernel::error_kind::overloaded,
+        "every eligible endpoint refused this request or is too busy; retry "
+        "later or allow more time",
+        kernel::run_state::not_run,
+        std::max(wait, std::chrono::milliseconds(1))};
 }
 
 // Sorts the first `n` by descending rendezvous weight.
@@ -81,6 +83,19 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+// A first attempt goes out whatever the wait, because the verdict corrects the
+// estimate; another one that would be refused as well only costs time.
+bool worth_trying(placement_request const& request,
+                  endpoint_record const& record, kernel::steady_time now)
+{
+    if (request.excluded.empty())
+        return true;
+    if (contains(request.excluded, record.status().id))
+        return false;
+    return !request.time_left ||
+           record.expected_wait(now) <= *request.time_left;
+}
+
 } // namespace
 
 placement::placement(std::shared_ptr<kernel::i_clock const> clock,
@@ -127,7 +142,7 @@
     for (auto const* it : records)
         least = std::min(least, it->expected_wait(now));
     std::erase_if(records, [&](endpoint_record const* it)
-                  { return contains(request.excluded, it->status().id); });
+                  { return !worth_trying(request, *it, now); });
     if (records.empty())
         return all_refused(to_milliseconds(least));
 
--- a/packages/placement/tests/placement_test.cpp
+++ b/packages/placement/tests/placement_test.cpp
@@ -482,6 +482,24 @@
     CHECK(kernel::failure(res).run == kernel::run_state::not_run);
 }
 
+// Guards against attempts that only multiply the load of a busy system.
+TEST_CASE("a refused request does not try endpoints beyond its deadline")
+{
+    fixture f(2);
+    auto request = f.request({text('a', 16)});
+    auto const first = f.choose(request).endpoint;
+    auto const second = other_than(first);
+    f.run(request, second, 0, busy(10s));
+    request.time_left = 5s;
+    // The first attempt is not held back by an estimate.
+    f.run(request, first, 0, busy(20s));
+    CHECK(f.choose(request).endpoint == second);
+    request.excluded = {first};
+    CHECK(f.refusal(request) == kernel::error_kind::overloaded);
+    request.time_left = 15s;
+    CHECK(f.choose(request).endpoint == second);
+}
+
 // Guards against traffic that leaves its region while it can be served there.
 TEST_CASE("other regions serve only while no local endpoint is available")
 {
--- a/packages/placement/types/placement_request.hpp
+++ b/packages/placement/types/placement_request.hpp
@@ -4,8 +4,10 @@
 #include "kernel/types/identifiers.hpp"
 #include "wire/types/prefix_level.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,9 @@
     std::string idempotency_key;
     /// Endpoints that refused this request already.
     std::vector<kernel::endpoint_id> excluded;
+    /// Time until the deadline. If set, a request that was refused before is
+    /// not sent to an endpoint that is expected to keep it waiting longer.
+    std::optional<std::chrono::milliseconds> time_left;
 };
 
 } // namespace endiveward::placement
