Take hit hints from the first report of an endpoint

Cause: after a restart of every router no hints were known, and replicas of hot prefixes beyond the first rank were recomputed elsewhere, although the agents' hello carries their recent levels: the record of a new endpoint ignored them.

--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -124,7 +124,11 @@
         ++it->life;
     }
     for (auto& it : workers_)
+    {
+        // The agent's hello carries its current state.
+        it.published = current_load(it);
         tell_routers(it);
+    }
 }
 
 void simulation::schedule_trace()
--- a/packages/placement/internal/endpoint_record.cpp
+++ b/packages/placement/internal/endpoint_record.cpp
@@ -28,9 +28,9 @@
     , weight_seed_(kernel::hash_bytes(status.id.str()).low)
     , max_hints_(max_hints)
     , hints_(max_hints)
-    , engine_(status.load.engine_incarnation)
     , reported_at_(now)
 {
+    report(status.load, now);
 }
 
 void endpoint_record::update(endpoint_status const& status,
--- a/packages/placement/internal/endpoint_record.hpp
+++ b/packages/placement/internal/endpoint_record.hpp
@@ -59,7 +59,7 @@
     std::uint64_t weight_seed_;
     std::size_t max_hints_;
     hit_hints hints_;
-    kernel::incarnation engine_; // last known one, never back to zero
+    kernel::incarnation engine_ = 0; // last known one, never back to zero
     kernel::steady_time reported_at_;
     std::array<kernel::incarnation, 4> retired_{};
     std::size_t next_retired_ = 0;
--- a/packages/placement/tests/placement_test.cpp
+++ b/packages/placement/tests/placement_test.cpp
@@ -280,6 +280,20 @@
     CHECK(f.choose(request).endpoint == home);
 }
 
+// Guards against a router that restarts and ignores what the agents tell it
+// when they connect (G3).
+TEST_CASE("the first report of an endpoint brings hints")
+{
+    fixture f(2);
+    auto const request = f.request({text('a', 64)});
+    auto const other = other_than(f.choose(request).endpoint);
+    f.sut.remove_endpoint(other);
+    auto back = status(other == endpoint(0) ? 0 : 1);
+    back.load.recent_levels = request.levels;
+    f.sut.update_endpoint(back);
+    CHECK(f.choose(request).endpoint == other);
+}
+
 // Guards against an endpoint that stays unusable after a lost connection, when
 // membership does not know the incarnation for a while.
 TEST_CASE("an unknown incarnation does not retire the engine")
