--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -56,6 +56,8 @@
     }
     fmt::print("{}", to_table(rows));
     std::ofstream(args["csv"].as<std::string>()) << to_csv(rows);
+    if (args.count("trace") > 0)
+        std::ofstream(args["trace"].as<std::string>()) << to_trace_csv(rows);
     return 0;
 }
 
@@ -74,7 +76,8 @@
         cxxopts::value<std::vector<std::uint64_t>>()->default_value("1"))(
         "csv", "file for the figures",
         cxxopts::value<std::string>()->default_value("policy_bench.csv"))(
-        "help", "print this text");
+        "trace", "file for one line per request",
+        cxxopts::value<std::string>())("help", "print this text");
     try
     {
         auto const args = options.parse(argc, argv);
--- a/bench/policy/report.cpp
+++ b/bench/policy/report.cpp
@@ -60,4 +60,24 @@
     return out;
 }
 
+std::string to_trace_csv(std::vector<report_row> const& rows)
+{
+    std::string out =
+        "workload,scenario,seed,policy,arrival_ms,worker,attempts,ttft_ms,"
+        "wait_ms,prefix_bytes,hit_bytes,expected_hit_bytes,expected_wait_ms,"
+        "chosen_wait_ms,chosen_hit_bytes,best_worker,best_hit_bytes,"
+        "best_wait_ms\n";
+    for (auto const& row : rows)
+        for (auto const& it : row.result.traces)
+            out += fmt::format(
+                "{},{},{},{},{:.1f},{},{},{:.1f},{:.1f},{},{},{},{:.1f},"
+                "{:.1f},{},{},{},{:.1f}\n",
+                row.workload, row.scenario, row.seed, to_string(row.policy),
+                it.arrival_ms, it.worker, it.attempts, it.ttft_ms, it.wait_ms,
+                it.prefix_bytes, it.hit_bytes, it.expected_hit_bytes,
+                it.expected_wait_ms, it.chosen_wait_ms, it.chosen_hit_bytes,
+                it.best_worker, it.best_hit_bytes, it.best_wait_ms);
+    return out;
+}
+
 } // namespace endiveward::bench
--- a/bench/policy/report.hpp
+++ b/bench/policy/report.hpp
@@ -22,6 +22,8 @@
 /// A table for people.
 std::string to_table(std::vector<report_row> const& rows);
 std::string to_csv(std::vector<report_row> const& rows);
+/// One line for each request of each row.
+std::string to_trace_csv(std::vector<report_row> const& rows);
 
 } // namespace endiveward::bench
 
--- a/bench/policy/run_result.hpp
+++ b/bench/policy/run_result.hpp
@@ -20,6 +20,29 @@
     std::uint64_t hit_bytes = 0;
 };
 
+/// One request, for finding the causes of a tail.
+struct request_trace
+{
+    double arrival_ms = 0;
+    std::size_t worker = 0;
+    std::size_t attempts = 0;
+    double ttft_ms = 0;
+    /// From arrival to the start at the engine.
+    double wait_ms = 0;
+    std::uint64_t prefix_bytes = 0;
+    std::uint64_t hit_bytes = 0;
+    /// What placement expected of the chosen worker.
+    std::uint64_t expected_hit_bytes = 0;
+    double expected_wait_ms = 0;
+    /// True state of the chosen worker and of the one with the longest cached
+    /// prefix when the request was placed.
+    double chosen_wait_ms = 0;
+    std::uint64_t chosen_hit_bytes = 0;
+    std::size_t best_worker = 0;
+    std::uint64_t best_hit_bytes = 0;
+    double best_wait_ms = 0;
+};
+
 /// What one policy did with a trace. Covers the requests that arrive after
 /// the warm-up; README.md defines the figures.
 struct run_result
@@ -38,6 +61,8 @@
     std::vector<double> refusal_time;
     /// By arrival, one entry for each `slice`.
     std::vector<hit_count> hits_by_time;
+    /// Measured requests that got a first token.
+    std::vector<request_trace> traces;
     double measured_s = 0;
     /// Faults of the policy or the simulation; must be zero.
     std::size_t chosen_unavailable = 0;
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -25,6 +25,11 @@
 constexpr sim_time verdict_timeout = 250ms;
 constexpr sim_time heartbeat_interval = 1s;
 
+double to_ms(sim_time time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
 } // namespace
 
 struct simulation::call
@@ -36,6 +41,7 @@
     std::uint64_t router_life = 0;
     std::size_t attempts = 0;
     sim_time started{};
+    request_trace trace;
     bool has_output = false;
     bool measured = false;
     bool ended = false;
@@ -215,6 +221,7 @@
 
     it->worker = worker_index_.at(kernel::value(choice).endpoint);
     auto const& to = workers_[it->worker];
+    trace_placement(*it, kernel::value(choice));
     result_.chosen_unavailable += to.told_alive ? 0 : 1;
     it->attempt = ++next_attempt_;
     it->router_life = from.life;
@@ -330,6 +337,9 @@
     it->started = now();
     std::size_t const cached = to.engine->cached_blocks(it->spec->blocks);
     count_start(*it, cached);
+    it->trace.wait_ms = to_ms(now() - it->spec->arrival);
+    it->trace.prefix_bytes = it->spec->blocks.size() * placement::block_bytes;
+    it->trace.hit_bytes = cached * placement::block_bytes;
     // Blocks in use are kept: they move to the front of the cache.
     to.engine->use({it->spec->blocks.data(), cached});
     sim_time const prefill =
@@ -362,8 +372,9 @@
     if (!it->measured)
         return;
     sim_time const ttft = now() + load_.network_latency - it->spec->arrival;
-    result_.ttft.push_back(
-        std::chrono::duration<double, std::milli>(ttft).count());
+    result_.ttft.push_back(to_ms(ttft));
+    it->trace.ttft_ms = to_ms(ttft);
+    result_.traces.push_back(it->trace);
 }
 
 void simulation::complete(worker& to, std::shared_ptr<call> const& it)
@@ -487,6 +498,29 @@
            spec.decode;
 }
 
+void simulation::trace_placement(call& it,
+                                 placement::placement_choice const& choice)
+{
+    auto& out = it.trace;
+    out.arrival_ms = to_ms(it.spec->arrival);
+    out.worker = it.worker;
+    out.attempts = it.attempts + 1;
+    out.expected_hit_bytes = choice.expected_hit_bytes;
+    out.expected_wait_ms = to_ms(choice.expected_wait);
+    auto const& chosen = workers_[it.worker].id;
+    out.chosen_wait_ms = to_ms(wait(chosen));
+    out.chosen_hit_bytes = hit_bytes(chosen);
+    out.best_worker = it.worker;
+    out.best_hit_bytes = out.chosen_hit_bytes;
+    for (auto const& other : workers_)
+        if (other.alive && hit_bytes(other.id) > out.best_hit_bytes)
+        {
+            out.best_worker = worker_index_.at(other.id);
+            out.best_hit_bytes = hit_bytes(other.id);
+        }
+    out.best_wait_ms = to_ms(wait(workers_[out.best_worker].id));
+}
+
 sim_time simulation::prefill_time(std::uint64_t bytes) const
 {
     return std::chrono::duration_cast<sim_time>(std::chrono::duration<double>(
@@ -526,9 +560,7 @@
         return;
     ++counter;
     if (&counter == &result_.refused)
-        result_.refusal_time.push_back(
-            std::chrono::duration<double, std::milli>(now() - it.spec->arrival)
-                .count());
+        result_.refusal_time.push_back(to_ms(now() - it.spec->arrival));
 }
 
 simulation::worker const& simulation::find(kernel::endpoint_id const& id) const
--- a/bench/policy/simulation.hpp
+++ b/bench/policy/simulation.hpp
@@ -23,6 +23,11 @@
 #include <unordered_map>
 #include <vector>
 
+namespace endiveward::placement
+{
+struct placement_choice;
+}
+
 namespace endiveward::bench
 {
 
@@ -112,6 +117,7 @@
     wire::load_report current_load(worker const& at) const;
     std::chrono::milliseconds service_time(worker const& at,
                                            request_spec const& spec) const;
+    void trace_placement(call& it, placement::placement_choice const& choice);
     sim_time prefill_time(std::uint64_t bytes) const;
     void count_start(call& it, std::size_t cached);
     void end(call& it, std::size_t& counter);
