Trust the rank less at an endpoint that has just reported

Cause, from the trace: in consortium's tail the first rank was chosen with nine tenths of the prefix expected, none of it cached there and up to all of it cached at another endpoint that had reported so. The rank estimate now grows from zero at a report to nine tenths after 2 s without one.

--- a/packages/placement/internal/endpoint_record.hpp
+++ b/packages/placement/internal/endpoint_record.hpp
@@ -38,6 +38,11 @@
     std::uint64_t expected_hit(placement_request const& request,
                                kernel::steady_time now) const;
 
+    std::chrono::duration<double> report_age(kernel::steady_time now) const
+    {
+        return now - reported_at_;
+    }
+
     void sent(kernel::steady_time now);
     /// The agent has answered the oldest call without a verdict.
     void answered();
--- a/packages/placement/internal/placement.cpp
+++ b/packages/placement/internal/placement.cpp
@@ -23,6 +23,17 @@
 // other routers use.
 constexpr double home_confidence = 0.9;
 
+// A report names the levels used last, so a level without a hint is not cached
+// at an endpoint that has just reported. That knowledge is outdated after this
+// time, which is between the trials that were best for steady load (4 s) and
+// for shifting prefixes (1 s).
+constexpr seconds report_lifetime{2.0};
+
+double confidence(seconds report_age)
+{
+    return home_confidence * std::min(1.0, report_age / report_lifetime);
+}
+
 std::chrono::milliseconds to_milliseconds(seconds time)
 {
     return std::chrono::ceil<std::chrono::milliseconds>(time);
@@ -256,16 +267,17 @@
     double const rate = static_cast<double>(options_.prefill_bytes_per_second);
     placement_choice best;
     std::pair<double, double> best_cost;
-    double share = home_confidence;
+    double rank_share = 1.0;
     for (auto const* it : ranked)
     {
         double const hinted =
             static_cast<double>(it->expected_hit(request, now));
         // Without a hint the rank stands for it: the first ranks are where
         // other routers, or this one before a restart, send the prefix.
+        double const share = rank_share * confidence(it->report_age(now));
+        rank_share /= 2;
         double const hit =
             hinted + share * (static_cast<double>(deepest) - hinted);
-        share /= 2;
         double const missing =
             std::max(static_cast<double>(request.prompt_bytes) - hit, 0.0);
         seconds const wait = it->expected_wait(now);
