Measure the overload goal at twice the measured capacity

Capacity is now the highest rate at which 99% of the requests are answered in time; the bounds are the same.

--- a/bench/policy/tests/goals_test.cpp
+++ b/bench/policy/tests/goals_test.cpp
@@ -113,18 +113,39 @@
     CHECK(ours >= 0.95 * best);
 }
 
-void check_overload(std::string const& deployment)
+run_result run_at(workload load, double rate)
 {
-    auto load = describe(deployment, "steady");
-    double const base = load.rate_per_s;
-    double peak = 0;
-    for (double const factor : {1.0, 1.25, 1.5, 2.0, 2.5, 3.0, 4.0, 5.0})
+    load.rate_per_s = rate;
+    return run(load, policy_kind::endiveward);
+}
+
+/// The highest rate at which at least 99% of the requests are answered in
+/// time, in steps of a tenth of the base rate.
+double find_capacity(workload const& load)
+{
+    double capacity = 0;
+    for (int tenths = 10; tenths <= 60; ++tenths)
     {
-        load.rate_per_s = base * factor;
-        peak = std::max(peak, run(load, policy_kind::endiveward).goodput());
+        double const rate = load.rate_per_s * tenths / 10;
+        auto const result = run_at(load, rate);
+        if (static_cast<double>(result.good) <
+            0.99 * static_cast<double>(result.requests))
+            break;
+        capacity = rate;
     }
-    load.rate_per_s = 2 * peak;
-    auto const result = run(load, policy_kind::endiveward);
+    REQUIRE(capacity > 0);
+    return capacity;
+}
+
+void check_overload(std::string const& deployment)
+{
+    auto const load = describe(deployment, "steady");
+    double const capacity = find_capacity(load);
+    double peak = 0;
+    for (double const factor : {1.0, 1.2, 1.4, 1.6, 1.8, 2.0})
+        peak = std::max(peak, run_at(load, capacity * factor).goodput());
+    auto const result = run_at(load, 2 * capacity);
+    INFO("capacity " << capacity << "/s, ");
     INFO("peak " << peak << "/s, at twice that " << result.goodput()
                  << "/s, attempts " << result.attempts_per_request()
                  << ", slowest refusal " << result.refusal_percentile(1.0)
