--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -196,7 +196,10 @@
     if (now() > load_.duration)
         return;
     for (auto& it : workers_)
+    {
+        it.published = current_load(it);
         tell_routers(it);
+    }
     after(heartbeat_interval, [this] { send_heartbeats(); });
 }
 
@@ -230,16 +233,29 @@
         ++result_.attempts;
     from.policy->on_sent(it->request, to.id);
     if (kind_ == policy_kind::trusting)
-    {
-        // Assumes that the prompt will be cached and keeps the old load.
-        wire::verdict assumed;
-        assumed.hit_bytes = kernel::value(choice).expected_hit_bytes;
-        assumed.load = to.published;
-        from.policy->on_verdict(it->request, to.id, assumed);
-    }
+        assume_verdict(it);
     after(load_.network_latency, [this, it] { deliver(it); });
 }
 
+// A router without verdicts assumes that the whole prompt will be cached. Of
+// the load it knows the last heartbeat and its own calls since, so the call
+// stays counted as unanswered.
+void simulation::assume_verdict(std::shared_ptr<call> const& it)
+{
+    auto& policy = *routers_[it->spec->router]->policy;
+    auto const& to = workers_[it->worker];
+    wire::verdict assumed;
+    assumed.hit_bytes = it->spec->prompt_bytes;
+    assumed.load = to.told_load;
+    assumed.load.recent_levels.clear();
+    assumed.load.queue_wait = std::max(
+        assumed.load.queue_wait - round<milliseconds>((now() - to.told_at) / 2),
+        0ms);
+    policy.on_verdict(it->request, to.id, assumed);
+    policy.on_sent(it->request, to.id);
+    policy.on_finished(it->request, to.id, nullptr);
+}
+
 void simulation::deliver(std::shared_ptr<call> const& it)
 {
     auto& to = workers_[it->worker];
@@ -458,6 +474,8 @@
 void simulation::tell_routers(worker& at)
 {
     at.told_alive = at.alive;
+    at.told_load = at.published;
+    at.told_at = now();
     placement::endpoint_status status;
     status.id = at.id;
     status.region = kernel::region_id("local");
--- a/bench/policy/simulation.hpp
+++ b/bench/policy/simulation.hpp
@@ -72,6 +72,8 @@
         bool lost = false;
         /// What the routers were told last.
         bool told_alive = true;
+        wire::load_report told_load;
+        sim_time told_at{};
         /// Calls queued or running, by attempt.
         std::unordered_map<std::uint64_t, std::shared_ptr<call>> calls;
         /// Blocks that those calls will have computed.
@@ -97,6 +99,7 @@
 
     void arrive(std::shared_ptr<call> const& it);
     void dispatch(std::shared_ptr<call> const& it);
+    void assume_verdict(std::shared_ptr<call> const& it);
     void deliver(std::shared_ptr<call> const& it);
     void refused(std::shared_ptr<call> const& it, kernel::error const& reason,
                  wire::load_report load);
