--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -34,6 +34,7 @@
     auto const load = load_workload(path, scenario);
     auto const input = make_trace(load, seed);
     std::vector<report_row> rows;
+    rows.reserve(all_policies.size());
     for (auto const it : all_policies)
         rows.push_back(
             {load.name, scenario, seed, it, simulation(load, input, it).run()});
