--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -34,6 +34,7 @@
     auto const load = load_workload(path, scenario);
     auto const input = make_trace(load, seed);
     std::vector<report_row> rows;
+    rows.reserve(all_policies.size());
     for (auto const it : all_policies)
         rows.push_back(
             {load.name, scenario, seed, it, simulation(load, input, it).run()});
@@ -56,6 +57,8 @@
     }
     fmt::print("{}", to_table(rows));
     std::ofstream(args["csv"].as<std::string>()) << to_csv(rows);
+    if (args.count("trace") > 0)
+        std::ofstream(args["trace"].as<std::string>()) << to_trace_csv(rows);
     return 0;
 }
 
@@ -74,7 +77,8 @@
         cxxopts::value<std::vector<std::uint64_t>>()->default_value("1"))(
         "csv", "file for the figures",
         cxxopts::value<std::string>()->default_value("policy_bench.csv"))(
-        "help", "print this text");
+        "trace", "file for one line per request",
+        cxxopts::value<std::string>())("help", "print this text");
     try
     {
         auto const args = options.parse(argc, argv);
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -25,6 +25,11 @@
 constexpr sim_time verdict_timeout = 250ms;
 constexpr sim_time heartbeat_interval = 1s;
 
+double to_ms(sim_time time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
 } // namespace
 
 struct simulation::call
@@ -36,6 +41,7 @@
     std::uint64_t router_life = 0;
     std::size_t attempts = 0;
     sim_time started{};
+    request_trace trace;
     bool has_output = false;
     bool measured = false;
     bool ended = false;
@@ -123,8 +129,12 @@
         it->policy = make_policy(kind_, load_, clock_, *this);
         ++it->life;
     }
-    for (auto const& it : workers_)
+    for (auto& it : workers_)
+    {
+        // The agent's hello carries its current state.
+        it.published = current_load(it);
         tell_routers(it);
+    }
 }
 
 void simulation::schedule_trace()
@@ -185,8 +195,11 @@
 {
     if (now() > load_.duration)
         return;
-    for (auto const& it : workers_)
+    for (auto& it : workers_)
+    {
+        it.published = current_load(it);
         tell_routers(it);
+    }
     after(heartbeat_interval, [this] { send_heartbeats(); });
 }
 
@@ -204,12 +217,15 @@
     if (now() >= it->deadline())
         return end(*it, result_.late);
     placing_ = it->spec;
+    it->request.time_left = round<milliseconds>(it->deadline() - now());
     auto const choice = from.policy->choose(it->request);
     if (!kernel::ok(choice))
         return end(*it, result_.refused);
 
     it->worker = worker_index_.at(kernel::value(choice).endpoint);
     auto const& to = workers_[it->worker];
+    trace_placement(*it, kernel::value(choice));
+    result_.chosen_unavailable += to.told_alive ? 0 : 1;
     it->attempt = ++next_attempt_;
     it->router_life = from.life;
     ++it->attempts;
@@ -217,16 +233,29 @@
         ++result_.attempts;
     from.policy->on_sent(it->request, to.id);
     if (kind_ == policy_kind::trusting)
-    {
-        // Assumes that the prompt will be cached and keeps the old load.
-        wire::verdict assumed;
-        assumed.hit_bytes = kernel::value(choice).expected_hit_bytes;
-        assumed.load = to.published;
-        from.policy->on_verdict(it->request, to.id, assumed);
-    }
+        assume_verdict(it);
     after(load_.network_latency, [this, it] { deliver(it); });
 }
 
+// A router without verdicts assumes that the whole prompt will be cached. Of
+// the load it knows the last heartbeat and its own calls since, so the call
+// stays counted as unanswered.
+void simulation::assume_verdict(std::shared_ptr<call> const& it)
+{
+    auto& policy = *routers_[it->spec->router]->policy;
+    auto const& to = workers_[it->worker];
+    wire::verdict assumed;
+    assumed.hit_bytes = it->spec->prompt_bytes;
+    assumed.load = to.told_load;
+    assumed.load.recent_levels.clear();
+    assumed.load.queue_wait = std::max(
+        assumed.load.queue_wait - round<milliseconds>((now() - to.told_at) / 2),
+        0ms);
+    policy.on_verdict(it->request, to.id, assumed);
+    policy.on_sent(it->request, to.id);
+    policy.on_finished(it->request, to.id, nullptr);
+}
+
 void simulation::deliver(std::shared_ptr<call> const& it)
 {
     auto& to = workers_[it->worker];
@@ -260,6 +289,7 @@
         return;
     }
     to.calls.emplace(it->attempt, it);
+    to.recent.add(it->spec->levels);
     for (auto const block : it->spec->blocks)
         ++to.pending[block];
     if (kind_ != policy_kind::trusting)
@@ -323,6 +353,9 @@
     it->started = now();
     std::size_t const cached = to.engine->cached_blocks(it->spec->blocks);
     count_start(*it, cached);
+    it->trace.wait_ms = to_ms(now() - it->spec->arrival);
+    it->trace.prefix_bytes = it->spec->blocks.size() * placement::block_bytes;
+    it->trace.hit_bytes = cached * placement::block_bytes;
     // Blocks in use are kept: they move to the front of the cache.
     to.engine->use({it->spec->blocks.data(), cached});
     sim_time const prefill =
@@ -355,8 +388,9 @@
     if (!it->measured)
         return;
     sim_time const ttft = now() + load_.network_latency - it->spec->arrival;
-    result_.ttft.push_back(
-        std::chrono::duration<double, std::milli>(ttft).count());
+    result_.ttft.push_back(to_ms(ttft));
+    it->trace.ttft_ms = to_ms(ttft);
+    result_.traces.push_back(it->trace);
 }
 
 void simulation::complete(worker& to, std::shared_ptr<call> const& it)
@@ -398,6 +432,7 @@
         std::make_unique<admission::admission_queue>(*clock_, load_.max_queue);
     to.queue->set_capacity(load_.slots);
     to.engine->restart();
+    to.recent.clear();
     to.published = current_load(to);
     after(detection, [this, &to] { tell_routers(to); });
     std::vector<std::uint64_t> attempts;
@@ -436,8 +471,11 @@
                              hidden ? nullptr : &*load);
 }
 
-void simulation::tell_routers(worker const& at)
+void simulation::tell_routers(worker& at)
 {
+    at.told_alive = at.alive;
+    at.told_load = at.published;
+    at.told_at = now();
     placement::endpoint_status status;
     status.id = at.id;
     status.region = kernel::region_id("local");
@@ -464,6 +502,7 @@
     load.queued = static_cast<std::uint32_t>(at.queue->queued());
     load.capacity = static_cast<std::uint32_t>(at.queue->capacity());
     load.queue_wait = at.queue->estimated_wait();
+    load.recent_levels = at.recent.list();
     load.models = {{kernel::model_id("m"), kernel::model_version("1")}};
     return load;
 }
@@ -477,6 +516,29 @@
            spec.decode;
 }
 
+void simulation::trace_placement(call& it,
+                                 placement::placement_choice const& choice)
+{
+    auto& out = it.trace;
+    out.arrival_ms = to_ms(it.spec->arrival);
+    out.worker = it.worker;
+    out.attempts = it.attempts + 1;
+    out.expected_hit_bytes = choice.expected_hit_bytes;
+    out.expected_wait_ms = to_ms(choice.expected_wait);
+    auto const& chosen = workers_[it.worker].id;
+    out.chosen_wait_ms = to_ms(wait(chosen));
+    out.chosen_hit_bytes = hit_bytes(chosen);
+    out.best_worker = it.worker;
+    out.best_hit_bytes = out.chosen_hit_bytes;
+    for (auto const& other : workers_)
+        if (other.alive && hit_bytes(other.id) > out.best_hit_bytes)
+        {
+            out.best_worker = worker_index_.at(other.id);
+            out.best_hit_bytes = hit_bytes(other.id);
+        }
+    out.best_wait_ms = to_ms(wait(workers_[out.best_worker].id));
+}
+
 sim_time simulation::prefill_time(std::uint64_t bytes) const
 {
     return std::chrono::duration_cast<sim_time>(std::chrono::duration<double>(
@@ -516,9 +578,7 @@
         return;
     ++counter;
     if (&counter == &result_.refused)
-        result_.refusal_time.push_back(
-            std::chrono::duration<double, std::milli>(now() - it.spec->arrival)
-                .count());
+        result_.refusal_time.push_back(to_ms(now() - it.spec->arrival));
 }
 
 simulation::worker const& simulation::find(kernel::endpoint_id const& id) const
--- a/bench/policy/simulation.hpp
+++ b/bench/policy/simulation.hpp
@@ -3,6 +3,7 @@
 
 #include "admission/admission_queue.hpp"
 #include "kernel/manual_clock.hpp"
+#include "placement/recent_levels.hpp"
 #include "placement/retry_budget.hpp"
 #include "placement/types/placement_request.hpp"
 #include "policy/block_ledger.hpp"
@@ -22,6 +23,11 @@
 #include <unordered_map>
 #include <vector>
 
+namespace endiveward::placement
+{
+struct placement_choice;
+}
+
 namespace endiveward::bench
 {
 
@@ -60,9 +66,14 @@
         std::size_t zone = 0;
         std::unique_ptr<engine_fake> engine;
         std::unique_ptr<admission::admission_queue> queue;
+        placement::recent_levels recent;
         wire::load_report published;
         bool alive = true;
         bool lost = false;
+        /// What the routers were told last.
+        bool told_alive = true;
+        wire::load_report told_load;
+        sim_time told_at{};
         /// Calls queued or running, by attempt.
         std::unordered_map<std::uint64_t, std::shared_ptr<call>> calls;
         /// Blocks that those calls will have computed.
@@ -88,6 +99,7 @@
 
     void arrive(std::shared_ptr<call> const& it);
     void dispatch(std::shared_ptr<call> const& it);
+    void assume_verdict(std::shared_ptr<call> const& it);
     void deliver(std::shared_ptr<call> const& it);
     void refused(std::shared_ptr<call> const& it, kernel::error const& reason,
                  wire::load_report load);
@@ -102,12 +114,13 @@
     void restart_worker(worker& at);
     void finished(std::shared_ptr<call> const& it,
                   std::optional<wire::load_report> load);
-    void tell_routers(worker const& at);
+    void tell_routers(worker& at);
 
     wire::load_report report(worker& at) const;
     wire::load_report current_load(worker const& at) const;
     std::chrono::milliseconds service_time(worker const& at,
                                            request_spec const& spec) const;
+    void trace_placement(call& it, placement::placement_choice const& choice);
     sim_time prefill_time(std::uint64_t bytes) const;
     void count_start(call& it, std::size_t cached);
     void end(call& it, std::size_t& counter);
--- a/packages/placement/internal/endpoint_record.hpp
+++ b/packages/placement/internal/endpoint_record.hpp
@@ -38,6 +38,11 @@
     std::uint64_t expected_hit(placement_request const& request,
                                kernel::steady_time now) const;
 
+    std::chrono::duration<double> report_age(kernel::steady_time now) const
+    {
+        return now - reported_at_;
+    }
+
     void sent(kernel::steady_time now);
     /// The agent has answered the oldest call without a verdict.
     void answered();
@@ -59,7 +64,7 @@
     std::uint64_t weight_seed_;
     std::size_t max_hints_;
     hit_hints hints_;
-    kernel::incarnation engine_; // last known one, never back to zero
+    kernel::incarnation engine_ = 0; // last known one, never back to zero
     kernel::steady_time reported_at_;
     std::array<kernel::incarnation, 4> retired_{};
     std::size_t next_retired_ = 0;
--- a/packages/placement/tests/placement_test.cpp
+++ b/packages/placement/tests/placement_test.cpp
@@ -262,6 +262,38 @@
     CHECK(f.choose(request).endpoint == home);
 }
 
+// Guards against routers that do not know what the others have placed, and
+// against counting such levels for a dead engine (G1).
+TEST_CASE("levels reported by the agent count as hints of its engine")
+{
+    fixture f(2);
+    auto const request = f.request({text('a', 64)});
+    auto const home = f.choose(request).endpoint;
+    auto const other = other_than(home);
+    auto load = idle(1);
+    load.recent_levels = request.levels;
+    f.run(f.request({text('z', 1)}), other, 0, load);
+    CHECK(f.choose(request).endpoint == other);
+    f.run(f.request({text('z', 1)}), other, 0, idle(2));
+    CHECK(f.choose(request).endpoint == home);
+    f.run(f.request({text('z', 1)}), other, 0, load);
+    CHECK(f.choose(request).endpoint == home);
+}
+
+// Guards against a router that restarts and ignores what the agents tell it
+// when they connect (G3).
+TEST_CASE("the first report of an endpoint brings hints")
+{
+    fixture f(2);
+    auto const request = f.request({text('a', 64)});
+    auto const other = other_than(f.choose(request).endpoint);
+    f.sut.remove_endpoint(other);
+    auto back = status(other == endpoint(0) ? 0 : 1);
+    back.load.recent_levels = request.levels;
+    f.sut.update_endpoint(back);
+    CHECK(f.choose(request).endpoint == other);
+}
+
 // Guards against an endpoint that stays unusable after a lost connection, when
 // membership does not know the incarnation for a while.
 TEST_CASE("an unknown incarnation does not retire the engine")
@@ -464,6 +496,24 @@
     CHECK(kernel::failure(res).run == kernel::run_state::not_run);
 }
 
+// Guards against attempts that only multiply the load of a busy system.
+TEST_CASE("a refused request does not try endpoints beyond its deadline")
+{
+    fixture f(2);
+    auto request = f.request({text('a', 16)});
+    auto const first = f.choose(request).endpoint;
+    auto const second = other_than(first);
+    f.run(request, second, 0, busy(10s));
+    request.time_left = 5s;
+    // The first attempt is not held back by an estimate.
+    f.run(request, first, 0, busy(20s));
+    CHECK(f.choose(request).endpoint == second);
+    request.excluded = {first};
+    CHECK(f.refusal(request) == kernel::error_kind::overloaded);
+    request.time_left = 15s;
+    CHECK(f.choose(request).endpoint == second);
+}
+
 // Guards against traffic that leaves its region while it can be served there.
 TEST_CASE("other regions serve only while no local endpoint is available")
 {
