Refuse a retry only if every endpoint would miss the deadline

Cause: dropping single endpoints whose expected wait exceeds the deadline left the choice to the few with a short queue, whatever they had cached, and lost hit rate and goodput in overload.

--- a/packages/placement/internal/placement.cpp
+++ b/packages/placement/internal/placement.cpp
@@ -95,16 +95,17 @@
 }
 
 // A first attempt goes out whatever the wait, because the verdict corrects the
-// estimate; another one that would be refused as well only costs time.
-bool worth_trying(placement_request const& request,
-                  endpoint_record const& record, kernel::steady_time now)
+// estimate; another one that would be refused as well only costs time. The
+// choice among the others stays with the cost, which keeps prefixes together.
+bool worth_trying(placement_request const& request, record_list const& records,
+                  kernel::steady_time now)
 {
-    if (request.excluded.empty())
+    if (request.excluded.empty() || !request.time_left)
         return true;
-    if (contains(request.excluded, record.status().id))
-        return false;
-    return !request.time_left ||
-           record.expected_wait(now) <= *request.time_left;
+    return std::any_of(records.begin(), records.end(),
+                       [&](endpoint_record const* it) {
+                           return it->expected_wait(now) <= *request.time_left;
+                       });
 }
 
 } // namespace
@@ -153,8 +154,8 @@
     for (auto const* it : records)
         least = std::min(least, it->expected_wait(now));
     std::erase_if(records, [&](endpoint_record const* it)
-                  { return !worth_trying(request, *it, now); });
-    if (records.empty())
+                  { return contains(request.excluded, it->status().id); });
+    if (records.empty() || !worth_trying(request, records, now))
         return all_refused(to_milliseconds(least));
 
     rank(request, records);
