--- a/bench/policy/tests/goals_test.cpp
+++ b/bench/policy/tests/goals_test.cpp
@@ -45,11 +45,24 @@
     return run(describe(deployment, scenario), kind);
 }
 
+/// The 99th percentile of time to first token over all window seeds, since
+/// the last hundredth of one run is about 27 requests.
+double tail_ttft(workload const& load, policy_kind kind)
+{
+    run_result all;
+    for (auto const with_seed : window_seeds)
+    {
+        auto const result = run(load, kind, with_seed);
+        all.ttft.insert(all.ttft.end(), result.ttft.begin(), result.ttft.end());
+    }
+    return all.ttft_percentile(0.99);
+}
+
 void check_tail(std::string const& scenario)
 {
     auto const load = describe("consortium", scenario);
-    auto const ours = run(load, policy_kind::endiveward).ttft_percentile(0.99);
-    auto const best = run(load, policy_kind::oracle).ttft_percentile(0.99);
+    auto const ours = tail_ttft(load, policy_kind::endiveward);
+    auto const best = tail_ttft(load, policy_kind::oracle);
     INFO("p99 TTFT " << ours << " ms, oracle " << best << " ms");
     CHECK(ours <= 1.2 * best);
 }
@@ -57,12 +70,12 @@
 void check_tail_of_baselines(std::string const& scenario)
 {
     auto const load = describe("consortium", scenario);
-    auto const ours = run(load, policy_kind::endiveward).ttft_percentile(0.99);
+    auto const ours = tail_ttft(load, policy_kind::endiveward);
     for (auto const kind :
          {policy_kind::round_robin, policy_kind::least_loaded,
           policy_kind::prefix_hash, policy_kind::bounded_prefix_hash})
     {
-        auto const theirs = run(load, kind).ttft_percentile(0.99);
+        auto const theirs = tail_ttft(load, kind);
         INFO(to_string(kind)
              << " " << theirs << " ms, endiveward " << ours << " ms");
         CHECK(ours < theirs);
--- a/packages/agent/internal/call_executor.cpp
+++ b/packages/agent/internal/call_executor.cpp
@@ -140,6 +140,7 @@
         return refuse(which, kernel::failure(queued));
     which.state = call_state::queued;
     which.hit_bytes = services_.cache->hit_bytes(which.request.prefix_levels);
+    services_.load->record_levels(which.request.prefix_levels);
     sender_.send_verdict(which, std::nullopt);
     pump();
 }
--- a/packages/agent/internal/load_reporter.cpp
+++ b/packages/agent/internal/load_reporter.cpp
@@ -22,6 +22,9 @@
 
 void load_reporter::update_engine(engine_load load)
 {
+    // Levels of the former engine say nothing about the new one's cache.
+    if (load.incarnation != engine_.incarnation)
+        recent_.clear();
     engine_ = std::move(load);
     // An engine that reports no capacity is limited by the settings alone.
     auto const capacity = engine_.capacity == 0
@@ -50,6 +53,11 @@
     return engine_.incarnation;
 }
 
+void load_reporter::record_levels(std::span<wire::prefix_level const> levels)
+{
+    recent_.add(levels);
+}
+
 wire::load_report load_reporter::report()
 {
     wire::load_report load;
@@ -61,6 +69,7 @@
     load.queue_wait = queue_->estimated_wait();
     load.draining = queue_->draining();
     load.models = engine_.models;
+    load.recent_levels = recent_.list();
     published_.store(std::make_shared<wire::load_report const>(load));
     return load;
 }
--- a/packages/agent/internal/load_reporter.hpp
+++ b/packages/agent/internal/load_reporter.hpp
@@ -3,6 +3,7 @@
 
 #include "agent/types/engine_load.hpp"
 #include "kernel/snapshot.hpp"
+#include "placement/recent_levels.hpp"
 #include "wire/types/load_report.hpp"
 
 #include <cstddef>
@@ -33,6 +34,8 @@
     bool serves(kernel::model_id const& model,
                 kernel::model_version const& version) const;
     kernel::incarnation engine_incarnation() const;
+    /// A call with these prefix levels was accepted.
+    void record_levels(std::span<wire::prefix_level const> levels);
 
     /// The current state; also published for `latest`.
     wire::load_report report();
@@ -43,6 +46,7 @@
     kernel::incarnation const agent_;
     std::size_t const max_capacity_;
     engine_load engine_;
+    placement::recent_levels recent_;
     kernel::snapshot<wire::load_report> published_;
 };
 
--- a/packages/agent/internal/router_connections.cpp
+++ b/packages/agent/internal/router_connections.cpp
@@ -130,7 +130,11 @@
 
 wire::heartbeat router_connections::make_heartbeat() const
 {
-    return {configuration_->current()->version(), load_->report(), false};
+    auto load = load_->report();
+    // Hints are of use with calls; on idle connections they would exceed the
+    // budget for control traffic.
+    load.recent_levels.clear();
+    return {configuration_->current()->version(), std::move(load), false};
 }
 
 void router_connections::update_size()
--- a/packages/config/types/router_settings.hpp
+++ b/packages/config/types/router_settings.hpp
@@ -31,7 +31,7 @@
     /// Seconds of extra wait accepted to save one second of recomputation.
     double recompute_weight = 1.0;
     /// Ranked endpoints that are compared by cost.
-    std::size_t candidates = 8;
+    std::size_t candidates = 16;
     /// Prompt bytes that an engine processes per second.
     std::uint64_t prefill_bytes_per_second = 40'000;
 
--- a/packages/router/call_relay.hpp
+++ b/packages/router/call_relay.hpp
@@ -66,6 +66,8 @@
 
     call_event choose(std::vector<kernel::endpoint_id> excluded);
     bool find_allowed();
+    /// Time until the deadline; not negative.
+    std::chrono::milliseconds time_left() const;
     bool find_allowed_for_model();
     bool find_allowed_for_service();
     void use_levels();
--- a/packages/router/internal/call_relay.cpp
+++ b/packages/router/internal/call_relay.cpp
@@ -141,12 +141,21 @@
     if (!find_allowed())
         return no_endpoint_chosen{no_endpoint_};
     placement_request_.excluded = std::move(excluded);
+    placement_request_.time_left = time_left();
     auto const res = services_->placement->choose(placement_request_);
     if (!kernel::ok(res))
         return no_endpoint_chosen{kernel::failure(res)};
     return endpoint_chosen{kernel::value(res).endpoint};
 }
 
+std::chrono::milliseconds call_relay::time_left() const
+{
+    using std::chrono::milliseconds;
+    auto const left = deadline_ - services_->clock->now();
+    return std::max(std::chrono::duration_cast<milliseconds>(left),
+                    milliseconds(0));
+}
+
 bool call_relay::find_allowed()
 {
     if (request_.target == wire::target_kind::service)
@@ -261,10 +270,7 @@
     msg.streaming = request_.streaming;
     msg.idempotent = request_.idempotent;
     msg.idempotency_key = request_.idempotency_key;
-    msg.deadline =
-        std::max(std::chrono::duration_cast<std::chrono::milliseconds>(
-                     deadline_ - services_->clock->now()),
-                 std::chrono::milliseconds(0));
+    msg.deadline = time_left();
     msg.priority = request_.priority;
     msg.config_version = config_version_;
     msg.prefix_levels = placement_request_.levels;
