Spread configuration versions from routers to agents and routers

A router pushes each new version to the agents for which it is among the first two routers of its region, and to at most four routers. Routers exchange gossip each second over connections that are opened on demand and closed after 10 s without use; the older side requests what it lacks. Decisions are in config_spread, which does no I/O.

--- a/packages/router/agent_connections.hpp
+++ b/packages/router/agent_connections.hpp
@@ -20,6 +20,7 @@
 
 namespace endiveward::kernel
 {
+class i_clock;
 class i_random_source;
 class thread_pool;
 } // namespace endiveward::kernel
@@ -48,23 +49,30 @@
     std::shared_ptr<kernel::thread_pool> control;
     /// Threads of the connections.
     std::shared_ptr<kernel::thread_pool> traffic;
+    std::shared_ptr<kernel::i_clock const> clock;
     std::shared_ptr<kernel::i_random_source> random;
     std::shared_ptr<config::i_config_state> configuration;
     std::shared_ptr<placement::i_placement> placement;
     /// Null if the platform has no list.
     std::shared_ptr<platform::i_vm_list> vms;
+    /// Name of this process.
+    kernel::process_id self;
     kernel::region_id region;
     std::vector<config::socket_address> seeds;
     std::chrono::milliseconds vm_poll_interval{3000};
     std::chrono::milliseconds vm_timeout{1000};
     std::chrono::milliseconds heartbeat_interval{30'000};
+    std::chrono::milliseconds gossip_interval{1000};
     /// Counts messages that belong to no open call; may be empty.
     std::function<void()> on_dropped;
+    /// Counts configuration updates sent to other processes; may be empty.
+    std::function<void()> on_update_sent;
 };
 
 /// Membership: keeps one authenticated connection to each agent known from the
 /// seeds and the list of VMs, and tells placement which endpoints are
-/// available.
+/// available. Connects to other routers on demand and spreads new
+/// configuration versions.
 class agent_connections : public wire::i_connection_observer,
                           public i_agent_directory,
                           public observe::i_state_source
@@ -75,6 +83,8 @@
     agent_connections(agent_connections const&) = delete;
     agent_connections& operator=(agent_connections const&) = delete;
 
+    /// Where this process listens for others; call before `start`.
+    void set_own_address(config::socket_address const& address);
     /// Starts connecting; `wire_options` names this object as observer.
     void start(std::shared_ptr<wire::connection_options const> wire_options);
     /// Closes all connections and starts no more.
--- /dev/null
+++ b/packages/router/config_spread.hpp
@@ -0,0 +1,117 @@
+#ifndef ENDIVEWARD_ROUTER_CONFIG_SPREAD_HPP
+#define ENDIVEWARD_ROUTER_CONFIG_SPREAD_HPP
+
+#include "config/config_distribution.hpp"
+#include "config/types/socket_address.hpp"
+#include "kernel/i_clock.hpp"
+#include "router/types/push_target.hpp"
+#include "wire/types/gossip.hpp"
+#include "wire/types/hello.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace endiveward::kernel
+{
+class i_random_source;
+}
+
+namespace endiveward::router
+{
+
+/// Decides which processes get a new configuration version, with which routers
+/// this one gossips, and which connections to routers are idle. No I/O. Safe
+/// for concurrent use.
+class config_spread
+{
+    std::shared_ptr<kernel::i_clock const> clock_;
+    std::shared_ptr<kernel::i_random_source> random_;
+
+public:
+    static constexpr std::size_t gossip_fanout = 2;
+    /// A member takes about 100 bytes, so that gossip stays below half of the
+    /// 4 KB/s that a daemon may use for control.
+    static constexpr std::size_t max_gossip_members = 8;
+    /// A router that was not heard of for this long does not count as live.
+    static constexpr std::chrono::seconds member_lifetime{30};
+    static constexpr std::chrono::seconds idle_limit{10};
+
+    config_spread(kernel::process_id self, kernel::region_id region,
+                  std::shared_ptr<kernel::i_clock const> clock,
+                  std::shared_ptr<kernel::i_random_source> random);
+
+    /// An address at which this router itself listens.
+    void add_own_address(config::socket_address const& address);
+    /// A seed that turned out to be a router; kept for good.
+    void add_seed(config::socket_address const& address);
+    /// Routers of the list of VMs that are not leaving; replaces the last list.
+    void set_listed(std::vector<config::socket_address> const& routers);
+
+    /// A connection was opened, by either side.
+    void on_open(wire::hello const& peer);
+    void on_closed(wire::hello const& peer);
+    void on_address(kernel::process_id const& router,
+                    config::socket_address const& address);
+    /// A connected process sent or was sent something.
+    void on_used(kernel::process_id const& process);
+    /// A connected process reported its version.
+    void on_version(kernel::process_id const& process,
+                    kernel::config_version version);
+    void on_gossip(wire::gossip const& msg);
+
+    /// Whom to tell about a version; each process is named once for a version
+    /// unless it reconnects.
+    std::vector<push_target> push_targets(kernel::config_version version);
+    /// At most two random routers.
+    std::vector<router_contact> gossip_contacts();
+    /// Names this router and routers that it heard itself: if rumours were
+    /// passed on, routers would keep a dead one alive among themselves.
+    wire::gossip make_gossip(kernel::config_version version,
+                             wire::hello const& own) const;
+    /// Routers whose connections were not used for `idle_limit`.
+    std::vector<kernel::process_id> idle_routers() const;
+
+private:
+    struct known_process
+    {
+        wire::hello hello;
+        kernel::config_version version = 0;
+        config::socket_address address;
+        std::size_t connections = 0;
+        /// Last message of the process itself or of gossip about it.
+        kernel::steady_time heard;
+        /// Last message of the process itself.
+        std::optional<kernel::steady_time> heard_itself;
+        kernel::steady_time used;
+    };
+
+    using process_map = std::map<std::string, known_process>;
+
+    bool is_self(kernel::process_id const& process) const;
+    bool is_own(config::socket_address const& address) const;
+    bool is_live(known_process const& it) const;
+    void drop_expired();
+    std::vector<config::distribution_member>
+    members(bool agents, kernel::config_version version) const;
+    std::vector<router_contact> contacts() const;
+
+    kernel::process_id const self_;
+    kernel::region_id const region_;
+    config::config_distribution const distribution_;
+    mutable std::mutex mutex_;
+    std::vector<config::socket_address> own_addresses_;
+    std::vector<config::socket_address> seeds_;
+    std::vector<config::socket_address> listed_;
+    process_map routers_;
+    process_map agents_;
+};
+
+} // namespace endiveward::router
+
+#endif
--- a/packages/router/internal/agent_connections.cpp
+++ b/packages/router/internal/agent_connections.cpp
@@ -9,10 +9,14 @@
 #include "placement/types/endpoint_status.hpp"
 #include "platform/i_vm_list.hpp"
 #include "router/agent_channel.hpp"
+#include "router/config_spread.hpp"
 #include "router/internal/backoff.hpp"
+#include "wire/connection_options.hpp"
 #include "wire/connector.hpp"
 #include "wire/i_connection.hpp"
+#include "wire/i_local_identity.hpp"
 
+#include <asio/ip/address.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <fmt/format.h>
@@ -54,11 +58,23 @@
 public:
     explicit impl(agent_connections_options options)
         : options_(std::move(options))
+        , spread_(options_.self, options_.region, options_.clock,
+                  options_.random)
         , vm_timer_(options_.control->context(0))
         , heartbeat_timer_(options_.control->context(0))
+        , gossip_timer_(options_.control->context(0))
     {
     }
 
+    void set_own_address(config::socket_address const& address)
+    {
+        // Other processes cannot connect to 0.0.0.0 or ::.
+        std::error_code ec;
+        auto const ip = asio::ip::make_address(address.address, ec);
+        if (!ec && !ip.is_unspecified())
+            spread_.add_own_address(address);
+    }
+
     void start(std::shared_ptr<wire::connection_options const> wire_options)
     {
         options_.configuration->subscribe(
@@ -66,17 +82,22 @@
                 std::shared_ptr<config::i_configuration const> const& next)
             {
                 if (auto const self = weak.lock())
+                {
                     self->on_configuration(next->version());
+                    self->spread_later();
+                }
             });
         asio::post(
             options_.control->context(0),
             [self = shared_from_this(), wire_options = std::move(wire_options)]
             {
+                self->identity_ = wire_options->identity;
                 self->connector_.emplace(wire_options);
                 for (auto const& it : self->options_.seeds)
                     self->add_link(it, true);
                 self->poll_vms();
                 self->wait_for_heartbeat();
+                self->wait_for_gossip();
             });
     }
 
@@ -98,6 +119,7 @@
                        self->connector_.reset();
                        self->vm_timer_.cancel();
                        self->heartbeat_timer_.cancel();
+                       self->gossip_timer_.cancel();
                        for (auto& [key, link] : self->links_)
                            link.timer->cancel();
                    });
@@ -111,6 +133,7 @@
 
     void on_open(std::shared_ptr<wire::i_connection> const& conn)
     {
+        spread_.on_open(conn->peer());
         std::lock_guard const lock(mutex_);
         peers_[conn.get()].channel = std::make_shared<agent_channel>(conn);
     }
@@ -138,6 +161,7 @@
             peers_.erase(it);
             was_agent = remove_agent(lost);
         }
+        spread_.on_closed(conn->peer());
         lost.channel->on_lost();
         if (was_agent)
             LOG4CPLUS_WARN(logger(), "connection to the agent of endpoint "
@@ -252,6 +276,9 @@
         bool listed = false;
         bool leaving = false;
         bool connected = false;
+        /// Leads to a router and is connected on demand.
+        bool router = false;
+        bool connecting = false;
         kernel::endpoint_id endpoint;
         backoff delays;
         std::unique_ptr<asio::steady_timer> timer;
@@ -401,12 +428,14 @@
     void on(std::shared_ptr<agent_channel> const& channel,
             wire::config_request const& msg)
     {
+        spread_.on_version(channel->peer().process, msg.known_version);
         channel->send(options_.configuration->update_since(msg.known_version));
     }
 
     void on(std::shared_ptr<agent_channel> const& channel,
             wire::config_update const& msg)
     {
+        spread_.on_version(channel->peer().process, msg.to_version);
         auto const res = options_.configuration->apply(msg);
         if (kernel::ok(res))
             return;
@@ -422,7 +451,12 @@
     void on(std::shared_ptr<agent_channel> const& channel,
             wire::gossip const& msg)
     {
+        spread_.on_gossip(msg);
         request_newer(*channel, msg.config_version);
+        // Tells the older side what it lacks; an answer is never answered,
+        // because its version is higher.
+        if (msg.config_version < current_version())
+            channel->send(wire::gossip{current_version(), {}});
     }
 
     /// Messages that only agents receive.
@@ -435,6 +469,7 @@
 
     void request_newer(agent_channel& channel, kernel::config_version version)
     {
+        spread_.on_version(channel.peer().process, version);
         auto const known = current_version();
         if (version > known)
             channel.send(wire::config_request{known});
@@ -461,6 +496,118 @@
         }
     }
 
+    // Spread of configuration versions, control thread
+
+    void spread_later()
+    {
+        asio::post(options_.control->context(0),
+                   [self = shared_from_this()] { self->spread(); });
+    }
+
+    void spread()
+    {
+        if (!connector_)
+            return;
+        for (auto const& it : spread_.push_targets(current_version()))
+        {
+            auto const channel = channel_to(it.contact.process);
+            // The hello of a new connection names the version, and the other
+            // side requests the update.
+            if (!channel)
+            {
+                connect_to_router(it.contact.address);
+                continue;
+            }
+            channel->send(
+                options_.configuration->update_since(it.known_version));
+            spread_.on_used(it.contact.process);
+            if (options_.on_update_sent)
+                options_.on_update_sent();
+        }
+    }
+
+    void wait_for_gossip()
+    {
+        gossip_timer_.expires_after(options_.gossip_interval);
+        gossip_timer_.async_wait(
+            [self = shared_from_this()](std::error_code ec)
+            {
+                if (ec || !self->connector_)
+                    return;
+                self->close_idle_routers();
+                self->exchange_gossip();
+                self->wait_for_gossip();
+            });
+    }
+
+    void exchange_gossip()
+    {
+        for (auto const& it : spread_.gossip_contacts())
+        {
+            if (auto const channel = channel_to(it.process))
+                send_gossip(*channel);
+            else
+                connect_to_router(it.address);
+        }
+    }
+
+    void send_gossip(agent_channel& channel)
+    {
+        channel.send(
+            spread_.make_gossip(current_version(), identity_->describe()));
+        spread_.on_used(channel.peer().process);
+    }
+
+    /// The side that opened a connection closes it.
+    void close_idle_routers()
+    {
+        for (auto const& it : spread_.idle_routers())
+        {
+            for (auto const& channel : channels_to(it, true))
+                channel->connection()->close();
+        }
+    }
+
+    std::shared_ptr<agent_channel>
+    channel_to(kernel::process_id const& process) const
+    {
+        auto const all = channels_to(process, false);
+        return all.empty() ? nullptr : all.front();
+    }
+
+    std::vector<std::shared_ptr<agent_channel>>
+    channels_to(kernel::process_id const& process, bool only_own) const
+    {
+        std::vector<std::shared_ptr<agent_channel>> out;
+        if (process.empty())
+            return out;
+        std::lock_guard const lock(mutex_);
+        for (auto const& [conn, it] : peers_)
+        {
+            if (it.channel->peer().process == process &&
+                !(only_own && it.link.empty()))
+                out.push_back(it.channel);
+        }
+        return out;
+    }
+
+    void connect_to_router(config::socket_address const& address)
+    {
+        if (address.port == 0)
+            return;
+        auto const key = key_of(address);
+        auto& found = links_[key];
+        if (!found.timer)
+        {
+            found.address = address;
+            found.router = true;
+            found.timer = std::make_unique<asio::steady_timer>(
+                options_.control->context(0));
+        }
+        if (found.router && !found.connected && !found.connecting)
+            connect(key);
+    }
+
     // Membership, control thread
 
     void add_link(config::socket_address const& address, bool seed)
@@ -496,6 +643,7 @@
         auto const it = links_.find(key);
         if (it == links_.end() || !connector_)
             return;
+        it->second.connecting = true;
         auto const& address = it->second.address;
         connector_->connect(
             options_.traffic->next_context(), address.address, address.port,
@@ -513,7 +661,7 @@
         {
             asio::post(options_.control->context(0),
                        [self = shared_from_this(), key]
-                       { self->connect_later(key); });
+                       { self->on_link_down(key); });
             return;
         }
         auto const& conn = kernel::value(res);
@@ -524,11 +672,11 @@
         }
         if (conn->peer().role == wire::process_role::agent)
             add_agent(conn);
-        request_newer(*channel_of(conn), conn->peer().config_version);
-        asio::post(
-            options_.control->context(0),
-            [self = shared_from_this(), key, endpoint = conn->peer().endpoint]
-            { self->on_link_up(key, endpoint); });
+        auto const channel = channel_of(conn);
+        request_newer(*channel, conn->peer().config_version);
+        asio::post(options_.control->context(0),
+                   [self = shared_from_this(), key, channel]
+                   { self->on_link_up(key, *channel); });
     }
 
     /// False if this process is stopping.
@@ -566,15 +714,36 @@
         }
     }
 
-    void on_link_up(std::string const& key, kernel::endpoint_id const& endpoint)
+    void on_link_up(std::string const& key, agent_channel& channel)
     {
         auto const it = links_.find(key);
         if (it == links_.end())
             return;
-        it->second.connected = true;
-        it->second.endpoint = endpoint;
-        it->second.delays.reset();
-        apply_leaving(it->second);
+        auto& found = it->second;
+        found.connecting = false;
+        found.connected = channel.connection()->is_open();
+        found.endpoint = channel.peer().endpoint;
+        found.router = channel.peer().role == wire::process_role::router;
+        found.delays.reset();
+        if (found.router)
+            on_router_link(found, channel);
+        else
+            apply_leaving(found);
+    }
+
+    void on_router_link(link const& found, agent_channel& channel)
+    {
+        auto const& process = channel.peer().process;
+        if (process == options_.self)
+        {
+            spread_.add_own_address(found.address);
+            channel.connection()->close();
+            return;
+        }
+        if (found.seed)
+            spread_.add_seed(found.address);
+        spread_.on_address(process, found.address);
+        send_gossip(channel);
     }
 
     void apply_leaving(link const& it)
@@ -651,8 +820,11 @@
     void apply_vms(std::vector<platform::vm> const& vms)
     {
         std::set<std::string> listed;
+        std::vector<config::socket_address> routers;
         for (auto const& it : vms)
         {
+            if (it.role == platform::vm_role::router && !it.leaving)
+                routers.push_back({it.address, it.port});
             if (it.role != platform::vm_role::agent ||
                 it.region != options_.region)
                 continue;
@@ -665,6 +837,7 @@
             if (std::exchange(found.leaving, it.leaving) != it.leaving)
                 apply_leaving(found);
         }
+        spread_.set_listed(routers);
         remove_unlisted(listed);
     }
 
@@ -676,7 +849,9 @@
                       {
                           auto& [key, found] = it;
                           if (found.seed || listed.contains(key) ||
-                              (found.connected && find(found.endpoint)))
+                              (found.connected &&
+                               (found.router || find(found.endpoint))) ||
+                              (found.router && found.connecting))
                               return false;
                           found.timer->cancel();
                           if (!found.endpoint.empty())
@@ -692,9 +867,12 @@
         if (it == links_.end())
             return;
         it->second.connected = false;
-        connect_later(key);
+        it->second.connecting = false;
+        if (!it->second.router)
+            connect_later(key);
     }
 
+    config_spread spread_;
     mutable std::mutex mutex_;
     bool stopped_ = false;
     std::unordered_map<wire::i_connection const*, peer> peers_;
@@ -707,6 +885,8 @@
     std::map<std::string, link> links_;
     asio::steady_timer vm_timer_;
     asio::steady_timer heartbeat_timer_;
+    asio::steady_timer gossip_timer_;
+    std::shared_ptr<wire::i_local_identity const> identity_;
 };
 
 agent_connections::agent_connections(agent_connections_options options)
@@ -716,6 +896,11 @@
 
 agent_connections::~agent_connections() = default;
 
+void agent_connections::set_own_address(config::socket_address const& address)
+{
+    impl_->set_own_address(address);
+}
+
 void agent_connections::start(
     std::shared_ptr<wire::connection_options const> wire_options)
 {
--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -98,7 +98,9 @@
         http_.start();
         operator_port_ = value_or_throw(operators_->start());
         auto const& peers = settings_.common.listen_peers;
-        value_or_throw(acceptor_->listen(peers.address, peers.port));
+        auto const peer_port =
+            value_or_throw(acceptor_->listen(peers.address, peers.port));
+        connections_->set_own_address({peers.address, peer_port});
         connections_->start(wire_options_);
         caller_port_ = value_or_throw(callers_->start());
         update_metrics();
@@ -142,10 +144,12 @@
         agent_connections_options options;
         options.control = control_;
         options.traffic = traffic_;
+        options.clock = services_->clock;
         options.random = random_;
         options.configuration = configuration_;
         options.placement = services_->placement;
         options.vms = vms_;
+        options.self = settings_.common.name;
         options.region = settings_.common.region;
         options.seeds = settings_.common.seeds;
         options.vm_poll_interval = settings_.vm_poll_interval;
--- a/packages/router/tests/fake_agent.hpp
+++ b/packages/router/tests/fake_agent.hpp
@@ -36,13 +36,15 @@
     /// Runs on the connection's thread.
     using script = std::function<void(connection const&, wire::message const&)>;
 
-    fake_agent(std::string const& endpoint, script on_call)
+    /// With the role of a router it has no endpoint; its name is `endpoint`.
+    fake_agent(std::string const& endpoint, script on_call,
+               wire::process_role role = wire::process_role::agent)
         : script_(std::move(on_call))
         , observer_(std::shared_ptr<void>(), this)
         , options_(std::make_shared<wire::connection_options>())
     {
         options_->key = test_key();
-        options_->identity = std::make_shared<identity>(endpoint);
+        options_->identity = std::make_shared<identity>(endpoint, role);
         options_->random = std::make_shared<kernel::secure_random_source>();
         options_->counters = std::make_shared<wire::wire_counters>();
         options_->observer = observer_;
@@ -63,6 +65,12 @@
         return received_;
     }
 
+    void send(wire::message const& msg)
+    {
+        std::lock_guard const lock(mutex_);
+        last_->send(msg);
+    }
+
     void send_heartbeat()
     {
         std::lock_guard const lock(mutex_);
@@ -104,16 +112,20 @@
     class identity : public wire::i_local_identity
     {
     public:
-        explicit identity(std::string const& endpoint)
+        identity(std::string const& endpoint, wire::process_role role)
             : endpoint_(endpoint)
+            , role_(role)
         {
         }
         wire::hello describe() const override
         {
             wire::hello own;
-            own.role = wire::process_role::agent;
-            own.process = kernel::process_id("agent-" + endpoint_.str());
-            own.endpoint = endpoint_;
+            bool const is_agent = role_ == wire::process_role::agent;
+            own.role = role_;
+            own.process = kernel::process_id(
+                is_agent ? "agent-" + endpoint_.str() : endpoint_.str());
+            if (is_agent)
+                own.endpoint = endpoint_;
             own.region = kernel::region_id("region");
             own.zone = kernel::zone_id("zone");
             return own;
@@ -121,6 +133,7 @@
 
     private:
         kernel::endpoint_id endpoint_;
+        wire::process_role role_;
     };
 
     script script_;
--- a/packages/router/tests/router_test.cpp
+++ b/packages/router/tests/router_test.cpp
@@ -480,4 +480,76 @@
         [&] { return router.placement->is_available(id); }));
 }
 
+namespace
+{
+
+template <typename Message>
+bool has_received(fake_agent const& peer,
+                  std::function<bool(Message const&)> const& matches)
+{
+    for (auto const& it : peer.received())
+    {
+        auto const* msg = std::get_if<Message>(&it);
+        if (msg != nullptr && matches(*msg))
+            return true;
+    }
+    return false;
+}
+
+void ignore(connection const&, wire::message const&) {}
+
+} // namespace
+
+// Guards against versions that stay with the router that read them.
+TEST_CASE("an applied version is pushed to agents and routers")
+{
+    fake_agent const agent("a", ignore);
+    fake_agent const peer("other", ignore, wire::process_role::router);
+    router_under_test router({&agent}, {}, {&peer});
+    auto const is_gossip = [](wire::gossip const&) { return true; };
+    REQUIRE(router_under_test::eventually(
+        [&] { return has_received<wire::gossip>(peer, is_gossip); }));
+
+    router.configuration->apply({1, 2, true, "{}"});
+
+    auto const is_update = [](wire::config_update const& it)
+    { return it.to_version == 2; };
+    CHECK(router_under_test::eventually(
+        [&] { return has_received<wire::config_update>(agent, is_update); }));
+    CHECK(router_under_test::eventually(
+        [&] { return has_received<wire::config_update>(peer, is_update); }));
+    CHECK(router_under_test::eventually([&]
+                                        { return router.updates_sent == 2; }));
+}
+
+// Guards against a router that stays old although a peer told it of a newer
+// version.
+TEST_CASE("the older side of gossip requests what it lacks")
+{
+    fake_agent peer(
+        "other",
+        [](connection const& conn, wire::message const& msg)
+        {
+            if (std::holds_alternative<wire::config_request>(msg))
+                conn->send(wire::config_update{1, 4, true, "{}"});
+        },
+        wire::process_role::router);
+    router_under_test router({}, {}, {&peer});
+    auto const is_gossip = [](wire::gossip const&) { return true; };
+    REQUIRE(router_under_test::eventually(
+        [&] { return has_received<wire::gossip>(peer, is_gossip); }));
+
+    peer.send(wire::gossip{4, {}});
+
+    CHECK(router_under_test::eventually(
+        [&] { return router.configuration->current()->version() == 4; }));
+
+    // A peer that is older learns that it lacks something.
+    peer.send(wire::gossip{3, {}});
+    auto const is_answer = [](wire::gossip const& it)
+    { return it.config_version == 4 && it.members.empty(); };
+    CHECK(router_under_test::eventually(
+        [&] { return has_received<wire::gossip>(peer, is_answer); }));
+}
+
 } // namespace endiveward::router
--- a/packages/router/tests/router_under_test.hpp
+++ b/packages/router/tests/router_under_test.hpp
@@ -31,15 +31,17 @@
 class router_under_test
 {
 public:
-    explicit router_under_test(std::vector<fake_agent const*> const& agents,
-                               caller_api_options api_options = {})
+    explicit router_under_test(
+        std::vector<fake_agent const*> const& agents,
+        caller_api_options api_options = {},
+        std::vector<fake_agent const*> const& routers = {})
     {
         config::i_configuration::endpoint_list const endpoints{
             kernel::endpoint_id("a"), kernel::endpoint_id("b")};
         configuration = std::make_shared<fake_config_state>(
             std::make_shared<fake_configuration>(1, endpoints));
         metrics = std::make_shared<router_metrics>(registry);
-        make_connections(agents);
+        make_connections(agents, routers);
         make_services();
         api_options.services = services;
         api_options.traffic = traffic;
@@ -128,6 +130,8 @@
     std::shared_ptr<caller_api> api;
     std::unique_ptr<caller_server> server;
     std::atomic<int> dropped{0};
+    std::atomic<int> updates_sent{0};
+    static constexpr std::chrono::milliseconds gossip_interval{20};
 
 private:
     class identity : public wire::i_local_identity
@@ -142,17 +146,25 @@
         }
     };
 
-    void make_connections(std::vector<fake_agent const*> const& agents)
+    void make_connections(std::vector<fake_agent const*> const& agents,
+                          std::vector<fake_agent const*> const& routers)
     {
         agent_connections_options options;
         options.control = control;
         options.traffic = traffic;
+        options.clock = std::make_shared<kernel::system_clock>();
         options.random = random;
+        options.self = kernel::process_id("router");
+        options.region = kernel::region_id("region");
         options.configuration = configuration;
         options.placement = placement;
         options.on_dropped = [this] { ++dropped; };
+        options.on_update_sent = [this] { ++updates_sent; };
         for (auto const* it : agents)
             options.seeds.push_back({"127.0.0.1", it->port()});
+        for (auto const* it : routers)
+            options.seeds.push_back({"127.0.0.1", it->port()});
+        options.gossip_interval = gossip_interval;
         connections = std::make_shared<agent_connections>(options);
     }
 
