Wait for a recent configuration at the start and refuse when cut off

A router is ready when the store and the first three processes have answered, or after 300 ms, and the highest version among them is in force. With config.when_isolated = "refuse" new requests get stale_configuration 8 s after the last confirmation; a few processes are probed every 2 s, because heartbeats on idle connections come only every 30 s.

--- a/packages/config/internal/store_follower.cpp
+++ b/packages/config/internal/store_follower.cpp
@@ -56,6 +56,12 @@
         return up_.value_or(false);
     }
 
+    std::optional<kernel::steady_time> last_read() const
+    {
+        std::lock_guard const lock(mutex_);
+        return last_read_;
+    }
+
 private:
     void read()
     {
@@ -80,6 +86,8 @@
             return read();
         std::lock_guard const lock(mutex_);
         reading_ = false;
+        if (has_all(res))
+            last_read_ = clock_->now();
         next_read_ = clock_->now() + pause();
     }
 
@@ -94,6 +102,12 @@
                kernel::value(version) < reading.head_version;
     }
 
+    bool has_all(kernel::result<log_reading> const& res) const
+    {
+        return kernel::ok(res) &&
+               state_->current()->version() >= kernel::value(res).head_version;
+    }
+
     void report(bool up)
     {
         {
@@ -126,6 +140,7 @@
     bool reading_ = false;
     bool stopped_ = false;
     std::optional<bool> up_;
+    std::optional<kernel::steady_time> last_read_;
 };
 
 store_follower::store_follower(log_reader reader,
@@ -159,4 +174,9 @@
     return impl_->store_up();
 }
 
+std::optional<kernel::steady_time> store_follower::last_read() const
+{
+    return impl_->last_read();
+}
+
 } // namespace endiveward::config
--- a/packages/config/store_follower.hpp
+++ b/packages/config/store_follower.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace endiveward::kernel
 {
@@ -48,6 +49,9 @@
     /// When the next read is due.
     kernel::steady_time next_read() const;
     bool store_up() const;
+    /// When the store last answered and all that it held was in force; nothing
+    /// before.
+    std::optional<kernel::steady_time> last_read() const;
 
 private:
     class impl;
--- a/packages/config/tests/change_log_test.cpp
+++ b/packages/config/tests/change_log_test.cpp
@@ -472,3 +472,30 @@
     follower.tick();
     CHECK(state->current()->version() == changes);
 }
+
+TEST_CASE("the follower says when it last had all that the store holds",
+          "[store_follower]")
+{
+    // Guards against a router that takes an outage for a confirmation of its
+    // configuration.
+    platform_fakes fakes;
+    auto const clock = std::make_shared<kernel::manual_clock>();
+    config::store_follower follower(
+        {fakes.table, fakes.objects, std::chrono::milliseconds(100)},
+        std::make_shared<config::config_state>(), clock,
+        std::make_shared<kernel::seeded_random_source>(7), {});
+    CHECK_FALSE(follower.last_read());
+    follower.tick();
+    auto const first = clock->now();
+    CHECK(follower.last_read() == first);
+
+    fakes.table->set_unavailable(true);
+    clock->advance(std::chrono::milliseconds(2501));
+    follower.tick();
+    CHECK(follower.last_read() == first);
+
+    fakes.table->set_unavailable(false);
+    clock->advance(std::chrono::milliseconds(2501));
+    follower.tick();
+    CHECK(follower.last_read() == clock->now());
+}
--- a/packages/router/agent_connections.hpp
+++ b/packages/router/agent_connections.hpp
@@ -63,10 +63,17 @@
     std::chrono::milliseconds vm_timeout{1000};
     std::chrono::milliseconds heartbeat_interval{30'000};
     std::chrono::milliseconds gossip_interval{1000};
+    /// How often a few processes are asked for their version; 0 for never.
+    std::chrono::milliseconds probe_interval{0};
     /// Counts messages that belong to no open call; may be empty.
     std::function<void()> on_dropped;
     /// Counts configuration updates sent to other processes; may be empty.
     std::function<void()> on_update_sent;
+    /// A process opened a connection or answered one, with its version; may
+    /// be empty.
+    std::function<void(kernel::config_version)> on_hello;
+    /// A connected process reported its version; may be empty.
+    std::function<void(kernel::config_version)> on_reported;
 };
 
 /// Membership: keeps one authenticated connection to each agent known from the
--- a/packages/router/caller_api.hpp
+++ b/packages/router/caller_api.hpp
@@ -1,12 +1,14 @@
 #ifndef ENDIVEWARD_ROUTER_CALLER_API_HPP
 #define ENDIVEWARD_ROUTER_CALLER_API_HPP
 
+#include "kernel/types/error.hpp"
 #include "router/relay_services.hpp"
 
 #include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace endiveward::kernel
 {
@@ -28,6 +30,8 @@
     std::size_t max_header_bytes = 64U << 10U;
     std::chrono::milliseconds default_deadline{60'000};
     std::chrono::milliseconds max_deadline{600'000};
+    /// Gives why new requests are refused now, or nothing; may be empty.
+    std::function<std::optional<kernel::error>()> refusal;
 };
 
 /// The API for callers, independent of the HTTP library. Safe for concurrent
--- a/packages/router/internal/agent_connections.cpp
+++ b/packages/router/internal/agent_connections.cpp
@@ -24,6 +24,7 @@
 #include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -43,6 +44,9 @@
     return instance;
 }
 
+// Enough to tell isolation from the loss of a process, for few bytes.
+constexpr std::size_t probed_processes = 3;
+
 std::string key_of(config::socket_address const& address)
 {
     return fmt::format("{}:{}", address.address, address.port);
@@ -63,6 +67,7 @@
         , vm_timer_(options_.control->context(0))
         , heartbeat_timer_(options_.control->context(0))
         , gossip_timer_(options_.control->context(0))
+        , probe_timer_(options_.control->context(0))
     {
     }
 
@@ -98,6 +103,7 @@
                 self->poll_vms();
                 self->wait_for_heartbeat();
                 self->wait_for_gossip();
+                self->wait_for_probe();
             });
     }
 
@@ -120,6 +126,7 @@
                        self->vm_timer_.cancel();
                        self->heartbeat_timer_.cancel();
                        self->gossip_timer_.cancel();
+                       self->probe_timer_.cancel();
                        for (auto& [key, link] : self->links_)
                            link.timer->cancel();
                    });
@@ -134,6 +141,8 @@
     void on_open(std::shared_ptr<wire::i_connection> const& conn)
     {
         spread_.on_open(conn->peer());
+        if (options_.on_hello && conn->peer().process != options_.self)
+            options_.on_hello(conn->peer().config_version);
         std::lock_guard const lock(mutex_);
         peers_[conn.get()].channel = std::make_shared<agent_channel>(conn);
     }
@@ -470,6 +479,8 @@
     void request_newer(agent_channel& channel, kernel::config_version version)
     {
         spread_.on_version(channel.peer().process, version);
+        if (options_.on_reported && channel.peer().process != options_.self)
+            options_.on_reported(version);
         auto const known = current_version();
         if (version > known)
             channel.send(wire::config_request{known});
@@ -540,6 +551,38 @@
             });
     }
 
+    void wait_for_probe()
+    {
+        if (options_.probe_interval.count() == 0)
+            return;
+        probe_timer_.expires_after(options_.probe_interval);
+        probe_timer_.async_wait(
+            [self = shared_from_this()](std::error_code ec)
+            {
+                if (ec || !self->connector_)
+                    return;
+                self->probe_some();
+                self->wait_for_probe();
+            });
+    }
+
+    void probe_some()
+    {
+        std::vector<std::shared_ptr<agent_channel>> all;
+        {
+            std::lock_guard const lock(mutex_);
+            for (auto const& [conn, it] : peers_)
+                all.push_back(it.channel);
+        }
+        auto const count = std::min(probed_processes, all.size());
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            auto const step = options_.random->next() % (all.size() - i);
+            std::swap(all[i], all[i + step]);
+            all[i]->send(wire::heartbeat{current_version(), {}, true});
+        }
+    }
+
     void exchange_gossip()
     {
         for (auto const& it : spread_.gossip_contacts())
@@ -886,6 +929,7 @@
     asio::steady_timer vm_timer_;
     asio::steady_timer heartbeat_timer_;
     asio::steady_timer gossip_timer_;
+    asio::steady_timer probe_timer_;
     std::shared_ptr<wire::i_local_identity const> identity_;
 };
 
--- a/packages/router/internal/caller_api.cpp
+++ b/packages/router/internal/caller_api.cpp
@@ -63,6 +63,11 @@
                           not_run(kernel::error_kind::draining,
                                   "this process is stopping; retry on a new "
                                   "connection"));
+        if (options_.refusal)
+        {
+            if (auto const reason = options_.refusal())
+                return refuse(request, *response, *reason);
+        }
         // The configuration is held as long as the entry is used.
         auto const config = options_.services->configuration->current();
         auto const* workspace = config->authenticate(bearer_token_of(request));
--- /dev/null
+++ b/packages/router/internal/config_readiness.cpp
@@ -0,0 +1,89 @@
+#include "router/config_readiness.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace endiveward::router
+{
+
+config_readiness::config_readiness(std::shared_ptr<kernel::i_clock const> clock,
+                                   config::isolation_policy policy,
+                                   bool has_store)
+    : clock_(std::move(clock))
+    , policy_(policy)
+    , started_(clock_->now())
+    , store_settled_(!has_store)
+    , confirmed_(started_)
+{
+}
+
+void config_readiness::on_hello(kernel::config_version version)
+{
+    std::lock_guard const lock(mutex_);
+    // A process without a configuration has just started as well.
+    if (version == 0 || answers_ >= awaited_processes)
+        return;
+    ++answers_;
+    target_ = std::max(target_, version);
+}
+
+void config_readiness::on_reported(kernel::config_version version,
+                                   kernel::config_version own)
+{
+    if (version == 0 || version > own)
+        return;
+    std::lock_guard const lock(mutex_);
+    confirm(clock_->now());
+}
+
+void config_readiness::on_store_read(kernel::steady_time when)
+{
+    std::lock_guard const lock(mutex_);
+    store_settled_ = true;
+    confirm(when);
+}
+
+void config_readiness::on_applied()
+{
+    std::lock_guard const lock(mutex_);
+    confirm(clock_->now());
+}
+
+void config_readiness::confirm(kernel::steady_time when)
+{
+    confirmed_ = std::max(confirmed_, when);
+}
+
+bool config_readiness::is_caught_up(kernel::config_version own)
+{
+    std::lock_guard const lock(mutex_);
+    if (caught_up_)
+        return true;
+    if (own == 0 || !has_enough_answers())
+        return false;
+    caught_up_ = own >= target_ || clock_->now() - started_ >= catch_up_limit;
+    return caught_up_;
+}
+
+bool config_readiness::has_enough_answers() const
+{
+    if (store_settled_ && answers_ >= awaited_processes)
+        return true;
+    return clock_->now() - started_ >= answer_wait;
+}
+
+std::optional<kernel::error> config_readiness::refusal() const
+{
+    if (policy_ == config::isolation_policy::serve)
+        return std::nullopt;
+    std::lock_guard const lock(mutex_);
+    if (clock_->now() - confirmed_ <= confirmation_limit)
+        return std::nullopt;
+    return kernel::error{
+        kernel::error_kind::stale_configuration,
+        "this router is cut off and cannot confirm its configuration; retry, "
+        "or set config.when_isolated = \"serve\"",
+        kernel::run_state::not_run, retry_after};
+}
+
+} // namespace endiveward::router
--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -16,6 +16,7 @@
 #include "router/agent_connections.hpp"
 #include "router/caller_api.hpp"
 #include "router/caller_server.hpp"
+#include "router/config_readiness.hpp"
 #include "router/config_state_source.hpp"
 #include "router/relay_services.hpp"
 #include "router/router_identity.hpp"
@@ -39,6 +40,8 @@
 constexpr std::chrono::seconds metrics_interval{1};
 // How often the follower is asked whether its next read is due.
 constexpr std::chrono::milliseconds follower_interval{100};
+// A quarter of the time after which an unconfirmed configuration is refused.
+constexpr std::chrono::milliseconds probe_interval{2000};
 
 std::vector<wire::prefix_level>
 make_levels(kernel::workspace_id const& workspace,
@@ -89,6 +92,7 @@
 
     void init()
     {
+        make_readiness();
         make_connections();
         make_services();
         make_wire_options();
@@ -122,8 +126,9 @@
 
     bool ready() const
     {
-        return !stopping_ && configuration_->current()->version() > 0 &&
-               connections_->open_agents() > 0;
+        return !stopping_ && connections_->open_agents() > 0 &&
+               readiness_->is_caught_up(configuration_->current()->version()) &&
+               !readiness_->refusal();
     }
 
     std::size_t active_calls() const { return api_->active_calls(); }
@@ -139,6 +144,14 @@
     }
 
 private:
+    void make_readiness()
+    {
+        readiness_ = std::make_shared<config_readiness>(
+            services_->clock, settings_.when_isolated, follower_ != nullptr);
+        configuration_->subscribe([it = readiness_](auto const&)
+                                  { it->on_applied(); });
+    }
+
     void make_connections()
     {
         agent_connections_options options;
@@ -155,6 +168,13 @@
         options.vm_poll_interval = settings_.vm_poll_interval;
         options.vm_timeout = settings_.common.platform_timeout;
         options.on_dropped = [metrics = metrics_] { metrics->on_dropped(1); };
+        options.on_hello = [it = readiness_](kernel::config_version version)
+        { it->on_hello(version); };
+        options.on_reported = [it = readiness_, state = configuration_](
+                                  kernel::config_version version)
+        { it->on_reported(version, state->current()->version()); };
+        if (settings_.when_isolated == config::isolation_policy::refuse)
+            options.probe_interval = probe_interval;
         connections_ = std::make_shared<agent_connections>(std::move(options));
     }
 
@@ -193,6 +213,7 @@
         api.max_header_bytes = settings_.max_header_bytes;
         api.default_deadline = settings_.default_deadline;
         api.max_deadline = settings_.max_deadline;
+        api.refusal = [it = readiness_] { return it->refusal(); };
         api_ = std::make_shared<caller_api>(std::move(api));
 
         caller_server_options callers;
@@ -237,6 +258,8 @@
         if (follower_ == nullptr)
             return;
         follower_->tick();
+        if (auto const when = follower_->last_read())
+            readiness_->on_store_read(*when);
         follower_timer_.expires_after(follower_interval);
         follower_timer_.async_wait(
             [this](std::error_code ec)
@@ -263,6 +286,7 @@
     std::shared_ptr<kernel::i_random_source> random_;
     std::shared_ptr<config::i_config_state> configuration_;
     std::shared_ptr<platform::i_vm_list> vms_;
+    std::shared_ptr<config_readiness> readiness_;
     std::shared_ptr<agent_connections> connections_;
     std::shared_ptr<wire::connection_options> wire_options_;
     std::unique_ptr<wire::acceptor> acceptor_;
--- /dev/null
+++ b/packages/router/tests/config_readiness_test.cpp
@@ -0,0 +1,156 @@
+#include "router/config_readiness.hpp"
+
+#include "kernel/manual_clock.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace endiveward::router
+{
+
+namespace
+{
+
+using config::isolation_policy;
+constexpr std::chrono::milliseconds step{1};
+
+struct fixture
+{
+    explicit fixture(isolation_policy policy = isolation_policy::serve,
+                     bool has_store = true)
+        : readiness(clock, policy, has_store)
+    {
+    }
+
+    std::shared_ptr<kernel::manual_clock> clock =
+        std::make_shared<kernel::manual_clock>();
+    config_readiness readiness;
+};
+
+} // namespace
+
+// Guards against a router that serves with an old version because it did not
+// wait for the store or for the processes that know a newer one.
+TEST_CASE("the start waits for the store and three processes")
+{
+    fixture fix;
+    fix.readiness.on_hello(4);
+    fix.readiness.on_hello(7);
+    fix.readiness.on_hello(5);
+    CHECK_FALSE(fix.readiness.is_caught_up(7));
+
+    fix.readiness.on_store_read(fix.clock->now());
+    CHECK_FALSE(fix.readiness.is_caught_up(6));
+    CHECK(fix.readiness.is_caught_up(7));
+}
+
+// Guards against a start that hangs while the store is down or few processes
+// are up.
+TEST_CASE("the start waits 300 ms for those that do not answer")
+{
+    fixture fix;
+    fix.readiness.on_hello(4);
+    fix.clock->advance(config_readiness::answer_wait - step);
+    CHECK_FALSE(fix.readiness.is_caught_up(4));
+    fix.clock->advance(step);
+    CHECK_FALSE(fix.readiness.is_caught_up(3));
+    CHECK(fix.readiness.is_caught_up(4));
+}
+
+// Guards against a router without a store that waits for it.
+TEST_CASE("without a store three processes are enough")
+{
+    fixture fix(isolation_policy::serve, false);
+    fix.readiness.on_hello(4);
+    fix.readiness.on_hello(4);
+    CHECK_FALSE(fix.readiness.is_caught_up(4));
+    fix.readiness.on_hello(4);
+    CHECK(fix.readiness.is_caught_up(4));
+}
+
+// Guards against routers that restart together and take each other's empty
+// configuration for an answer.
+TEST_CASE("a process without a configuration is no answer")
+{
+    fixture fix(isolation_policy::serve, false);
+    for (int i = 0; i < 3; ++i)
+        fix.readiness.on_hello(0);
+    fix.readiness.on_hello(9);
+    CHECK_FALSE(fix.readiness.is_caught_up(8));
+    fix.clock->advance(config_readiness::answer_wait);
+    CHECK_FALSE(fix.readiness.is_caught_up(8));
+    CHECK(fix.readiness.is_caught_up(9));
+}
+
+// Guards against readiness without any configuration, and against a router
+// that stays down because the only holder of a version is gone.
+TEST_CASE("the start ends with the version at hand when the highest is lost")
+{
+    fixture fix;
+    fix.readiness.on_hello(9);
+    fix.clock->advance(config_readiness::catch_up_limit - step);
+    CHECK_FALSE(fix.readiness.is_caught_up(8));
+    fix.clock->advance(step);
+    CHECK_FALSE(fix.readiness.is_caught_up(0));
+    CHECK(fix.readiness.is_caught_up(8));
+}
+
+// Guards against routers that stop being ready at each configuration change.
+TEST_CASE("a router that has started stays caught up")
+{
+    fixture fix(isolation_policy::serve, false);
+    for (int i = 0; i < 3; ++i)
+        fix.readiness.on_hello(4);
+    REQUIRE(fix.readiness.is_caught_up(4));
+    fix.readiness.on_hello(5);
+    CHECK(fix.readiness.is_caught_up(4));
+}
+
+// Guards against a router that serves with an unconfirmed configuration
+// although the operators chose to refuse.
+TEST_CASE("requests are refused 8 s after the last confirmation")
+{
+    fixture fix(isolation_policy::refuse);
+    fix.clock->advance(config_readiness::confirmation_limit);
+    CHECK_FALSE(fix.readiness.refusal());
+    fix.clock->advance(step);
+    auto const refusal = fix.readiness.refusal();
+    REQUIRE(refusal);
+    CHECK(refusal->kind == kernel::error_kind::stale_configuration);
+    CHECK(refusal->run == kernel::run_state::not_run);
+    CHECK(refusal->retry_after);
+}
+
+// Guards against a confirmation by a process that knows nothing or more.
+TEST_CASE("a store read, a known version or an update confirms")
+{
+    fixture fix(isolation_policy::refuse);
+    auto const isolate = [&]
+    {
+        fix.clock->advance(config_readiness::confirmation_limit + step);
+        REQUIRE(fix.readiness.refusal());
+    };
+    isolate();
+    fix.readiness.on_reported(0, 5);
+    fix.readiness.on_reported(6, 5);
+    CHECK(fix.readiness.refusal());
+    fix.readiness.on_reported(5, 5);
+    CHECK_FALSE(fix.readiness.refusal());
+
+    isolate();
+    fix.readiness.on_store_read(fix.clock->now());
+    CHECK_FALSE(fix.readiness.refusal());
+
+    isolate();
+    fix.readiness.on_applied();
+    CHECK_FALSE(fix.readiness.refusal());
+}
+
+// Guards against refusals in a region that is cut off and shall serve.
+TEST_CASE("by default requests are served without confirmation")
+{
+    fixture fix;
+    fix.clock->advance(std::chrono::hours(1));
+    CHECK_FALSE(fix.readiness.refusal());
+}
+
+} // namespace endiveward::router
--- a/packages/router/tests/router_test.cpp
+++ b/packages/router/tests/router_test.cpp
@@ -51,6 +51,8 @@
     return out;
 }
 
+void ignore(connection const&, wire::message const&) {}
+
 /// Accepts each call and answers it with three events.
 void answer_all(connection const& conn, wire::message const& msg)
 {
@@ -415,6 +417,45 @@
     CHECK(agent.received().empty());
 }
 
+// Guards against a router that is cut off and serves although it shall refuse.
+TEST_CASE("a router without a confirmed configuration refuses new requests")
+{
+    fake_agent const agent("a", answer_all);
+    std::atomic<bool> isolated{true};
+    caller_api_options options;
+    options.refusal = [&]() -> std::optional<kernel::error>
+    {
+        if (!isolated)
+            return std::nullopt;
+        return kernel::error{kernel::error_kind::stale_configuration,
+                             "cut off; retry", kernel::run_state::not_run,
+                             std::chrono::seconds(1)};
+    };
+    router_under_test const router({&agent}, options);
+    auto const answer = router.post("/v1/chat/completions", stream_body);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(error_of(answer).at("code") == "stale_configuration");
+    CHECK(error_of(answer).at("run") == "not_run");
+    CHECK(agent.received().empty());
+
+    isolated = false;
+    CHECK(router.post("/v1/chat/completions", stream_body)
+              .starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a router that takes itself for cut off because idle agents
+// speak only every 30 s.
+TEST_CASE("a probed process reports its version")
+{
+    fake_agent const agent("a", ignore);
+    router_under_test const router({&agent}, {}, {},
+                                   std::chrono::milliseconds(5));
+    CHECK(router_under_test::eventually([&] { return agent.probes > 2; }));
+    CHECK(router_under_test::eventually([&] { return router.reports > 2; }));
+    CHECK(router.hellos == 1);
+}
+
 // Guards against new work for an endpoint that is leaving (G7).
 TEST_CASE("an agent that drains is out of rotation at once")
 {
@@ -496,8 +537,6 @@
     return false;
 }
 
-void ignore(connection const&, wire::message const&) {}
-
 } // namespace
 
 // Guards against versions that stay with the router that read them.
--- a/packages/router/tests/router_under_test.hpp
+++ b/packages/router/tests/router_under_test.hpp
@@ -34,7 +34,9 @@
     explicit router_under_test(
         std::vector<fake_agent const*> const& agents,
         caller_api_options api_options = {},
-        std::vector<fake_agent const*> const& routers = {})
+        std::vector<fake_agent const*> const& routers = {},
+        std::chrono::milliseconds probe_interval = {})
+        : probe_interval_(probe_interval)
     {
         config::i_configuration::endpoint_list const endpoints{
             kernel::endpoint_id("a"), kernel::endpoint_id("b")};
@@ -131,6 +133,8 @@
     std::unique_ptr<caller_server> server;
     std::atomic<int> dropped{0};
     std::atomic<int> updates_sent{0};
+    std::atomic<int> hellos{0};
+    std::atomic<int> reports{0};
     static constexpr std::chrono::milliseconds gossip_interval{20};
 
 private:
@@ -159,6 +163,9 @@
         options.configuration = configuration;
         options.placement = placement;
         options.on_dropped = [this] { ++dropped; };
+        options.probe_interval = probe_interval_;
+        options.on_hello = [this](auto) { ++hellos; };
+        options.on_reported = [this](auto) { ++reports; };
         options.on_update_sent = [this] { ++updates_sent; };
         for (auto const* it : agents)
             options.seeds.push_back({"127.0.0.1", it->port()});
@@ -203,6 +210,7 @@
             eventually([&] { return connections->open_agents() == agents; }));
     }
 
+    std::chrono::milliseconds const probe_interval_;
     std::uint16_t port_ = 0;
 };
 
