Connect to agents of other regions on demand

A call whose own region has no eligible endpoint waits for a connection to one of at most three allowed endpoints elsewhere. All routers choose the same three for a workspace and model version. The connections are dropped a minute after their last use.

--- a/packages/router/agent_connections.hpp
+++ b/packages/router/agent_connections.hpp
@@ -76,10 +76,10 @@
     std::function<void(kernel::config_version)> on_reported;
 };
 
-/// Membership: keeps one authenticated connection to each agent known from the
-/// seeds and the list of VMs, and tells placement which endpoints are
-/// available. Connects to other routers on demand and spreads new
-/// configuration versions.
+/// Membership: keeps one authenticated connection to each agent of the region
+/// known from the seeds and the list of VMs, and tells placement which
+/// endpoints are available. Connects to agents of other regions and to other
+/// routers on demand, and spreads new configuration versions.
 class agent_connections : public wire::i_connection_observer,
                           public i_agent_directory,
                           public observe::i_state_source
@@ -112,6 +112,9 @@
     void when_open(kernel::endpoint_id const& endpoint,
                    std::weak_ptr<void> owner,
                    channel_handler const& handler) override;
+    std::vector<kernel::endpoint_id>
+    reach_remote(config::traffic const& what,
+                 std::vector<kernel::endpoint_id> const& allowed) override;
     void suspect(kernel::endpoint_id const& endpoint) override;
     void on_draining(kernel::endpoint_id const& endpoint) override;
     void catch_up(kernel::endpoint_id const& endpoint,
--- a/packages/router/call_relay.hpp
+++ b/packages/router/call_relay.hpp
@@ -17,6 +17,11 @@
 #include <string>
 #include <vector>
 
+namespace endiveward::config
+{
+struct traffic;
+}
+
 namespace endiveward::router
 {
 
@@ -64,7 +69,10 @@
     void perform(finish_error& action);
     void perform(abandon& action);
 
-    call_event choose(std::vector<kernel::endpoint_id> excluded);
+    call_event choose();
+    bool wait_for_remote(call_event const& event);
+    void on_remote();
+    config::traffic traffic() const;
     bool find_allowed();
     bool find_allowed_for_model();
     bool find_allowed_for_service();
@@ -100,6 +108,8 @@
     std::uint64_t cached_bytes_ = 0;
     std::uint64_t prompt_bytes_ = 0;
     bool stream_begun_ = false;
+    bool remote_tried_ = false;
+    bool awaits_remote_ = false;
     std::string collected_;
 };
 
--- a/packages/router/i_agent_directory.hpp
+++ b/packages/router/i_agent_directory.hpp
@@ -5,6 +5,12 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
+
+namespace endiveward::config
+{
+struct traffic;
+}
 
 namespace endiveward::router
 {
@@ -27,6 +33,12 @@
     virtual void when_open(kernel::endpoint_id const& endpoint,
                            std::weak_ptr<void> owner,
                            channel_handler const& handler) = 0;
+    /// Connects to allowed endpoints of other regions, at most three for each
+    /// traffic, and keeps the connections for a minute. Gives those that are
+    /// not open yet.
+    virtual std::vector<kernel::endpoint_id>
+    reach_remote(config::traffic const& what,
+                 std::vector<kernel::endpoint_id> const& allowed) = 0;
     /// Takes the endpoint out of rotation until its agent answers a probe.
     virtual void suspect(kernel::endpoint_id const& endpoint) = 0;
     /// The agent refuses new calls from now on.
--- a/packages/router/internal/agent_connections.cpp
+++ b/packages/router/internal/agent_connections.cpp
@@ -11,6 +11,7 @@
 #include "router/agent_channel.hpp"
 #include "router/config_spread.hpp"
 #include "router/internal/backoff.hpp"
+#include "router/remote_endpoints.hpp"
 #include "wire/connection_options.hpp"
 #include "wire/connector.hpp"
 #include "wire/i_connection.hpp"
@@ -64,6 +65,7 @@
         : options_(std::move(options))
         , spread_(options_.self, options_.region, options_.clock,
                   options_.random)
+        , remote_(options_.clock)
         , vm_timer_(options_.control->context(0))
         , heartbeat_timer_(options_.control->context(0))
         , gossip_timer_(options_.control->context(0))
@@ -207,6 +209,23 @@
             handler(channel);
     }
 
+    std::vector<kernel::endpoint_id>
+    reach_remote(config::traffic const& what,
+                 std::vector<kernel::endpoint_id> const& allowed)
+    {
+        std::vector<kernel::endpoint_id> opening;
+        for (auto const& it : remote_.choose(what, allowed))
+        {
+            if (find(it.endpoint))
+                continue;
+            opening.push_back(it.endpoint);
+            asio::post(options_.control->context(0),
+                       [self = shared_from_this(), it]
+                       { self->connect_to_remote(it); });
+        }
+        return opening;
+    }
+
     void suspect(kernel::endpoint_id const& endpoint)
     {
         auto const channel =
@@ -287,6 +306,8 @@
         bool connected = false;
         /// Leads to a router and is connected on demand.
         bool router = false;
+        /// Leads to an agent of another region and is connected on demand.
+        bool remote = false;
         bool connecting = false;
         kernel::endpoint_id endpoint;
         backoff delays;
@@ -546,6 +567,7 @@
                 if (ec || !self->connector_)
                     return;
                 self->close_idle_routers();
+                self->close_idle_remotes();
                 self->exchange_gossip();
                 self->wait_for_gossip();
             });
@@ -651,6 +673,47 @@
             connect(key);
     }
 
+    // Agents of other regions, control thread
+
+    void connect_to_remote(listed_agent const& agent)
+    {
+        if (!connector_)
+            return;
+        auto const key = key_of(agent.address);
+        auto& found = links_[key];
+        if (!found.timer)
+        {
+            found.address = agent.address;
+            found.endpoint = agent.endpoint;
+            found.remote = true;
+            found.timer = std::make_unique<asio::steady_timer>(
+                options_.control->context(0));
+        }
+        if (found.remote && !found.connected && !found.connecting)
+            connect(key);
+    }
+
+    void close_idle_remotes()
+    {
+        std::vector<std::shared_ptr<agent_channel>> idle;
+        std::erase_if(links_,
+                      [&](auto const& it)
+                      {
+                          auto const& found = it.second;
+                          if (!found.remote || !found.connected ||
+                              !remote_.is_idle(found.endpoint))
+                              return false;
+                          auto const channel = find(found.endpoint);
+                          // A long call outlasts the last use.
+                          if (!channel || channel->open_calls() > 0)
+                              return false;
+                          idle.push_back(channel);
+                          return true;
+                      });
+        for (auto const& it : idle)
+            it->connection()->close();
+    }
+
     // Membership, control thread
 
     void add_link(config::socket_address const& address, bool seed)
@@ -659,6 +722,7 @@
         auto& added = links_[key];
         added.address = address;
         added.seed = added.seed || seed;
+        added.remote = false;
         if (added.timer)
             return;
         added.timer =
@@ -864,8 +928,16 @@
     {
         std::set<std::string> listed;
         std::vector<config::socket_address> routers;
+        std::vector<listed_agent> remotes;
         for (auto const& it : vms)
         {
+            if (it.role == platform::vm_role::agent &&
+                it.region != options_.region)
+            {
+                if (!it.leaving)
+                    remotes.push_back({it.endpoint, {it.address, it.port}});
+                apply_remote_leaving(it);
+            }
             if (it.role == platform::vm_role::router && !it.leaving)
                 routers.push_back({it.address, it.port});
             if (it.role != platform::vm_role::agent ||
@@ -881,27 +953,37 @@
                 apply_leaving(found);
         }
         spread_.set_listed(routers);
+        remote_.set_listed(remotes);
         remove_unlisted(listed);
     }
 
+    void apply_remote_leaving(platform::vm const& vm)
+    {
+        auto const it = links_.find(key_of({vm.address, vm.port}));
+        if (it == links_.end() || it->second.leaving == vm.leaving)
+            return;
+        it->second.leaving = vm.leaving;
+        apply_leaving(it->second);
+    }
+
     /// The list lags, so that an agent with an open connection is kept.
     void remove_unlisted(std::set<std::string> const& listed)
     {
-        std::erase_if(links_,
-                      [&](auto& it)
-                      {
-                          auto& [key, found] = it;
-                          if (found.seed || listed.contains(key) ||
-                              (found.connected &&
-                               (found.router || find(found.endpoint))) ||
-                              (found.router && found.connecting))
-                              return false;
-                          found.timer->cancel();
-                          if (!found.endpoint.empty())
-                              options_.placement->remove_endpoint(
-                                  found.endpoint);
-                          return true;
-                      });
+        std::erase_if(
+            links_,
+            [&](auto& it)
+            {
+                auto& [key, found] = it;
+                if (found.seed || listed.contains(key) ||
+                    (found.connected &&
+                     (found.router || find(found.endpoint))) ||
+                    (found.connecting && (found.router || found.remote)))
+                    return false;
+                found.timer->cancel();
+                if (!found.endpoint.empty())
+                    options_.placement->remove_endpoint(found.endpoint);
+                return true;
+            });
     }
 
     void on_link_down(std::string const& key)
@@ -911,11 +993,14 @@
             return;
         it->second.connected = false;
         it->second.connecting = false;
-        if (!it->second.router)
+        if (it->second.remote)
+            remote_.on_failed(it->second.endpoint);
+        else if (!it->second.router)
             connect_later(key);
     }
 
     config_spread spread_;
+    remote_endpoints remote_;
     mutable std::mutex mutex_;
     bool stopped_ = false;
     std::unordered_map<wire::i_connection const*, peer> peers_;
@@ -992,6 +1077,13 @@
     impl_->when_open(endpoint, std::move(owner), handler);
 }
 
+std::vector<kernel::endpoint_id>
+agent_connections::reach_remote(config::traffic const& what,
+                                std::vector<kernel::endpoint_id> const& allowed)
+{
+    return impl_->reach_remote(what, allowed);
+}
+
 void agent_connections::suspect(kernel::endpoint_id const& endpoint)
 {
     impl_->suspect(endpoint);
--- a/packages/router/internal/call_relay.cpp
+++ b/packages/router/internal/call_relay.cpp
@@ -133,14 +133,65 @@
 {
     // A new attempt is a new stream: chunks of an earlier one never mix in.
     leave_channel();
-    perform_all(machine_.handle(choose(std::move(action.excluded))));
+    placement_request_.excluded = std::move(action.excluded);
+    auto chosen = choose();
+    if (!wait_for_remote(chosen))
+        perform_all(machine_.handle(std::move(chosen)));
 }
 
-call_event call_relay::choose(std::vector<kernel::endpoint_id> excluded)
+/// Whether the call waits for a connection to another region, once, because
+/// its own has no eligible endpoint.
+bool call_relay::wait_for_remote(call_event const& event)
+{
+    auto const* none = std::get_if<no_endpoint_chosen>(&event);
+    if (none == nullptr || remote_tried_ ||
+        none->reason.kind != kernel::error_kind::no_eligible_endpoint ||
+        !placement_request_.excluded.empty() || !placement_request_.allowed)
+        return false;
+    remote_tried_ = true;
+    auto const opening =
+        services_->agents->reach_remote(traffic(), *placement_request_.allowed);
+    if (opening.empty())
+        return false;
+    awaits_remote_ = true;
+    answer_timer_.expires_at(services_->clock->now() +
+                             services_->remote_timeout);
+    answer_timer_.async_wait(
+        [weak = weak_from_this()](std::error_code ec)
+        {
+            auto const self = weak.lock();
+            if (!ec && self)
+                self->on_remote();
+        });
+    for (auto const& it : opening)
+        services_->agents->when_open(
+            it, weak_from_this(),
+            [weak = weak_from_this()](std::shared_ptr<agent_channel> const&)
+            {
+                if (auto const self = weak.lock())
+                    asio::post(self->context_, [self] { self->on_remote(); });
+            });
+    return true;
+}
+
+void call_relay::on_remote()
+{
+    if (!std::exchange(awaits_remote_, false) || machine_.finished())
+        return;
+    answer_timer_.cancel();
+    perform_all(machine_.handle(choose()));
+}
+
+config::traffic call_relay::traffic() const
+{
+    return {request_.workspace, request_.model, placement_request_.version,
+            request_.service};
+}
+
+call_event call_relay::choose()
 {
     if (!find_allowed())
         return no_endpoint_chosen{no_endpoint_};
-    placement_request_.excluded = std::move(excluded);
     auto const res = services_->placement->choose(placement_request_);
     if (!kernel::ok(res))
         return no_endpoint_chosen{kernel::failure(res)};
@@ -237,6 +288,9 @@
         return;
     }
     call_id_ = *id;
+    // Keeps the connections of this traffic and replaces lost ones.
+    if (channel_->peer().region != services_->region)
+        services_->agents->reach_remote(traffic(), *placement_request_.allowed);
     channel_->send(make_invoke(call_id_),
                    [self = shared_from_this(),
                     leg = action.leg](wire::write_outcome outcome) {
--- a/packages/router/relay_services.hpp
+++ b/packages/router/relay_services.hpp
@@ -55,6 +55,11 @@
     /// Half of the time for which agents keep a stream, so that there is time
     /// for a second attempt.
     std::chrono::milliseconds resume_timeout{5000};
+    /// How long a call waits for a connection to another region; covers the
+    /// handshake over the longest distance.
+    std::chrono::milliseconds remote_timeout{2000};
+    /// Region of this process.
+    kernel::region_id region;
     std::size_t max_attempts = 3;
 };
 
--- /dev/null
+++ b/packages/router/remote_endpoints.hpp
@@ -0,0 +1,68 @@
+#ifndef ENDIVEWARD_ROUTER_REMOTE_ENDPOINTS_HPP
+#define ENDIVEWARD_ROUTER_REMOTE_ENDPOINTS_HPP
+
+#include "kernel/i_clock.hpp"
+#include "router/types/listed_agent.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace endiveward::config
+{
+struct traffic;
+}
+
+namespace endiveward::router
+{
+
+/// Decides to which endpoints of other regions this router connects. No I/O.
+/// Safe for concurrent use.
+class remote_endpoints
+{
+    std::shared_ptr<kernel::i_clock const> clock_;
+
+public:
+    static constexpr std::size_t max_per_traffic = 3;
+    static constexpr std::chrono::seconds idle_limit{60};
+    /// An endpoint that could not be reached is not chosen for this long.
+    static constexpr std::chrono::seconds failure_pause{5};
+
+    explicit remote_endpoints(std::shared_ptr<kernel::i_clock const> clock);
+
+    /// Agents of other regions that are not leaving; replaces the last list.
+    void set_listed(std::vector<listed_agent> const& agents);
+    /// The allowed endpoints to connect to for traffic without an eligible
+    /// endpoint in the own region; at most three. All routers choose the same
+    /// ones, so that prefixes are shared. Counts as a use.
+    std::vector<listed_agent>
+    choose(config::traffic const& what,
+           std::vector<kernel::endpoint_id> const& allowed);
+    /// The endpoint could not be reached or its connection was lost.
+    void on_failed(kernel::endpoint_id const& endpoint);
+    /// Whether no traffic has used the endpoint for `idle_limit`.
+    bool is_idle(kernel::endpoint_id const& endpoint);
+
+private:
+    struct choice
+    {
+        std::vector<kernel::endpoint_id> endpoints;
+        kernel::steady_time used;
+    };
+
+    bool is_paused(kernel::endpoint_id const& endpoint) const;
+    void drop_idle();
+
+    std::mutex mutex_;
+    std::map<std::string, listed_agent> listed_;
+    std::map<std::string, kernel::steady_time> failed_;
+    std::map<std::string, choice> choices_;
+};
+
+} // namespace endiveward::router
+
+#endif
--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -181,6 +181,7 @@
     void make_services()
     {
         services_->random = random_;
+        services_->region = settings_.common.region;
         services_->configuration = configuration_;
         services_->agents = connections_;
         services_->metrics = metrics_;
--- a/packages/router/tests/fakes.hpp
+++ b/packages/router/tests/fakes.hpp
@@ -11,10 +11,12 @@
 #include "placement/types/endpoint_status.hpp"
 #include "placement/types/placement_choice.hpp"
 #include "placement/types/placement_request.hpp"
+#include "platform/i_vm_list.hpp"
 #include "wire/types/load_report.hpp"
 #include "wire/types/verdict.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <mutex>
 #include <unordered_map>
 
@@ -203,6 +205,20 @@
     int in_flight_ = 0;
 };
 
+/// Gives the same list each time.
+class fake_vm_list : public platform::i_vm_list
+{
+public:
+    void list(std::chrono::milliseconds, handler on_done) override
+    {
+        ++polls;
+        on_done(vms);
+    }
+
+    std::vector<platform::vm> vms;
+    std::atomic<int> polls{0};
+};
+
 } // namespace endiveward::router
 
 #endif
--- a/packages/router/tests/router_test.cpp
+++ b/packages/router/tests/router_test.cpp
@@ -456,6 +456,30 @@
     CHECK(router.hellos == 1);
 }
 
+// Guards against a refusal while another region could serve, and against
+// connections to other regions that nothing uses.
+TEST_CASE("agents of other regions are connected when a call needs them")
+{
+    fake_agent const agent("a", answer_all);
+    auto const vms = std::make_shared<fake_vm_list>();
+    platform::vm far;
+    far.role = platform::vm_role::agent;
+    far.address = "127.0.0.1";
+    far.port = agent.port();
+    far.region = kernel::region_id("far");
+    far.endpoint = kernel::endpoint_id("a");
+    vms->vms = {far};
+    router_under_test const router({}, {}, {}, {}, vms);
+    // The second poll starts after the first list was applied.
+    REQUIRE(router_under_test::eventually([&] { return vms->polls > 1; }));
+    CHECK(router.connections->open_agents() == 0);
+
+    CHECK(router.post("/v1/chat/completions", stream_body)
+              .starts_with("HTTP/1.1 200"));
+
+    CHECK(router.connections->open_agents() == 1);
+}
+
 // Guards against new work for an endpoint that is leaving (G7).
 TEST_CASE("an agent that drains is out of rotation at once")
 {
--- a/packages/router/tests/router_under_test.hpp
+++ b/packages/router/tests/router_under_test.hpp
@@ -35,8 +35,10 @@
         std::vector<fake_agent const*> const& agents,
         caller_api_options api_options = {},
         std::vector<fake_agent const*> const& routers = {},
-        std::chrono::milliseconds probe_interval = {})
+        std::chrono::milliseconds probe_interval = {},
+        std::shared_ptr<platform::i_vm_list> vms = {})
         : probe_interval_(probe_interval)
+        , vms_(std::move(vms))
     {
         config::i_configuration::endpoint_list const endpoints{
             kernel::endpoint_id("a"), kernel::endpoint_id("b")};
@@ -164,6 +166,8 @@
         options.placement = placement;
         options.on_dropped = [this] { ++dropped; };
         options.probe_interval = probe_interval_;
+        options.vms = vms_;
+        options.vm_poll_interval = gossip_interval;
         options.on_hello = [this](auto) { ++hellos; };
         options.on_reported = [this](auto) { ++reports; };
         options.on_update_sent = [this] { ++updates_sent; };
@@ -180,6 +184,7 @@
         services = std::make_shared<relay_services>();
         services->clock = std::make_shared<kernel::system_clock>();
         services->random = random;
+        services->region = kernel::region_id("region");
         services->configuration = configuration;
         services->placement = placement;
         services->agents = connections;
@@ -211,6 +216,7 @@
     }
 
     std::chrono::milliseconds const probe_interval_;
+    std::shared_ptr<platform::i_vm_list> const vms_;
     std::uint16_t port_ = 0;
 };
 
