Limit collected answers and export store and configuration metrics

An answer that is not streamed to the caller is collected in the router. Above limits.max_answer_bytes (64 MiB) the call is cancelled and ends with internal. New metrics: endiveward_store_up, endiveward_config_version and endiveward_config_updates_sent_total.

--- a/packages/config/internal/settings_loader.cpp
+++ b/packages/config/internal/settings_loader.cpp
@@ -73,6 +73,8 @@
                out.max_body_bytes);
     read_count(reader, "limits", "max_header_bytes", 1024, 1LL << 20,
                out.max_header_bytes);
+    read_count(reader, "limits", "max_answer_bytes", 1024, 1LL << 30,
+               out.max_answer_bytes);
     read_count(reader, "limits", "max_connections", 1, 1'000'000,
                out.max_connections);
     reader.milliseconds("limits", "read_timeout_ms", 10, hour_ms,
--- a/packages/config/tests/settings_loader_test.cpp
+++ b/packages/config/tests/settings_loader_test.cpp
@@ -110,6 +110,7 @@
     CHECK(settings.max_deadline == std::chrono::minutes(10));
     CHECK(settings.shutdown_notice == std::chrono::seconds(3));
     CHECK(settings.max_body_bytes == 8U << 20U);
+    CHECK(settings.max_answer_bytes == 64U << 20U);
 }
 
 TEST_CASE("each kind of wrong setting names line, key and remedy", "[settings]")
@@ -131,6 +132,9 @@
          ":6: listen.peers: must be an IP address and a port"},
         {common + "[retry]\nmax_attempts = 0\n",
          ":14: retry.max_attempts: must be an integer from 1 to 10"},
+        {common + "[limits]\nmax_answer_bytes = 1023\n",
+         ":14: limits.max_answer_bytes: must be an integer from 1024 to "
+         "1073741824"},
         {common + "[retry]\nmax_attempts = 2.5\n",
          ":14: retry.max_attempts: must be an integer"},
         {common + "[retry]\nretry_share = 1.5\n",
--- a/packages/config/types/router_settings.hpp
+++ b/packages/config/types/router_settings.hpp
@@ -38,6 +38,8 @@
     // [limits]
     std::size_t max_body_bytes = 8U << 20U;
     std::size_t max_header_bytes = 64U << 10U;
+    /// Limit for an answer that is not streamed to the caller.
+    std::size_t max_answer_bytes = 64U << 20U;
     std::size_t max_connections = 4096;
     /// Limit for reading a request; slow clients are disconnected.
     std::chrono::milliseconds read_timeout{10'000};
--- a/packages/router/call_machine.hpp
+++ b/packages/router/call_machine.hpp
@@ -66,6 +66,7 @@
     void on_attempt_lost();
     void on_incomplete(wire::call_end const& end);
     void accept(wire::chunk& piece);
+    void refuse_answer();
     void resume();
     void give_up_resuming();
     void choose_again();
@@ -96,6 +97,7 @@
     /// Bytes of the answer were passed on to the caller.
     bool forwarded_ = false;
     std::uint64_t next_ = 0;
+    std::size_t collected_bytes_ = 0;
 };
 
 } // namespace endiveward::router
--- a/packages/router/internal/call_machine.cpp
+++ b/packages/router/internal/call_machine.cpp
@@ -313,10 +313,26 @@
         out_.emplace_back(forward_chunk{std::move(piece.bytes), next_});
         return;
     }
+    collected_bytes_ += piece.bytes.size();
+    if (collected_bytes_ > policy_.max_answer_bytes)
+    {
+        refuse_answer();
+        return;
+    }
     out_.emplace_back(collect_chunk{std::move(piece.bytes)});
     out_.emplace_back(send_ack{leg_, next_});
 }
 
+void call_machine::refuse_answer()
+{
+    out_.emplace_back(send_cancel{leg_});
+    fail({kernel::error_kind::internal,
+          "the answer exceeds limits.max_answer_bytes of this router; ask for "
+          "a stream or a shorter answer, or raise the limit",
+          kernel::run_state::unknown,
+          {}});
+}
+
 void call_machine::on(caller_received& event)
 {
     if (in_flight())
@@ -413,6 +429,7 @@
     if (next_ > 0)
         out_.emplace_back(discard_collected{});
     next_ = 0;
+    collected_bytes_ = 0;
     choose_again();
 }
 
--- a/packages/router/internal/call_relay.cpp
+++ b/packages/router/internal/call_relay.cpp
@@ -42,6 +42,7 @@
     policy.streaming = request.streaming;
     policy.idempotent = request.idempotent;
     policy.max_attempts = services.max_attempts;
+    policy.max_answer_bytes = services.max_answer_bytes;
     return policy;
 }
 
--- a/packages/router/internal/router_metrics.cpp
+++ b/packages/router/internal/router_metrics.cpp
@@ -79,6 +79,16 @@
                                   "Open connections to agents."))
         , calls_(
               make_gauge(*registry_, "endiveward_calls", "Calls in progress."))
+        , store_up_(prometheus::BuildGauge()
+                        .Name("endiveward_store_up")
+                        .Help("1 if the platform's table answered the last "
+                              "read of the configuration, else 0.")
+                        .Register(*registry_))
+        , config_version_(make_gauge(*registry_, "endiveward_config_version",
+                                     "Configuration version in force."))
+        , updates_sent_(counter("endiveward_config_updates_sent_total",
+                                "Configuration updates pushed to agents and "
+                                "routers."))
         , recomputed_(counter("endiveward_recomputed_bytes_total",
                               "Prompt bytes not found in a cache."))
         , prompt_(counter("endiveward_prompt_bytes_total", "Prompt bytes."))
@@ -153,6 +163,9 @@
     Gauge& hit_rate_;
     Gauge& open_agents_;
     Gauge& calls_;
+    prometheus::Family<Gauge>& store_up_;
+    Gauge& config_version_;
+    Counter& updates_sent_;
     Counter& recomputed_;
     Counter& prompt_;
     Counter& cached_;
@@ -221,6 +234,21 @@
     impl_->calls_.Set(static_cast<double>(count));
 }
 
+void router_metrics::set_store_up(bool up)
+{
+    impl_->store_up_.Add({}).Set(up ? 1 : 0);
+}
+
+void router_metrics::set_config_version(std::uint64_t version)
+{
+    impl_->config_version_.Set(static_cast<double>(version));
+}
+
+void router_metrics::on_config_update_sent()
+{
+    impl_->updates_sent_.Increment();
+}
+
 void router_metrics::collect(wire::wire_counters const& counters)
 {
     impl_->collect(counters);
--- a/packages/router/relay_services.hpp
+++ b/packages/router/relay_services.hpp
@@ -61,6 +61,8 @@
     /// Region of this process.
     kernel::region_id region;
     std::size_t max_attempts = 3;
+    /// Limit for an answer that is not streamed to the caller.
+    std::size_t max_answer_bytes = 64U << 20U;
 };
 
 } // namespace endiveward::router
--- a/packages/router/router_metrics.hpp
+++ b/packages/router/router_metrics.hpp
@@ -39,6 +39,10 @@
     void on_dropped(std::size_t count);
     void set_open_agents(std::size_t count);
     void set_calls(std::size_t count);
+    /// The metric is absent until this is called.
+    void set_store_up(bool up);
+    void set_config_version(std::uint64_t version);
+    void on_config_update_sent();
     /// Copies the totals of the wire.
     void collect(wire::wire_counters const& counters);
 
--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -168,6 +168,8 @@
         options.vm_poll_interval = settings_.vm_poll_interval;
         options.vm_timeout = settings_.common.platform_timeout;
         options.on_dropped = [metrics = metrics_] { metrics->on_dropped(1); };
+        options.on_update_sent = [metrics = metrics_]
+        { metrics->on_config_update_sent(); };
         options.on_hello = [it = readiness_](kernel::config_version version)
         { it->on_hello(version); };
         options.on_reported = [it = readiness_, state = configuration_](
@@ -191,6 +193,7 @@
         { return budget->try_retry(); };
         services_->verdict_timeout = settings_.verdict_timeout;
         services_->max_attempts = settings_.max_attempts;
+        services_->max_answer_bytes = settings_.max_answer_bytes;
     }
 
     void make_wire_options()
@@ -245,6 +248,9 @@
     {
         metrics_->collect(*counters_);
         metrics_->set_open_agents(connections_->open_agents());
+        metrics_->set_config_version(configuration_->current()->version());
+        if (follower_ != nullptr)
+            metrics_->set_store_up(follower_->store_up());
         metrics_timer_.expires_after(metrics_interval);
         metrics_timer_.async_wait(
             [this](std::error_code ec)
--- a/packages/router/tests/call_machine_test.cpp
+++ b/packages/router/tests/call_machine_test.cpp
@@ -543,6 +543,63 @@
     CHECK(call.get<send_ack>().next == 1);
 }
 
+// Guards against answers that fill the router's memory, and against an engine
+// that goes on with an answer that nobody will get.
+TEST_CASE("a collected answer above the limit is refused and cancelled")
+{
+    call_policy policy;
+    policy.idempotent = true;
+    policy.max_answer_bytes = 12;
+    machine_under_test call(policy);
+    call.choose(first);
+    call.accept();
+    auto const piece = [&](std::uint64_t number) {
+        call(chunk_arrived{call.machine().leg(), {0, number, "123456"}});
+    };
+    piece(0);
+    piece(1);
+    CHECK(call.has<collect_chunk>());
+    piece(2);
+    CHECK_FALSE(call.has<collect_chunk>());
+    CHECK(call.has<send_cancel>());
+    CHECK(call.has<release_endpoint>());
+    call.check_error(error_kind::internal, run_state::unknown);
+}
+
+// Guards against an attempt that is charged for the bytes of an earlier one.
+TEST_CASE("each attempt may collect an answer up to the limit")
+{
+    call_policy policy;
+    policy.idempotent = true;
+    policy.max_answer_bytes = 7;
+    machine_under_test call(policy);
+    call.choose(first);
+    call.accept();
+    call.chunk(0);
+    call.end_failed(error_kind::stream_interrupted, run_state::unknown);
+    call.choose(second);
+    call.accept();
+    call.chunk(0);
+    CHECK(call.has<collect_chunk>());
+    call.end(1);
+    CHECK(call.has<finish_whole>());
+}
+
+// Guards against a limit on streams, which need no memory for the whole.
+TEST_CASE("a streamed answer may exceed the limit for collected ones")
+{
+    auto policy = stream(true);
+    policy.max_answer_bytes = 7;
+    machine_under_test call(policy);
+    call.choose(first);
+    call.accept();
+    for (std::uint64_t n = 0; n < 5; ++n)
+    {
+        call.chunk(n);
+        CHECK(call.has<forward_chunk>());
+    }
+}
+
 // Guards against an engine's error body sent as an event stream with status
 // 200.
 TEST_CASE("an answer to a streaming call that is no stream is passed on whole")
--- a/packages/router/types/call_policy.hpp
+++ b/packages/router/types/call_policy.hpp
@@ -17,6 +17,8 @@
     std::size_t max_attempts = 3;
     /// Limit for resumptions in a row that bring no new chunk.
     std::size_t max_resumes = 3;
+    /// Limit for an answer that is collected before it is passed on.
+    std::size_t max_answer_bytes = 64U << 20U;
 };
 
 } // namespace endiveward::router
