--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -17,6 +17,7 @@
 #include "router/agent_connections.hpp"
 #include "router/caller_api.hpp"
 #include "router/caller_server.hpp"
+#include "router/config_readiness.hpp"
 #include "router/relay_services.hpp"
 #include "router/router_identity.hpp"
 #include "router/router_metrics.hpp"
@@ -39,6 +40,8 @@
 constexpr std::chrono::seconds metrics_interval{1};
 // How often the follower is asked whether its next read is due.
 constexpr std::chrono::milliseconds follower_interval{100};
+// A quarter of the time after which an unconfirmed configuration is refused.
+constexpr std::chrono::milliseconds probe_interval{2000};
 
 std::vector<wire::prefix_level>
 make_levels(kernel::workspace_id const& workspace,
@@ -89,6 +92,7 @@
 
     void init()
     {
+        make_readiness();
         make_connections();
         make_services();
         make_wire_options();
@@ -98,7 +102,9 @@
         http_.start();
         operator_port_ = value_or_throw(operators_->start());
         auto const& peers = settings_.common.listen_peers;
-        value_or_throw(acceptor_->listen(peers.address, peers.port));
+        auto const peer_port =
+            value_or_throw(acceptor_->listen(peers.address, peers.port));
+        connections_->set_own_address({peers.address, peer_port});
         connections_->start(wire_options_);
         caller_port_ = value_or_throw(callers_->start());
         update_metrics();
@@ -120,8 +126,9 @@
 
     bool ready() const
     {
-        return !stopping_ && configuration_->current()->version() > 0 &&
-               connections_->open_agents() > 0;
+        return !stopping_ && connections_->open_agents() > 0 &&
+               readiness_->is_caught_up(configuration_->current()->version()) &&
+               !readiness_->refusal();
     }
 
     std::size_t active_calls() const { return api_->active_calls(); }
@@ -137,26 +144,46 @@
     }
 
 private:
+    void make_readiness()
+    {
+        readiness_ = std::make_shared<config_readiness>(
+            services_->clock, settings_.when_isolated, follower_ != nullptr);
+        configuration_->subscribe([it = readiness_](auto const&)
+                                  { it->on_applied(); });
+    }
+
     void make_connections()
     {
         agent_connections_options options;
         options.control = control_;
         options.traffic = traffic_;
+        options.clock = services_->clock;
         options.random = random_;
         options.configuration = configuration_;
         options.placement = services_->placement;
         options.vms = vms_;
+        options.self = settings_.common.name;
         options.region = settings_.common.region;
         options.seeds = settings_.common.seeds;
         options.vm_poll_interval = settings_.vm_poll_interval;
         options.vm_timeout = settings_.common.platform_timeout;
         options.on_dropped = [metrics = metrics_] { metrics->on_dropped(1); };
+        options.on_update_sent = [metrics = metrics_]
+        { metrics->on_config_update_sent(); };
+        options.on_hello = [it = readiness_](kernel::config_version version)
+        { it->on_hello(version); };
+        options.on_reported = [it = readiness_, state = configuration_](
+                                  kernel::config_version version)
+        { it->on_reported(version, state->current()->version()); };
+        if (settings_.when_isolated == config::isolation_policy::refuse)
+            options.probe_interval = probe_interval;
         connections_ = std::make_shared<agent_connections>(std::move(options));
     }
 
     void make_services()
     {
         services_->random = random_;
+        services_->region = settings_.common.region;
         services_->configuration = configuration_;
         services_->agents = connections_;
         services_->metrics = metrics_;
@@ -166,6 +193,7 @@
         { return budget->try_retry(); };
         services_->verdict_timeout = settings_.verdict_timeout;
         services_->max_attempts = settings_.max_attempts;
+        services_->max_answer_bytes = settings_.max_answer_bytes;
     }
 
     void make_wire_options()
@@ -189,6 +217,7 @@
         api.max_header_bytes = settings_.max_header_bytes;
         api.default_deadline = settings_.default_deadline;
         api.max_deadline = settings_.max_deadline;
+        api.refusal = [it = readiness_] { return it->refusal(); };
         api_ = std::make_shared<caller_api>(std::move(api));
 
         caller_server_options callers;
@@ -220,6 +249,9 @@
     {
         metrics_->collect(*counters_);
         metrics_->set_open_agents(connections_->open_agents());
+        metrics_->set_config_version(configuration_->current()->version());
+        if (follower_ != nullptr)
+            metrics_->set_store_up(follower_->store_up());
         metrics_timer_.expires_after(metrics_interval);
         metrics_timer_.async_wait(
             [this](std::error_code ec)
@@ -234,6 +266,8 @@
         if (follower_ == nullptr)
             return;
         follower_->tick();
+        if (auto const when = follower_->last_read())
+            readiness_->on_store_read(*when);
         follower_timer_.expires_after(follower_interval);
         follower_timer_.async_wait(
             [this](std::error_code ec)
@@ -260,6 +294,7 @@
     std::shared_ptr<kernel::i_random_source> random_;
     std::shared_ptr<config::i_config_state> configuration_;
     std::shared_ptr<platform::i_vm_list> vms_;
+    std::shared_ptr<config_readiness> readiness_;
     std::shared_ptr<agent_connections> connections_;
     std::shared_ptr<wire::connection_options> wire_options_;
     std::unique_ptr<wire::acceptor> acceptor_;
--- a/packages/router/tests/router_test.cpp
+++ b/packages/router/tests/router_test.cpp
@@ -51,6 +51,8 @@
     return out;
 }
 
+void ignore(connection const&, wire::message const&) {}
+
 /// Accepts each call and answers it with three events.
 void answer_all(connection const& conn, wire::message const& msg)
 {
@@ -415,6 +417,69 @@
     CHECK(agent.received().empty());
 }
 
+// Guards against a router that is cut off and serves although it shall refuse.
+TEST_CASE("a router without a confirmed configuration refuses new requests")
+{
+    fake_agent const agent("a", answer_all);
+    std::atomic<bool> isolated{true};
+    caller_api_options options;
+    options.refusal = [&]() -> std::optional<kernel::error>
+    {
+        if (!isolated)
+            return std::nullopt;
+        return kernel::error{kernel::error_kind::stale_configuration,
+                             "cut off; retry", kernel::run_state::not_run,
+                             std::chrono::seconds(1)};
+    };
+    router_under_test const router({&agent}, options);
+    auto const answer = router.post("/v1/chat/completions", stream_body);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(error_of(answer).at("code") == "stale_configuration");
+    CHECK(error_of(answer).at("run") == "not_run");
+    CHECK(agent.received().empty());
+
+    isolated = false;
+    CHECK(router.post("/v1/chat/completions", stream_body)
+              .starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a router that takes itself for cut off because idle agents
+// speak only every 30 s.
+TEST_CASE("a probed process reports its version")
+{
+    fake_agent const agent("a", ignore);
+    router_under_test const router({&agent}, {}, {},
+                                   std::chrono::milliseconds(5));
+    CHECK(router_under_test::eventually([&] { return agent.probes > 2; }));
+    CHECK(router_under_test::eventually([&] { return router.reports > 2; }));
+    CHECK(router.hellos == 1);
+}
+
+// Guards against a refusal while another region could serve, and against
+// connections to other regions that nothing uses.
+TEST_CASE("agents of other regions are connected when a call needs them")
+{
+    fake_agent const agent("a", answer_all);
+    auto const vms = std::make_shared<fake_vm_list>();
+    platform::vm far;
+    far.role = platform::vm_role::agent;
+    far.address = "127.0.0.1";
+    far.port = agent.port();
+    far.region = kernel::region_id("far");
+    far.endpoint = kernel::endpoint_id("a");
+    vms->vms = {far};
+    router_under_test const router({}, {}, {}, {}, vms);
+    // The second poll starts after the first list was applied.
+    REQUIRE(router_under_test::eventually([&] { return vms->polls > 1; }));
+    CHECK(router.connections->open_agents() == 0);
+
+    CHECK(router.post("/v1/chat/completions", stream_body)
+              .starts_with("HTTP/1.1 200"));
+
+    CHECK(router.connections->open_agents() == 1);
+}
+
 // Guards against new work for an endpoint that is leaving (G7).
 TEST_CASE("an agent that drains is out of rotation at once")
 {
@@ -480,4 +545,74 @@
         [&] { return router.placement->is_available(id); }));
 }
 
+namespace
+{
+
+template <typename Message>
+bool has_received(fake_agent const& peer,
+                  std::function<bool(Message const&)> const& matches)
+{
+    for (auto const& it : peer.received())
+    {
+        auto const* msg = std::get_if<Message>(&it);
+        if (msg != nullptr && matches(*msg))
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+// Guards against versions that stay with the router that read them.
+TEST_CASE("an applied version is pushed to agents and routers")
+{
+    fake_agent const agent("a", ignore);
+    fake_agent const peer("other", ignore, wire::process_role::router);
+    router_under_test router({&agent}, {}, {&peer});
+    auto const is_gossip = [](wire::gossip const&) { return true; };
+    REQUIRE(router_under_test::eventually(
+        [&] { return has_received<wire::gossip>(peer, is_gossip); }));
+
+    router.configuration->apply({1, 2, true, "{}"});
+
+    auto const is_update = [](wire::config_update const& it)
+    { return it.to_version == 2; };
+    CHECK(router_under_test::eventually(
+        [&] { return has_received<wire::config_update>(agent, is_update); }));
+    CHECK(router_under_test::eventually(
+        [&] { return has_received<wire::config_update>(peer, is_update); }));
+    CHECK(router_under_test::eventually([&]
+                                        { return router.updates_sent == 2; }));
+}
+
+// Guards against a router that stays old although a peer told it of a newer
+// version.
+TEST_CASE("the older side of gossip requests what it lacks")
+{
+    fake_agent peer(
+        "other",
+        [](connection const& conn, wire::message const& msg)
+        {
+            if (std::holds_alternative<wire::config_request>(msg))
+                conn->send(wire::config_update{1, 4, true, "{}"});
+        },
+        wire::process_role::router);
+    router_under_test router({}, {}, {&peer});
+    auto const is_gossip = [](wire::gossip const&) { return true; };
+    REQUIRE(router_under_test::eventually(
+        [&] { return has_received<wire::gossip>(peer, is_gossip); }));
+
+    peer.send(wire::gossip{4, {}});
+
+    CHECK(router_under_test::eventually(
+        [&] { return router.configuration->current()->version() == 4; }));
+
+    // A peer that is older learns that it lacks something.
+    peer.send(wire::gossip{3, {}});
+    auto const is_answer = [](wire::gossip const& it)
+    { return it.config_version == 4 && it.members.empty(); };
+    CHECK(router_under_test::eventually(
+        [&] { return has_received<wire::gossip>(peer, is_answer); }));
+}
+
 } // namespace endiveward::router
--- a/packages/router/tests/router_under_test.hpp
+++ b/packages/router/tests/router_under_test.hpp
@@ -31,15 +31,21 @@
 class router_under_test
 {
 public:
-    explicit router_under_test(std::vector<fake_agent const*> const& agents,
-                               caller_api_options api_options = {})
+    explicit router_under_test(
+        std::vector<fake_agent const*> const& agents,
+        caller_api_options api_options = {},
+        std::vector<fake_agent const*> const& routers = {},
+        std::chrono::milliseconds probe_interval = {},
+        std::shared_ptr<platform::i_vm_list> vms = {})
+        : probe_interval_(probe_interval)
+        , vms_(std::move(vms))
     {
         config::i_configuration::endpoint_list const endpoints{
             kernel::endpoint_id("a"), kernel::endpoint_id("b")};
         configuration = std::make_shared<fake_config_state>(
             std::make_shared<fake_configuration>(1, endpoints));
         metrics = std::make_shared<router_metrics>(registry);
-        make_connections(agents);
+        make_connections(agents, routers);
         make_services();
         api_options.services = services;
         api_options.traffic = traffic;
@@ -128,6 +134,10 @@
     std::shared_ptr<caller_api> api;
     std::unique_ptr<caller_server> server;
     std::atomic<int> dropped{0};
+    std::atomic<int> updates_sent{0};
+    std::atomic<int> hellos{0};
+    std::atomic<int> reports{0};
+    static constexpr std::chrono::milliseconds gossip_interval{20};
 
 private:
     class identity : public wire::i_local_identity
@@ -142,17 +152,30 @@
         }
     };
 
-    void make_connections(std::vector<fake_agent const*> const& agents)
+    void make_connections(std::vector<fake_agent const*> const& agents,
+                          std::vector<fake_agent const*> const& routers)
     {
         agent_connections_options options;
         options.control = control;
         options.traffic = traffic;
+        options.clock = std::make_shared<kernel::system_clock>();
         options.random = random;
+        options.self = kernel::process_id("router");
+        options.region = kernel::region_id("region");
         options.configuration = configuration;
         options.placement = placement;
         options.on_dropped = [this] { ++dropped; };
+        options.probe_interval = probe_interval_;
+        options.vms = vms_;
+        options.vm_poll_interval = gossip_interval;
+        options.on_hello = [this](auto) { ++hellos; };
+        options.on_reported = [this](auto) { ++reports; };
+        options.on_update_sent = [this] { ++updates_sent; };
         for (auto const* it : agents)
             options.seeds.push_back({"127.0.0.1", it->port()});
+        for (auto const* it : routers)
+            options.seeds.push_back({"127.0.0.1", it->port()});
+        options.gossip_interval = gossip_interval;
         connections = std::make_shared<agent_connections>(options);
     }
 
@@ -161,6 +184,7 @@
         services = std::make_shared<relay_services>();
         services->clock = std::make_shared<kernel::system_clock>();
         services->random = random;
+        services->region = kernel::region_id("region");
         services->configuration = configuration;
         services->placement = placement;
         services->agents = connections;
@@ -191,6 +215,8 @@
             eventually([&] { return connections->open_agents() == agents; }));
     }
 
+    std::chrono::milliseconds const probe_interval_;
+    std::shared_ptr<platform::i_vm_list> const vms_;
     std::uint16_t port_ = 0;
 };
 
