Add end-to-end tests of whole path, keyed calls, streams and configuration

Real processes on loopback, one case per guarantee and failure. tests/support commits configuration operations with `endiveward config apply`, reads state dumps, and has a TCP relay to break connections between routers and agents.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -111,6 +111,13 @@
     return status_ && WIFEXITED(*status_) && WEXITSTATUS(*status_) == 0;
 }
 
+std::optional<int> child_process::exit_code() const
+{
+    if (!status_ || !WIFEXITED(*status_))
+        return std::nullopt;
+    return WEXITSTATUS(*status_);
+}
+
 std::string child_process::log() const
 {
     std::ifstream in(log_file_);
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -41,6 +41,8 @@
     std::optional<int> wait(std::chrono::milliseconds limit);
     /// Whether it ended by itself with exit code 0.
     bool succeeded() const;
+    /// The exit code; none if it runs or was ended by a signal.
+    std::optional<int> exit_code() const;
 
     pid_t pid() const { return pid_; }
     std::string log() const;
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <stdexcept>
+#include <string_view>
 
 namespace endiveward::test_support
 {
@@ -25,6 +26,12 @@
     return fmt::format("127.0.0.1:{}", port);
 }
 
+std::uint16_t port_of(std::string const& address)
+{
+    return static_cast<std::uint16_t>(
+        std::stoi(address.substr(address.rfind(':') + 1)));
+}
+
 } // namespace
 
 deployment::deployment(deployment_description what)
@@ -80,6 +87,64 @@
     return json::parse(get(stand_in_url + "/admin/stats").body);
 }
 
+std::string deployment::agent_operators_address(std::size_t n) const
+{
+    return agents_[n].operators_url.substr(std::string_view("http://").size());
+}
+
+json deployment::state(std::string const& operators_url,
+                       std::string const& section) const
+{
+    http_call call;
+    call.url = operators_url + "/state/" + section;
+    call.headers["Authorization"] = "Bearer " + operator_token_;
+    auto const answer = send(call);
+    return answer.status == 200 ? json::parse(answer.body) : json();
+}
+
+std::uint64_t deployment::version(std::string const& operators_url) const
+{
+    auto const config = state(operators_url, "config");
+    return config.is_object() ? config.value("version", std::uint64_t{0}) : 0;
+}
+
+std::unique_ptr<child_process>
+deployment::make_apply(std::string const& name, json const& operations,
+                       std::vector<std::string> const& options)
+{
+    auto const file =
+        folder_.write(name + ".json", json{{"operations", operations}}.dump());
+    std::string agents;
+    for (std::size_t n = 0; n < agents_.size(); ++n)
+        if (agents_[n].process)
+            agents += (agents.empty() ? "" : ",") + agent_operators_address(n);
+    std::vector<std::string> arguments{
+        program_path("endiveward"),   "config", "apply",    file, "--settings",
+        routers_.at(0).settings_file, "--json", "--author", name};
+    if (!agents.empty())
+        arguments.push_back("--confirm=" + agents);
+    arguments.insert(arguments.end(), options.begin(), options.end());
+    return make_process(name, std::move(arguments));
+}
+
+std::uint64_t deployment::commit(json const& operations)
+{
+    // The caller waits for the routers; agents catch up with the first call.
+    auto const apply = make_apply(fmt::format("commit-{}", ++commits_),
+                                  operations, {"--wait-ms=0"});
+    apply->start();
+    apply->wait(long_limit);
+    auto const printed = json::parse(apply->log(), nullptr, false);
+    if (!printed.is_object() || !printed.contains("version"))
+        throw std::runtime_error("not committed: " + apply->log());
+    auto const wanted = printed["version"].get<std::uint64_t>();
+    for (auto const& it : routers_)
+        if (!wait_until([&] { return version(it.operators_url) >= wanted; }))
+            throw std::runtime_error(fmt::format("version {} does not reach {}",
+                                                 wanted, it.operators_url));
+    return wanted;
+}
+
 deployment::member
 deployment::make_stand_in(std::string const& program, std::string const& name,
                           std::string const& ready_path,
@@ -126,6 +191,11 @@
     auto const file = folder_.write(name + ".toml", to_toml(settings));
     made.process = make_process(
         name, {program_path("endiveward-agent"), "--settings", file});
+    if (what.relayed)
+    {
+        made.relay = std::make_unique<tcp_relay>(port_of(made.peers));
+        made.peers = loopback(made.relay->port());
+    }
     list_vm(name, "agent", what.zone, what.id, made.peers);
     return made;
 }
@@ -140,9 +210,9 @@
     settings.common.more = what_.router_settings;
     settings.callers = loopback(free_port());
     made.url = "http://" + settings.callers;
-    auto const file = folder_.write(name + ".toml", to_toml(settings));
-    made.process = make_process(
-        name, {program_path("endiveward"), "run", "--settings", file});
+    made.settings_file = folder_.write(name + ".toml", to_toml(settings));
+    made.process = make_process(name, {program_path("endiveward"), "run",
+                                       "--settings", made.settings_file});
     list_vm(name, "router", zone, "", made.peers);
     return made;
 }
@@ -179,11 +249,10 @@
                          std::string const& zone, std::string const& endpoint,
                          std::string const& peers)
 {
-    auto const colon = peers.rfind(':');
     json vm{{"id", name},
             {"role", role},
-            {"address", peers.substr(0, colon)},
-            {"port", std::stoi(peers.substr(colon + 1))},
+            {"address", peers.substr(0, peers.rfind(':'))},
+            {"port", port_of(peers)},
             {"region", what_.region},
             {"zone", zone},
             {"endpoint", endpoint},
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -3,6 +3,7 @@
 
 #include "support/child_process.hpp"
 #include "support/settings_file.hpp"
+#include "support/tcp_relay.hpp"
 #include "support/temp_folder.hpp"
 
 #include <nlohmann/json.hpp>
@@ -29,6 +30,8 @@
     std::int64_t capacity = 16;
     setting_map agent_settings;
     bool with_agent = true;
+    /// Routers reach the agent through a `tcp_relay`.
+    bool relayed = false;
 };
 
 struct deployment_description
@@ -53,6 +56,8 @@
     child_process& platform() { return *platform_.process; }
     child_process& endpoint(std::size_t n) { return *endpoints_[n].process; }
     child_process& agent(std::size_t n) { return *agents_[n].process; }
+    /// Of an endpoint with `relayed`.
+    tcp_relay& relay(std::size_t n) { return *agents_[n].relay; }
     child_process& router(std::size_t n) { return *routers_[n].process; }
 
     std::string const& platform_url() const { return platform_.url; }
@@ -73,6 +78,35 @@
     {
         return agents_[n].operators_url;
     }
+    /// `ADDRESS:PORT` of the agent's operators' listener.
+    std::string agent_operators_address(std::size_t n) const;
+    std::string const& router_settings(std::size_t n) const
+    {
+        return routers_[n].settings_file;
+    }
+    std::size_t router_count() const { return routers_.size(); }
+
+    /// Waits until a process that was started again is ready, or throws.
+    void wait_until_agent_ready(std::size_t n) { wait_until_ready(agents_[n]); }
+    void wait_until_router_ready(std::size_t n)
+    {
+        wait_until_ready(routers_[n]);
+    }
+
+    /// A section of the state dump behind an operators' listener; null if it
+    /// does not answer.
+    nlohmann::json state(std::string const& operators_url,
+                         std::string const& section) const;
+    /// Version in force in a process; 0 if it does not answer.
+    std::uint64_t version(std::string const& operators_url) const;
+    /// A process that runs `endiveward config apply` with the operations.
+    std::unique_ptr<child_process>
+    make_apply(std::string const& name, nlohmann::json const& operations,
+               std::vector<std::string> const& options = {});
+    /// Commits operations and waits until every router has the version in
+    /// force. Gives the version, or throws.
+    std::uint64_t commit(nlohmann::json const& operations);
+
     std::string const& operator_token() const { return operator_token_; }
     temp_folder const& folder() const { return folder_; }
 
@@ -86,10 +120,12 @@
     struct member
     {
         std::unique_ptr<child_process> process;
+        std::unique_ptr<tcp_relay> relay;
         std::string url;
         std::string operators_url;
         std::string peers;
         std::string ready_url;
+        std::string settings_file;
     };
 
     member make_stand_in(std::string const& program, std::string const& name,
@@ -118,6 +154,7 @@
     std::vector<member> endpoints_;
     std::vector<member> agents_;
     std::vector<member> routers_;
+    std::size_t commits_ = 0;
 };
 
 } // namespace endiveward::test_support
