--- a/tests/e2e/callers.cpp
+++ b/tests/e2e/callers.cpp
@@ -253,6 +253,12 @@
     return error_member(answer, "code");
 }
 
+std::string endpoint_of(http_answer const& answer)
+{
+    auto const it = answer.headers.find("x-endiveward-endpoint");
+    return it == answer.headers.end() ? "" : it->second;
+}
+
 bool wait_until_connected(test_support::deployment const& running,
                           std::size_t agents)
 {
--- a/tests/e2e/callers.hpp
+++ b/tests/e2e/callers.hpp
@@ -78,6 +78,9 @@
 /// The `code` member of an error answer; empty if there is none.
 std::string code_of(test_support::http_answer const& answer);
 
+/// The endpoint that an answer names; empty if none.
+std::string endpoint_of(test_support::http_answer const& answer);
+
 /// Waits until every router is connected to that many agents.
 bool wait_until_connected(test_support::deployment const& running,
                           std::size_t agents);
--- a/tests/e2e/config_test.cpp
+++ b/tests/e2e/config_test.cpp
@@ -24,12 +24,6 @@
 using test_support::long_limit;
 using test_support::wait_until;
 
-std::string endpoint_of(http_answer const& answer)
-{
-    auto const it = answer.headers.find("x-endiveward-endpoint");
-    return it == answer.headers.end() ? "" : it->second;
-}
-
 test_support::deployment_description two_zones(std::size_t routers)
 {
     test_support::deployment_description what;
--- a/tests/e2e/streams_test.cpp
+++ b/tests/e2e/streams_test.cpp
@@ -1,13 +1,10 @@
 #include "e2e/callers.hpp"
+#include "e2e/chats.hpp"
 
 #include "support/deployment.hpp"
 #include "support/wait.hpp"
 
 #include <catch2/catch.hpp>
-#include <fmt/format.h>
-
-#include <atomic>
-#include <future>
 
 namespace endiveward::e2e
 {
@@ -15,79 +12,9 @@
 namespace
 {
 
-using nlohmann::json;
 using test_support::deployment;
-using test_support::http_answer;
-using test_support::http_call;
 using test_support::wait_until;
 
-/// Which answers `chats` asks for.
-enum class form
-{
-    streamed,
-    whole,
-    mixed
-};
-
-/// Concurrent chats through all routers in turn.
-class chats
-{
-public:
-    chats(deployment const& running, form kind, std::size_t count,
-          std::size_t tokens)
-        : calls_(count)
-        , pieces_(count)
-    {
-        for (std::size_t n = 0; n < count; ++n)
-        {
-            bool const stream =
-                kind == form::mixed ? n % 3 != 0 : kind == form::streamed;
-            bodies_.push_back(chat(fmt::format("chat-{}", n), stream, tokens));
-            calls_[n] = chat_call(
-                running.router_url(n % running.router_count()), bodies_[n]);
-            calls_[n].on_data = [this, n](std::string_view)
-            {
-                ++pieces_[n];
-                return true;
-            };
-        }
-        answers_ =
-            std::async(std::launch::async, [this] { return send_all(calls_); });
-    }
-
-    /// Waits until each streamed answer has at least that many pieces.
-    bool wait_for_pieces(std::size_t count) const
-    {
-        return wait_until(
-            [&]
-            {
-                for (std::size_t n = 0; n < pieces_.size(); ++n)
-                    if (bodies_[n]["stream"] && pieces_[n] < count)
-                        return false;
-                return true;
-            });
-    }
-
-    std::vector<http_answer> answers() { return answers_.get(); }
-
-    /// Takes the answers; each must be exactly the right one.
-    void check_answers()
-    {
-        auto const all = answers();
-        for (std::size_t n = 0; n < all.size(); ++n)
-        {
-            INFO(n << ": " << describe(all[n]));
-            CHECK(is_right(all[n], bodies_[n]));
-        }
-    }
-
-private:
-    std::vector<json> bodies_;
-    std::vector<http_call> calls_;
-    std::vector<std::atomic<std::size_t>> pieces_;
-    std::future<std::vector<http_answer>> answers_;
-};
-
 } // namespace
 
 // Guards G2 against events that are lost, repeated or reordered when the
@@ -100,7 +27,7 @@
     REQUIRE(wait_until_connected(running, 1));
     deployment::operate(running.endpoint_url(0), "break_connection",
                         {{"after_events", 7}, {"times", 12}});
-    chats open(running, form::mixed, 15, 20);
+    chats open(all_routers(running), form::mixed, 15, 20);
     open.check_answers();
     auto const stats = deployment::stats(running.endpoint_url(0));
     CHECK(stats["broken_connections"] == 12);
@@ -117,7 +44,7 @@
     deployment running(what);
     running.commit(first_operations(what));
     REQUIRE(wait_until_connected(running, 1));
-    chats open(running, form::streamed, 12, 60);
+    chats open(all_routers(running), form::streamed, 12, 60);
     for (std::size_t pieces : {1, 10, 20})
     {
         REQUIRE(open.wait_for_pieces(pieces));
@@ -140,7 +67,7 @@
     deployment running(what);
     running.commit(first_operations(what));
     REQUIRE(wait_until_connected(running, 2));
-    chats open(running, form::whole, 8, 60);
+    chats open(all_routers(running), form::whole, 8, 60);
     auto const executions = [&](std::size_t n)
     {
         return deployment::stats(running.endpoint_url(n))["executions"]
@@ -161,7 +88,7 @@
     running.commit(first_operations(what));
     REQUIRE(wait_until_connected(running, 1));
     // Long enough not to end before the crash.
-    chats open(running, form::mixed, 6, 2000);
+    chats open(all_routers(running), form::mixed, 6, 2000);
     REQUIRE(open.wait_for_pieces(2));
     deployment::operate(running.endpoint_url(0), "crash");
     for (auto const& it : open.answers())
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <stdexcept>
 #include <string_view>
 
@@ -127,7 +128,8 @@
     return make_process(name, std::move(arguments));
 }
 
-std::uint64_t deployment::commit(json const& operations)
+std::uint64_t deployment::commit(json const& operations,
+                                 std::vector<std::size_t> const& routers)
 {
     // The caller waits for the routers; agents catch up with the first call.
     auto const apply = make_apply(fmt::format("commit-{}", ++commits_),
@@ -138,10 +140,16 @@
     if (!printed.is_object() || !printed.contains("version"))
         throw std::runtime_error("not committed: " + apply->log());
     auto const wanted = printed["version"].get<std::uint64_t>();
-    for (auto const& it : routers_)
-        if (!wait_until([&] { return version(it.operators_url) >= wanted; }))
-            throw std::runtime_error(fmt::format("version {} does not reach {}",
-                                                 wanted, it.operators_url));
+    for (std::size_t n = 0; n < routers_.size(); ++n)
+    {
+        bool const awaited =
+            routers.empty() ||
+            std::find(routers.begin(), routers.end(), n) != routers.end();
+        auto const& url = routers_[n].operators_url;
+        if (awaited && !wait_until([&] { return version(url) >= wanted; }))
+            throw std::runtime_error(
+                fmt::format("version {} does not reach {}", wanted, url));
+    }
     return wanted;
 }
 
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -103,9 +103,10 @@
     std::unique_ptr<child_process>
     make_apply(std::string const& name, nlohmann::json const& operations,
                std::vector<std::string> const& options = {});
-    /// Commits operations and waits until every router has the version in
-    /// force. Gives the version, or throws.
-    std::uint64_t commit(nlohmann::json const& operations);
+    /// Commits operations and waits until the routers, all if none is named,
+    /// have the version in force. Gives the version, or throws.
+    std::uint64_t commit(nlohmann::json const& operations,
+                         std::vector<std::size_t> const& routers = {});
 
     std::string const& operator_token() const { return operator_token_; }
     temp_folder const& folder() const { return folder_; }
