--- a/packages/agent/internal/cache_feeder.cpp
+++ b/packages/agent/internal/cache_feeder.cpp
@@ -59,15 +59,20 @@
 void cache_feeder::relist()
 {
     ++current_;
-    incarnation_ = 0;
-    index_->reset(0, 0, {});
+    forget();
     metrics_->cache_relistings.Increment();
-    metrics_->cache_blocks.Set(0);
     endpoint_->list_blocks([self = shared_from_this(), from = current_](
                                kernel::result<cache_listing> answer)
                            { self->on_listing(from, std::move(answer)); });
 }
 
+void cache_feeder::forget()
+{
+    incarnation_ = 0;
+    index_->reset(0, 0, {});
+    metrics_->cache_blocks.Set(0);
+}
+
 void cache_feeder::on_listing(generation from,
                               kernel::result<cache_listing> answer)
 {
@@ -115,7 +120,9 @@
 
 void cache_feeder::retry_later()
 {
-    // After a broken connection entries may be lost; the listing is complete.
+    // After a broken connection entries may be lost, and the engine may be
+    // another one by now; the listing is complete.
+    forget();
     timer_.expires_after(retry_pause);
     timer_.async_wait(
         [self = shared_from_this()](std::error_code ec)
--- a/packages/agent/internal/cache_feeder.hpp
+++ b/packages/agent/internal/cache_feeder.hpp
@@ -47,6 +47,8 @@
     using generation = std::uint64_t;
 
     void relist();
+    /// Empties the index until the next listing.
+    void forget();
     void on_listing(generation from, kernel::result<cache_listing> answer);
     void poll_events();
     void on_events(
--- a/packages/agent/tests/cache_feeder_test.cpp
+++ b/packages/agent/tests/cache_feeder_test.cpp
@@ -94,6 +94,21 @@
     CHECK(test.endpoint->event_polls.back().first == 1);
 }
 
+// Guards against hits on blocks of an engine that has returned empty since its
+// event connection broke.
+TEST_CASE("a broken event poll empties the index at once")
+{
+    feeder_under_test test;
+    test.list(7, 5);
+    REQUIRE(test.index->blocks() == 2);
+    auto const handler = test.endpoint->event_polls.back().second;
+    handler(kernel::error{kernel::error_kind::connection_lost,
+                          "down",
+                          kernel::run_state::unknown,
+                          {}});
+    CHECK(test.index->blocks() == 0);
+}
+
 // Guards against calls for versions of an engine that is gone, and against
 // routers that learn of an engine's return only with the next heartbeat.
 TEST_CASE("an engine that does not answer twice serves no model")
