--- a/stand_ins/engine/engine_service.cpp
+++ b/stand_ins/engine/engine_service.cpp
@@ -437,6 +437,8 @@
     std::vector<cache_event_record> found;
     while (true)
     {
+        if (auto const old = take_old_events())
+            return send_json(reply, 200, *old);
         {
             std::lock_guard const lock(mutex_);
             found = events_.after(after, steady_now());
@@ -454,6 +456,16 @@
     send_json(reply, 200, {{"incarnation", incarnation_}, {"events", events}});
 }
 
+std::optional<json> engine_service::take_old_events()
+{
+    std::lock_guard const lock(mutex_);
+    if (old_event_times_ == 0)
+        return std::nullopt;
+    --old_event_times_;
+    ++counts_["old_events"];
+    return old_events_;
+}
+
 void engine_service::order(http_request const& req, i_http_reply& reply)
 {
     json const body = json::parse(req.body);
@@ -554,6 +566,13 @@
         std::lock_guard const lock(mutex_);
         events_.lose_next(body.at("count").get<std::uint64_t>());
     }
+    else if (what == "old_events")
+    {
+        std::lock_guard const lock(mutex_);
+        old_events_ = {{"incarnation", body.at("incarnation")},
+                       {"events", body.at("events")}};
+        old_event_times_ = body.value("times", 1ULL);
+    }
     else if (what == "forget_streams")
     {
         std::lock_guard const lock(mutex_);
--- a/stand_ins/engine/engine_service.hpp
+++ b/stand_ins/engine/engine_service.hpp
@@ -70,6 +70,7 @@
     void load(i_http_reply& reply);
     void list_blocks(i_http_reply& reply);
     void list_events(http_request const& req, i_http_reply& reply);
+    std::optional<nlohmann::json> take_old_events();
     void order(http_request const& req, i_http_reply& reply);
     int fetch_weights(model_set::model_version const& which);
     void kv(http_request const& req, i_http_reply& reply);
@@ -98,6 +99,9 @@
     std::uint64_t break_times_ = 0;
     std::int64_t break_interval_ = 0;
     std::int64_t break_after_ = 0;
+    /// Given instead of the next event listings, that many times.
+    nlohmann::json old_events_;
+    std::uint64_t old_event_times_ = 0;
 
     std::atomic<bool> crash_on_start_{false};
     std::atomic<bool> wrong_version_{false};
--- a/stand_ins/engine/tests/engine_service_test.cpp
+++ b/stand_ins/engine/tests/engine_service_test.cpp
@@ -131,6 +131,23 @@
     CHECK(events["events"].size() == 8);
 }
 
+// Guards against a switch for late events that changes more than it says.
+TEST_CASE("old events are listed as often as ordered")
+{
+    running_engine engine;
+    auto const list = [&]
+    { return json::parse(get(engine.url("/v1/cache/events?after=0")).body); };
+    auto const own = list();
+    json const old{{"incarnation", 5}, {"events", json::array({1})}};
+    auto order = old;
+    order["times"] = 2;
+    post(engine.url("/admin/old_events"), order.dump());
+    CHECK(list() == old);
+    CHECK(list() == old);
+    CHECK(list() == own);
+    CHECK(engine.stats()["old_events"] == 2);
+}
+
 // Guards against a broken connection that looks like a complete answer, and
 // against a resumed stream with missing or repeated events.
 TEST_CASE("a broken stream is incomplete and can be resumed")
