Let non-idempotent calls of a lost router go on to their end

The agent cancelled every call 10 s after its router was lost, so that the retry of a keyed call got outcome_unknown. Only idempotent calls are cancelled now; the others are bounded by their deadline, and their chunks are discarded so that a full buffer does not stop them.

--- a/packages/agent/internal/agent_metrics.cpp
+++ b/packages/agent/internal/agent_metrics.cpp
@@ -74,6 +74,9 @@
     , orphans_cancelled(
           make_counter(*registry_, "orphans_cancelled_total",
                        "Calls cancelled because no router resumed them."))
+    , orphans_continued(
+          make_counter(*registry_, "orphans_continued_total",
+                       "Non-idempotent calls that went on without a router."))
     , replayed_answers(make_counter(*registry_, "replayed_answers_total",
                                     "Stored answers of keyed calls returned."))
     , prompt_bytes(make_counter(*registry_, "prompt_bytes_total",
--- a/packages/agent/internal/agent_metrics.hpp
+++ b/packages/agent/internal/agent_metrics.hpp
@@ -37,6 +37,7 @@
     prometheus::Counter& duplicate_invokes;
     prometheus::Counter& dropped_messages;
     prometheus::Counter& orphans_cancelled;
+    prometheus::Counter& orphans_continued;
     prometheus::Counter& replayed_answers;
     prometheus::Counter& prompt_bytes;
     prometheus::Counter& cached_bytes;
--- a/packages/agent/internal/call.hpp
+++ b/packages/agent/internal/call.hpp
@@ -46,6 +46,8 @@
     /// Id of the call on `connection`.
     std::uint64_t call_id = 0;
     std::optional<kernel::steady_time> orphaned_at;
+    /// Goes on although no router resumed it in time; its chunks are not kept.
+    bool unattended = false;
 
     std::unique_ptr<admission::i_stream_buffer> buffer;
     std::uint64_t next_to_send = 0;
--- a/packages/agent/internal/call_executor.cpp
+++ b/packages/agent/internal/call_executor.cpp
@@ -302,6 +302,8 @@
             which->answer += bytes;
     }
     which->buffer->append(std::move(bytes));
+    if (which->unattended)
+        return discard_chunks(*which);
     sender_.send_available(*which);
     if (!which->buffer->full() || which->paused)
         return;
@@ -424,11 +426,16 @@
     // A number above what was sent would release chunks that are needed.
     if (which == nullptr || ack.next > which->next_to_send)
         return drop_message();
-    which->buffer->acknowledge(ack.next);
-    if (!which->paused || which->buffer->full())
+    release_chunks(*which, ack.next);
+}
+
+void call_executor::release_chunks(call& which, std::uint64_t next)
+{
+    which.buffer->acknowledge(next);
+    if (!which.paused || which.buffer->full())
         return;
-    which->paused = false;
-    services_.endpoint->resume(which->id);
+    which.paused = false;
+    services_.endpoint->resume(which.id);
 }
 
 void call_executor::on_resume(connection_ptr const& conn,
@@ -517,10 +524,29 @@
         return expire(which);
     if (!which.orphaned_at || time - *which.orphaned_at < resume_window)
         return;
+    auto const& request = which.request;
+    if (!request.idempotent || !request.idempotency_key.empty())
+        return continue_unattended(which);
     services_.metrics->orphans_cancelled.Increment();
     withdraw(which);
 }
 
+void call_executor::continue_unattended(call& which)
+{
+    if (std::exchange(which.unattended, true))
+        return;
+    services_.metrics->orphans_continued.Increment();
+    discard_chunks(which);
+}
+
+// No router acknowledges the chunks, and a full buffer would stop the call
+// until its deadline.
+void call_executor::discard_chunks(call& which)
+{
+    which.next_to_send = which.buffer->next();
+    release_chunks(which, which.buffer->next());
+}
+
 void call_executor::drain()
 {
     services_.queue->drain();
--- a/packages/agent/internal/call_executor.hpp
+++ b/packages/agent/internal/call_executor.hpp
@@ -58,7 +58,9 @@
 public:
     using connection_ptr = call_table::connection_ptr;
 
-    /// How long a call goes on without a router, and how long its end is kept.
+    /// How long the chunks of a call without a router and the end of a call
+    /// are kept. Without a router idempotent calls are cancelled then; others
+    /// go on, so that the answer of a keyed call is recorded.
     static constexpr std::chrono::seconds resume_window{10};
 
     call_executor(executor_services services, endpoint_identity own);
@@ -100,6 +102,9 @@
     void withdraw(call& which);
     void expire(call& which);
     void check_windows(call& which);
+    void continue_unattended(call& which);
+    void discard_chunks(call& which);
+    void release_chunks(call& which, std::uint64_t next);
     void end(call& which, wire::call_end outcome);
     void fail(call& which, kernel::error reason);
     void settle_claim(call& which) const;
--- a/packages/agent/internal/call_table.cpp
+++ b/packages/agent/internal/call_table.cpp
@@ -50,6 +50,7 @@
     which.connection = conn;
     which.call_id = call_id;
     which.orphaned_at.reset();
+    which.unattended = false;
     places_[{conn.get(), call_id}] = which.id;
 }
 
