--- a/bench/capacity/components.cpp
+++ b/bench/capacity/components.cpp
@@ -8,6 +8,7 @@
 #include "kernel/seeded_random_source.hpp"
 #include "kernel/thread_pool.hpp"
 #include "process_usage.hpp"
+#include "sha256.hpp"
 #include "wire/acceptor.hpp"
 #include "wire/codec.hpp"
 #include "wire/connection_options.hpp"
@@ -20,9 +21,7 @@
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <openssl/sha.h>
 
-#include <array>
 #include <atomic>
 #include <future>
 #include <iostream>
@@ -98,17 +97,6 @@
     return fmt::format("key-of-workspace-{:06}", n);
 }
 
-std::string sha256_hex(std::string const& text)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<unsigned char const*>(text.data()), text.size(),
-           digest.data());
-    std::string res;
-    for (auto const it : digest)
-        res += fmt::format("{:02x}", it);
-    return res;
-}
-
 constexpr std::size_t models = 30;
 
 /// One workspace in eight is large, ten zones, two versions for each model.
@@ -133,7 +121,7 @@
         it.id = kernel::workspace_id(fmt::format("workspace-{:06}", i));
         it.labels = {{"size", i % 8 == 0 ? "large" : "small"},
                      {"tier", fmt::format("tier-{}", i % 5)}};
-        it.key_hashes = {sha256_hex(api_key(i))};
+        it.key_hashes = {bench::sha256_hex(api_key(i))};
         list.emplace_back(config::put_object<config::workspace_entry>{it});
     }
     for (std::size_t i = 0; i < models; ++i)
