--- a/bench/capacity/processes.cpp
+++ b/bench/capacity/processes.cpp
@@ -157,9 +157,13 @@
     bool reports(std::string const& role, std::size_t n,
                  std::uint64_t version) const
     {
-        auto const answer =
-            json::parse(ask(role, n, "/config"), nullptr, false);
-        return answer.is_object() && answer.value("version", 0U) >= version;
+        // Agents do not serve /config.
+        bool const router = role == "router";
+        auto const answer = json::parse(
+            ask(role, n, router ? "/config" : "/state/agent"), nullptr, false);
+        return answer.is_object() &&
+               answer.value(router ? "version" : "config_version", 0U) >=
+                   version;
     }
 
     /// Sum over the routers of a series of `endiveward_wire_bytes_total`.
