--- a/bench/capacity/processes.cpp
+++ b/bench/capacity/processes.cpp
@@ -38,13 +38,15 @@
     std::size_t routers = 1;
     std::size_t agents = 1;
     std::size_t workspaces = 0;
+    /// Further entries of the VM list, in other regions.
+    std::size_t vms = 0;
     std::size_t seconds = 60;
     std::int64_t token_interval_ms = 5;
     std::int64_t capacity = 16;
 
     std::string text() const
     {
-        return fmt::format("{}r/{}a/{}w", routers, agents, workspaces);
+        return fmt::format("{}r/{}a/{}w/{}v", routers, agents, workspaces, vms);
     }
 };
 
@@ -103,6 +105,30 @@
         }
     }
 
+    /// Adds VMs to the platform's list.
+    void list_vms()
+    {
+        for (std::size_t n = 0; n < size_.vms; ++n)
+            deployment::operate(
+                deployment_.platform_url(), "vm_put",
+                {{"id", fmt::format("vm-{:06}", n)},
+                 {"role", "agent"},
+                 {"address", fmt::format("10.1.{}.{}", n / 250, n % 250)},
+                 {"port", 7000},
+                 {"region", fmt::format("region-{}", n % 3)},
+                 {"zone", fmt::format("zone-{}", n % 9)},
+                 {"endpoint", fmt::format("worker-{:05}", n)},
+                 {"leaving", false}});
+    }
+
+    /// Bytes of an answer of the VM list.
+    double vm_list_bytes() const
+    {
+        return static_cast<double>(
+            test_support::get(deployment_.platform_url() + "/v1/vms")
+                .body.size());
+    }
+
     deployment& processes() { return deployment_; }
 
     std::vector<pid_t> pids(std::string const& role)
@@ -336,6 +362,8 @@
 void run_control(sizes const& size)
 {
     system_under_load sut(size);
+    sut.list_vms();
+    row("idle", size.text(), "platform", "vm_list", sut.vm_list_bytes(), "B");
     // Lets connections open and heartbeats begin.
     std::this_thread::sleep_for(std::chrono::seconds(3));
     measure_control(
@@ -542,6 +570,72 @@
         it.join();
 }
 
+/// Restarts one agent, then all routers at once.
+void run_restart(sizes const& size)
+{
+    system_under_load sut(size);
+    auto& processes = sut.processes();
+    auto const text = size.text();
+    auto const all_report = [&](std::string const& role, std::size_t count)
+    {
+        for (std::size_t n = 0; n < count; ++n)
+            if (!sut.reports(role, n, sut.version()))
+                return false;
+        return true;
+    };
+    if (!test_support::wait_until(
+            [&]
+            {
+                return all_report("router", size.routers) &&
+                       all_report("agent", size.agents);
+            }))
+        throw std::runtime_error("the configuration does not spread");
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    auto const sent = sut.router_bytes("control", "sent");
+    auto start = steady::now();
+    processes.agent(0).kill();
+    processes.agent(0).start();
+    test_support::wait_until([&] { return all_report("agent", 1); });
+    row("restart_agent", text, "agent", "version_after", since(start), "s");
+    // Every router retries at the latest after 5 s.
+    std::this_thread::sleep_for(std::chrono::seconds(8));
+    row("restart_agent", text, "agent", "control_received",
+        sut.router_bytes("control", "sent") - sent, "B");
+    row("restart_agent", text, "agent", "cpu",
+        bench::usage_of(processes.agent(0).pid()).cpu_seconds, "cpu_s");
+    row("restart_agent", text, "agent", "resident",
+        mean_resident({processes.agent(0).pid()}), "B");
+
+    auto const [reads, writes] = sut.platform_counts();
+    for (std::size_t n = 0; n < size.routers; ++n)
+        processes.router(n).kill();
+    start = steady::now();
+    for (std::size_t n = 0; n < size.routers; ++n)
+        processes.router(n).start();
+    test_support::wait_until([&]
+                             { return all_report("router", size.routers); });
+    auto const time = since(start);
+    auto const [reads_after, writes_after] = sut.platform_counts();
+    row("restart_routers", text, "router", "version_after_last", time, "s");
+    row("restart_routers", text, "platform", "reads", reads_after - reads,
+        "count");
+    row("restart_routers", text, "platform", "transactions",
+        writes_after - writes, "count");
+    row("restart_routers", text, "router", "cpu",
+        cpu_of(sut.pids("router")) / static_cast<double>(size.routers),
+        "cpu_s");
+    std::this_thread::sleep_for(std::chrono::seconds(8));
+    row("restart_routers", text, "router", "control_received",
+        sut.router_bytes("control", "received") /
+            static_cast<double>(size.routers),
+        "B");
+    row("restart_routers", text, "router", "control_sent",
+        sut.router_bytes("control", "sent") / static_cast<double>(size.routers),
+        "B");
+    row("restart_routers", text, "router", "resident",
+        mean_resident(sut.pids("router")), "B");
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -549,12 +643,14 @@
     cxxopts::Options options("capacity_processes",
                              "Measures real processes with stand-ins.");
     options.add_options()                                                   //
-        ("scenario", "control, relay or streams",                           //
+        ("scenario", "control, relay, restart or streams",                  //
          cxxopts::value<std::string>()->default_value("control"))           //
         ("routers", "", cxxopts::value<std::size_t>()->default_value("1"))  //
         ("agents", "", cxxopts::value<std::size_t>()->default_value("8"))   //
         ("workspaces", "",                                                  //
          cxxopts::value<std::size_t>()->default_value("0"))                 //
+        ("vms", "further entries of the VM list",                           //
+         cxxopts::value<std::size_t>()->default_value("0"))                 //
         ("seconds", "of each measurement",                                  //
          cxxopts::value<std::size_t>()->default_value("60"))                //
         ("clients", "", cxxopts::value<std::size_t>()->default_value("32")) //
@@ -570,6 +666,7 @@
         size.routers = args["routers"].as<std::size_t>();
         size.agents = args["agents"].as<std::size_t>();
         size.workspaces = args["workspaces"].as<std::size_t>();
+        size.vms = args["vms"].as<std::size_t>();
         size.seconds = args["seconds"].as<std::size_t>();
         size.capacity = args["capacity"].as<std::int64_t>();
         size.token_interval_ms = args["token-interval-ms"].as<std::int64_t>();
@@ -581,6 +678,8 @@
             run_relay(size, args["clients"].as<std::size_t>());
         else if (scenario == "streams")
             run_streams(size);
+        else if (scenario == "restart")
+            run_restart(size);
         else
             throw std::runtime_error("unknown scenario " + scenario);
         return 0;
