Count only reports with levels against the rank; outdate them after 10 s

Cause: a report without recent levels (a heartbeat, an engine that has not run anything) reset the trust in the rank to zero, as if the endpoint had said that it caches nothing. In a fresh cluster every router then placed by load alone: the end-to-end test 'routers that all restart place prefixes as before' put one prefix on two endpoints. The age now counts from the last report with levels; a restarted engine counts as reported empty.

Life times tried: 2, 4, 6, 10, 20, 40 and 1000 s; 10 s has the least waste on steady load.

--- a/packages/placement/internal/endpoint_record.cpp
+++ b/packages/placement/internal/endpoint_record.cpp
@@ -53,9 +53,13 @@
         unanswered_.clear();
     // An agent that drains exits, so a report without the flag is older.
     bool const draining = status_.load.draining && same_agent;
-    change_engine(load.engine_incarnation);
+    change_engine(load.engine_incarnation, now);
     if (load.engine_incarnation != 0)
         hints_.add(load.recent_levels, now);
+    // Heartbeats and engines that have not run anything name no levels; that
+    // says nothing about the cache.
+    if (!load.recent_levels.empty())
+        levels_reported_at_ = now;
     status_.load = load;
     status_.load.recent_levels.clear();
     status_.load.draining = load.draining || draining;
@@ -63,6 +67,14 @@
     return true;
 }
 
+std::optional<std::chrono::duration<double>>
+endpoint_record::levels_age(kernel::steady_time now) const
+{
+    if (!levels_reported_at_)
+        return std::nullopt;
+    return now - *levels_reported_at_;
+}
+
 void endpoint_record::record_hit(placement_request const& request,
                                  std::uint64_t hit_bytes, bool will_run,
                                  kernel::steady_time now)
@@ -154,13 +166,16 @@
 // Reports of a dead incarnation may still arrive; remembering the last few
 // keeps them from bringing back its load and hints. An unknown incarnation
 // (zero) is no proof that the engine restarted.
-void endpoint_record::change_engine(kernel::incarnation engine)
+void endpoint_record::change_engine(kernel::incarnation engine,
+                                    kernel::steady_time now)
 {
     if (engine == 0 || engine == engine_)
         return;
     hints_ = hit_hints(max_hints_);
     if (engine_ != 0)
     {
+        // A restarted engine is known to be empty.
+        levels_reported_at_ = now;
         retired_[next_retired_] = engine_;
         next_retired_ = (next_retired_ + 1) % retired_.size();
     }
--- a/packages/placement/internal/endpoint_record.hpp
+++ b/packages/placement/internal/endpoint_record.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace endiveward::placement
 {
@@ -38,10 +39,10 @@
     std::uint64_t expected_hit(placement_request const& request,
                                kernel::steady_time now) const;
 
-    std::chrono::duration<double> report_age(kernel::steady_time now) const
-    {
-        return now - reported_at_;
-    }
+    /// Age of the last report that named recently used levels; none if there
+    /// was no such report of this engine.
+    std::optional<std::chrono::duration<double>>
+    levels_age(kernel::steady_time now) const;
 
     void sent(kernel::steady_time now);
     /// The agent has answered the oldest call without a verdict.
@@ -57,7 +58,7 @@
 
 private:
     bool retired(kernel::incarnation engine) const;
-    void change_engine(kernel::incarnation engine);
+    void change_engine(kernel::incarnation engine, kernel::steady_time now);
     std::size_t unreported(kernel::steady_time now) const;
 
     endpoint_status status_;
@@ -66,6 +67,7 @@
     hit_hints hints_;
     kernel::incarnation engine_ = 0; // last known one, never back to zero
     kernel::steady_time reported_at_;
+    std::optional<kernel::steady_time> levels_reported_at_;
     std::array<kernel::incarnation, 4> retired_{};
     std::size_t next_retired_ = 0;
     std::size_t in_flight_ = 0;
--- a/packages/placement/internal/placement.cpp
+++ b/packages/placement/internal/placement.cpp
@@ -24,14 +24,16 @@
 constexpr double home_confidence = 0.9;
 
 // A report names the levels used last, so a level without a hint is not cached
-// at an endpoint that has just reported. That knowledge is outdated after this
-// time, which is between the trials that were best for steady load (4 s) and
-// for shifting prefixes (1 s).
-constexpr seconds report_lifetime{2.0};
+// at an endpoint that has just reported some. That knowledge is outdated after
+// this time. Between 2 s and 1000 s, 10 s gave the least waste on steady load
+// (docs/MEASUREMENTS.md).
+constexpr seconds report_lifetime{10.0};
 
-double confidence(seconds report_age)
+double confidence(std::optional<seconds> levels_age)
 {
-    return home_confidence * std::min(1.0, report_age / report_lifetime);
+    if (!levels_age)
+        return home_confidence;
+    return home_confidence * std::min(1.0, *levels_age / report_lifetime);
 }
 
 std::chrono::milliseconds to_milliseconds(seconds time)
@@ -275,7 +277,7 @@
             static_cast<double>(it->expected_hit(request, now));
         // Without a hint the rank stands for it: the first ranks are where
         // other routers, or this one before a restart, send the prefix.
-        double const share = rank_share * confidence(it->report_age(now));
+        double const share = rank_share * confidence(it->levels_age(now));
         rank_share /= 2;
         double const hit =
             hinted + share * (static_cast<double>(deepest) - hinted);
