Release the router's objects when it stops

Wire options own their observer, agent_connections, which owns the thread pools, whose pending handlers owned the connections and with them the options, so that nothing was freed after a stop. Handlers now hold agent_connections weakly, and the options lose their observer once the threads have stopped. A test of the module fails without this.

--- a/packages/router/internal/agent_connections.cpp
+++ b/packages/router/internal/agent_connections.cpp
@@ -55,6 +55,8 @@
 
 } // namespace
 
+// Pending handlers belong to the thread pools, which this object owns, and so
+// hold it weakly.
 class agent_connections::impl
     : public std::enable_shared_from_this<agent_connections::impl>
 {
@@ -96,8 +98,11 @@
             });
         asio::post(
             options_.control->context(0),
-            [self = shared_from_this(), wire_options = std::move(wire_options)]
+            [weak = weak_from_this(), wire_options = std::move(wire_options)]
             {
+                auto const self = weak.lock();
+                if (!self)
+                    return;
                 self->identity_ = wire_options->identity;
                 self->connector_.emplace(wire_options);
                 for (auto const& it : self->options_.seeds)
@@ -121,8 +126,11 @@
         for (auto const& it : channels)
             it->connection()->close();
         asio::post(options_.control->context(0),
-                   [self = shared_from_this()]
+                   [weak = weak_from_this()]
                    {
+                       auto const self = weak.lock();
+                       if (!self)
+                           return;
                        // The connector's options own the observer.
                        self->connector_.reset();
                        self->vm_timer_.cancel();
@@ -181,8 +189,11 @@
         if (lost.link.empty())
             return;
         asio::post(options_.control->context(0),
-                   [self = shared_from_this(), key = lost.link]
-                   { self->on_link_down(key); });
+                   [weak = weak_from_this(), key = lost.link]
+                   {
+                       if (auto const self = weak.lock())
+                           self->on_link_down(key);
+                   });
     }
 
     std::shared_ptr<agent_channel>
@@ -220,8 +231,11 @@
                 continue;
             opening.push_back(it.endpoint);
             asio::post(options_.control->context(0),
-                       [self = shared_from_this(), it]
-                       { self->connect_to_remote(it); });
+                       [weak = weak_from_this(), it]
+                       {
+                           if (auto const self = weak.lock())
+                               self->connect_to_remote(it);
+                       });
         }
         return opening;
     }
@@ -533,7 +547,11 @@
     void spread_later()
     {
         asio::post(options_.control->context(0),
-                   [self = shared_from_this()] { self->spread(); });
+                   [weak = weak_from_this()]
+                   {
+                       if (auto const self = weak.lock())
+                           self->spread();
+                   });
     }
 
     void spread()
@@ -562,9 +580,10 @@
     {
         gossip_timer_.expires_after(options_.gossip_interval);
         gossip_timer_.async_wait(
-            [self = shared_from_this()](std::error_code ec)
+            [weak = weak_from_this()](std::error_code ec)
             {
-                if (ec || !self->connector_)
+                auto const self = weak.lock();
+                if (ec || !self || !self->connector_)
                     return;
                 self->close_idle_routers();
                 self->close_idle_remotes();
@@ -579,9 +598,10 @@
             return;
         probe_timer_.expires_after(options_.probe_interval);
         probe_timer_.async_wait(
-            [self = shared_from_this()](std::error_code ec)
+            [weak = weak_from_this()](std::error_code ec)
             {
-                if (ec || !self->connector_)
+                auto const self = weak.lock();
+                if (ec || !self || !self->connector_)
                     return;
                 self->probe_some();
                 self->wait_for_probe();
@@ -738,9 +758,10 @@
         it->second.timer->expires_after(
             it->second.delays.next(*options_.random));
         it->second.timer->async_wait(
-            [self = shared_from_this(), key](std::error_code ec)
+            [weak = weak_from_this(), key](std::error_code ec)
             {
-                if (!ec)
+                auto const self = weak.lock();
+                if (!ec && self)
                     self->connect(key);
             });
     }
@@ -754,9 +775,12 @@
         auto const& address = it->second.address;
         connector_->connect(
             options_.traffic->next_context(), address.address, address.port,
-            [self = shared_from_this(), key](
+            [weak = weak_from_this(), key](
                 kernel::result<std::shared_ptr<wire::i_connection>> const& res)
-            { self->on_connected(key, res); });
+            {
+                if (auto const self = weak.lock())
+                    self->on_connected(key, res);
+            });
     }
 
     /// Runs on the connection's thread.
@@ -767,8 +791,11 @@
         if (!kernel::ok(res))
         {
             asio::post(options_.control->context(0),
-                       [self = shared_from_this(), key]
-                       { self->on_link_down(key); });
+                       [weak = weak_from_this(), key]
+                       {
+                           if (auto const self = weak.lock())
+                               self->on_link_down(key);
+                       });
             return;
         }
         auto const& conn = kernel::value(res);
@@ -782,8 +809,11 @@
         auto const channel = channel_of(conn);
         request_newer(*channel, conn->peer().config_version);
         asio::post(options_.control->context(0),
-                   [self = shared_from_this(), key, channel]
-                   { self->on_link_up(key, *channel); });
+                   [weak = weak_from_this(), key, channel]
+                   {
+                       if (auto const self = weak.lock())
+                           self->on_link_up(key, *channel);
+                   });
     }
 
     /// False if this process is stopping.
@@ -864,9 +894,10 @@
     {
         heartbeat_timer_.expires_after(options_.heartbeat_interval);
         heartbeat_timer_.async_wait(
-            [self = shared_from_this()](std::error_code ec)
+            [weak = weak_from_this()](std::error_code ec)
             {
-                if (ec)
+                auto const self = weak.lock();
+                if (ec || !self)
                     return;
                 self->send_heartbeats();
                 self->wait_for_heartbeat();
@@ -917,9 +948,10 @@
             (static_cast<std::uint64_t>(interval.count()) + 1));
         vm_timer_.expires_after(interval / 2 + jitter);
         vm_timer_.async_wait(
-            [self = shared_from_this()](std::error_code ec)
+            [weak = weak_from_this()](std::error_code ec)
             {
-                if (!ec)
+                auto const self = weak.lock();
+                if (!ec && self)
                     self->poll_vms();
             });
     }
--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -122,6 +122,10 @@
         http_.stop();
         traffic_->stop();
         control_->stop();
+        // Connections that are still open own the options, and the observer
+        // owns the threads of the connections.
+        if (wire_options_)
+            wire_options_->observer.reset();
     }
 
     bool ready() const
--- a/packages/router/tests/fake_agent.hpp
+++ b/packages/router/tests/fake_agent.hpp
@@ -38,13 +38,15 @@
 
     /// With the role of a router it has no endpoint; its name is `endpoint`.
     fake_agent(std::string const& endpoint, script on_call,
-               wire::process_role role = wire::process_role::agent)
+               wire::process_role role = wire::process_role::agent,
+               kernel::config_version version = 0)
         : script_(std::move(on_call))
         , observer_(std::shared_ptr<void>(), this)
         , options_(std::make_shared<wire::connection_options>())
     {
         options_->key = test_key();
-        options_->identity = std::make_shared<identity>(endpoint, role);
+        options_->identity =
+            std::make_shared<identity>(endpoint, role, version);
         options_->random = std::make_shared<kernel::secure_random_source>();
         options_->counters = std::make_shared<wire::wire_counters>();
         options_->observer = observer_;
@@ -112,9 +114,11 @@
     class identity : public wire::i_local_identity
     {
     public:
-        identity(std::string const& endpoint, wire::process_role role)
+        identity(std::string const& endpoint, wire::process_role role,
+                 kernel::config_version version)
             : endpoint_(endpoint)
             , role_(role)
+            , version_(version)
         {
         }
         wire::hello describe() const override
@@ -128,12 +132,14 @@
                 own.endpoint = endpoint_;
             own.region = kernel::region_id("region");
             own.zone = kernel::zone_id("zone");
+            own.config_version = version_;
             return own;
         }
 
     private:
         kernel::endpoint_id endpoint_;
         wire::process_role role_;
+        kernel::config_version version_;
     };
 
     script script_;
--- a/packages/router/tests/router_under_test.hpp
+++ b/packages/router/tests/router_under_test.hpp
@@ -66,6 +66,7 @@
         http.stop();
         traffic->stop();
         control->stop();
+        wire_options_->observer.reset();
     }
 
     std::uint16_t port() const { return port_; }
@@ -201,7 +202,7 @@
 
     void start(std::size_t agents)
     {
-        auto const options = std::make_shared<wire::connection_options>();
+        auto const& options = wire_options_;
         options->key = test_key();
         options->identity = std::make_shared<identity>();
         options->random = random;
@@ -217,6 +218,8 @@
 
     std::chrono::milliseconds const probe_interval_;
     std::shared_ptr<platform::i_vm_list> const vms_;
+    std::shared_ptr<wire::connection_options> const wire_options_ =
+        std::make_shared<wire::connection_options>();
     std::uint16_t port_ = 0;
 };
 
