--- a/packages/router/tests/fakes.hpp
+++ b/packages/router/tests/fakes.hpp
@@ -7,6 +7,7 @@
 #include "config/types/service_entry.hpp"
 #include "config/types/traffic.hpp"
 #include "config/types/workspace_entry.hpp"
+#include "kernel/i_clock.hpp"
 #include "placement/i_placement.hpp"
 #include "placement/types/endpoint_status.hpp"
 #include "placement/types/placement_choice.hpp"
@@ -205,6 +206,21 @@
     int in_flight_ = 0;
 };
 
+/// Stands still until a test moves it, from any thread.
+class stepped_clock : public kernel::i_clock
+{
+public:
+    kernel::steady_time now() const override
+    {
+        return kernel::steady_time(std::chrono::nanoseconds(elapsed_.load()));
+    }
+    kernel::wall_time wall_now() const override { return {}; }
+    void advance(std::chrono::nanoseconds step) { elapsed_ += step.count(); }
+
+private:
+    std::atomic<std::int64_t> elapsed_{0};
+};
+
 /// Gives the same list each time.
 class fake_vm_list : public platform::i_vm_list
 {
--- a/packages/router/tests/router_module_test.cpp
+++ b/packages/router/tests/router_module_test.cpp
@@ -2,6 +2,7 @@
 
 #include "config/types/router_settings.hpp"
 #include "kernel/service_registry.hpp"
+#include "router/config_readiness.hpp"
 #include "router/tests/router_under_test.hpp"
 
 namespace endiveward::router
@@ -32,15 +33,16 @@
 struct process_services
 {
     kernel::service_registry registry;
-    std::shared_ptr<kernel::i_clock const> clock =
-        std::make_shared<kernel::system_clock>();
+    std::shared_ptr<kernel::i_clock const> clock;
     std::shared_ptr<fake_config_state> state =
         std::make_shared<fake_config_state>(
             std::make_shared<fake_configuration>(
                 1, config::i_configuration::endpoint_list{
                        kernel::endpoint_id("a")}));
 
-    process_services()
+    explicit process_services(std::shared_ptr<kernel::i_clock const> time =
+                                  std::make_shared<kernel::system_clock>())
+        : clock(std::move(time))
     {
         registry.add<kernel::i_clock const>("clock", clock);
         registry.add<kernel::i_random_source>(
@@ -76,6 +78,37 @@
     module.deinit();
 }
 
+// Guards against a setting that the process does not follow: a router that is
+// cut off has to refuse and to leave the load balancer's rotation.
+TEST_CASE("a router that is cut off refuses if the settings say so")
+{
+    auto const clock = std::make_shared<stepped_clock>();
+    auto const policy = GENERATE(config::isolation_policy::refuse,
+                                 config::isolation_policy::serve);
+    process_services services(clock);
+    auto settings = settings_for({});
+    settings.when_isolated = policy;
+    router_module module(settings);
+    module.resolve_services(services.registry);
+    module.init();
+    auto const list_models = [&]
+    {
+        return http_exchange(module.caller_port(),
+                             "GET /v1/models HTTP/1.1\r\nHost: test\r\n"
+                             "Connection: close\r\n"
+                             "Authorization: Bearer key\r\n\r\n");
+    };
+    CHECK(list_models().starts_with("HTTP/1.1 200"));
+    clock->advance(config_readiness::confirmation_limit +
+                   std::chrono::milliseconds(1));
+    auto const answer = list_models();
+    if (policy == config::isolation_policy::serve)
+        CHECK(answer.starts_with("HTTP/1.1 200"));
+    else
+        CHECK(answer.find("stale_configuration") != std::string::npos);
+    module.deinit();
+}
+
 // Guards against connections and timers that keep the router's objects alive
 // after a stop.
 TEST_CASE("a router that has stopped releases its services")
--- a/packages/router/tests/router_test.cpp
+++ b/packages/router/tests/router_test.cpp
@@ -1,3 +1,4 @@
+#include "router/remote_endpoints.hpp"
 #include "router/tests/router_under_test.hpp"
 
 #include <nlohmann/json.hpp>
@@ -478,6 +479,13 @@
               .starts_with("HTTP/1.1 200"));
 
     CHECK(router.connections->open_agents() == 1);
+    REQUIRE(router_under_test::eventually(
+        [&] { return router.api->active_calls() == 0; }));
+    router.membership_clock->advance(remote_endpoints::idle_limit);
+    CHECK(router_under_test::eventually(
+        [&] { return router.connections->open_agents() == 0; }));
+    CHECK(router.post("/v1/chat/completions", stream_body)
+              .starts_with("HTTP/1.1 200"));
 }
 
 // Guards against new work for an endpoint that is leaving (G7).
--- a/packages/router/tests/router_under_test.hpp
+++ b/packages/router/tests/router_under_test.hpp
@@ -26,6 +26,19 @@
 namespace endiveward::router
 {
 
+/// Sends bytes and reads until the server closes the connection.
+inline std::string http_exchange(std::uint16_t port, std::string const& request)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(socket, asio::buffer(request));
+    std::string answer;
+    std::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    return answer;
+}
+
 /// A router over HTTP and the real wire package, with fake configuration and
 /// placement.
 class router_under_test
@@ -71,17 +84,9 @@
 
     std::uint16_t port() const { return port_; }
 
-    /// Sends bytes and reads until the server closes the connection.
     std::string exchange(std::string const& request) const
     {
-        asio::io_context context;
-        asio::ip::tcp::socket socket(context);
-        socket.connect({asio::ip::make_address("127.0.0.1"), port_});
-        asio::write(socket, asio::buffer(request));
-        std::string answer;
-        std::error_code ec;
-        asio::read(socket, asio::dynamic_buffer(answer), ec);
-        return answer;
+        return http_exchange(port_, request);
     }
 
     std::string post(std::string const& path, std::string const& body,
@@ -128,6 +133,9 @@
         std::make_shared<kernel::secure_random_source>();
     std::shared_ptr<fake_placement> placement =
         std::make_shared<fake_placement>();
+    /// For the limits after which connections are idle.
+    std::shared_ptr<stepped_clock> membership_clock =
+        std::make_shared<stepped_clock>();
     std::shared_ptr<fake_config_state> configuration;
     std::shared_ptr<router_metrics> metrics;
     std::shared_ptr<agent_connections> connections;
@@ -159,7 +167,7 @@
         agent_connections_options options;
         options.control = control;
         options.traffic = traffic;
-        options.clock = std::make_shared<kernel::system_clock>();
+        options.clock = membership_clock;
         options.random = random;
         options.self = kernel::process_id("router");
         options.region = kernel::region_id("region");
