--- a/packages/router/tests/router_under_test.hpp
+++ b/packages/router/tests/router_under_test.hpp
@@ -26,6 +26,19 @@
 namespace endiveward::router
 {
 
+/// Sends bytes and reads until the server closes the connection.
+inline std::string http_exchange(std::uint16_t port, std::string const& request)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(socket, asio::buffer(request));
+    std::string answer;
+    std::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    return answer;
+}
+
 /// A router over HTTP and the real wire package, with fake configuration and
 /// placement.
 class router_under_test
@@ -66,21 +79,14 @@
         http.stop();
         traffic->stop();
         control->stop();
+        wire_options_->observer.reset();
     }
 
     std::uint16_t port() const { return port_; }
 
-    /// Sends bytes and reads until the server closes the connection.
     std::string exchange(std::string const& request) const
     {
-        asio::io_context context;
-        asio::ip::tcp::socket socket(context);
-        socket.connect({asio::ip::make_address("127.0.0.1"), port_});
-        asio::write(socket, asio::buffer(request));
-        std::string answer;
-        std::error_code ec;
-        asio::read(socket, asio::dynamic_buffer(answer), ec);
-        return answer;
+        return http_exchange(port_, request);
     }
 
     std::string post(std::string const& path, std::string const& body,
@@ -127,6 +133,9 @@
         std::make_shared<kernel::secure_random_source>();
     std::shared_ptr<fake_placement> placement =
         std::make_shared<fake_placement>();
+    /// For the limits after which connections are idle.
+    std::shared_ptr<stepped_clock> membership_clock =
+        std::make_shared<stepped_clock>();
     std::shared_ptr<fake_config_state> configuration;
     std::shared_ptr<router_metrics> metrics;
     std::shared_ptr<agent_connections> connections;
@@ -158,7 +167,7 @@
         agent_connections_options options;
         options.control = control;
         options.traffic = traffic;
-        options.clock = std::make_shared<kernel::system_clock>();
+        options.clock = membership_clock;
         options.random = random;
         options.self = kernel::process_id("router");
         options.region = kernel::region_id("region");
@@ -201,7 +210,7 @@
 
     void start(std::size_t agents)
     {
-        auto const options = std::make_shared<wire::connection_options>();
+        auto const& options = wire_options_;
         options->key = test_key();
         options->identity = std::make_shared<identity>();
         options->random = random;
@@ -217,6 +226,8 @@
 
     std::chrono::milliseconds const probe_interval_;
     std::shared_ptr<platform::i_vm_list> const vms_;
+    std::shared_ptr<wire::connection_options> const wire_options_ =
+        std::make_shared<wire::connection_options>();
     std::uint16_t port_ = 0;
 };
 
