--- a/tests/e2e/paused_router_test.cpp
+++ b/tests/e2e/paused_router_test.cpp
@@ -18,7 +18,6 @@
 
 using nlohmann::json;
 using test_support::deployment;
-using test_support::http_answer;
 using test_support::http_call;
 using test_support::wait_until;
 
--- a/tests/e2e/whole_path_test.cpp
+++ b/tests/e2e/whole_path_test.cpp
@@ -16,10 +16,7 @@
 
 using nlohmann::json;
 using test_support::deployment;
-using test_support::http_answer;
 using test_support::http_call;
-using test_support::long_limit;
-using test_support::wait_until;
 
 } // namespace
 
