--- a/bench/capacity/components.cpp
+++ b/bench/capacity/components.cpp
@@ -215,6 +215,9 @@
     row("configuration", "memory", size,
         static_cast<double>(bench::heap_bytes() - heap), "B");
     row("configuration", "snapshot_apply", size, load, "cpu_s");
+    auto const build =
+        cpu_of([&] { sink += state.update_since(0).body.size(); });
+    row("configuration", "snapshot_build", size, build, "cpu_s");
     constexpr int compiles = 5;
     auto const compile = cpu_of(
         [&]
