--- a/bench/capacity/process_usage.cpp
+++ b/bench/capacity/process_usage.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <sstream>
 #include <string>
+#include <string_view>
 
 namespace endiveward::bench
 {
@@ -62,4 +63,15 @@
             pages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE))};
 }
 
+std::uint64_t peak_resident_bytes(pid_t pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+    constexpr std::string_view name = "VmHWM:";
+    constexpr std::uint64_t kibibyte = 1024;
+    for (std::string line; std::getline(file, line);)
+        if (line.starts_with(name))
+            return std::stoull(line.substr(name.size())) * kibibyte;
+    return 0;
+}
+
 } // namespace endiveward::bench
--- a/bench/capacity/process_usage.hpp
+++ b/bench/capacity/process_usage.hpp
@@ -21,6 +21,8 @@
 };
 
 process_usage usage_of(pid_t pid);
+/// The most memory that a process has had resident so far.
+std::uint64_t peak_resident_bytes(pid_t pid);
 
 } // namespace endiveward::bench
 
--- a/bench/capacity/processes.cpp
+++ b/bench/capacity/processes.cpp
@@ -268,6 +268,14 @@
     return sum / static_cast<double>(pids.size());
 }
 
+double most_resident(std::vector<pid_t> const& pids)
+{
+    std::uint64_t most = 0;
+    for (auto const it : pids)
+        most = std::max(most, bench::peak_resident_bytes(it));
+    return static_cast<double>(most);
+}
+
 /// Control cost of all processes while something happens.
 template <typename Function>
 void measure_control(system_under_load& sut, sizes const& size,
@@ -310,6 +318,8 @@
         (writes_after - writes) / time, "1/s");
     row(scenario, text, "router", "resident", mean_resident(routers), "B");
     row(scenario, text, "agent", "resident", mean_resident(agents), "B");
+    row(scenario, text, "router", "resident_peak", most_resident(routers), "B");
+    row(scenario, text, "agent", "resident_peak", most_resident(agents), "B");
 }
 
 /// Seconds from the start of `config apply` until each process reports it.
