Order engines to load the models that the configuration lists

Endpoints get an optional list of model versions. The agent compares it with the engine's report and orders loads and unloads under a lease that is held only while an order is due, with a weight load slot for each load. Orders are repeated until the report shows their effect, so that lost answers and late orders of a former holder are corrected.

--- a/packages/admission/i_order_lease.hpp
+++ b/packages/admission/i_order_lease.hpp
@@ -18,6 +18,9 @@
     /// The fencing number to put on an order that is sent now; none if the
     /// lease is not held or is too close to its expiry.
     virtual std::optional<std::uint64_t> fencing_number() const = 0;
+    /// Gives the lease back, so that another process need not wait for its
+    /// expiry.
+    virtual void release() = 0;
 };
 
 } // namespace endiveward::admission
--- a/packages/admission/table_lease.hpp
+++ b/packages/admission/table_lease.hpp
@@ -47,9 +47,7 @@
 
     void tick() override;
     std::optional<std::uint64_t> fencing_number() const override;
-    /// Gives the lease back, so that another process need not wait for its
-    /// expiry.
-    void release();
+    void release() override;
 
 private:
     /// The row as last read or written.
--- a/packages/agent/internal/agent_core.cpp
+++ b/packages/agent/internal/agent_core.cpp
@@ -4,6 +4,8 @@
 #include "admission/cache_index.hpp"
 #include "admission/idempotency_ledger.hpp"
 #include "admission/stream_buffer.hpp"
+#include "admission/table_lease.hpp"
+#include "admission/weight_load_slots.hpp"
 #include "agent/internal/agent_identity.hpp"
 #include "agent/internal/agent_metrics.hpp"
 #include "agent/internal/agent_state_source.hpp"
@@ -12,6 +14,7 @@
 #include "agent/internal/http_endpoint_client.hpp"
 #include "agent/internal/load_poller.hpp"
 #include "agent/internal/load_reporter.hpp"
+#include "agent/internal/model_reconciler.hpp"
 #include "agent/internal/periodic_task.hpp"
 #include "agent/internal/router_connections.hpp"
 #include "config/i_config_state.hpp"
@@ -22,6 +25,7 @@
 #include "wire/types/wire_counters.hpp"
 
 #include <asio/post.hpp>
+#include <fmt/format.h>
 #include <prometheus/gauge.h>
 
 #include <algorithm>
@@ -169,6 +173,34 @@
             executor_->pump();
         });
     add(load_interval, [this] { poller_->poll(); });
+    make_reconciler();
+    add(second, [this] { reconciler_->tick(); });
+}
+
+void agent_core::make_reconciler()
+{
+    auto const post = [&context = context()](std::function<void()> task)
+    { asio::post(context, std::move(task)); };
+    // The incarnation distinguishes this process from its predecessor.
+    auto const holder =
+        fmt::format("{}/{}", settings_.common.name.str(), incarnation_);
+    admission::table_lease_options options;
+    options.row_key = "leases/" + settings_.endpoint.str();
+    options.holder = holder;
+    options.table_timeout = settings_.common.platform_timeout;
+    reconciler_services services;
+    services.clock = env_.clock;
+    services.random = env_.random;
+    services.configuration = env_.configuration;
+    services.load = load_;
+    services.endpoint = endpoint_;
+    services.lease = std::make_shared<admission::table_lease>(
+        *env_.clock, *env_.table, post, std::move(options));
+    services.slots = std::make_shared<admission::weight_load_slots>(
+        *env_.clock, *env_.table, post, holder);
+    services.metrics = metrics_;
+    reconciler_ = std::make_shared<model_reconciler>(std::move(services),
+                                                     settings_.endpoint);
 }
 
 kernel::result<std::uint16_t> agent_core::start()
--- a/packages/agent/internal/agent_core.hpp
+++ b/packages/agent/internal/agent_core.hpp
@@ -39,6 +39,7 @@
 class cache_feeder;
 class drain_controller;
 class load_poller;
+class model_reconciler;
 class periodic_task;
 class router_connections;
 
@@ -85,6 +86,7 @@
     void make_calls();
     void make_connections();
     void make_tasks();
+    void make_reconciler();
     void publish_gauges() const;
     bool has_engine() const;
     asio::io_context& context() const;
@@ -101,6 +103,7 @@
     std::shared_ptr<router_connections> connections_;
     std::shared_ptr<drain_controller> drain_;
     std::shared_ptr<load_poller> poller_;
+    std::shared_ptr<model_reconciler> reconciler_;
     std::shared_ptr<cache_feeder> feeder_;
     std::shared_ptr<observe::i_state_source> state_;
     std::shared_ptr<wire::connection_options> options_;
--- a/packages/agent/internal/agent_metrics.cpp
+++ b/packages/agent/internal/agent_metrics.cpp
@@ -77,6 +77,10 @@
     , orphans_continued(
           make_counter(*registry_, "orphans_continued_total",
                        "Non-idempotent calls that went on without a router."))
+    , orders(make_counter(*registry_, "orders_total",
+                          "Orders sent to the engine, repetitions included."))
+    , order_failures(make_counter(*registry_, "order_failures_total",
+                                  "Orders refused or without an answer."))
     , replayed_answers(make_counter(*registry_, "replayed_answers_total",
                                     "Stored answers of keyed calls returned."))
     , prompt_bytes(make_counter(*registry_, "prompt_bytes_total",
--- a/packages/agent/internal/agent_metrics.hpp
+++ b/packages/agent/internal/agent_metrics.hpp
@@ -38,6 +38,8 @@
     prometheus::Counter& dropped_messages;
     prometheus::Counter& orphans_cancelled;
     prometheus::Counter& orphans_continued;
+    prometheus::Counter& orders;
+    prometheus::Counter& order_failures;
     prometheus::Counter& replayed_answers;
     prometheus::Counter& prompt_bytes;
     prometheus::Counter& cached_bytes;
--- a/packages/agent/internal/load_reporter.cpp
+++ b/packages/agent/internal/load_reporter.cpp
@@ -23,6 +23,7 @@
 void load_reporter::update_engine(engine_load load)
 {
     engine_ = std::move(load);
+    engine_up_ = true;
     // An engine that reports no capacity is limited by the settings alone.
     auto const capacity = engine_.capacity == 0
                               ? max_capacity_
@@ -34,6 +35,7 @@
 void load_reporter::mark_engine_lost()
 {
     engine_.models.clear();
+    engine_up_ = false;
     report();
 }
 
--- a/packages/agent/internal/load_reporter.hpp
+++ b/packages/agent/internal/load_reporter.hpp
@@ -33,6 +33,8 @@
     bool serves(kernel::model_id const& model,
                 kernel::model_version const& version) const;
     kernel::incarnation engine_incarnation() const;
+    /// Whether the engine's newest report counts.
+    bool engine_up() const { return engine_up_; }
 
     /// The current state; also published for `latest`.
     wire::load_report report();
@@ -43,6 +45,7 @@
     kernel::incarnation const agent_;
     std::size_t const max_capacity_;
     engine_load engine_;
+    bool engine_up_ = false;
     kernel::snapshot<wire::load_report> published_;
 };
 
--- a/packages/agent/tests/fakes.hpp
+++ b/packages/agent/tests/fakes.hpp
@@ -11,6 +11,7 @@
 #include "agent/types/endpoint_result.hpp"
 #include "config/i_config_state.hpp"
 #include "config/i_configuration.hpp"
+#include "config/types/endpoint_entry.hpp"
 #include "config/types/traffic.hpp"
 #include "wire/i_connection.hpp"
 
@@ -288,7 +289,7 @@
     config::endpoint_entry const*
     find_endpoint(kernel::endpoint_id const&) const override
     {
-        return nullptr;
+        return own ? &*own : nullptr;
     }
     std::vector<kernel::model_id> models() const override { return {}; }
     config::workspace_entry const* authenticate(std::string_view) const override
@@ -306,6 +307,9 @@
         return allowing_;
     }
 
+    /// The entry of every endpoint, if set.
+    std::optional<config::endpoint_entry> own;
+
 private:
     kernel::config_version version_;
     bool allowing_;
@@ -332,6 +336,14 @@
     }
     void subscribe(observer) override {}
 
+    void set_models(std::vector<config::endpoint_model> models)
+    {
+        auto next =
+            std::make_shared<fake_configuration>(current_->version() + 1, true);
+        next->own.emplace();
+        next->own->models = std::move(models);
+        current_ = std::move(next);
+    }
     void set(kernel::config_version version, bool allowing = true)
     {
         current_ = std::make_shared<fake_configuration>(version, allowing);
@@ -374,9 +386,9 @@
     {
         event_polls.emplace_back(after, std::move(done));
     }
-    void order(engine_order const&, handler<kernel::done> on_done) override
+    void order(engine_order const& what, handler<kernel::done> done) override
     {
-        on_done(kernel::done{});
+        orders.emplace_back(what, std::move(done));
     }
 
     void part(std::size_t n, std::string bytes)
@@ -400,6 +412,7 @@
     std::vector<
         std::pair<std::uint64_t, handler<std::vector<admission::cache_event>>>>
         event_polls;
+    std::vector<std::pair<engine_order, handler<kernel::done>>> orders;
 };
 
 } // namespace endiveward::agent
--- a/packages/config/internal/apply_change.cpp
+++ b/packages/config/internal/apply_change.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <optional>
+#include <set>
 
 namespace endiveward::config
 {
@@ -193,6 +194,9 @@
         case object_kind::workspace:
             return erase<workspace_entry>(it.id);
         case object_kind::model:
+            if (auto res = check_wanted_versions(it.id, nullptr);
+                !kernel::ok(res))
+                return res;
             return erase<model_entry>(it.id);
         case object_kind::service:
             return erase_service(it.id);
@@ -250,6 +254,56 @@
             !data_.services.contains(entry.service.str()))
             return absent(
                 object_key(object_kind::service, entry.service.str()));
+        return check_models(entry);
+    }
+
+    outcome check_models(endpoint_entry const& entry) const
+    {
+        if (entry.kind == endpoint_kind::service && !entry.models.empty())
+            return invalid(fmt::format("endpoint {}: only engines load models; "
+                                       "remove models",
+                                       entry.id.str()));
+        for (auto const& it : entry.models)
+        {
+            if (std::count(entry.models.begin(), entry.models.end(), it) > 1)
+                return invalid(fmt::format(
+                    "endpoint {}: version {} of model {} appears twice",
+                    entry.id.str(), it.version.str(), it.model.str()));
+            auto const found = data_.models.find(it.model.str());
+            if (found == data_.models.end() ||
+                !has_version(*found->second, it.version))
+                return absent(fmt::format(
+                    "version {} of {}", it.version.str(),
+                    object_key(object_kind::model, it.model.str())));
+        }
+        return kernel::done();
+    }
+
+    static bool has_version(model_entry const& entry,
+                            kernel::model_version const& version)
+    {
+        return std::any_of(entry.versions.begin(), entry.versions.end(),
+                           [&](auto const& it)
+                           { return it.version == version; });
+    }
+
+    /// `next` replaces the model; null deletes it.
+    outcome check_wanted_versions(std::string const& model,
+                                  model_entry const* next) const
+    {
+        for (auto const& [name, entry] : data_.endpoints)
+        {
+            for (auto const& it : entry->models)
+            {
+                if (it.model.str() != model ||
+                    (next != nullptr && has_version(*next, it.version)))
+                    continue;
+                return invalid(fmt::format(
+                    "version {} of model {} is listed by endpoint {}; change "
+                    "the endpoint's models first",
+                    it.version.str(), model, name));
+            }
+        }
         return kernel::done();
     }
 
@@ -289,7 +343,7 @@
             if (auto res = check_labels(it.labels); !kernel::ok(res))
                 return res;
         }
-        return kernel::done();
+        return check_wanted_versions(entry.id.str(), &entry);
     }
 
     outcome check(service_entry const& entry) const
--- a/packages/config/internal/config_json.cpp
+++ b/packages/config/internal/config_json.cpp
@@ -115,6 +115,9 @@
     res["kind"] = it.kind == endpoint_kind::engine ? "engine" : "service";
     if (!it.service.empty())
         res["service"] = it.service.str();
+    for (auto const& wanted : it.models)
+        res["models"].push_back(json{{"model", wanted.model.str()},
+                                     {"version", wanted.version.str()}});
     return res;
 }
 
@@ -179,9 +182,25 @@
         {"id", it.id}, {"stages", std::move(stages)}, {"stage", it.stage}};
 }
 
+std::vector<endpoint_model> endpoint_models(json const& value)
+{
+    std::vector<endpoint_model> res;
+    // An empty list could be meant as "unload everything".
+    if (value.contains("models") && array(value, "models").empty())
+        fail("field \"models\" must name at least one version; remove it if "
+             "the endpoint's models are managed elsewhere");
+    for (auto const& it : array(value, "models"))
+    {
+        expect_object(it, {"model", "version"});
+        res.push_back({kernel::model_id(text(it, "model")),
+                       kernel::model_version(text(it, "version"))});
+    }
+    return res;
+}
+
 void parse(json const& value, endpoint_entry& out)
 {
-    expect_object(value, {"id", "kind", "service", "labels"});
+    expect_object(value, {"id", "kind", "service", "labels", "models"});
     out.id = kernel::endpoint_id(text(value, "id"));
     auto const kind = text_or(value, "kind", "engine");
     if (kind != "engine" && kind != "service")
@@ -190,6 +209,7 @@
         kind == "engine" ? endpoint_kind::engine : endpoint_kind::service;
     out.service = kernel::service_id(text_or(value, "service", ""));
     out.labels = labels(value);
+    out.models = endpoint_models(value);
 }
 
 void parse(json const& value, workspace_entry& out)
--- a/packages/config/tests/configuration_test.cpp
+++ b/packages/config/tests/configuration_test.cpp
@@ -463,3 +463,55 @@
     }
     CHECK(count == 2);
 }
+
+// Guards against agents that order what no model entry describes, and against
+// lists that lose their version when a model changes.
+TEST_CASE("endpoints list the versions that they should load",
+          "[configuration]")
+{
+    config::config_data data;
+    operate(data, base_operations);
+    std::string const listed =
+        R"([{"op":"put_endpoint","endpoint":{"id":"a",
+            "models":[{"model":"m","version":"2"}]}}])";
+    operate(data, listed);
+    auto const compiled = compile(data);
+    auto const* const entry = compiled->find_endpoint(kernel::endpoint_id("a"));
+    REQUIRE(entry != nullptr);
+    CHECK(entry->models ==
+          std::vector<config::endpoint_model>{
+              {kernel::model_id("m"), kernel::model_version("2")}});
+    CHECK(compiled->find_endpoint(kernel::endpoint_id("b"))->models.empty());
+    auto const kept = config::parse_operations(
+        config::to_json(make_change(listed)).at("operations").dump());
+    REQUIRE(kernel::ok(kept));
+    CHECK(kernel::value(kept) == make_change(listed).operations);
+
+    auto const operation = GENERATE(
+        // An unknown model, an unknown version, a repetition, a service.
+        R"([{"op":"put_endpoint","endpoint":{"id":"a",
+            "models":[{"model":"n","version":"2"}]}}])",
+        R"([{"op":"put_endpoint","endpoint":{"id":"a",
+            "models":[{"model":"m","version":"3"}]}}])",
+        R"([{"op":"put_endpoint","endpoint":{"id":"a",
+            "models":[{"model":"m","version":"2"},
+                      {"model":"m","version":"2"}]}}])",
+        R"([{"op":"put_endpoint","endpoint":{"id":"g","kind":"service",
+            "service":"gate","models":[{"model":"m","version":"2"}]}}])",
+        // Removal of a listed version.
+        R"([{"op":"put_model","model":{"id":"m","versions":[
+            {"version":"1","labels":{}}]}}])",
+        R"([{"op":"delete_model","id":"m"}])");
+    CAPTURE(operation);
+    auto const parsed = config::parse_operations(operation);
+    REQUIRE(kernel::ok(parsed));
+    CHECK_FALSE(kernel::ok(
+        config::apply_change(data, {"c", "an", kernel::value(parsed), {}})));
+}
+
+// Guards against an empty list that is taken for "unload everything".
+TEST_CASE("an empty list of models is refused", "[configuration]")
+{
+    CHECK_FALSE(kernel::ok(config::parse_operations(
+        R"([{"op":"put_endpoint","endpoint":{"id":"a","models":[]}}])")));
+}
--- a/packages/config/types/endpoint_entry.hpp
+++ b/packages/config/types/endpoint_entry.hpp
@@ -1,10 +1,12 @@
 #ifndef ENDIVEWARD_CONFIG_TYPES_ENDPOINT_ENTRY_HPP
 #define ENDIVEWARD_CONFIG_TYPES_ENDPOINT_ENTRY_HPP
 
+#include "config/types/endpoint_model.hpp"
 #include "config/types/label_set.hpp"
 #include "kernel/types/identifiers.hpp"
 
 #include <cstdint>
+#include <vector>
 
 namespace endiveward::config
 {
@@ -23,6 +25,9 @@
     /// Set for `endpoint_kind::service`.
     kernel::service_id service;
     label_set labels;
+    /// Versions that the endpoint should load, engines only. If empty, its
+    /// agent orders nothing.
+    std::vector<endpoint_model> models;
 
     bool operator==(endpoint_entry const&) const = default;
 };
