--- a/packages/admission/cache_index.hpp
+++ b/packages/admission/cache_index.hpp
@@ -8,10 +8,13 @@
 namespace endiveward::admission
 {
 
-/// The set of blocks of one engine incarnation.
+/// The set of blocks of one engine incarnation, up to a limit. Blocks beyond it
+/// count as not cached, which costs placement quality only.
 class cache_index : public i_cache_index
 {
 public:
+    explicit cache_index(std::size_t max_blocks);
+
     void reset(kernel::incarnation engine, std::uint64_t last_event,
                std::vector<kernel::hash128> const& blocks) override;
     apply_outcome apply(cache_event const& event) override;
@@ -19,10 +22,14 @@
     hit_bytes(std::span<wire::prefix_level const> levels) const override;
     kernel::incarnation engine_incarnation() const override { return engine_; }
     std::size_t blocks() const override { return blocks_.size(); }
+    std::uint64_t take_left_out() override;
 
 private:
+    void insert(kernel::hash128 const& block);
     void discard();
 
+    std::size_t const max_blocks_;
+    std::uint64_t left_out_ = 0;
     kernel::incarnation engine_ = 0;
     std::uint64_t last_event_ = 0;
     bool complete_ = false;
--- a/packages/admission/i_cache_index.hpp
+++ b/packages/admission/i_cache_index.hpp
@@ -41,6 +41,8 @@
     hit_bytes(std::span<wire::prefix_level const> levels) const = 0;
     virtual kernel::incarnation engine_incarnation() const = 0;
     virtual std::size_t blocks() const = 0;
+    /// Blocks that were left out since the last call because the index is full.
+    virtual std::uint64_t take_left_out() = 0;
 };
 
 } // namespace endiveward::admission
--- a/packages/admission/internal/cache_index.cpp
+++ b/packages/admission/internal/cache_index.cpp
@@ -2,16 +2,25 @@
 
 #include "admission/types/cache_event.hpp"
 
+#include <utility>
+
 namespace endiveward::admission
 {
 
+cache_index::cache_index(std::size_t max_blocks)
+    : max_blocks_(max_blocks)
+{
+}
+
 void cache_index::reset(kernel::incarnation engine, std::uint64_t last_event,
                         std::vector<kernel::hash128> const& blocks)
 {
     engine_ = engine;
     last_event_ = last_event;
     complete_ = true;
-    blocks_ = {blocks.begin(), blocks.end()};
+    blocks_.clear();
+    for (auto const& it : blocks)
+        insert(it);
 }
 
 cache_index::apply_outcome cache_index::apply(cache_event const& event)
@@ -30,7 +39,7 @@
     }
     last_event_ = event.number;
     if (event.kind == cache_event_kind::stored)
-        blocks_.insert(event.block);
+        insert(event.block);
     else
         blocks_.erase(event.block);
     return apply_outcome::applied;
@@ -49,6 +58,19 @@
     return hit;
 }
 
+void cache_index::insert(kernel::hash128 const& block)
+{
+    if (blocks_.size() < max_blocks_)
+        blocks_.insert(block);
+    else if (!blocks_.contains(block))
+        ++left_out_;
+}
+
+std::uint64_t cache_index::take_left_out()
+{
+    return std::exchange(left_out_, 0);
+}
+
 void cache_index::discard()
 {
     complete_ = false;
--- a/packages/admission/tests/cache_index_test.cpp
+++ b/packages/admission/tests/cache_index_test.cpp
@@ -39,7 +39,7 @@
 // Guards against an index that does not follow the engine's cache.
 TEST_CASE("the index follows stored and evicted blocks")
 {
-    cache_index index;
+    cache_index index(10);
     index.reset(7, 10, {block(1)});
     CHECK(index.hit_bytes(levels()) == 1024);
     CHECK(index.apply(stored(7, 11, 2)) == outcome::applied);
@@ -54,7 +54,7 @@
 // old events arrive after the new engine's listing.
 TEST_CASE("events of another engine incarnation change nothing")
 {
-    cache_index index;
+    cache_index index(10);
     index.reset(7, 10, {block(1), block(2)});
     index.reset(8, 0, {});
     CHECK(index.apply(stored(7, 11, 1)) == outcome::other_incarnation);
@@ -65,7 +65,7 @@
 // Guards against reliance on a block whose eviction was lost.
 TEST_CASE("a gap in event numbers empties the index until the next listing")
 {
-    cache_index index;
+    cache_index index(10);
     index.reset(7, 10, {block(1)});
     CHECK(index.apply(stored(7, 12, 2)) == outcome::gap);
     CHECK(index.hit_bytes(levels()) == 0);
@@ -76,4 +76,25 @@
     CHECK(index.hit_bytes(levels()) == 1024);
 }
 
+// Guards against an index that grows with whatever the engine reports, and
+// against a hit that is claimed for a block that was left out.
+TEST_CASE("the index keeps no more blocks than its limit")
+{
+    cache_index index(1);
+    index.reset(7, 10, {block(1), block(2)});
+    CHECK(index.blocks() == 1);
+    CHECK(index.hit_bytes(levels()) == 1024);
+    CHECK(index.take_left_out() == 1);
+    CHECK(index.apply(stored(7, 11, 3)) == outcome::applied);
+    CHECK(index.apply(stored(7, 12, 1)) == outcome::applied);
+    CHECK(index.blocks() == 1);
+    CHECK(index.take_left_out() == 1);
+    CHECK(index.take_left_out() == 0);
+    CHECK(index.apply(evicted(7, 13, 2)) == outcome::applied);
+    CHECK(index.apply(evicted(7, 14, 1)) == outcome::applied);
+    CHECK(index.apply(stored(7, 15, 2)) == outcome::applied);
+    CHECK(index.blocks() == 1);
+    CHECK(index.take_left_out() == 0);
+}
+
 } // namespace endiveward::admission
--- a/packages/agent/internal/agent_core.cpp
+++ b/packages/agent/internal/agent_core.cpp
@@ -2,6 +2,7 @@
 
 #include "admission/admission_queue.hpp"
 #include "admission/cache_index.hpp"
+#include "admission/claim_sweeper.hpp"
 #include "admission/idempotency_ledger.hpp"
 #include "admission/stream_buffer.hpp"
 #include "admission/table_lease.hpp"
@@ -26,6 +27,7 @@
 
 #include <asio/post.hpp>
 #include <fmt/format.h>
+#include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 
 #include <algorithm>
@@ -43,6 +45,7 @@
 constexpr std::chrono::milliseconds tick_interval{10};
 constexpr std::chrono::milliseconds load_interval{500};
 constexpr std::chrono::seconds second{1};
+constexpr std::chrono::minutes sweep_interval{1};
 constexpr std::chrono::seconds heartbeat_interval{30};
 
 } // namespace
@@ -80,9 +83,13 @@
     ledger_options.table_timeout = settings_.common.platform_timeout;
     queue_ = std::make_shared<admission::admission_queue>(*env_.clock,
                                                           settings_.max_queue);
-    cache_ = std::make_shared<admission::cache_index>();
+    cache_ =
+        std::make_shared<admission::cache_index>(settings_.max_cache_blocks);
     ledger_ = std::make_shared<admission::idempotency_ledger>(
         *env_.clock, *env_.random, *env_.table, post, ledger_options);
+    sweeper_ = std::make_shared<admission::claim_sweeper>(
+        *env_.clock, *env_.table, post, settings_.claim_retention,
+        settings_.common.platform_timeout);
     endpoint_ = std::make_shared<http_endpoint_client>(context(),
                                                        settings_.endpoint_url);
     load_ = std::make_shared<load_reporter>(queue_, incarnation_,
@@ -160,6 +167,7 @@
             ledger_->tick();
             publish_gauges();
         });
+    add(sweep_interval, [this] { sweeper_->tick(); });
     add(heartbeat_interval, [this] { connections_->broadcast_heartbeat(); });
     if (!has_engine())
         return;
@@ -261,6 +269,10 @@
     metrics_->queued.Set(load.queued);
     metrics_->capacity.Set(load.capacity);
     metrics_->draining.Set(load.draining ? 1 : 0);
+    metrics_->collect(*options_->counters);
+    metrics_->claims_deleted.Increment(
+        static_cast<double>(sweeper_->deleted()) -
+        metrics_->claims_deleted.Value());
 }
 
 } // namespace endiveward::agent
--- a/packages/agent/internal/agent_core.hpp
+++ b/packages/agent/internal/agent_core.hpp
@@ -20,6 +20,10 @@
 {
 class Registry;
 }
+namespace endiveward::admission
+{
+class claim_sweeper;
+}
 namespace endiveward::kernel
 {
 class thread_pool;
@@ -97,6 +101,7 @@
     std::shared_ptr<admission::i_admission_queue> queue_;
     std::shared_ptr<admission::i_cache_index> cache_;
     std::shared_ptr<admission::i_idempotency_ledger> ledger_;
+    std::shared_ptr<admission::claim_sweeper> sweeper_;
     std::shared_ptr<i_endpoint_client> endpoint_;
     std::shared_ptr<load_reporter> load_;
     std::shared_ptr<call_executor> executor_;
--- a/packages/agent/internal/agent_metrics.cpp
+++ b/packages/agent/internal/agent_metrics.cpp
@@ -1,5 +1,7 @@
 #include "agent/internal/agent_metrics.hpp"
 
+#include "wire/types/wire_counters.hpp"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
@@ -43,6 +45,11 @@
         .Add({});
 }
 
+void raise_to(prometheus::Counter& counter, std::uint64_t value)
+{
+    counter.Increment(static_cast<double>(value) - counter.Value());
+}
+
 std::string label_of(wire::call_outcome outcome)
 {
     switch (outcome)
@@ -65,6 +72,10 @@
                         "Admitted calls that ended, by outcome."))
     , refusals_(make_family(*registry_, "refusals_total",
                             "Calls refused by their verdict, by code."))
+    , wire_bytes_(make_family(*registry_, "wire_bytes_total",
+                              "Bytes of frames, by kind and direction."))
+    , wire_events_(make_family(*registry_, "wire_events_total",
+                               "Connections and frames, by event."))
     , resumes(make_counter(*registry_, "resumes_total",
                            "Streams continued on another connection."))
     , duplicate_invokes(make_counter(*registry_, "duplicate_invokes_total",
@@ -91,6 +102,11 @@
                                     "Listings of the engine's cache read."))
     , cache_events(make_counter(*registry_, "cache_events_total",
                                 "Cache events received from the engine."))
+    , cache_blocks_left_out(
+          make_counter(*registry_, "cache_blocks_left_out_total",
+                       "Blocks not kept because the cache index was full."))
+    , claims_deleted(make_counter(*registry_, "claims_deleted_total",
+                                  "Claim rows deleted after retention."))
     , running(make_gauge(*registry_, "running_calls",
                          "Calls that occupy a place at the endpoint."))
     , queued(make_gauge(*registry_, "queued_calls", "Calls that wait."))
@@ -115,4 +131,25 @@
     refusals_.Add({{"code", std::string(kernel::to_string(kind))}}).Increment();
 }
 
+void agent_metrics::collect(wire::wire_counters const& counters)
+{
+    auto const bytes =
+        [this](char const* kind, char const* direction, std::uint64_t value)
+    {
+        raise_to(wire_bytes_.Add({{"kind", kind}, {"direction", direction}}),
+                 value);
+    };
+    bytes("call", "sent", counters.call_bytes_sent);
+    bytes("call", "received", counters.call_bytes_received);
+    bytes("control", "sent", counters.control_bytes_sent);
+    bytes("control", "received", counters.control_bytes_received);
+    auto const events = [this](char const* event, std::uint64_t value) {
+        raise_to(wire_events_.Add({{"event", event}}), value);
+    };
+    events("connection_opened", counters.connections_opened);
+    events("connection_closed", counters.connections_closed);
+    events("handshake_failed", counters.handshakes_failed);
+    events("frame_rejected", counters.frames_rejected);
+}
+
 } // namespace endiveward::agent
--- a/packages/agent/internal/agent_metrics.hpp
+++ b/packages/agent/internal/agent_metrics.hpp
@@ -15,6 +15,11 @@
 class Family;
 } // namespace prometheus
 
+namespace endiveward::wire
+{
+struct wire_counters;
+}
+
 namespace endiveward::agent
 {
 
@@ -26,11 +31,15 @@
 
     void count_end(wire::call_outcome outcome);
     void count_refusal(kernel::error_kind kind);
+    /// Raises the traffic counters to the current values.
+    void collect(wire::wire_counters const& counters);
 
 private:
     std::shared_ptr<prometheus::Registry> registry_;
     prometheus::Family<prometheus::Counter>& ends_;
     prometheus::Family<prometheus::Counter>& refusals_;
+    prometheus::Family<prometheus::Counter>& wire_bytes_;
+    prometheus::Family<prometheus::Counter>& wire_events_;
 
 public:
     prometheus::Counter& resumes;
@@ -45,6 +54,8 @@
     prometheus::Counter& cached_bytes;
     prometheus::Counter& cache_relistings;
     prometheus::Counter& cache_events;
+    prometheus::Counter& cache_blocks_left_out;
+    prometheus::Counter& claims_deleted;
     prometheus::Gauge& running;
     prometheus::Gauge& queued;
     prometheus::Gauge& capacity;
--- a/packages/agent/internal/cache_feeder.cpp
+++ b/packages/agent/internal/cache_feeder.cpp
@@ -79,7 +79,7 @@
     incarnation_ = listing.incarnation;
     last_event_ = listing.last_event;
     index_->reset(incarnation_, last_event_, listing.blocks);
-    metrics_->cache_blocks.Set(static_cast<double>(index_->blocks()));
+    publish_size();
     poll_events();
 }
 
@@ -109,10 +109,17 @@
             return relist();
         last_event_ = std::max(last_event_, it.number);
     }
-    metrics_->cache_blocks.Set(static_cast<double>(index_->blocks()));
+    publish_size();
     poll_events();
 }
 
+void cache_feeder::publish_size()
+{
+    metrics_->cache_blocks.Set(static_cast<double>(index_->blocks()));
+    metrics_->cache_blocks_left_out.Increment(
+        static_cast<double>(index_->take_left_out()));
+}
+
 void cache_feeder::retry_later()
 {
     // After a broken connection entries may be lost; the listing is complete.
--- a/packages/agent/internal/cache_feeder.hpp
+++ b/packages/agent/internal/cache_feeder.hpp
@@ -52,6 +52,7 @@
     void on_events(
         generation from,
         kernel::result<std::vector<admission::cache_event>> const& answer);
+    void publish_size();
     void retry_later();
 
     asio::steady_timer timer_;
--- a/packages/agent/tests/fakes.hpp
+++ b/packages/agent/tests/fakes.hpp
@@ -252,6 +252,7 @@
         return incarnation_;
     }
     std::size_t blocks() const override { return blocks_; }
+    std::uint64_t take_left_out() override { return 0; }
 
     int resets = 0;
 
--- a/packages/config/internal/settings_loader.cpp
+++ b/packages/config/internal/settings_loader.cpp
@@ -130,6 +130,8 @@
         out.fencing = static_cast<fencing_support>(*it);
     read_count(reader, "endpoint", "capacity", 1, 100'000, out.capacity);
     read_count(reader, "endpoint", "max_queue", 0, 1'000'000, out.max_queue);
+    read_count(reader, "endpoint", "max_cache_blocks", 0, 100'000'000,
+               out.max_cache_blocks);
     auto hours = static_cast<std::int64_t>(out.claim_retention.count());
     reader.integer("store", "claim_retention_h", 1, 24LL * 365, hours);
     out.claim_retention = std::chrono::hours(hours);
--- a/packages/config/tests/settings_loader_test.cpp
+++ b/packages/config/tests/settings_loader_test.cpp
@@ -211,6 +211,8 @@
     CHECK_FALSE(kernel::ok(load("kind = \"service\"\n")));
     CHECK_FALSE(kernel::ok(load("service = \"gate\"\n")));
     CHECK_FALSE(kernel::ok(load("capacity = 0\n")));
+    CHECK(kernel::value(load("")).max_cache_blocks == 1'000'000);
+    CHECK(kernel::value(load("max_cache_blocks = 5\n")).max_cache_blocks == 5);
     CHECK_FALSE(kernel::ok(load("[listen2]\n")));
 }
 
--- a/packages/config/types/agent_settings.hpp
+++ b/packages/config/types/agent_settings.hpp
@@ -34,6 +34,8 @@
     /// Calls that the endpoint runs at once.
     std::size_t capacity = 16;
     std::size_t max_queue = 256;
+    /// Blocks kept in the cache index.
+    std::size_t max_cache_blocks = 1'000'000;
 
     // [store]
     /// How long claims of idempotency keys are kept.
