--- a/packages/agent/internal/http_endpoint_client.cpp
+++ b/packages/agent/internal/http_endpoint_client.cpp
@@ -1,6 +1,7 @@
 #include "agent/internal/http_endpoint_client.hpp"
 
 #include "agent/internal/endpoint_exchange.hpp"
+#include "placement/cache_namespace.hpp"
 
 #include <asio/io_context.hpp>
 #include <fmt/format.h>
@@ -170,7 +171,7 @@
         node.mapped().observer->on_end(id, end);
 }
 
-void http_endpoint_client::load(handler<engine_load> on_done)
+void http_endpoint_client::load(i_endpoint_client::handler<engine_load> on_done)
 {
     http_request request;
     request.url = base_url_ + "/v1/load";
@@ -183,7 +184,8 @@
           });
 }
 
-void http_endpoint_client::list_blocks(handler<cache_listing> on_done)
+void http_endpoint_client::list_blocks(
+    i_endpoint_client::handler<cache_listing> on_done)
 {
     http_request request;
     request.url = base_url_ + "/v1/cache/blocks";
@@ -199,7 +201,7 @@
 
 void http_endpoint_client::events(
     std::uint64_t after, std::chrono::milliseconds wait,
-    handler<std::vector<admission::cache_event>> done)
+    i_endpoint_client::handler<std::vector<admission::cache_event>> done)
 {
     http_request request;
     request.url = fmt::format("{}/v1/cache/events?after={}&wait_ms={}",
@@ -213,8 +215,8 @@
           });
 }
 
-void http_endpoint_client::order(engine_order const& what,
-                                 handler<kernel::done> on_done)
+void http_endpoint_client::order(
+    engine_order const& what, i_endpoint_client::handler<kernel::done> on_done)
 {
     json body{{"order", what.order},
               {"model", what.model},
@@ -247,6 +249,50 @@
           });
 }
 
+http_request
+http_endpoint_client::make_kv_request(placement::cache_namespace const& space,
+                                      kernel::hash128 const& block) const
+{
+    http_request request;
+    request.url = base_url_ + "/v1/kv/" + kernel::to_hex(block);
+    request.headers = {{"X-Cache-Salt", space.salt()}};
+    request.timeout = query_timeout;
+    return request;
+}
+
+void http_endpoint_client::export_block(
+    placement::cache_namespace const& space, kernel::hash128 const& block,
+    i_kv_endpoint::handler<std::string> on_done)
+{
+    fetch(make_kv_request(space, block),
+          [on_done](int status, std::string body, std::string const& reason)
+          {
+              if (status == status_ok)
+                  return on_done(std::move(body));
+              on_done(query_error(
+                  "the export of a block",
+                  reason.empty() ? fmt::format("status {}", status) : reason));
+          });
+}
+
+void http_endpoint_client::import_block(
+    placement::cache_namespace const& space, kernel::hash128 const& block,
+    std::string bytes, i_kv_endpoint::handler<kernel::done> on_done)
+{
+    auto request = make_kv_request(space, block);
+    request.method = "PUT";
+    request.body = std::move(bytes);
+    fetch(std::move(request),
+          [on_done](int status, std::string const&, std::string const& reason)
+          {
+              if (status == status_ok)
+                  return on_done(kernel::done{});
+              on_done(query_error(
+                  "the import of a block",
+                  reason.empty() ? fmt::format("status {}", status) : reason));
+          });
+}
+
 void http_endpoint_client::fetch(
     http_request request,
     std::function<void(int, std::string, std::string)> const& on_done)
--- a/packages/agent/internal/http_endpoint_client.hpp
+++ b/packages/agent/internal/http_endpoint_client.hpp
@@ -3,6 +3,7 @@
 
 #include "agent/i_endpoint_client.hpp"
 #include "agent/i_endpoint_observer.hpp"
+#include "agent/i_kv_endpoint.hpp"
 #include "agent/internal/http_transport.hpp"
 
 #include <memory>
@@ -16,6 +17,7 @@
 
 /// The endpoint by the protocols of design section 8.
 class http_endpoint_client : public i_endpoint_client,
+                             public i_kv_endpoint,
                              public i_endpoint_observer
 {
     asio::io_context& context_;
@@ -29,14 +31,24 @@
     void pause(std::uint64_t id) override;
     void resume(std::uint64_t id) override;
     void cancel(std::uint64_t id) override;
-    void load(handler<engine_load> on_done) override;
-    void list_blocks(handler<cache_listing> on_done) override;
+    void load(i_endpoint_client::handler<engine_load> on_done) override;
+    void
+    list_blocks(i_endpoint_client::handler<cache_listing> on_done) override;
     void events(std::uint64_t after, std::chrono::milliseconds wait,
-                handler<std::vector<admission::cache_event>> done) override;
+                i_endpoint_client::handler<std::vector<admission::cache_event>>
+                    done) override;
     void order(engine_order const& what,
-               handler<kernel::done> on_done) override;
+               i_endpoint_client::handler<kernel::done> on_done) override;
+    void export_block(placement::cache_namespace const& space,
+                      kernel::hash128 const& block,
+                      i_kv_endpoint::handler<std::string> on_done) override;
+    void import_block(placement::cache_namespace const& space,
+                      kernel::hash128 const& block, std::string bytes,
+                      i_kv_endpoint::handler<kernel::done> on_done) override;
 
 private:
+    http_request make_kv_request(placement::cache_namespace const& space,
+                                 kernel::hash128 const& block) const;
     struct entry
     {
         std::shared_ptr<endpoint_exchange> exchange;
