--- a/packages/agent/internal/agent_core.cpp
+++ b/packages/agent/internal/agent_core.cpp
@@ -2,8 +2,11 @@
 
 #include "admission/admission_queue.hpp"
 #include "admission/cache_index.hpp"
+#include "admission/claim_sweeper.hpp"
 #include "admission/idempotency_ledger.hpp"
 #include "admission/stream_buffer.hpp"
+#include "admission/table_lease.hpp"
+#include "admission/weight_load_slots.hpp"
 #include "agent/internal/agent_identity.hpp"
 #include "agent/internal/agent_metrics.hpp"
 #include "agent/internal/agent_state_source.hpp"
@@ -12,6 +15,7 @@
 #include "agent/internal/http_endpoint_client.hpp"
 #include "agent/internal/load_poller.hpp"
 #include "agent/internal/load_reporter.hpp"
+#include "agent/internal/model_reconciler.hpp"
 #include "agent/internal/periodic_task.hpp"
 #include "agent/internal/router_connections.hpp"
 #include "config/i_config_state.hpp"
@@ -22,6 +26,8 @@
 #include "wire/types/wire_counters.hpp"
 
 #include <asio/post.hpp>
+#include <fmt/format.h>
+#include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 
 #include <algorithm>
@@ -39,6 +45,7 @@
 constexpr std::chrono::milliseconds tick_interval{10};
 constexpr std::chrono::milliseconds load_interval{500};
 constexpr std::chrono::seconds second{1};
+constexpr std::chrono::minutes sweep_interval{1};
 constexpr std::chrono::seconds heartbeat_interval{30};
 
 } // namespace
@@ -76,9 +83,13 @@
     ledger_options.table_timeout = settings_.common.platform_timeout;
     queue_ = std::make_shared<admission::admission_queue>(*env_.clock,
                                                           settings_.max_queue);
-    cache_ = std::make_shared<admission::cache_index>();
+    cache_ =
+        std::make_shared<admission::cache_index>(settings_.max_cache_blocks);
     ledger_ = std::make_shared<admission::idempotency_ledger>(
         *env_.clock, *env_.random, *env_.table, post, ledger_options);
+    sweeper_ = std::make_shared<admission::claim_sweeper>(
+        *env_.clock, *env_.table, post, settings_.claim_retention,
+        settings_.common.platform_timeout);
     endpoint_ = std::make_shared<http_endpoint_client>(context(),
                                                        settings_.endpoint_url);
     load_ = std::make_shared<load_reporter>(queue_, incarnation_,
@@ -156,6 +167,7 @@
             ledger_->tick();
             publish_gauges();
         });
+    add(sweep_interval, [this] { sweeper_->tick(); });
     add(heartbeat_interval, [this] { connections_->broadcast_heartbeat(); });
     if (!has_engine())
         return;
@@ -172,6 +184,34 @@
         // learn before the next periodic heartbeat that the engine is back.
         [this] { connections_->broadcast_heartbeat(); });
     add(load_interval, [this] { poller_->poll(); });
+    make_reconciler();
+    add(second, [this] { reconciler_->tick(); });
+}
+
+void agent_core::make_reconciler()
+{
+    auto const post = [&context = context()](std::function<void()> task)
+    { asio::post(context, std::move(task)); };
+    // The incarnation distinguishes this process from its predecessor.
+    auto const holder =
+        fmt::format("{}/{}", settings_.common.name.str(), incarnation_);
+    admission::table_lease_options options;
+    options.row_key = "leases/" + settings_.endpoint.str();
+    options.holder = holder;
+    options.table_timeout = settings_.common.platform_timeout;
+    reconciler_services services;
+    services.clock = env_.clock;
+    services.random = env_.random;
+    services.configuration = env_.configuration;
+    services.load = load_;
+    services.endpoint = endpoint_;
+    services.lease = std::make_shared<admission::table_lease>(
+        *env_.clock, *env_.table, post, std::move(options));
+    services.slots = std::make_shared<admission::weight_load_slots>(
+        *env_.clock, *env_.table, post, holder);
+    services.metrics = metrics_;
+    reconciler_ = std::make_shared<model_reconciler>(std::move(services),
+                                                     settings_.endpoint);
 }
 
 kernel::result<std::uint16_t> agent_core::start()
@@ -232,6 +272,10 @@
     metrics_->queued.Set(load.queued);
     metrics_->capacity.Set(load.capacity);
     metrics_->draining.Set(load.draining ? 1 : 0);
+    metrics_->collect(*options_->counters);
+    metrics_->claims_deleted.Increment(
+        static_cast<double>(sweeper_->deleted()) -
+        metrics_->claims_deleted.Value());
 }
 
 } // namespace endiveward::agent
--- a/packages/agent/internal/agent_core.hpp
+++ b/packages/agent/internal/agent_core.hpp
@@ -20,6 +20,10 @@
 {
 class Registry;
 }
+namespace endiveward::admission
+{
+class claim_sweeper;
+}
 namespace endiveward::kernel
 {
 class thread_pool;
@@ -39,6 +43,7 @@
 class cache_feeder;
 class drain_controller;
 class load_poller;
+class model_reconciler;
 class periodic_task;
 class router_connections;
 
@@ -85,6 +90,7 @@
     void make_calls();
     void make_connections();
     void make_tasks();
+    void make_reconciler();
     void publish_gauges() const;
     bool has_engine() const;
     asio::io_context& context() const;
@@ -95,12 +101,14 @@
     std::shared_ptr<admission::i_admission_queue> queue_;
     std::shared_ptr<admission::i_cache_index> cache_;
     std::shared_ptr<admission::i_idempotency_ledger> ledger_;
+    std::shared_ptr<admission::claim_sweeper> sweeper_;
     std::shared_ptr<i_endpoint_client> endpoint_;
     std::shared_ptr<load_reporter> load_;
     std::shared_ptr<call_executor> executor_;
     std::shared_ptr<router_connections> connections_;
     std::shared_ptr<drain_controller> drain_;
     std::shared_ptr<load_poller> poller_;
+    std::shared_ptr<model_reconciler> reconciler_;
     std::shared_ptr<cache_feeder> feeder_;
     std::shared_ptr<observe::i_state_source> state_;
     std::shared_ptr<wire::connection_options> options_;
--- a/packages/agent/internal/load_reporter.cpp
+++ b/packages/agent/internal/load_reporter.cpp
@@ -26,6 +26,7 @@
     if (load.incarnation != engine_.incarnation)
         recent_.clear();
     engine_ = std::move(load);
+    engine_up_ = true;
     // An engine that reports no capacity is limited by the settings alone.
     auto const capacity = engine_.capacity == 0
                               ? max_capacity_
@@ -37,6 +38,7 @@
 void load_reporter::mark_engine_lost()
 {
     engine_.models.clear();
+    engine_up_ = false;
     report();
 }
 
--- a/packages/agent/internal/load_reporter.hpp
+++ b/packages/agent/internal/load_reporter.hpp
@@ -36,6 +36,8 @@
     kernel::incarnation engine_incarnation() const;
     /// A call with these prefix levels was accepted.
     void record_levels(std::span<wire::prefix_level const> levels);
+    /// Whether the engine's newest report counts.
+    bool engine_up() const { return engine_up_; }
 
     /// The current state; also published for `latest`.
     wire::load_report report();
@@ -47,6 +49,7 @@
     std::size_t const max_capacity_;
     engine_load engine_;
     placement::recent_levels recent_;
+    bool engine_up_ = false;
     kernel::snapshot<wire::load_report> published_;
 };
 
