--- a/bench/capacity/components.cpp
+++ b/bench/capacity/components.cpp
@@ -64,7 +64,7 @@
     for (auto& it : listing)
         it = {random.next(), random.next()};
     auto const size = std::to_string(blocks);
-    admission::cache_index index;
+    admission::cache_index index(blocks);
     auto const before = bench::heap_bytes();
     auto const reset = cpu_of([&] { index.reset(1, 0, listing); });
     row("cache_index", "memory_per_block", size,
--- a/tests/e2e/callers.cpp
+++ b/tests/e2e/callers.cpp
@@ -259,6 +259,12 @@
     return it == answer.headers.end() ? "" : it->second;
 }
 
+std::uint64_t cached_bytes_of(http_answer const& answer)
+{
+    auto const it = answer.headers.find("x-endiveward-cached-bytes");
+    return it == answer.headers.end() ? 0 : std::stoull(it->second);
+}
+
 bool wait_until_connected(test_support::deployment const& running,
                           std::size_t agents)
 {
--- a/tests/e2e/callers.hpp
+++ b/tests/e2e/callers.hpp
@@ -80,6 +80,8 @@
 
 /// The endpoint that an answer names; empty if none.
 std::string endpoint_of(test_support::http_answer const& answer);
+/// What `X-Endiveward-Cached-Bytes` says; 0 if it is missing.
+std::uint64_t cached_bytes_of(test_support::http_answer const& answer);
 
 /// Waits until every router is connected to that many agents.
 bool wait_until_connected(test_support::deployment const& running,
