--- a/packages/kernel/thread_pool.hpp
+++ b/packages/kernel/thread_pool.hpp
@@ -24,19 +24,26 @@
     thread_pool& operator=(thread_pool const&) = delete;
 
     std::size_t size() const { return contexts_.size(); }
-    asio::io_context& context(std::size_t index) { return *contexts_[index]; }
+    asio::io_context& context(std::size_t index);
     /// The contexts in turn.
     asio::io_context& next_context();
 
     void start();
-    /// Discards pending handlers and joins the threads.
+    /// Joins the threads. Pending handlers stay until `discard_handlers`.
     void stop();
+    /// Destroys the pending handlers of all contexts; call after `stop`. If
+    /// objects of several pools refer to each other, stop and discard all
+    /// pools before destroying any: a handler of one context may own a socket
+    /// of another, which must still exist.
+    void discard_handlers();
 
 private:
+    class context_with_shutdown;
+
     using work_guard =
         asio::executor_work_guard<asio::io_context::executor_type>;
 
-    std::vector<std::unique_ptr<asio::io_context>> contexts_;
+    std::vector<std::unique_ptr<context_with_shutdown>> contexts_;
     std::vector<work_guard> guards_;
     std::vector<std::thread> threads_;
     std::atomic<std::size_t> next_{0};
--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -122,6 +122,8 @@
         http_.stop();
         traffic_->stop();
         control_->stop();
+        for (auto* it : {&http_, traffic_.get(), control_.get()})
+            it->discard_handlers();
         // Connections that are still open own the options, and the observer
         // owns the threads of the connections.
         if (wire_options_)
