--- a/packages/agent/internal/router_connections.cpp
+++ b/packages/agent/internal/router_connections.cpp
@@ -10,6 +10,7 @@
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace endiveward::agent
@@ -45,6 +46,7 @@
                                    kernel::error const&)
 {
     connections_.erase(conn);
+    requested_.erase(conn);
     update_size();
     executor_->on_connection_closed(conn);
 }
@@ -124,8 +126,13 @@
                                   std::uint64_t peer_version)
 {
     auto const own = configuration_->current()->version();
-    if (peer_version > own)
-        conn->send(wire::config_request{own});
+    auto& requested = requested_[conn];
+    // Hello and first heartbeat name the same version; an update may be a
+    // snapshot of megabytes.
+    if (peer_version <= std::max(own, requested))
+        return;
+    requested = peer_version;
+    conn->send(wire::config_request{own});
 }
 
 wire::heartbeat router_connections::make_heartbeat() const
--- a/packages/agent/internal/router_connections.hpp
+++ b/packages/agent/internal/router_connections.hpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -66,6 +67,8 @@
     void update_size();
 
     std::set<connection_ptr> connections_;
+    /// The highest version that was requested from each router.
+    std::map<connection_ptr, kernel::config_version> requested_;
     std::atomic<std::size_t> size_{0};
     bool draining_ = false;
 };
--- a/packages/agent/tests/drain_controller_test.cpp
+++ b/packages/agent/tests/drain_controller_test.cpp
@@ -133,6 +133,21 @@
     CHECK(process.drained == 1);
 }
 
+// Guards against a snapshot of megabytes that is sent twice on each connection,
+// because hello and heartbeat name the same version.
+TEST_CASE("a version is requested once on each connection")
+{
+    process_under_test process;
+    process.connections->on_open(process.router);
+    for (int n = 0; n < 2; ++n)
+        process.connections->on_message(process.router,
+                                        wire::heartbeat{4, {}, false});
+    CHECK(process.router->all<wire::config_request>().size() == 1);
+    process.connections->on_message(process.router,
+                                    wire::heartbeat{5, {}, false});
+    CHECK(process.router->all<wire::config_request>().size() == 2);
+}
+
 // Guards against configuration that spreads only through the store.
 TEST_CASE("configuration is exchanged with routers")
 {
--- a/packages/cli/internal/subcommands.cpp
+++ b/packages/cli/internal/subcommands.cpp
@@ -68,7 +68,7 @@
 {
     // Read before any thread is started.
     auto const* user = std::getenv("USER"); // NOLINT(concurrency-mt-unsafe)
-    return user == nullptr ? "" : user;
+    return user == nullptr || *user == '\0' ? "unknown" : user;
 }
 
 /// One run of a subcommand.
--- a/packages/router/internal/agent_channel.cpp
+++ b/packages/router/internal/agent_channel.cpp
@@ -32,7 +32,10 @@
 
 void agent_channel::send(wire::message const& msg, wire::write_handler handler)
 {
-    used_ = true;
+    // A heartbeat does not make an idle connection a used one; it would skip
+    // the next heartbeat.
+    if (!std::holds_alternative<wire::heartbeat>(msg))
+        used_ = true;
     conn_->send(msg, std::move(handler));
 }
 
--- /dev/null
+++ b/packages/router/tests/agent_channel_test.cpp
@@ -0,0 +1,38 @@
+#include "router/agent_channel.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace endiveward::router
+{
+
+namespace
+{
+
+class silent_connection : public wire::i_connection
+{
+public:
+    wire::hello const& peer() const override { return peer_; }
+    bool is_open() const override { return true; }
+    void send(wire::message const&, wire::write_handler) override {}
+    void close() override {}
+
+private:
+    wire::hello peer_;
+};
+
+} // namespace
+
+// Guards against every second heartbeat of an idle connection being skipped,
+// because the one before counted as use: an agent then learns of a new
+// configuration after 60 s instead of 30 s.
+TEST_CASE("a heartbeat does not make an idle connection a used one")
+{
+    agent_channel channel(std::make_shared<silent_connection>());
+    channel.send(wire::heartbeat{});
+    CHECK_FALSE(channel.take_used());
+    channel.send(wire::cancel{1});
+    CHECK(channel.take_used());
+    CHECK_FALSE(channel.take_used());
+}
+
+} // namespace endiveward::router
--- a/tests/e2e/whole_path_test.cpp
+++ b/tests/e2e/whole_path_test.cpp
@@ -6,7 +6,6 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
-
 namespace endiveward::e2e
 {
 
