--- a/packages/admission/tests/idempotency_ledger_property_test.cpp
+++ b/packages/admission/tests/idempotency_ledger_property_test.cpp
@@ -2,10 +2,10 @@
 
 #include "kernel/manual_clock.hpp"
 #include "kernel/seeded_random_source.hpp"
+#include "kernel/tests/support/property_check.hpp"
 #include "platform/tests/support/fake_table.hpp"
 
 #include <catch2/catch.hpp>
-#include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
 #include <deque>
@@ -361,30 +361,13 @@
             late_step, time_step>());
 }
 
-/// Fixed parameters make the verdict repeat; RC_PARAMS overrides them.
-rc::detail::TestParams fixed_params(std::uint64_t seed, int cases)
-{
-    auto params = rc::detail::configuration().testParams;
-    if (std::getenv("RC_PARAMS") != nullptr)
-        return params;
-    params.seed = seed;
-    params.maxSuccess = cases;
-    params.maxSize = 100;
-    return params;
-}
-
 void check_property(planted_fault kind, int cases)
 {
-    auto const res = rc::detail::checkTestable(
-        [kind] { check_at_most_once(kind); }, rc::detail::TestMetadata{},
-        fixed_params(20'261'203, cases));
-    std::ostringstream os;
-    rc::detail::printResultMessage(res, os);
-    INFO(os.str());
-    if (kind == planted_fault::none)
-        CHECK(res.is<rc::detail::SuccessResult>());
-    else
-        CHECK(res.is<rc::detail::FailureResult>());
+    kernel::tests::check_property(
+        [kind] { check_at_most_once(kind); }, {cases, 100},
+        kind == planted_fault::none
+            ? kernel::tests::expected_verdict::holds
+            : kernel::tests::expected_verdict::counterexample);
 }
 
 } // namespace
--- a/tests/fuzz/stream_property_test.cpp
+++ b/tests/fuzz/stream_property_test.cpp
@@ -1,11 +1,9 @@
 #include "fuzz/stream_world.hpp"
+#include "kernel/tests/support/property_check.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/state.h>
 
-#include <cstdlib>
-#include <sstream>
-
 namespace endiveward::fuzz
 {
 
@@ -254,30 +252,13 @@
     sut.check_end();
 }
 
-/// Fixed parameters make the verdict repeat; RC_PARAMS overrides them.
-rc::detail::TestParams fixed_params(std::uint64_t seed, int cases)
-{
-    auto params = rc::detail::configuration().testParams;
-    if (std::getenv("RC_PARAMS") != nullptr)
-        return params;
-    params.seed = seed;
-    params.maxSuccess = cases;
-    params.maxSize = 300;
-    return params;
-}
-
 void check_property(planted_fault kind, int cases)
 {
-    auto const res = rc::detail::checkTestable([kind] { check_streams(kind); },
-                                               rc::detail::TestMetadata{},
-                                               fixed_params(20'261'203, cases));
-    std::ostringstream os;
-    rc::detail::printResultMessage(res, os);
-    INFO(os.str());
-    if (kind == planted_fault::none)
-        CHECK(res.is<rc::detail::SuccessResult>());
-    else
-        CHECK(res.is<rc::detail::FailureResult>());
+    kernel::tests::check_property(
+        [kind] { check_streams(kind); }, {cases, 300},
+        kind == planted_fault::none
+            ? kernel::tests::expected_verdict::holds
+            : kernel::tests::expected_verdict::counterexample);
 }
 
 } // namespace
