--- a/stand_ins/engine/main.cpp
+++ b/stand_ins/engine/main.cpp
@@ -3,14 +3,13 @@
 #pragma GCC diagnostic ignored "-Wrestrict"
 #endif
 
-#include "common/listen_address.hpp"
+#include "common/run_stand_in.hpp"
 #include "engine/engine_service.hpp"
 
 #include <curl/curl.h>
 #include <cxxopts.hpp>
 
-#include <cstdio>
-#include <cstdlib>
+#include <memory>
 
 namespace
 {
@@ -78,24 +77,12 @@
 
 int main(int argc, char** argv)
 {
-    try
-    {
-        auto options = program_options();
-        auto const args = options.parse(argc, argv);
-        auto const at = parse_listen_address(args["listen"].as<std::string>());
-        block_stop_signals();
-        curl_global_init(CURL_GLOBAL_DEFAULT);
-        engine_service service(read_options(args));
-        http_server server(at.address, at.port,
-                           [&service](auto& req, auto& rep)
-                           { service.handle(req, rep); });
-        wait_for_stop();
-        // A stand-in has nothing to save; open streams end with the process.
-        std::_Exit(EXIT_SUCCESS);
-    }
-    catch (std::exception const& ex)
-    {
-        std::fprintf(stderr, "engine_stand_in: %s\n", ex.what());
-        return EXIT_FAILURE;
-    }
+    auto options = program_options();
+    return run_stand_in(options, argc, argv,
+                        [](cxxopts::ParseResult const& args)
+                        {
+                            curl_global_init(CURL_GLOBAL_DEFAULT);
+                            return std::make_unique<engine_service>(
+                                read_options(args));
+                        });
 }
