--- a/packages/admission/admission_queue.hpp
+++ b/packages/admission/admission_queue.hpp
@@ -5,7 +5,6 @@
 #include "admission/types/call_ticket.hpp"
 
 #include <map>
-#include <set>
 #include <tuple>
 
 namespace endiveward::admission
--- a/packages/kernel/internal/hash128.cpp
+++ b/packages/kernel/internal/hash128.cpp
@@ -4,7 +4,6 @@
 #include <xxhash.h>
 
 #include <array>
-#include <cstring>
 
 namespace endiveward::kernel
 {
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/generated/messages_generated.h"
 
+#include <algorithm>
 #include <type_traits>
 
 namespace endiveward::wire
--- a/packages/wire/internal/connection.cpp
+++ b/packages/wire/internal/connection.cpp
@@ -293,7 +293,7 @@
     hello_received_ = true;
     if (side_ == side::server)
         send_hello();
-    derive_keys(*received);
+    derive_keys();
     peer_ = std::move(*received);
     // The first authenticated frame proves that this side has the key.
     auto const own = options_->identity->describe();
@@ -304,7 +304,7 @@
              {}});
 }
 
-void connection::derive_keys(hello const&)
+void connection::derive_keys()
 {
     auto const& client = side_ == side::client ? own_hello_ : payload_;
     auto const& server = side_ == side::client ? payload_ : own_hello_;
--- a/packages/wire/internal/connection.hpp
+++ b/packages/wire/internal/connection.hpp
@@ -77,7 +77,7 @@
     void on_hello(message msg);
     void on_authenticated(message msg);
     bool accept_tag();
-    void derive_keys(hello const& received);
+    void derive_keys();
     void become_open();
     void reject(std::string reason);
     void fail(kernel::error reason);
