--- a/apps/endiveward/process_services_module.cpp
+++ b/apps/endiveward/process_services_module.cpp
@@ -6,10 +6,10 @@
 #include "kernel/service_registry.hpp"
 #include "kernel/system_clock.hpp"
 #include "placement/placement.hpp"
-#include "platform/http_client.hpp"
-#include "platform/http_object_store.hpp"
-#include "platform/http_table.hpp"
-#include "platform/http_vm_list.hpp"
+#include "storage/http_client.hpp"
+#include "storage/http_object_store.hpp"
+#include "storage/http_table.hpp"
+#include "storage/http_vm_list.hpp"
 
 namespace endiveward::app
 {
@@ -50,16 +50,16 @@
     kernel::service_registry& registry, follower_services const& services) const
 {
     auto const& common = settings_.common;
-    auto const client = std::make_shared<platform::http_client>();
+    auto const client = std::make_shared<storage::http_client>();
     if (!common.vm_list_url.empty())
-        registry.add<platform::i_vm_list>(
-            "vm_list", std::make_shared<platform::http_vm_list>(
+        registry.add<storage::i_vm_list>(
+            "vm_list", std::make_shared<storage::http_vm_list>(
                            client, common.vm_list_url));
     if (common.table_url.empty())
         return;
     config::log_reader reader(
-        std::make_shared<platform::http_table>(client, common.table_url),
-        std::make_shared<platform::http_object_store>(client,
+        std::make_shared<storage::http_table>(client, common.table_url),
+        std::make_shared<storage::http_object_store>(client,
                                                       common.object_store_url),
         common.platform_timeout);
     config::store_follower_options options;
--- a/packages/admission/claim_sweeper.hpp
+++ b/packages/admission/claim_sweeper.hpp
@@ -13,11 +13,11 @@
 #include <string>
 #include <vector>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 class i_table;
 struct row;
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 namespace endiveward::admission
 {
@@ -26,13 +26,13 @@
 class claim_sweeper
 {
     kernel::i_clock const& clock_;
-    platform::i_table& table_;
+    storage::i_table& table_;
     kernel::post_function post_;
 
 public:
     static constexpr std::size_t page_rows = 100;
 
-    claim_sweeper(kernel::i_clock const& clock, platform::i_table& table,
+    claim_sweeper(kernel::i_clock const& clock, storage::i_table& table,
                   kernel::post_function post,
                   std::chrono::milliseconds retention,
                   std::chrono::milliseconds table_timeout);
@@ -42,7 +42,7 @@
     std::uint64_t deleted() const { return deleted_; }
 
 private:
-    void on_page(kernel::result<std::vector<platform::row>> const& res);
+    void on_page(kernel::result<std::vector<storage::row>> const& res);
 
     std::chrono::milliseconds const retention_;
     std::chrono::milliseconds const table_timeout_;
--- a/packages/admission/idempotency_ledger.hpp
+++ b/packages/admission/idempotency_ledger.hpp
@@ -18,11 +18,11 @@
 class i_random_source;
 }
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 class i_table;
 struct row;
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 namespace endiveward::admission
 {
@@ -33,13 +33,13 @@
 {
     kernel::i_clock const& clock_;
     kernel::i_random_source& random_;
-    platform::i_table& table_;
+    storage::i_table& table_;
     kernel::post_function post_;
 
 public:
     idempotency_ledger(kernel::i_clock const& clock,
                        kernel::i_random_source& random,
-                       platform::i_table& table, kernel::post_function post,
+                       storage::i_table& table, kernel::post_function post,
                        idempotency_options options);
 
     void begin(kernel::workspace_id const& workspace, std::string const& key,
@@ -92,7 +92,7 @@
     void on_inserted(std::string const& row_key, row_outcome outcome);
     void read_row(std::string const& row_key);
     void on_row(std::string const& row_key,
-                kernel::result<std::optional<platform::row>> const& res);
+                kernel::result<std::optional<storage::row>> const& res);
     void on_other_attempt(std::string const& row_key,
                           claim_record const& record, std::uint64_t version);
     void take_over(std::string const& row_key, std::uint64_t version);
--- a/packages/admission/internal/claim_sweeper.cpp
+++ b/packages/admission/internal/claim_sweeper.cpp
@@ -1,13 +1,13 @@
 #include "admission/claim_sweeper.hpp"
 
 #include "admission/types/claim_record.hpp"
-#include "platform/i_table.hpp"
+#include "storage/i_table.hpp"
 
 namespace endiveward::admission
 {
 
 claim_sweeper::claim_sweeper(kernel::i_clock const& clock,
-                             platform::i_table& table,
+                             storage::i_table& table,
                              kernel::post_function post,
                              std::chrono::milliseconds retention,
                              std::chrono::milliseconds table_timeout)
@@ -39,7 +39,7 @@
 }
 
 void claim_sweeper::on_page(
-    kernel::result<std::vector<platform::row>> const& res)
+    kernel::result<std::vector<storage::row>> const& res)
 {
     busy_ = false;
     if (!kernel::ok(res))
--- a/packages/admission/internal/idempotency_ledger.cpp
+++ b/packages/admission/internal/idempotency_ledger.cpp
@@ -1,7 +1,7 @@
 #include "admission/idempotency_ledger.hpp"
 
 #include "kernel/i_random_source.hpp"
-#include "platform/i_table.hpp"
+#include "storage/i_table.hpp"
 
 #include <fmt/format.h>
 
@@ -84,7 +84,7 @@
 
 idempotency_ledger::idempotency_ledger(kernel::i_clock const& clock,
                                        kernel::i_random_source& random,
-                                       platform::i_table& table,
+                                       storage::i_table& table,
                                        kernel::post_function post,
                                        idempotency_options options)
     : clock_(clock)
@@ -203,7 +203,7 @@
 
 void idempotency_ledger::on_row(
     std::string const& row_key,
-    kernel::result<std::optional<platform::row>> const& res)
+    kernel::result<std::optional<storage::row>> const& res)
 {
     if (!kernel::ok(res))
         return give_up(row_key, store_unavailable());
--- a/packages/admission/internal/row_batcher.cpp
+++ b/packages/admission/internal/row_batcher.cpp
@@ -1,6 +1,6 @@
 #include "admission/internal/row_batcher.hpp"
 
-#include "platform/i_table.hpp"
+#include "storage/i_table.hpp"
 
 #include <algorithm>
 #include <set>
@@ -8,7 +8,7 @@
 namespace endiveward::admission
 {
 
-row_batcher::row_batcher(platform::i_table& table, kernel::post_function post,
+row_batcher::row_batcher(storage::i_table& table, kernel::post_function post,
                          std::chrono::milliseconds timeout)
     : table_(table)
     , post_(std::move(post))
@@ -28,7 +28,7 @@
     in_flight_ = take_batch();
     if (in_flight_.empty())
         return;
-    platform::table_transaction transaction;
+    storage::table_transaction transaction;
     for (auto const& it : in_flight_)
     {
         transaction.conditions.push_back(it.condition);
@@ -80,7 +80,7 @@
     on_conflict(outcome);
 }
 
-void row_batcher::on_conflict(platform::transaction_outcome const& outcome)
+void row_batcher::on_conflict(storage::transaction_outcome const& outcome)
 {
     std::set<std::string> const failed(outcome.failed_keys.begin(),
                                        outcome.failed_keys.end());
--- a/packages/admission/internal/row_batcher.hpp
+++ b/packages/admission/internal/row_batcher.hpp
@@ -11,11 +11,11 @@
 #include <memory>
 #include <vector>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 class i_table;
 struct transaction_outcome;
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 namespace endiveward::admission
 {
@@ -25,13 +25,13 @@
 /// one, which bounds the load of an agent on the table.
 class row_batcher
 {
-    platform::i_table& table_;
+    storage::i_table& table_;
     kernel::post_function post_;
 
 public:
     static constexpr std::size_t max_batch = 64;
 
-    row_batcher(platform::i_table& table, kernel::post_function post,
+    row_batcher(storage::i_table& table, kernel::post_function post,
                 std::chrono::milliseconds timeout);
 
     /// The operation's handler is called later, exactly once, on the thread
@@ -39,12 +39,12 @@
     void enqueue(row_operation operation);
 
 private:
-    using commit_result = kernel::result<platform::transaction_outcome>;
+    using commit_result = kernel::result<storage::transaction_outcome>;
 
     void commit_next();
     std::vector<row_operation> take_batch();
     void on_outcome(commit_result const& res);
-    void on_conflict(platform::transaction_outcome const& outcome);
+    void on_conflict(storage::transaction_outcome const& outcome);
     void finish_all(row_outcome outcome);
 
     std::chrono::milliseconds const timeout_;
--- a/packages/admission/internal/table_lease.cpp
+++ b/packages/admission/internal/table_lease.cpp
@@ -1,6 +1,6 @@
 #include "admission/table_lease.hpp"
 
-#include "platform/i_table.hpp"
+#include "storage/i_table.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -17,7 +17,7 @@
 
 } // namespace
 
-table_lease::table_lease(kernel::i_clock const& clock, platform::i_table& table,
+table_lease::table_lease(kernel::i_clock const& clock, storage::i_table& table,
                          kernel::post_function post,
                          table_lease_options options)
     : clock_(clock)
@@ -78,7 +78,7 @@
         });
 }
 
-void table_lease::on_row(std::optional<platform::row> const& row)
+void table_lease::on_row(std::optional<storage::row> const& row)
 {
     observation found;
     if (row)
@@ -136,7 +136,7 @@
 }
 
 void table_lease::on_written(
-    kernel::result<platform::transaction_outcome> const& res,
+    kernel::result<storage::transaction_outcome> const& res,
     observation const& written)
 {
     // A lost answer is resolved by the read of the next tick.
--- a/packages/admission/internal/weight_load_slots.cpp
+++ b/packages/admission/internal/weight_load_slots.cpp
@@ -9,7 +9,7 @@
 {
 
 weight_load_slots::weight_load_slots(kernel::i_clock const& clock,
-                                     platform::i_table& table,
+                                     storage::i_table& table,
                                      kernel::post_function const& post,
                                      std::string const& holder)
     // Holders start at different slots, so that they collide less.
--- a/packages/admission/table_lease.hpp
+++ b/packages/admission/table_lease.hpp
@@ -11,12 +11,12 @@
 #include <optional>
 #include <string>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 class i_table;
 struct row;
 struct transaction_outcome;
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 namespace endiveward::admission
 {
@@ -38,11 +38,11 @@
 class table_lease : public i_order_lease
 {
     kernel::i_clock const& clock_;
-    platform::i_table& table_;
+    storage::i_table& table_;
     kernel::post_function post_;
 
 public:
-    table_lease(kernel::i_clock const& clock, platform::i_table& table,
+    table_lease(kernel::i_clock const& clock, storage::i_table& table,
                 kernel::post_function post, table_lease_options options);
 
     void tick() override;
@@ -60,10 +60,10 @@
     };
 
     void read();
-    void on_row(std::optional<platform::row> const& row);
+    void on_row(std::optional<storage::row> const& row);
     bool may_write(observation const& seen) const;
     void write(observation const& seen);
-    void on_written(kernel::result<platform::transaction_outcome> const& res,
+    void on_written(kernel::result<storage::transaction_outcome> const& res,
                     observation const& written);
 
     table_lease_options const options_;
--- a/packages/admission/tests/claim_sweeper_test.cpp
+++ b/packages/admission/tests/claim_sweeper_test.cpp
@@ -2,7 +2,7 @@
 
 #include "admission/types/claim_record.hpp"
 #include "kernel/manual_clock.hpp"
-#include "platform/tests/support/fake_table.hpp"
+#include "storage/tests/support/fake_table.hpp"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -23,7 +23,7 @@
 TEST_CASE("claim rows are deleted after their retention period only")
 {
     kernel::manual_clock clock;
-    platform::tests::fake_table table;
+    storage::tests::fake_table table;
     claim_sweeper sweeper(
         clock, table, [](std::function<void()> const& task) { task(); },
         hours(24), seconds(1));
--- a/packages/admission/tests/idempotency_ledger_property_test.cpp
+++ b/packages/admission/tests/idempotency_ledger_property_test.cpp
@@ -3,7 +3,7 @@
 #include "kernel/manual_clock.hpp"
 #include "kernel/seeded_random_source.hpp"
 #include "kernel/tests/support/property_check.hpp"
-#include "platform/tests/support/fake_table.hpp"
+#include "storage/tests/support/fake_table.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/state.h>
@@ -16,8 +16,8 @@
 namespace
 {
 
-using platform::tests::fake_table;
-using fault = platform::tests::commit_fault;
+using storage::tests::fake_table;
+using fault = storage::tests::commit_fault;
 using std::chrono::seconds;
 
 /// Faults that a correct ledger must not have; each is planted at the table's
@@ -34,18 +34,18 @@
     release_deletes
 };
 
-class faulty_table : public platform::i_table
+class faulty_table : public storage::i_table
 {
 public:
-    faulty_table(platform::i_table& table, planted_fault kind)
+    faulty_table(storage::i_table& table, planted_fault kind)
         : table_(table)
         , kind_(kind)
     {
     }
 
-    void commit(platform::table_transaction transaction,
+    void commit(storage::table_transaction transaction,
                 std::chrono::milliseconds timeout,
-                handler<platform::transaction_outcome> on_done) override
+                handler<storage::transaction_outcome> on_done) override
     {
         if (kind_ == planted_fault::unconditional_claim)
             transaction.conditions.clear();
@@ -58,27 +58,27 @@
                     kernel::failure(res).run == kernel::run_state::not_run)
                     on_done(res);
                 else
-                    on_done(platform::transaction_outcome{true, {}});
+                    on_done(storage::transaction_outcome{true, {}});
             };
         table_.commit(std::move(transaction), timeout, std::move(on_done));
     }
 
     void read(std::string key, std::chrono::milliseconds timeout,
-              handler<std::optional<platform::row>> on_done) override
+              handler<std::optional<storage::row>> on_done) override
     {
         table_.read(std::move(key), timeout, std::move(on_done));
     }
 
     void scan(std::string prefix, std::string after, std::size_t limit,
               std::chrono::milliseconds timeout,
-              handler<std::vector<platform::row>> on_done) override
+              handler<std::vector<storage::row>> on_done) override
     {
         table_.scan(std::move(prefix), std::move(after), limit, timeout,
                     std::move(on_done));
     }
 
 private:
-    static void delete_released(platform::table_transaction& transaction)
+    static void delete_released(storage::table_transaction& transaction)
     {
         for (auto& it : transaction.writes)
         {
@@ -88,7 +88,7 @@
         }
     }
 
-    platform::i_table& table_;
+    storage::i_table& table_;
     planted_fault kind_;
 };
 
@@ -130,7 +130,7 @@
 
 struct agent_process
 {
-    agent_process(kernel::i_clock const& clock, platform::i_table& table,
+    agent_process(kernel::i_clock const& clock, storage::i_table& table,
                   std::uint64_t seed)
         : random(seed)
         , ledger(clock, random, table,
--- a/packages/admission/tests/idempotency_ledger_test.cpp
+++ b/packages/admission/tests/idempotency_ledger_test.cpp
@@ -2,7 +2,7 @@
 
 #include "kernel/manual_clock.hpp"
 #include "kernel/seeded_random_source.hpp"
-#include "platform/tests/support/fake_table.hpp"
+#include "storage/tests/support/fake_table.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -14,7 +14,7 @@
 namespace
 {
 
-using fault = platform::tests::commit_fault;
+using fault = storage::tests::commit_fault;
 using decision = std::optional<kernel::result<claim_decision>>;
 using std::chrono::seconds;
 
@@ -22,7 +22,7 @@
 class agent_under_test
 {
 public:
-    agent_under_test(kernel::i_clock const& clock, platform::i_table& table,
+    agent_under_test(kernel::i_clock const& clock, storage::i_table& table,
                      std::uint64_t seed)
         : clock_(clock)
         , random_(seed)
@@ -100,7 +100,7 @@
 {
 public:
     kernel::manual_clock clock;
-    platform::tests::fake_table table;
+    storage::tests::fake_table table;
     agent_under_test first{clock, table, 1};
     agent_under_test second{clock, table, 2};
     stored_answer const answer{200, "text/plain", "admitted"};
--- a/packages/admission/tests/table_lease_test.cpp
+++ b/packages/admission/tests/table_lease_test.cpp
@@ -1,7 +1,7 @@
 #include "admission/table_lease.hpp"
 
 #include "kernel/manual_clock.hpp"
-#include "platform/tests/support/fake_table.hpp"
+#include "storage/tests/support/fake_table.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -11,11 +11,11 @@
 namespace
 {
 
-using fault = platform::tests::commit_fault;
+using fault = storage::tests::commit_fault;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-table_lease make_lease(kernel::i_clock const& clock, platform::i_table& table,
+table_lease make_lease(kernel::i_clock const& clock, storage::i_table& table,
                        std::string holder)
 {
     return {clock, table, [](std::function<void()> const& task) { task(); },
@@ -35,7 +35,7 @@
     }
 
     kernel::manual_clock clock;
-    platform::tests::fake_table table;
+    storage::tests::fake_table table;
     table_lease first = make_lease(clock, table, "first");
     table_lease second = make_lease(clock, table, "second");
 };
--- a/packages/admission/tests/weight_load_slots_test.cpp
+++ b/packages/admission/tests/weight_load_slots_test.cpp
@@ -1,7 +1,7 @@
 #include "admission/weight_load_slots.hpp"
 
 #include "kernel/manual_clock.hpp"
-#include "platform/tests/support/fake_table.hpp"
+#include "storage/tests/support/fake_table.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -39,7 +39,7 @@
     }
 
     kernel::manual_clock clock;
-    platform::tests::fake_table table;
+    storage::tests::fake_table table;
     std::vector<std::unique_ptr<weight_load_slots>> agents;
 };
 
--- a/packages/admission/types/row_operation.hpp
+++ b/packages/admission/types/row_operation.hpp
@@ -1,7 +1,7 @@
 #ifndef ENDIVEWARD_ADMISSION_TYPES_ROW_OPERATION_HPP
 #define ENDIVEWARD_ADMISSION_TYPES_ROW_OPERATION_HPP
 
-#include "platform/types/table_transaction.hpp"
+#include "storage/types/table_transaction.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -22,8 +22,8 @@
 /// A conditional write of one row.
 struct row_operation
 {
-    platform::row_condition condition;
-    platform::row_write write;
+    storage::row_condition condition;
+    storage::row_write write;
     std::function<void(row_outcome)> on_done;
 };
 
--- a/packages/admission/weight_load_slots.hpp
+++ b/packages/admission/weight_load_slots.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 class i_table;
 }
@@ -27,7 +27,7 @@
     /// More than two loads at once slow each other down.
     static constexpr std::size_t slot_count = 2;
 
-    weight_load_slots(kernel::i_clock const& clock, platform::i_table& table,
+    weight_load_slots(kernel::i_clock const& clock, storage::i_table& table,
                       kernel::post_function const& post,
                       std::string const& holder);
     ~weight_load_slots() override;
--- a/packages/agent/agent_module.cpp
+++ b/packages/agent/agent_module.cpp
@@ -8,7 +8,7 @@
 #include "kernel/thread_pool.hpp"
 #include "observe/operator_server.hpp"
 #include "placement/cache_namespace.hpp"
-#include "platform/i_table.hpp"
+#include "storage/i_table.hpp"
 
 #include <prometheus/registry.h>
 
@@ -77,7 +77,7 @@
     env.traffic = registry.get<kernel::thread_pool>("traffic_pool");
     env.metrics = registry.get<prometheus::Registry>("metrics");
     env.configuration = registry.get<config::i_config_state>("config_state");
-    env.table = registry.get<platform::i_table>("table");
+    env.table = registry.get<storage::i_table>("table");
     env.cache_salt = &make_cache_salt;
     env.on_drained = on_drained_;
     auto const metrics = env.metrics;
--- a/packages/agent/internal/agent_core.cpp
+++ b/packages/agent/internal/agent_core.cpp
@@ -21,7 +21,7 @@
 #include "config/i_config_state.hpp"
 #include "kernel/i_random_source.hpp"
 #include "kernel/thread_pool.hpp"
-#include "platform/i_table.hpp"
+#include "storage/i_table.hpp"
 #include "wire/acceptor.hpp"
 #include "wire/types/wire_counters.hpp"
 
--- a/packages/agent/internal/agent_core.hpp
+++ b/packages/agent/internal/agent_core.hpp
@@ -28,7 +28,7 @@
 {
 class thread_pool;
 }
-namespace endiveward::platform
+namespace endiveward::storage
 {
 class i_table;
 }
@@ -56,7 +56,7 @@
     std::shared_ptr<kernel::thread_pool> traffic;
     std::shared_ptr<prometheus::Registry> metrics;
     std::shared_ptr<config::i_config_state> configuration;
-    std::shared_ptr<platform::i_table> table;
+    std::shared_ptr<storage::i_table> table;
     /// The value for the engine's `cache_salt`.
     std::function<std::string(wire::invoke const&)> cache_salt;
     /// Called once on the traffic thread when a drain has finished.
--- a/packages/agent/internal/unavailable_table.cpp
+++ b/packages/agent/internal/unavailable_table.cpp
@@ -16,22 +16,22 @@
 
 } // namespace
 
-void unavailable_table::commit(platform::table_transaction,
+void unavailable_table::commit(storage::table_transaction,
                                std::chrono::milliseconds,
-                               handler<platform::transaction_outcome> on_done)
+                               handler<storage::transaction_outcome> on_done)
 {
     on_done(no_table());
 }
 
 void unavailable_table::read(std::string, std::chrono::milliseconds,
-                             handler<std::optional<platform::row>> on_done)
+                             handler<std::optional<storage::row>> on_done)
 {
     on_done(no_table());
 }
 
 void unavailable_table::scan(std::string, std::string, std::size_t,
                              std::chrono::milliseconds,
-                             handler<std::vector<platform::row>> on_done)
+                             handler<std::vector<storage::row>> on_done)
 {
     on_done(no_table());
 }
--- a/packages/agent/tests/agent_core_test.cpp
+++ b/packages/agent/tests/agent_core_test.cpp
@@ -4,7 +4,7 @@
 #include "kernel/seeded_random_source.hpp"
 #include "kernel/system_clock.hpp"
 #include "kernel/thread_pool.hpp"
-#include "platform/tests/support/fake_table.hpp"
+#include "storage/tests/support/fake_table.hpp"
 #include "wire/connector.hpp"
 #include "wire/i_connection_observer.hpp"
 #include "wire/i_local_identity.hpp"
@@ -163,8 +163,8 @@
     std::shared_ptr<kernel::thread_pool> traffic =
         std::make_shared<kernel::thread_pool>(1);
     kernel::thread_pool routers{1};
-    std::shared_ptr<platform::tests::fake_table> table =
-        std::make_shared<platform::tests::fake_table>();
+    std::shared_ptr<storage::tests::fake_table> table =
+        std::make_shared<storage::tests::fake_table>();
     std::promise<void> drained;
     std::optional<agent_core> core;
     std::uint16_t port = 0;
--- a/packages/agent/tests/model_reconciler_test.cpp
+++ b/packages/agent/tests/model_reconciler_test.cpp
@@ -7,7 +7,7 @@
 #include "agent/tests/fakes.hpp"
 #include "kernel/manual_clock.hpp"
 #include "kernel/seeded_random_source.hpp"
-#include "platform/tests/support/fake_table.hpp"
+#include "storage/tests/support/fake_table.hpp"
 
 #include <catch2/catch.hpp>
 #include <prometheus/registry.h>
@@ -34,7 +34,7 @@
 struct orderer
 {
     orderer(std::shared_ptr<kernel::manual_clock> const& clock,
-            platform::i_table& table, std::string const& holder)
+            storage::i_table& table, std::string const& holder)
         : queue(std::make_shared<fake_queue>(*clock))
         , load(std::make_shared<load_reporter>(queue, 5, 16))
     {
@@ -101,7 +101,7 @@
 
     std::shared_ptr<kernel::manual_clock> clock =
         std::make_shared<kernel::manual_clock>();
-    platform::tests::fake_table table;
+    storage::tests::fake_table table;
     orderer first{clock, table, "first"};
     orderer second{clock, table, "second"};
 };
--- a/packages/cli/internal/operator_client.cpp
+++ b/packages/cli/internal/operator_client.cpp
@@ -1,6 +1,6 @@
 #include "cli/internal/operator_client.hpp"
 
-#include "platform/http_client.hpp"
+#include "storage/http_client.hpp"
 
 #include <fmt/format.h>
 
@@ -12,7 +12,7 @@
 namespace
 {
 
-using answer = kernel::result<platform::http_response>;
+using answer = kernel::result<storage::http_response>;
 
 kernel::result<nlohmann::json> parse(std::string const& address,
                                      answer const& res)
@@ -48,17 +48,17 @@
                                  std::chrono::milliseconds timeout)
     : token_(std::move(token))
     , timeout_(timeout)
-    , http_(std::make_unique<platform::http_client>())
+    , http_(std::make_unique<storage::http_client>())
 {
 }
 
 operator_client::~operator_client() = default;
 
-std::future<kernel::result<platform::http_response>>
+std::future<kernel::result<storage::http_response>>
 operator_client::start(std::string const& address,
                        std::string const& path) const
 {
-    platform::http_request request;
+    storage::http_request request;
     request.url = fmt::format("http://{}{}", address, path);
     request.headers = {"Authorization: Bearer " + token_};
     request.timeout = timeout_;
--- a/packages/cli/internal/operator_client.hpp
+++ b/packages/cli/internal/operator_client.hpp
@@ -12,11 +12,11 @@
 #include <string>
 #include <vector>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 class http_client;
 struct http_response;
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 namespace endiveward::cli
 {
@@ -38,12 +38,12 @@
     void ask(std::vector<process_report>& reports) const;
 
 private:
-    std::future<kernel::result<platform::http_response>>
+    std::future<kernel::result<storage::http_response>>
     start(std::string const& address, std::string const& path) const;
 
     std::string token_;
     std::chrono::milliseconds timeout_;
-    std::unique_ptr<platform::http_client> http_;
+    std::unique_ptr<storage::http_client> http_;
 };
 
 } // namespace endiveward::cli
--- a/packages/cli/internal/subcommands.cpp
+++ b/packages/cli/internal/subcommands.cpp
@@ -12,10 +12,10 @@
 #include "config/types/agent_settings.hpp"
 #include "config/types/router_settings.hpp"
 #include "kernel/secure_random_source.hpp"
-#include "platform/http_client.hpp"
-#include "platform/http_object_store.hpp"
-#include "platform/http_table.hpp"
-#include "platform/http_vm_list.hpp"
+#include "storage/http_client.hpp"
+#include "storage/http_object_store.hpp"
+#include "storage/http_table.hpp"
+#include "storage/http_vm_list.hpp"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -232,7 +232,7 @@
         if (!given.empty() || !access_.vms)
             return res;
         auto const promise = std::make_shared<
-            std::promise<kernel::result<std::vector<platform::vm>>>>();
+            std::promise<kernel::result<std::vector<storage::vm>>>>();
         access_.vms->list(settings_.common.platform_timeout,
                           [promise](auto list)
                           { promise->set_value(std::move(list)); });
@@ -240,7 +240,7 @@
         if (!kernel::ok(list))
             return res;
         for (auto const& it : kernel::value(list))
-            if (it.role != platform::vm_role::other && !it.leaving)
+            if (it.role != storage::vm_role::other && !it.leaving)
                 res.push_back(
                     {fmt::format("{}:{}", it.address,
                                  settings_.common.listen_operators.port),
@@ -589,18 +589,18 @@
 
 platform_access open_platform(config::router_settings const& settings)
 {
-    auto const http = std::make_shared<platform::http_client>();
+    auto const http = std::make_shared<storage::http_client>();
     auto const& common = settings.common;
     platform_access res;
     if (!common.table_url.empty())
         res.table =
-            std::make_shared<platform::http_table>(http, common.table_url);
+            std::make_shared<storage::http_table>(http, common.table_url);
     if (!common.object_store_url.empty())
-        res.objects = std::make_shared<platform::http_object_store>(
+        res.objects = std::make_shared<storage::http_object_store>(
             http, common.object_store_url);
     if (!common.vm_list_url.empty())
         res.vms =
-            std::make_shared<platform::http_vm_list>(http, common.vm_list_url);
+            std::make_shared<storage::http_vm_list>(http, common.vm_list_url);
     return res;
 }
 
--- a/packages/cli/subcommands.hpp
+++ b/packages/cli/subcommands.hpp
@@ -12,12 +12,12 @@
 struct router_settings;
 }
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 class i_object_store;
 class i_table;
 class i_vm_list;
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 namespace endiveward::cli
 {
@@ -34,9 +34,9 @@
 /// The platform as the subcommands use it.
 struct platform_access
 {
-    std::shared_ptr<platform::i_table> table;
-    std::shared_ptr<platform::i_object_store> objects;
-    std::shared_ptr<platform::i_vm_list> vms;
+    std::shared_ptr<storage::i_table> table;
+    std::shared_ptr<storage::i_object_store> objects;
+    std::shared_ptr<storage::i_vm_list> vms;
 };
 
 /// Where subcommands write to and how they reach the platform.
--- a/packages/cli/tests/subcommands_test.cpp
+++ b/packages/cli/tests/subcommands_test.cpp
@@ -1,9 +1,9 @@
 #include "cli/acceptance.hpp"
 #include "cli/exit_code.hpp"
 #include "cli/subcommands.hpp"
-#include "platform/tests/support/fake_object_store.hpp"
-#include "platform/tests/support/fake_table.hpp"
-#include "platform/tests/support/scripted_server.hpp"
+#include "storage/tests/support/fake_object_store.hpp"
+#include "storage/tests/support/fake_table.hpp"
+#include "storage/tests/support/scripted_server.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -16,7 +16,7 @@
 
 using namespace endiveward;
 using nlohmann::json;
-using platform::tests::scripted_server;
+using storage::tests::scripted_server;
 
 namespace
 {
@@ -94,10 +94,10 @@
     std::string settings() const { return settings_; }
     json output() const { return json::parse(out.str()); }
 
-    std::shared_ptr<platform::tests::fake_table> table =
-        std::make_shared<platform::tests::fake_table>();
-    std::shared_ptr<platform::tests::fake_object_store> objects =
-        std::make_shared<platform::tests::fake_object_store>();
+    std::shared_ptr<storage::tests::fake_table> table =
+        std::make_shared<storage::tests::fake_table>();
+    std::shared_ptr<storage::tests::fake_object_store> objects =
+        std::make_shared<storage::tests::fake_object_store>();
     std::ostringstream out;
     std::ostringstream err;
 
--- a/packages/config/change_log.hpp
+++ b/packages/config/change_log.hpp
@@ -6,8 +6,8 @@
 #include "config/types/change.hpp"
 #include "config/types/config_data.hpp"
 #include "kernel/types/result.hpp"
-#include "platform/types/row.hpp"
-#include "platform/types/table_transaction.hpp"
+#include "storage/types/row.hpp"
+#include "storage/types/table_transaction.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -66,8 +66,8 @@
 class change_log
 {
 public:
-    change_log(std::shared_ptr<platform::i_table> table,
-               std::shared_ptr<platform::i_object_store> objects,
+    change_log(std::shared_ptr<storage::i_table> table,
+               std::shared_ptr<storage::i_object_store> objects,
                change_log_options options = {});
     virtual ~change_log() = default;
     change_log(change_log const&) = delete;
@@ -90,7 +90,7 @@
 
 protected:
     // Overridden by tests that plant faults.
-    virtual platform::table_transaction
+    virtual storage::table_transaction
     make_transaction(change const& what) const;
     virtual std::optional<change_conflict>
     find_conflict(change const& what) const;
@@ -100,7 +100,7 @@
     find_committed(change const& what);
 
     config_data const& data() const;
-    std::optional<platform::row> const& head() const { return head_; }
+    std::optional<storage::row> const& head() const { return head_; }
 
 private:
     struct attempt;
@@ -116,13 +116,13 @@
     void write_snapshot();
     void trim_log(kernel::config_version snapshot);
 
-    std::shared_ptr<platform::i_table> table_;
-    std::shared_ptr<platform::i_object_store> objects_;
+    std::shared_ptr<storage::i_table> table_;
+    std::shared_ptr<storage::i_object_store> objects_;
     change_log_options options_;
     log_reader reader_;
     config_state state_;
     /// The newest head row that was read.
-    std::optional<platform::row> head_;
+    std::optional<storage::row> head_;
     /// Versions of the changes that were read from the log, by change id.
     std::unordered_map<std::string, kernel::config_version> log_ids_;
     /// The log was read without a gap from here.
--- a/packages/config/internal/change_log.cpp
+++ b/packages/config/internal/change_log.cpp
@@ -3,8 +3,8 @@
 #include "config/apply_change.hpp"
 #include "config/config_json.hpp"
 #include "config/configuration.hpp"
-#include "platform/i_object_store.hpp"
-#include "platform/i_table.hpp"
+#include "storage/i_object_store.hpp"
+#include "storage/i_table.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -64,13 +64,13 @@
     /// A submission, perhaps of an earlier call, got no answer and may have
     /// taken effect or still do so.
     bool in_flight = false;
-    std::optional<platform::table_transaction> transaction;
+    std::optional<storage::table_transaction> transaction;
     /// Head version that `transaction` requires.
     kernel::config_version base = 0;
 };
 
-change_log::change_log(std::shared_ptr<platform::i_table> table,
-                       std::shared_ptr<platform::i_object_store> objects,
+change_log::change_log(std::shared_ptr<storage::i_table> table,
+                       std::shared_ptr<storage::i_object_store> objects,
                        change_log_options options)
     : table_(std::move(table))
     , objects_(std::move(objects))
@@ -139,7 +139,7 @@
     return res;
 }
 
-platform::table_transaction
+storage::table_transaction
 change_log::make_transaction(change const& what) const
 {
     auto const next = data().version + 1;
@@ -166,7 +166,7 @@
 {
     if (auto const it = log_ids_.find(what.id); it != log_ids_.end())
         return std::optional<change_committed>(change_committed{it->second});
-    auto const res = await<std::optional<platform::row>>(
+    auto const res = await<std::optional<storage::row>>(
         [&](auto on_done) {
             table_->read(change_key(what.id), options_.timeout,
                          std::move(on_done));
@@ -266,7 +266,7 @@
 
 std::optional<kernel::result<commit_outcome>> change_log::submit(attempt& state)
 {
-    auto const res = await<platform::transaction_outcome>(
+    auto const res = await<storage::transaction_outcome>(
         [&](auto on_done) {
             table_->commit(*state.transaction, options_.timeout,
                            std::move(on_done));
@@ -309,7 +309,7 @@
         });
     if (!kernel::ok(stored))
         return;
-    auto const pointer = await<std::optional<platform::row>>(
+    auto const pointer = await<std::optional<storage::row>>(
         [&](auto on_done) {
             table_->read(snapshot_row_key(), options_.timeout,
                          std::move(on_done));
@@ -319,7 +319,7 @@
     auto const& row = kernel::value(pointer);
     if (row && parse_version(row->value).value_or(0) >= version)
         return;
-    auto const moved = await<platform::transaction_outcome>(
+    auto const moved = await<storage::transaction_outcome>(
         [&](auto on_done)
         {
             table_->commit({{{snapshot_row_key(), row ? row->version : 0}},
@@ -334,7 +334,7 @@
 {
     if (snapshot <= options_.kept_log_rows)
         return;
-    platform::table_transaction transaction;
+    storage::table_transaction transaction;
     auto const last = snapshot - options_.kept_log_rows;
     auto const first = last > options_.snapshot_interval
                            ? last - options_.snapshot_interval
@@ -342,7 +342,7 @@
     for (auto it = first + 1; it <= last; ++it)
         transaction.writes.push_back({log_key(it), std::nullopt});
     // Rows that stay because this fails only take space.
-    await<platform::transaction_outcome>(
+    await<storage::transaction_outcome>(
         [&](auto on_done)
         {
             table_->commit(std::move(transaction), options_.timeout,
--- a/packages/config/internal/log_reader.cpp
+++ b/packages/config/internal/log_reader.cpp
@@ -1,8 +1,8 @@
 #include "config/log_reader.hpp"
 
 #include "config/config_state.hpp"
-#include "platform/i_object_store.hpp"
-#include "platform/i_table.hpp"
+#include "storage/i_object_store.hpp"
+#include "storage/i_table.hpp"
 
 #include <fmt/format.h>
 
@@ -64,8 +64,8 @@
 /// One read; kept alive by the handlers that it passes on.
 struct log_reader::operation : std::enable_shared_from_this<operation>
 {
-    std::shared_ptr<platform::i_table> table;
-    std::shared_ptr<platform::i_object_store> objects;
+    std::shared_ptr<storage::i_table> table;
+    std::shared_ptr<storage::i_object_store> objects;
     std::chrono::milliseconds timeout;
     kernel::config_version known = 0;
     handler on_done;
@@ -86,10 +86,10 @@
     void start()
     {
         table->read(head_key(), timeout,
-                    then<std::optional<platform::row>>(&operation::take_head));
+                    then<std::optional<storage::row>>(&operation::take_head));
     }
 
-    void take_head(std::optional<platform::row> head)
+    void take_head(std::optional<storage::row> head)
     {
         if (head)
         {
@@ -103,10 +103,10 @@
         if (reading.head_version <= known)
             return on_done(std::move(reading));
         table->scan(log_prefix, log_key(known), page_size, timeout,
-                    then<std::vector<platform::row>>(&operation::take_log));
+                    then<std::vector<storage::row>>(&operation::take_log));
     }
 
-    void take_log(std::vector<platform::row> rows)
+    void take_log(std::vector<storage::row> rows)
     {
         std::vector<std::string> changes;
         for (auto& it : rows)
@@ -119,13 +119,13 @@
         if (changes.empty())
             return table->read(
                 snapshot_row_key(), timeout,
-                then<std::optional<platform::row>>(&operation::take_pointer));
+                then<std::optional<storage::row>>(&operation::take_pointer));
         reading.update = wire::config_update{known, known + changes.size(),
                                              false, changes_body(changes)};
         on_done(std::move(reading));
     }
 
-    void take_pointer(std::optional<platform::row> pointer)
+    void take_pointer(std::optional<storage::row> pointer)
     {
         auto const version =
             pointer ? parse_version(pointer->value) : std::nullopt;
@@ -148,8 +148,8 @@
     }
 };
 
-log_reader::log_reader(std::shared_ptr<platform::i_table> table,
-                       std::shared_ptr<platform::i_object_store> objects,
+log_reader::log_reader(std::shared_ptr<storage::i_table> table,
+                       std::shared_ptr<storage::i_object_store> objects,
                        std::chrono::milliseconds timeout)
     : table_(std::move(table))
     , objects_(std::move(objects))
--- a/packages/config/log_reader.hpp
+++ b/packages/config/log_reader.hpp
@@ -3,7 +3,7 @@
 
 #include "kernel/types/identifiers.hpp"
 #include "kernel/types/result.hpp"
-#include "platform/types/row.hpp"
+#include "storage/types/row.hpp"
 #include "wire/types/config_update.hpp"
 
 #include <chrono>
@@ -12,11 +12,11 @@
 #include <optional>
 #include <string>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 class i_object_store;
 class i_table;
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 namespace endiveward::config
 {
@@ -36,7 +36,7 @@
 struct log_reading
 {
     /// Row of the head; nothing before the first change.
-    std::optional<platform::row> head;
+    std::optional<storage::row> head;
     kernel::config_version head_version = 0;
     /// The next changes, at most `log_reader::page_size`, or a snapshot if the
     /// log no longer holds them. Nothing if none is missing.
@@ -51,8 +51,8 @@
 
     static constexpr std::size_t page_size = 256;
 
-    log_reader(std::shared_ptr<platform::i_table> table,
-               std::shared_ptr<platform::i_object_store> objects,
+    log_reader(std::shared_ptr<storage::i_table> table,
+               std::shared_ptr<storage::i_object_store> objects,
                std::chrono::milliseconds timeout);
 
     /// Reads what follows a version. The handler is called exactly once, on
@@ -63,8 +63,8 @@
 private:
     struct operation;
 
-    std::shared_ptr<platform::i_table> table_;
-    std::shared_ptr<platform::i_object_store> objects_;
+    std::shared_ptr<storage::i_table> table_;
+    std::shared_ptr<storage::i_object_store> objects_;
     std::chrono::milliseconds timeout_;
 };
 
--- a/packages/config/tests/change_log_property_test.cpp
+++ b/packages/config/tests/change_log_property_test.cpp
@@ -1,7 +1,7 @@
 #include "config/change_log.hpp"
 #include "config/configuration.hpp"
-#include "platform/tests/support/fake_object_store.hpp"
-#include "platform/tests/support/fake_table.hpp"
+#include "storage/tests/support/fake_object_store.hpp"
+#include "storage/tests/support/fake_table.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -20,7 +20,7 @@
 #include <vector>
 
 using namespace endiveward;
-using platform::tests::commit_fault;
+using storage::tests::commit_fault;
 
 namespace
 {
@@ -236,10 +236,10 @@
         RC_ASSERT(actual == rules);
     }
 
-    std::shared_ptr<platform::tests::fake_table> table_ =
-        std::make_shared<platform::tests::fake_table>();
-    std::shared_ptr<platform::tests::fake_object_store> objects_ =
-        std::make_shared<platform::tests::fake_object_store>();
+    std::shared_ptr<storage::tests::fake_table> table_ =
+        std::make_shared<storage::tests::fake_table>();
+    std::shared_ptr<storage::tests::fake_object_store> objects_ =
+        std::make_shared<storage::tests::fake_object_store>();
     std::array<std::unique_ptr<Log>, operator_count> logs_;
     std::array<std::optional<config::change>, operator_count> pending_;
     std::array<bool, operator_count> busy_{};
@@ -397,7 +397,7 @@
     using change_log::change_log;
 
 protected:
-    platform::table_transaction
+    storage::table_transaction
     make_transaction(config::change const& what) const override
     {
         auto res = change_log::make_transaction(what);
--- a/packages/config/tests/change_log_test.cpp
+++ b/packages/config/tests/change_log_test.cpp
@@ -5,8 +5,8 @@
 #include "config/store_follower.hpp"
 #include "kernel/manual_clock.hpp"
 #include "kernel/seeded_random_source.hpp"
-#include "platform/tests/support/fake_object_store.hpp"
-#include "platform/tests/support/fake_table.hpp"
+#include "storage/tests/support/fake_object_store.hpp"
+#include "storage/tests/support/fake_table.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -19,17 +19,17 @@
 #include <vector>
 
 using namespace endiveward;
-using platform::tests::commit_fault;
+using storage::tests::commit_fault;
 
 namespace
 {
 
 struct platform_fakes
 {
-    std::shared_ptr<platform::tests::fake_table> table =
-        std::make_shared<platform::tests::fake_table>();
-    std::shared_ptr<platform::tests::fake_object_store> objects =
-        std::make_shared<platform::tests::fake_object_store>();
+    std::shared_ptr<storage::tests::fake_table> table =
+        std::make_shared<storage::tests::fake_table>();
+    std::shared_ptr<storage::tests::fake_object_store> objects =
+        std::make_shared<storage::tests::fake_object_store>();
 
     config::change_log_options options() const
     {
--- /dev/null
+++ b/packages/gateway/endpoint_chooser.hpp
@@ -0,0 +1,60 @@
+#ifndef ENDIVEWARD_GATEWAY_ENDPOINT_CHOOSER_HPP
+#define ENDIVEWARD_GATEWAY_ENDPOINT_CHOOSER_HPP
+
+#include "gateway/endpoint_record.hpp"
+#include "gateway/types/demand.hpp"
+#include "gateway/types/placement_choice.hpp"
+#include "gateway/types/placement_settings.hpp"
+#include "gateway/types/service.hpp"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace endiveward::gateway
+{
+
+class weights_view;
+
+/// Chooses the endpoint at which a request is expected to begin its answer
+/// first, counting what it would read again.
+class endpoint_chooser
+{
+public:
+    using record_list = std::span<std::shared_ptr<endpoint_record> const>;
+
+    endpoint_chooser(placement_settings settings, kernel::zone_id own_zone);
+
+    /// Gives none if no endpoint can take the request now.
+    std::optional<placement_choice>
+    choose(record_list endpoints, service const& target,
+           demand const& wanted, weights_view const& weights,
+           kernel::steady_time now) const;
+
+private:
+    struct offer;
+
+    std::optional<offer> offer_of(std::shared_ptr<endpoint_record> const& it,
+                                  record_list endpoints, service const& target,
+                                  demand const& wanted,
+                                  weights_view const& weights,
+                                  kernel::steady_time now) const;
+    double wait_ms(endpoint_record const& it, service const& target,
+                   double pending_per_request, kernel::steady_time now) const;
+    void add_prompt(offer& made, record_list endpoints, service const& target,
+                    demand const& wanted, kernel::steady_time now) const;
+
+    placement_settings settings_;
+    kernel::zone_id own_zone_;
+};
+
+/// Text under which an engine finds cached parts: it differs between isolated
+/// workspaces, models and versions of their weights.
+std::string make_cache_salt(std::string const& cache_group,
+                            kernel::model_id const& model,
+                            weights::weight_version version);
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/endpoint_directory.hpp
@@ -0,0 +1,58 @@
+#ifndef ENDIVEWARD_GATEWAY_ENDPOINT_DIRECTORY_HPP
+#define ENDIVEWARD_GATEWAY_ENDPOINT_DIRECTORY_HPP
+
+#include "gateway/endpoint_record.hpp"
+#include "gateway/upstream_pool.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace endiveward::gateway
+{
+
+/// The endpoints that are registered, with what is believed of each and the
+/// connections to it.
+class endpoint_directory
+{
+public:
+    using record_list = std::vector<std::shared_ptr<endpoint_record>>;
+    using pool_factory = std::function<std::shared_ptr<upstream_pool>(
+        asio::ip::tcp::endpoint const&)>;
+
+    explicit endpoint_directory(pool_factory make_pool);
+
+    /// Takes over the whole list. Endpoints that are no longer listed get no
+    /// new requests; those in progress go on. `kv_capacity` gives the tokens
+    /// that an engine of a service can cache.
+    void
+    update(std::vector<endpoint_entry> entries,
+           std::function<std::uint64_t(kernel::service_id const&)> const&
+               kv_capacity);
+    record_list const& of_service(kernel::service_id const& id) const;
+    std::shared_ptr<upstream_pool> pool_of(endpoint_record const& record);
+    std::vector<kernel::endpoint_id>
+    ids_with_model(kernel::model_id const& model) const;
+    std::size_t size() const { return records_.size(); }
+
+    void for_each(std::function<void(endpoint_record const&,
+                                     upstream_pool&)> const& visit) const;
+
+private:
+    struct slot
+    {
+        std::shared_ptr<endpoint_record> record;
+        std::shared_ptr<upstream_pool> pool;
+    };
+
+    pool_factory make_pool_;
+    std::unordered_map<kernel::endpoint_id, slot> records_;
+    std::unordered_map<kernel::service_id, record_list> by_service_;
+    record_list const none_;
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/endpoint_record.hpp
@@ -0,0 +1,110 @@
+#ifndef ENDIVEWARD_GATEWAY_ENDPOINT_RECORD_HPP
+#define ENDIVEWARD_GATEWAY_ENDPOINT_RECORD_HPP
+
+#include "gateway/prefix_memory.hpp"
+#include "gateway/types/endpoint_entry.hpp"
+#include "gateway/types/load_sample.hpp"
+#include "kernel/i_clock.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace endiveward::gateway
+{
+
+/// What one request occupies at an endpoint.
+struct request_footprint
+{
+    /// Prompt tokens that are not cached there.
+    std::uint32_t uncached_tokens = 0;
+    /// Memory for prompt and output.
+    std::uint32_t memory_tokens = 0;
+};
+
+/// What this process believes of one endpoint, from its own requests and the
+/// answers to them.
+class endpoint_record
+{
+public:
+    endpoint_record(endpoint_entry entry, std::uint64_t kv_capacity_tokens);
+
+    endpoint_entry const& entry() const { return entry_; }
+    /// Takes over a newer entry. A restart clears what was believed.
+    void update(endpoint_entry entry);
+
+    void on_sent(request_footprint const& footprint, kernel::steady_time now);
+    /// The first byte of an answer came.
+    void on_answering(request_footprint const& footprint,
+                      kernel::steady_time now);
+    void on_bytes(kernel::steady_time now) { last_bytes_ = now; }
+    /// The request has ended, with or without an answer.
+    void on_finished(request_footprint const& footprint, bool answered);
+    void on_load(load_sample const& sample) { load_ = sample; }
+    void on_success(kernel::steady_time now);
+    /// The endpoint answered with a failure of its own.
+    void on_error(kernel::steady_time now);
+    /// No connection, no answer, or bytes that are no answer.
+    void on_lost(kernel::steady_time now);
+    /// The endpoint did not run a request; it is avoided for the pause.
+    void on_refusal(kernel::steady_time now, std::chrono::milliseconds pause);
+    /// The endpoint refused a request because its weights are still older
+    /// than expected; it is asked for the newer ones again after the pause.
+    void on_still_old(kernel::steady_time now, std::chrono::milliseconds pause)
+    {
+        still_old_until_ = now + pause;
+    }
+    bool still_old(kernel::steady_time now) const
+    {
+        return now < still_old_until_;
+    }
+    /// The address belongs to another endpoint now.
+    void mark_gone() { gone_ = true; }
+
+    weights::weight_version version_of(kernel::model_id const& model) const;
+    /// Learns which version serves. A new one empties the cache.
+    void set_version(kernel::model_id const& model,
+                     weights::weight_version version);
+
+    /// Whether requests may be sent.
+    bool available(kernel::steady_time now) const;
+    /// Requests are unanswered and no byte has come for a while.
+    bool silent(kernel::steady_time now) const;
+    /// Share of requests that failed lately, from 0 to 1.
+    double failure_share(kernel::steady_time now) const;
+
+    std::uint32_t in_flight() const { return in_flight_; }
+    std::uint32_t unanswered() const { return unanswered_; }
+    std::uint64_t pending_tokens() const { return pending_tokens_; }
+    std::uint64_t memory_tokens() const { return memory_tokens_; }
+    /// Requests of other processes at the endpoint, by its last report.
+    double others(kernel::steady_time now) const;
+    std::optional<load_sample> const& load() const { return load_; }
+    prefix_memory& cache() { return cache_; }
+    prefix_memory const& cache() const { return cache_; }
+
+private:
+    void note_result(bool failed, kernel::steady_time now);
+
+    endpoint_entry entry_;
+    prefix_memory cache_;
+    std::optional<load_sample> load_;
+    std::uint32_t in_flight_ = 0;
+    std::uint32_t unanswered_ = 0;
+    std::uint64_t pending_tokens_ = 0;
+    std::uint64_t memory_tokens_ = 0;
+    kernel::steady_time last_bytes_{};
+    kernel::steady_time waiting_since_{};
+    kernel::steady_time avoided_until_{};
+    kernel::steady_time still_old_until_{};
+    std::chrono::milliseconds backoff_{0};
+    double failures_ = 0;
+    double results_ = 0;
+    kernel::steady_time rated_at_{};
+    bool gone_ = false;
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/front_connection.hpp
@@ -0,0 +1,90 @@
+#ifndef ENDIVEWARD_GATEWAY_FRONT_CONNECTION_HPP
+#define ENDIVEWARD_GATEWAY_FRONT_CONNECTION_HPP
+
+#include "gateway/http/request_reader.hpp"
+#include "gateway/i_reply.hpp"
+#include "kernel/i_clock.hpp"
+
+#include <asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace endiveward::gateway
+{
+
+class i_exchange;
+class i_request_handler;
+
+/// A caller's connection: reads one request after another and writes the
+/// answers.
+class front_connection : public std::enable_shared_from_this<front_connection>,
+                         public i_reply
+{
+public:
+    using closed_handler = std::function<void(front_connection*)>;
+
+    front_connection(asio::ip::tcp::socket socket, kernel::i_clock const& clock,
+                     i_request_handler& handler, closed_handler on_closed);
+    ~front_connection() override;
+    front_connection(front_connection const&) = delete;
+    front_connection& operator=(front_connection const&) = delete;
+
+    void start();
+    /// Closes the connection if no request is in progress.
+    void close_if_idle();
+    void close();
+    /// Applies the time limits; to be called about twice a second.
+    void on_tick(kernel::steady_time now);
+    bool busy() const { return exchange_ != nullptr; }
+
+    void answer(int status, header_list const& headers,
+                std::string body) override;
+    void begin(int status, header_list const& headers,
+               std::optional<std::uint64_t> length) override;
+    void write(std::string_view bytes) override;
+    void end() override;
+    void abort() override;
+    std::size_t queued() const override;
+
+private:
+    void read();
+    void on_bytes(std::size_t n);
+    void process();
+    void serve();
+    void refuse(int status);
+    void append_head(int status, header_list const& headers);
+    void finish_answer();
+    void flush();
+    void on_written(std::error_code ec);
+    void close_after_answer();
+
+    asio::ip::tcp::socket socket_;
+    kernel::i_clock const& clock_;
+    i_request_handler& handler_;
+    closed_handler on_closed_;
+    request_reader reader_;
+    std::shared_ptr<i_exchange> exchange_;
+    std::vector<char> buffer_;
+    /// Received and not yet parsed: the next request.
+    std::string input_;
+    std::string out_;
+    std::string in_write_;
+    kernel::steady_time waiting_since_{};
+    bool http_1_0_ = false;
+    bool head_request_ = false;
+    bool keep_alive_ = true;
+    bool chunked_ = false;
+    bool reading_ = false;
+    bool writing_ = false;
+    bool close_after_write_ = false;
+    /// The last answer is out; what the caller still sends is discarded.
+    bool lingering_ = false;
+    bool closed_ = false;
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/http/i_upstream_observer.hpp
@@ -0,0 +1,28 @@
+#ifndef ENDIVEWARD_GATEWAY_HTTP_I_UPSTREAM_OBSERVER_HPP
+#define ENDIVEWARD_GATEWAY_HTTP_I_UPSTREAM_OBSERVER_HPP
+
+#include "gateway/types/upstream_failure.hpp"
+
+#include <string_view>
+
+namespace endiveward::gateway
+{
+
+struct response_head;
+
+/// Receives the answer to one request, on the thread of the connection.
+/// Exactly one of `on_end` and `on_failure` is last.
+class i_upstream_observer
+{
+public:
+    virtual ~i_upstream_observer() = default;
+
+    virtual void on_head(response_head const& head) = 0;
+    virtual void on_body(std::string_view bytes) = 0;
+    virtual void on_end() = 0;
+    virtual void on_failure(upstream_failure failure) = 0;
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/http/reason_phrase.hpp
@@ -0,0 +1,14 @@
+#ifndef ENDIVEWARD_GATEWAY_HTTP_REASON_PHRASE_HPP
+#define ENDIVEWARD_GATEWAY_HTTP_REASON_PHRASE_HPP
+
+#include <string_view>
+
+namespace endiveward::gateway
+{
+
+/// The usual phrase for a status, or an empty one.
+std::string_view reason_phrase(int status);
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/http/request_reader.hpp
@@ -0,0 +1,81 @@
+#ifndef ENDIVEWARD_GATEWAY_HTTP_REQUEST_READER_HPP
+#define ENDIVEWARD_GATEWAY_HTTP_REQUEST_READER_HPP
+
+#include "gateway/http/http_request.hpp"
+#include "gateway/http/message_limits.hpp"
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <string_view>
+
+namespace endiveward::gateway
+{
+
+enum class read_state
+{
+    /// More bytes are needed.
+    partial,
+    complete,
+    /// The bytes are no request; `failure_status` has the answer's status.
+    failed
+};
+
+/// Reads one request at a time from a byte stream.
+class request_reader
+{
+public:
+    explicit request_reader(message_limits limits);
+    request_reader(request_reader const&) = delete;
+    request_reader& operator=(request_reader const&) = delete;
+
+    /// Takes bytes up to the end of the request and gives their number.
+    std::size_t feed(std::string_view bytes);
+
+    read_state state() const { return state_; }
+    int failure_status() const { return failure_status_; }
+    /// Whether a byte of the next request has arrived.
+    bool started() const { return started_; }
+    bool headers_complete() const { return headers_complete_; }
+    bool is_http_1_0() const
+    {
+        return parser_.http_major == 1 && parser_.http_minor == 0;
+    }
+    /// Whether the caller waits for `100 Continue`; true once.
+    bool take_continue();
+
+    /// The complete request; the reader then waits for the next one.
+    http_request take();
+
+private:
+    static int on_url(http_parser* parser, char const* at, std::size_t n);
+    static int on_field(http_parser* parser, char const* at, std::size_t n);
+    static int on_value(http_parser* parser, char const* at, std::size_t n);
+    static int on_headers(http_parser* parser);
+    static int on_body(http_parser* parser, char const* at, std::size_t n);
+    static int on_complete(http_parser* parser);
+    static request_reader& self(http_parser* parser);
+
+    void reset();
+    bool count_header_bytes(std::size_t n);
+    void flush_field();
+    int fail(int status);
+
+    message_limits limits_;
+    http_parser parser_{};
+    http_parser_settings settings_{};
+    http_request request_;
+    std::string field_;
+    std::string value_;
+    std::size_t header_bytes_ = 0;
+    read_state state_ = read_state::partial;
+    int failure_status_ = 0;
+    bool started_ = false;
+    bool headers_complete_ = false;
+    bool in_value_ = false;
+    bool wants_continue_ = false;
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/http/response_reader.hpp
@@ -0,0 +1,67 @@
+#ifndef ENDIVEWARD_GATEWAY_HTTP_RESPONSE_READER_HPP
+#define ENDIVEWARD_GATEWAY_HTTP_RESPONSE_READER_HPP
+
+#include "gateway/http/message_limits.hpp"
+#include "gateway/http/response_head.hpp"
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace endiveward::gateway
+{
+
+class i_response_sink;
+
+/// Reads one final response from a byte stream; 1xx responses are skipped.
+class response_reader
+{
+public:
+    explicit response_reader(std::size_t max_header_bytes);
+    response_reader(response_reader const&) = delete;
+    response_reader& operator=(response_reader const&) = delete;
+
+    /// Prepares for the next response. One to HEAD has no body.
+    void reset(bool head_request);
+    /// Takes bytes up to the end of the response and gives their number.
+    std::size_t feed(std::string_view bytes, i_response_sink& sink);
+    /// The peer closed the connection in an orderly way; ends a body that has
+    /// no other end.
+    void finish(i_response_sink& sink);
+
+    bool started() const { return started_; }
+    bool complete() const { return complete_; }
+    bool failed() const { return failed_; }
+
+private:
+    static int on_field(http_parser* parser, char const* at, std::size_t n);
+    static int on_value(http_parser* parser, char const* at, std::size_t n);
+    static int on_headers(http_parser* parser);
+    static int on_body(http_parser* parser, char const* at, std::size_t n);
+    static int on_complete(http_parser* parser);
+    static response_reader& self(http_parser* parser);
+
+    void flush_field();
+    void execute(char const* at, std::size_t n, std::size_t& taken);
+
+    std::size_t max_header_bytes_;
+    http_parser parser_{};
+    http_parser_settings settings_{};
+    response_head head_;
+    std::string field_;
+    std::string value_;
+    i_response_sink* sink_ = nullptr;
+    std::size_t header_bytes_ = 0;
+    bool head_request_ = false;
+    bool in_value_ = false;
+    bool informational_ = false;
+    bool started_ = false;
+    bool complete_ = false;
+    bool failed_ = false;
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/http/upstream_connection.hpp
@@ -0,0 +1,114 @@
+#ifndef ENDIVEWARD_GATEWAY_HTTP_UPSTREAM_CONNECTION_HPP
+#define ENDIVEWARD_GATEWAY_HTTP_UPSTREAM_CONNECTION_HPP
+
+#include "gateway/http/i_response_sink.hpp"
+#include "gateway/http/response_reader.hpp"
+#include "gateway/types/upstream_failure.hpp"
+#include "kernel/i_clock.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace endiveward::gateway
+{
+
+class i_upstream_observer;
+
+struct upstream_options
+{
+    std::chrono::milliseconds connect_timeout{400};
+    /// Unacknowledged data and unanswered probes end a connection after this.
+    std::chrono::milliseconds peer_timeout{2500};
+    std::size_t max_header_bytes = 64U << 10U;
+    /// An idle connection is used again for this long if the peer names no
+    /// timeout of its own.
+    std::chrono::milliseconds default_idle{4000};
+    /// A response whose field of this name holds another id than the request
+    /// is skipped. Empty: ids are not compared.
+    std::string id_field;
+};
+
+/// One HTTP/1.1 connection, which carries one request at a time.
+class upstream_connection
+    : public std::enable_shared_from_this<upstream_connection>
+    , private i_response_sink
+{
+public:
+    /// Called when an idle connection has ended.
+    using closed_handler = std::function<void(upstream_connection*)>;
+
+    upstream_connection(asio::io_context& context, kernel::i_clock const& clock,
+                        std::shared_ptr<upstream_options const> options);
+    ~upstream_connection() override;
+    upstream_connection(upstream_connection const&) = delete;
+    upstream_connection& operator=(upstream_connection const&) = delete;
+
+    /// Connects first if needed, then sends. The observer must outlive the
+    /// exchange or call `abandon`.
+    void send(asio::ip::tcp::endpoint const& peer, std::string bytes,
+              std::string request_id, bool head_request,
+              i_upstream_observer& observer);
+    /// Closes the connection; the observer hears nothing more.
+    void abandon();
+    /// Suspends and resumes reading the answer.
+    void pause();
+    void resume();
+    void on_idle_close(closed_handler handler);
+
+    /// Whether another request may be sent.
+    bool reusable(kernel::steady_time now) const;
+    kernel::steady_time idle_since() const { return idle_since_; }
+    bool is_new() const { return requests_ <= 1; }
+    /// Whether a byte of the current request may have reached the peer.
+    bool sent() const { return sent_; }
+
+private:
+    void on_head(response_head const& head) override;
+    void on_body(std::string_view bytes) override;
+    void on_end() override;
+
+    void connect(asio::ip::tcp::endpoint const& peer);
+    void on_connected();
+    void write();
+    void read();
+    void on_bytes(std::size_t n);
+    void on_read_error(bool orderly);
+    void fail(upstream_failure failure);
+    void finish_exchange(bool trailing);
+    void become_idle();
+    void close();
+    void set_socket_options();
+
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    kernel::i_clock const& clock_;
+    std::shared_ptr<upstream_options const> options_;
+    i_upstream_observer* observer_ = nullptr;
+    closed_handler idle_closed_;
+    response_reader reader_;
+    std::vector<char> buffer_;
+    std::string out_;
+    std::string request_id_;
+    std::chrono::milliseconds idle_limit_{0};
+    kernel::steady_time idle_since_{};
+    unsigned requests_ = 0;
+    bool connected_ = false;
+    bool closed_ = false;
+    bool reading_ = false;
+    bool paused_ = false;
+    bool writing_ = false;
+    bool sent_ = false;
+    bool skipping_ = false;
+    bool keep_alive_ = false;
+    bool head_request_ = false;
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/i_request_handler.hpp
@@ -0,0 +1,31 @@
+#ifndef ENDIVEWARD_GATEWAY_I_REQUEST_HANDLER_HPP
+#define ENDIVEWARD_GATEWAY_I_REQUEST_HANDLER_HPP
+
+#include "gateway/http/http_request.hpp"
+#include "gateway/types/caller_limits.hpp"
+
+#include <memory>
+
+namespace endiveward::gateway
+{
+
+class i_exchange;
+class i_reply;
+
+/// Serves the requests that callers' connections have read.
+class i_request_handler
+{
+public:
+    virtual ~i_request_handler() = default;
+
+    /// `reply` stays valid until the exchange is destroyed or has ended it.
+    virtual std::shared_ptr<i_exchange> handle(http_request request,
+                                               i_reply& reply) = 0;
+    virtual caller_limits limits() const = 0;
+    /// Whether connections close after their next answer.
+    virtual bool draining() const = 0;
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/internal/endpoint_directory.cpp
@@ -0,0 +1,96 @@
+#include "gateway/endpoint_directory.hpp"
+
+#include <asio/ip/address.hpp>
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+asio::ip::tcp::endpoint address_of(endpoint_entry const& entry)
+{
+    std::error_code ec;
+    auto const ip = asio::ip::make_address(entry.host, ec);
+    // Entries with an address that is none were left out when decoded.
+    return {ip, entry.port};
+}
+
+} // namespace
+
+endpoint_directory::endpoint_directory(pool_factory make_pool)
+    : make_pool_(std::move(make_pool))
+{
+}
+
+void endpoint_directory::update(
+    std::vector<endpoint_entry> entries,
+    std::function<std::uint64_t(kernel::service_id const&)> const& kv_capacity)
+{
+    std::unordered_set<kernel::endpoint_id> listed;
+    by_service_.clear();
+    // The order of the list must not decide between equal endpoints.
+    std::sort(entries.begin(), entries.end(),
+              [](auto const& a, auto const& b) { return a.id < b.id; });
+    for (auto& it : entries)
+    {
+        listed.insert(it.id);
+        auto const peer = address_of(it);
+        auto& place = records_[it.id];
+        if (place.record == nullptr)
+            place.record = std::make_shared<endpoint_record>(
+                it, kv_capacity(it.service));
+        else
+            place.record->update(it);
+        if (place.pool == nullptr || place.pool->peer() != peer)
+            place.pool = make_pool_(peer);
+        by_service_[it.service].push_back(place.record);
+    }
+    std::erase_if(records_,
+                  [&](auto const& it)
+                  {
+                      if (listed.contains(it.first))
+                          return false;
+                      it.second.pool->close_idle();
+                      return true;
+                  });
+}
+
+endpoint_directory::record_list const&
+endpoint_directory::of_service(kernel::service_id const& id) const
+{
+    auto const found = by_service_.find(id);
+    return found == by_service_.end() ? none_ : found->second;
+}
+
+std::shared_ptr<upstream_pool>
+endpoint_directory::pool_of(endpoint_record const& record)
+{
+    auto const found = records_.find(record.entry().id);
+    return found == records_.end() ? nullptr : found->second.pool;
+}
+
+std::vector<kernel::endpoint_id>
+endpoint_directory::ids_with_model(kernel::model_id const& model) const
+{
+    std::vector<kernel::endpoint_id> res;
+    for (auto const& [id, it] : records_)
+    {
+        if (it.record->entry().models.contains(model))
+            res.push_back(id);
+    }
+    return res;
+}
+
+void endpoint_directory::for_each(
+    std::function<void(endpoint_record const&, upstream_pool&)> const& visit)
+    const
+{
+    for (auto const& [id, it] : records_)
+        visit(*it.record, *it.pool);
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -0,0 +1,175 @@
+#include "gateway/endpoint_record.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// An engine that reads a prompt still answers others within this: one piece
+/// of a prompt takes about 80 ms.
+constexpr milliseconds silence_limit{900};
+constexpr milliseconds first_backoff{400};
+constexpr milliseconds longest_backoff{3000};
+/// A reported load counts half after this.
+constexpr milliseconds load_half_life{500};
+/// Results count half after this.
+constexpr milliseconds result_half_life{3000};
+/// Results below this number say little.
+constexpr double few_results = 2;
+
+double decay(kernel::steady_time from, kernel::steady_time to,
+             milliseconds half_life)
+{
+    using ms = std::chrono::duration<double, std::milli>;
+    if (to <= from)
+        return 1;
+    return std::exp2(-(ms(to - from) / ms(half_life)));
+}
+
+} // namespace
+
+endpoint_record::endpoint_record(endpoint_entry entry,
+                                 std::uint64_t kv_capacity_tokens)
+    : entry_(std::move(entry))
+    , cache_(kv_capacity_tokens)
+{
+}
+
+void endpoint_record::update(endpoint_entry entry)
+{
+    if (entry.incarnation != entry_.incarnation || entry.host != entry_.host ||
+        entry.port != entry_.port)
+    {
+        cache_.clear();
+        load_.reset();
+        gone_ = false;
+        avoided_until_ = {};
+        backoff_ = milliseconds(0);
+        failures_ = 0;
+        results_ = 0;
+        entry_ = std::move(entry);
+        return;
+    }
+    // Answers may have told of newer versions than the entry.
+    for (auto const& [model, version] : entry_.models)
+    {
+        auto& listed = entry.models[model];
+        if (listed < version)
+            listed = version;
+        else if (listed > version)
+            cache_.clear();
+    }
+    entry_ = std::move(entry);
+}
+
+void endpoint_record::on_sent(request_footprint const& footprint,
+                              kernel::steady_time now)
+{
+    if (unanswered_ == 0)
+        waiting_since_ = now;
+    ++in_flight_;
+    ++unanswered_;
+    pending_tokens_ += footprint.uncached_tokens;
+    memory_tokens_ += footprint.memory_tokens;
+}
+
+void endpoint_record::on_answering(request_footprint const& footprint,
+                                   kernel::steady_time now)
+{
+    --unanswered_;
+    pending_tokens_ -= footprint.uncached_tokens;
+    last_bytes_ = now;
+}
+
+void endpoint_record::on_finished(request_footprint const& footprint,
+                                  bool answered)
+{
+    --in_flight_;
+    memory_tokens_ -= footprint.memory_tokens;
+    if (answered)
+        return;
+    --unanswered_;
+    pending_tokens_ -= footprint.uncached_tokens;
+}
+
+void endpoint_record::on_success(kernel::steady_time now)
+{
+    backoff_ = milliseconds(0);
+    note_result(false, now);
+}
+
+void endpoint_record::on_error(kernel::steady_time now)
+{
+    note_result(true, now);
+}
+
+void endpoint_record::on_lost(kernel::steady_time now)
+{
+    note_result(true, now);
+    backoff_ = std::clamp(backoff_ * 2, first_backoff, longest_backoff);
+    avoided_until_ = std::max(avoided_until_, now + backoff_);
+}
+
+void endpoint_record::on_refusal(kernel::steady_time now, milliseconds pause)
+{
+    avoided_until_ = std::max(avoided_until_, now + pause);
+}
+
+void endpoint_record::note_result(bool failed, kernel::steady_time now)
+{
+    auto const kept = decay(rated_at_, now, result_half_life);
+    failures_ = failures_ * kept + (failed ? 1 : 0);
+    results_ = results_ * kept + 1;
+    rated_at_ = now;
+}
+
+double endpoint_record::failure_share(kernel::steady_time now) const
+{
+    auto const kept = decay(rated_at_, now, result_half_life);
+    return failures_ * kept / (results_ * kept + few_results);
+}
+
+weights::weight_version
+endpoint_record::version_of(kernel::model_id const& model) const
+{
+    auto const found = entry_.models.find(model);
+    return found == entry_.models.end() ? 0 : found->second;
+}
+
+void endpoint_record::set_version(kernel::model_id const& model,
+                                  weights::weight_version version)
+{
+    auto& known = entry_.models[model];
+    if (known == version)
+        return;
+    known = version;
+    cache_.clear();
+}
+
+bool endpoint_record::available(kernel::steady_time now) const
+{
+    return !gone_ && !entry_.draining && now >= avoided_until_;
+}
+
+bool endpoint_record::silent(kernel::steady_time now) const
+{
+    return unanswered_ > 0 &&
+           now - std::max(waiting_since_, last_bytes_) > silence_limit;
+}
+
+double endpoint_record::others(kernel::steady_time now) const
+{
+    if (!load_)
+        return 0;
+    auto const total = static_cast<double>(load_->running + load_->waiting);
+    auto const foreign = std::max(0.0, total - load_->own);
+    return foreign * decay(load_->at, now, load_half_life);
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/internal/front_connection.cpp
@@ -0,0 +1,312 @@
+#include "gateway/front_connection.hpp"
+
+#include "gateway/http/reason_phrase.hpp"
+#include "gateway/i_exchange.hpp"
+#include "gateway/i_request_handler.hpp"
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <fmt/format.h>
+
+#include <iterator>
+#include <utility>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+constexpr std::size_t buffer_bytes = 8192;
+/// A caller that sends ahead is read no further than this.
+constexpr std::size_t max_input_bytes = 64U << 10U;
+/// A connection that is closed while the caller still sends is reset, which
+/// could destroy the answer; the caller has this long to take it.
+constexpr std::chrono::milliseconds linger_time{1000};
+constexpr int status_request_timeout = 408;
+
+message_limits reader_limits(caller_limits const& limits)
+{
+    return {limits.header_bytes, limits.body_bytes};
+}
+
+} // namespace
+
+front_connection::front_connection(asio::ip::tcp::socket socket,
+                                   kernel::i_clock const& clock,
+                                   i_request_handler& handler,
+                                   closed_handler on_closed)
+    : socket_(std::move(socket))
+    , clock_(clock)
+    , handler_(handler)
+    , on_closed_(std::move(on_closed))
+    , reader_(reader_limits(handler.limits()))
+    , buffer_(buffer_bytes)
+{
+}
+
+front_connection::~front_connection() = default;
+
+void front_connection::start()
+{
+    std::error_code ec;
+    // Without these options the connection works, but slower.
+    socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+    waiting_since_ = clock_.now();
+    read();
+}
+
+void front_connection::close_if_idle()
+{
+    if (!busy() && !reader_.started() && input_.empty() && !writing_)
+        close();
+}
+
+void front_connection::close()
+{
+    if (closed_)
+        return;
+    closed_ = true;
+    std::error_code ec;
+    // Nothing remains to be done if the socket is closed already.
+    socket_.close(ec);
+    if (auto exchange = std::exchange(exchange_, nullptr))
+        exchange->on_caller_gone();
+    if (auto handler = std::exchange(on_closed_, nullptr))
+        handler(this);
+}
+
+void front_connection::read()
+{
+    if (reading_ || closed_ || input_.size() >= max_input_bytes)
+        return;
+    reading_ = true;
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](std::error_code ec, std::size_t n)
+        {
+            self->reading_ = false;
+            if (self->closed_)
+                return;
+            if (ec)
+                return self->close();
+            self->on_bytes(n);
+        });
+}
+
+void front_connection::on_bytes(std::size_t n)
+{
+    if (lingering_)
+        return read();
+    if (!reader_.started() && input_.empty())
+        waiting_since_ = clock_.now();
+    if (busy() || !input_.empty())
+        input_.append(buffer_.data(), n);
+    else
+    {
+        auto const taken = reader_.feed({buffer_.data(), n});
+        if (taken < n)
+            input_.assign(buffer_.data() + taken, n - taken);
+    }
+    process();
+    read();
+}
+
+void front_connection::process()
+{
+    if (busy() || closed_ || close_after_write_)
+        return;
+    if (reader_.state() == read_state::partial && !input_.empty())
+    {
+        auto const taken = reader_.feed(input_);
+        input_.erase(0, taken);
+    }
+    if (reader_.take_continue() && reader_.state() == read_state::partial)
+    {
+        out_ += "HTTP/1.1 100 Continue\r\n\r\n";
+        flush();
+    }
+    if (reader_.state() == read_state::failed)
+        return refuse(reader_.failure_status());
+    if (reader_.state() == read_state::complete)
+        serve();
+}
+
+void front_connection::serve()
+{
+    http_1_0_ = reader_.is_http_1_0();
+    auto request = reader_.take();
+    head_request_ = request.method == "HEAD";
+    keep_alive_ = request.keep_alive;
+    auto exchange = handler_.handle(std::move(request), *this);
+    // The request may have been answered already.
+    if (exchange != nullptr && !closed_)
+        exchange_ = std::move(exchange);
+}
+
+void front_connection::refuse(int status)
+{
+    keep_alive_ = false;
+    answer(status, {}, {});
+}
+
+void front_connection::append_head(int status, header_list const& headers)
+{
+    if (handler_.draining())
+        keep_alive_ = false;
+    auto out = std::back_inserter(out_);
+    fmt::format_to(out, "HTTP/1.1 {} {}\r\n", status, reason_phrase(status));
+    for (auto const& it : headers)
+        fmt::format_to(out, "{}: {}\r\n", it.name, it.value);
+    if (!keep_alive_)
+        out_ += "Connection: close\r\n";
+    else if (http_1_0_)
+        out_ += "Connection: keep-alive\r\n";
+}
+
+void front_connection::answer(int status, header_list const& headers,
+                              std::string body)
+{
+    append_head(status, headers);
+    fmt::format_to(std::back_inserter(out_), "Content-Length: {}\r\n\r\n",
+                   body.size());
+    if (!head_request_)
+        out_ += body;
+    finish_answer();
+}
+
+void front_connection::begin(int status, header_list const& headers,
+                             std::optional<std::uint64_t> length)
+{
+    chunked_ = !length && !http_1_0_;
+    if (!length && http_1_0_)
+        keep_alive_ = false;
+    append_head(status, headers);
+    if (length)
+        fmt::format_to(std::back_inserter(out_), "Content-Length: {}\r\n",
+                       *length);
+    else if (chunked_)
+        out_ += "Transfer-Encoding: chunked\r\n";
+    out_ += "\r\n";
+}
+
+void front_connection::write(std::string_view bytes)
+{
+    if (bytes.empty() || head_request_)
+        return;
+    if (chunked_)
+        fmt::format_to(std::back_inserter(out_), "{:x}\r\n", bytes.size());
+    out_ += bytes;
+    if (chunked_)
+        out_ += "\r\n";
+    flush();
+}
+
+void front_connection::end()
+{
+    if (chunked_ && !head_request_)
+        out_ += "0\r\n\r\n";
+    chunked_ = false;
+    finish_answer();
+}
+
+void front_connection::finish_answer()
+{
+    exchange_.reset();
+    waiting_since_ = clock_.now();
+    if (!keep_alive_)
+        close_after_write_ = true;
+    flush();
+    if (close_after_write_)
+        return;
+    // The next request may be here already; answering it from within the
+    // handler of this one would nest without limit.
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()]
+               {
+                   self->process();
+                   if (!self->closed_)
+                       self->read();
+               });
+}
+
+void front_connection::abort()
+{
+    exchange_.reset();
+    close();
+}
+
+std::size_t front_connection::queued() const
+{
+    return out_.size() + in_write_.size();
+}
+
+void front_connection::flush()
+{
+    if (writing_ || closed_)
+        return;
+    if (out_.empty())
+    {
+        if (close_after_write_)
+            close_after_answer();
+        return;
+    }
+    writing_ = true;
+    in_write_.swap(out_);
+    out_.clear();
+    asio::async_write(
+        socket_, asio::buffer(in_write_),
+        [self = shared_from_this()](std::error_code ec, std::size_t)
+        { self->on_written(ec); });
+}
+
+void front_connection::on_written(std::error_code ec)
+{
+    writing_ = false;
+    in_write_.clear();
+    if (closed_)
+        return;
+    if (ec)
+        return close();
+    flush();
+    if (exchange_ != nullptr && !writing_)
+    {
+        auto const exchange = exchange_;
+        exchange->on_caller_ready();
+    }
+}
+
+void front_connection::close_after_answer()
+{
+    if (std::exchange(lingering_, true))
+        return;
+    waiting_since_ = clock_.now();
+    input_.clear();
+    std::error_code ec;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    if (ec)
+        return close();
+    read();
+}
+
+void front_connection::on_tick(kernel::steady_time now)
+{
+    if (busy())
+        return;
+    auto const limits = handler_.limits();
+    auto const waited = now - waiting_since_;
+    if (lingering_)
+    {
+        if (waited > linger_time)
+            close();
+        return;
+    }
+    auto const in_headers = reader_.started() && !reader_.headers_complete();
+    if (in_headers && waited > limits.header_timeout)
+        return refuse(status_request_timeout);
+    if (waited > limits.idle_timeout)
+        close();
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/internal/request_reader.cpp
@@ -0,0 +1,176 @@
+#include "gateway/http/request_reader.hpp"
+
+#include <utility>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+constexpr int status_bad_request = 400;
+constexpr int status_body_too_large = 413;
+constexpr int status_headers_too_large = 431;
+
+} // namespace
+
+request_reader::request_reader(message_limits limits)
+    : limits_(limits)
+{
+    http_parser_settings_init(&settings_);
+    settings_.on_url = on_url;
+    settings_.on_header_field = on_field;
+    settings_.on_header_value = on_value;
+    settings_.on_headers_complete = on_headers;
+    settings_.on_body = on_body;
+    settings_.on_message_complete = on_complete;
+    reset();
+}
+
+void request_reader::reset()
+{
+    http_parser_init(&parser_, HTTP_REQUEST);
+    parser_.data = this;
+    request_ = {};
+    field_.clear();
+    value_.clear();
+    header_bytes_ = 0;
+    state_ = read_state::partial;
+    failure_status_ = 0;
+    started_ = false;
+    headers_complete_ = false;
+    in_value_ = false;
+    wants_continue_ = false;
+}
+
+std::size_t request_reader::feed(std::string_view bytes)
+{
+    if (state_ != read_state::partial || bytes.empty())
+        return 0;
+    started_ = true;
+    auto const n = http_parser_execute(&parser_, &settings_, bytes.data(),
+                                       bytes.size());
+    if (state_ == read_state::complete)
+        return n;
+    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK && state_ != read_state::failed)
+        fail(status_bad_request);
+    return n;
+}
+
+bool request_reader::take_continue()
+{
+    return std::exchange(wants_continue_, false);
+}
+
+http_request request_reader::take()
+{
+    auto res = std::move(request_);
+    reset();
+    return res;
+}
+
+request_reader& request_reader::self(http_parser* parser)
+{
+    return *static_cast<request_reader*>(parser->data);
+}
+
+bool request_reader::count_header_bytes(std::size_t n)
+{
+    header_bytes_ += n;
+    return header_bytes_ <= limits_.header_bytes;
+}
+
+int request_reader::fail(int status)
+{
+    state_ = read_state::failed;
+    failure_status_ = status;
+    return -1;
+}
+
+void request_reader::flush_field()
+{
+    if (field_.empty())
+        return;
+    request_.headers.add(std::move(field_), std::string(trimmed(value_)));
+    field_.clear();
+    value_.clear();
+}
+
+int request_reader::on_url(http_parser* parser, char const* at, std::size_t n)
+{
+    auto& me = self(parser);
+    if (!me.count_header_bytes(n))
+        return me.fail(status_headers_too_large);
+    me.request_.target.append(at, n);
+    return 0;
+}
+
+int request_reader::on_field(http_parser* parser, char const* at,
+                             std::size_t n)
+{
+    auto& me = self(parser);
+    if (!me.count_header_bytes(n))
+        return me.fail(status_headers_too_large);
+    if (me.in_value_)
+        me.flush_field();
+    me.in_value_ = false;
+    me.field_.append(at, n);
+    return 0;
+}
+
+int request_reader::on_value(http_parser* parser, char const* at,
+                             std::size_t n)
+{
+    auto& me = self(parser);
+    if (!me.count_header_bytes(n))
+        return me.fail(status_headers_too_large);
+    me.in_value_ = true;
+    me.value_.append(at, n);
+    return 0;
+}
+
+int request_reader::on_headers(http_parser* parser)
+{
+    auto& me = self(parser);
+    me.flush_field();
+    me.headers_complete_ = true;
+    auto& request = me.request_;
+    request.method =
+        http_method_str(static_cast<http_method>(parser->method));
+    request.keep_alive = http_should_keep_alive(parser) != 0;
+    if (parser->method == HTTP_CONNECT)
+        return me.fail(status_bad_request);
+    // A proxy in front that reads another one of two equal fields would see
+    // another request.
+    if (request.headers.count("Host") > 1 ||
+        request.headers.count("Transfer-Encoding") > 1)
+        return me.fail(status_bad_request);
+    // Upgrades are not supported; the request is served as an ordinary one.
+    parser->upgrade = 0;
+    auto const has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    if (has_length && parser->content_length > me.limits_.body_bytes)
+        return me.fail(status_body_too_large);
+    me.wants_continue_ = request.headers.lists("Expect", "100-continue");
+    return 0;
+}
+
+int request_reader::on_body(http_parser* parser, char const* at,
+                            std::size_t n)
+{
+    auto& me = self(parser);
+    if (me.request_.body.size() + n > me.limits_.body_bytes)
+        return me.fail(status_body_too_large);
+    me.request_.body.append(at, n);
+    return 0;
+}
+
+int request_reader::on_complete(http_parser* parser)
+{
+    auto& me = self(parser);
+    me.state_ = read_state::complete;
+    // Bytes after the request belong to the next one.
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/internal/response_reader.cpp
@@ -0,0 +1,174 @@
+#include "gateway/http/response_reader.hpp"
+
+#include "gateway/http/i_response_sink.hpp"
+
+#include <utility>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+constexpr int first_final_status = 200;
+/// Return value of http_parser's header callback for "no body follows".
+constexpr int skip_body = 1;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
+bool may_have_body(int status)
+{
+    return status != status_no_content && status != status_not_modified;
+}
+
+} // namespace
+
+response_reader::response_reader(std::size_t max_header_bytes)
+    : max_header_bytes_(max_header_bytes)
+{
+    http_parser_settings_init(&settings_);
+    settings_.on_header_field = on_field;
+    settings_.on_header_value = on_value;
+    settings_.on_headers_complete = on_headers;
+    settings_.on_body = on_body;
+    settings_.on_message_complete = on_complete;
+    reset(false);
+}
+
+void response_reader::reset(bool head_request)
+{
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+    head_ = {};
+    field_.clear();
+    value_.clear();
+    header_bytes_ = 0;
+    head_request_ = head_request;
+    in_value_ = false;
+    informational_ = false;
+    started_ = false;
+    complete_ = false;
+    failed_ = false;
+}
+
+std::size_t response_reader::feed(std::string_view bytes,
+                                  i_response_sink& sink)
+{
+    std::size_t taken = 0;
+    sink_ = &sink;
+    while (!complete_ && !failed_ && taken < bytes.size())
+    {
+        std::size_t n = 0;
+        execute(bytes.data() + taken, bytes.size() - taken, n);
+        taken += n;
+    }
+    sink_ = nullptr;
+    return taken;
+}
+
+void response_reader::execute(char const* at, std::size_t n,
+                              std::size_t& taken)
+{
+    started_ = true;
+    taken = http_parser_execute(&parser_, &settings_, at, n);
+    if (complete_)
+        return;
+    if (informational_)
+    {
+        // The final response follows on the same connection.
+        reset(head_request_);
+        started_ = true;
+        return;
+    }
+    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0)
+        failed_ = true;
+}
+
+void response_reader::finish(i_response_sink& sink)
+{
+    if (complete_ || failed_ || !started_)
+        return;
+    sink_ = &sink;
+    http_parser_execute(&parser_, &settings_, nullptr, 0);
+    sink_ = nullptr;
+    if (!complete_)
+        failed_ = true;
+}
+
+response_reader& response_reader::self(http_parser* parser)
+{
+    return *static_cast<response_reader*>(parser->data);
+}
+
+void response_reader::flush_field()
+{
+    if (field_.empty())
+        return;
+    head_.headers.add(std::move(field_), std::string(trimmed(value_)));
+    field_.clear();
+    value_.clear();
+}
+
+int response_reader::on_field(http_parser* parser, char const* at,
+                              std::size_t n)
+{
+    auto& me = self(parser);
+    me.header_bytes_ += n;
+    if (me.header_bytes_ > me.max_header_bytes_)
+        return -1;
+    if (me.in_value_)
+        me.flush_field();
+    me.in_value_ = false;
+    me.field_.append(at, n);
+    return 0;
+}
+
+int response_reader::on_value(http_parser* parser, char const* at,
+                              std::size_t n)
+{
+    auto& me = self(parser);
+    me.header_bytes_ += n;
+    if (me.header_bytes_ > me.max_header_bytes_)
+        return -1;
+    me.in_value_ = true;
+    me.value_.append(at, n);
+    return 0;
+}
+
+int response_reader::on_headers(http_parser* parser)
+{
+    auto& me = self(parser);
+    me.flush_field();
+    me.head_.status = static_cast<int>(parser->status_code);
+    if (me.head_.status < first_final_status)
+    {
+        me.informational_ = true;
+        return skip_body;
+    }
+    me.head_.keep_alive = http_should_keep_alive(parser) != 0;
+    me.head_.ends_with_connection =
+        !me.head_request_ && may_have_body(me.head_.status) &&
+        (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+    me.sink_->on_head(me.head_);
+    return me.head_request_ ? skip_body : 0;
+}
+
+int response_reader::on_body(http_parser* parser, char const* at,
+                             std::size_t n)
+{
+    self(parser).sink_->on_body({at, n});
+    return 0;
+}
+
+int response_reader::on_complete(http_parser* parser)
+{
+    auto& me = self(parser);
+    http_parser_pause(parser, 1);
+    if (me.informational_)
+        return 0;
+    me.complete_ = true;
+    me.sink_->on_end();
+    return 0;
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/internal/routing_table.cpp
@@ -0,0 +1,95 @@
+#include "gateway/routing_table.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+std::string host_key(std::string_view host)
+{
+    auto const name = host.substr(0, host.find(':'));
+    std::string res(name);
+    std::transform(res.begin(), res.end(), res.begin(), [](unsigned char it)
+                   { return static_cast<char>(std::tolower(it)); });
+    return res;
+}
+
+} // namespace
+
+routing_table::routing_table(routing_config config)
+    : config_(std::move(config))
+{
+    for (auto const& it : config_.routes)
+        by_host_[host_key(it.host)].push_back(&it);
+    for (auto& [host, routes] : by_host_)
+    {
+        std::stable_sort(routes.begin(), routes.end(),
+                         [](route const* a, route const* b)
+                         { return a->prefix.size() > b->prefix.size(); });
+    }
+    for (auto const& it : config_.workspaces)
+    {
+        for (auto const& key : it.keys)
+            by_key_.emplace(key, &it);
+    }
+}
+
+route const* routing_table::match(std::string_view host,
+                                  std::string_view target) const
+{
+    auto const found = by_host_.find(host_key(host));
+    if (found == by_host_.end())
+        return nullptr;
+    auto const path = target.substr(0, target.find('?'));
+    for (auto const* it : found->second)
+    {
+        if (path.starts_with(it->prefix))
+            return it;
+    }
+    return nullptr;
+}
+
+workspace_entry const* routing_table::workspace_of(std::string_view key) const
+{
+    auto const found = by_key_.find(key);
+    return found == by_key_.end() ? nullptr : found->second;
+}
+
+service const* routing_table::find_service(kernel::service_id const& id) const
+{
+    for (auto const& it : config_.services)
+    {
+        if (it.id == id)
+            return &it;
+    }
+    return nullptr;
+}
+
+kernel::service_id const* service_for(route const& chosen,
+                                      std::string_view request_id)
+{
+    double total = 0;
+    for (auto const& it : chosen.shares)
+        total += it.weight;
+    if (total <= 0)
+        return nullptr;
+    constexpr double buckets = 1U << 30U;
+    auto const hash = XXH3_64bits(request_id.data(), request_id.size());
+    auto point =
+        static_cast<double>(hash % (1U << 30U)) / buckets * total;
+    for (auto const& it : chosen.shares)
+    {
+        point -= it.weight;
+        if (point < 0)
+            return &it.service;
+    }
+    return &chosen.shares.back().service;
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/internal/upstream_connection.cpp
@@ -0,0 +1,326 @@
+#include "gateway/http/upstream_connection.hpp"
+
+#include "gateway/http/i_upstream_observer.hpp"
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/write.hpp>
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+constexpr std::size_t buffer_bytes = 8192;
+/// A request that arrives while the peer closes an idle connection is lost,
+/// so connections are not used in the last part of the peer's timeout.
+constexpr std::chrono::milliseconds idle_margin{700};
+constexpr std::chrono::milliseconds shortest_idle{300};
+
+using keep_idle = asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                       TCP_KEEPIDLE>;
+using keep_interval = asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                           TCP_KEEPINTVL>;
+using keep_count = asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                        TCP_KEEPCNT>;
+using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                          TCP_USER_TIMEOUT>;
+
+/// The `timeout` parameter of a `Keep-Alive` field.
+std::optional<std::chrono::seconds> keep_alive_timeout(header_list const& list)
+{
+    auto const* text = list.find("Keep-Alive");
+    if (text == nullptr)
+        return std::nullopt;
+    constexpr std::string_view name = "timeout=";
+    auto const at = text->find(name);
+    if (at == std::string::npos)
+        return std::nullopt;
+    unsigned n = 0;
+    auto const* const first = text->data() + at + name.size();
+    auto const [end, ec] =
+        std::from_chars(first, text->data() + text->size(), n);
+    if (ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(n);
+}
+
+} // namespace
+
+std::string_view to_text(upstream_failure failure)
+{
+    switch (failure)
+    {
+    case upstream_failure::not_connected:
+        return "not_connected";
+    case upstream_failure::no_answer:
+        return "no_answer";
+    case upstream_failure::not_http:
+        return "not_http";
+    case upstream_failure::cut_short:
+        return "cut_short";
+    case upstream_failure::not_ours:
+        return "not_ours";
+    }
+    return "unknown";
+}
+
+upstream_connection::upstream_connection(
+    asio::io_context& context, kernel::i_clock const& clock,
+    std::shared_ptr<upstream_options const> options)
+    : socket_(context)
+    , timer_(context)
+    , clock_(clock)
+    , options_(std::move(options))
+    , reader_(options_->max_header_bytes)
+{
+}
+
+upstream_connection::~upstream_connection() = default;
+
+void upstream_connection::send(asio::ip::tcp::endpoint const& peer,
+                               std::string bytes, std::string request_id,
+                               bool head_request,
+                               i_upstream_observer& observer)
+{
+    observer_ = &observer;
+    out_ = std::move(bytes);
+    request_id_ = std::move(request_id);
+    head_request_ = head_request;
+    reader_.reset(head_request);
+    skipping_ = false;
+    sent_ = false;
+    paused_ = false;
+    ++requests_;
+    if (!connected_)
+        return connect(peer);
+    write();
+    read();
+}
+
+void upstream_connection::connect(asio::ip::tcp::endpoint const& peer)
+{
+    timer_.expires_after(options_->connect_timeout);
+    timer_.async_wait(
+        [self = shared_from_this()](std::error_code ec)
+        {
+            if (!ec && !self->connected_ && !self->closed_)
+                self->fail(upstream_failure::not_connected);
+        });
+    socket_.async_connect(peer,
+                          [self = shared_from_this()](std::error_code ec)
+                          {
+                              if (self->closed_)
+                                  return;
+                              if (ec)
+                                  return self->fail(
+                                      upstream_failure::not_connected);
+                              self->on_connected();
+                          });
+}
+
+void upstream_connection::on_connected()
+{
+    connected_ = true;
+    timer_.cancel();
+    set_socket_options();
+    write();
+    read();
+}
+
+void upstream_connection::set_socket_options()
+{
+    using std::chrono::duration_cast;
+    using std::chrono::seconds;
+    std::error_code ec;
+    auto const limit = static_cast<int>(options_->peer_timeout.count());
+    // An option that cannot be set leaves the default of the system, which
+    // only detects a lost peer later.
+    socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+    socket_.set_option(asio::socket_base::keep_alive(true), ec);
+    socket_.set_option(keep_idle(1), ec);
+    socket_.set_option(keep_interval(1), ec);
+    socket_.set_option(keep_count(2), ec);
+    socket_.set_option(user_timeout(limit), ec);
+}
+
+void upstream_connection::write()
+{
+    writing_ = true;
+    sent_ = true;
+    asio::async_write(socket_, asio::buffer(out_),
+                      [self = shared_from_this()](std::error_code, std::size_t)
+                      {
+                          // A failed write shows at the read that is pending,
+                          // after what the peer had still answered.
+                          self->writing_ = false;
+                      });
+}
+
+void upstream_connection::read()
+{
+    if (reading_ || closed_ || paused_)
+        return;
+    if (buffer_.empty())
+        buffer_.resize(buffer_bytes);
+    reading_ = true;
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [self = shared_from_this()](std::error_code ec,
+                                                        std::size_t n)
+                            {
+                                self->reading_ = false;
+                                if (self->closed_)
+                                    return;
+                                if (ec)
+                                    return self->on_read_error(
+                                        ec == asio::error::eof);
+                                self->on_bytes(n);
+                            });
+}
+
+void upstream_connection::on_bytes(std::size_t n)
+{
+    if (observer_ == nullptr)
+    {
+        // Bytes on an idle connection belong to no request.
+        close();
+        return;
+    }
+    auto const keep = shared_from_this();
+    std::string_view bytes(buffer_.data(), n);
+    while (!bytes.empty() && observer_ != nullptr && !closed_)
+    {
+        bytes.remove_prefix(reader_.feed(bytes, *this));
+        if (closed_ || observer_ == nullptr)
+            return;
+        if (reader_.failed())
+            return fail(upstream_failure::not_http);
+        if (!reader_.complete())
+            continue;
+        if (!skipping_)
+            return finish_exchange(!bytes.empty());
+        reader_.reset(head_request_);
+        skipping_ = false;
+    }
+    read();
+}
+
+void upstream_connection::on_read_error(bool orderly)
+{
+    if (observer_ == nullptr)
+        return close();
+    auto const keep = shared_from_this();
+    auto const started = reader_.started();
+    if (orderly && started)
+        reader_.finish(*this);
+    if (closed_ || observer_ == nullptr)
+        return;
+    if (reader_.complete() && !skipping_)
+        return finish_exchange(true);
+    fail(started ? upstream_failure::cut_short : upstream_failure::no_answer);
+}
+
+void upstream_connection::on_head(response_head const& head)
+{
+    keep_alive_ = head.keep_alive && !head.ends_with_connection;
+    auto const timeout = keep_alive_timeout(head.headers);
+    idle_limit_ = options_->default_idle;
+    if (timeout)
+        idle_limit_ = std::max<std::chrono::milliseconds>(
+            *timeout - idle_margin, shortest_idle);
+    if (!options_->id_field.empty())
+    {
+        auto const* const id = head.headers.find(options_->id_field);
+        // A late answer to an earlier request comes before ours.
+        skipping_ = id != nullptr && *id != request_id_;
+    }
+    if (!skipping_ && observer_ != nullptr)
+        observer_->on_head(head);
+}
+
+void upstream_connection::on_body(std::string_view bytes)
+{
+    if (!skipping_ && observer_ != nullptr)
+        observer_->on_body(bytes);
+}
+
+void upstream_connection::on_end() {}
+
+void upstream_connection::finish_exchange(bool trailing)
+{
+    auto* const observer = std::exchange(observer_, nullptr);
+    // A peer that answered before it had read the request still expects the
+    // rest of it.
+    if (trailing || writing_ || !keep_alive_)
+        close();
+    else
+        become_idle();
+    observer->on_end();
+}
+
+void upstream_connection::become_idle()
+{
+    idle_since_ = clock_.now();
+    out_ = {};
+    read();
+}
+
+void upstream_connection::fail(upstream_failure failure)
+{
+    auto* const observer = std::exchange(observer_, nullptr);
+    close();
+    if (observer != nullptr)
+        observer->on_failure(failure);
+}
+
+void upstream_connection::abandon()
+{
+    observer_ = nullptr;
+    close();
+}
+
+void upstream_connection::pause()
+{
+    paused_ = true;
+}
+
+void upstream_connection::resume()
+{
+    paused_ = false;
+    if (connected_)
+        read();
+}
+
+void upstream_connection::on_idle_close(closed_handler handler)
+{
+    idle_closed_ = std::move(handler);
+}
+
+bool upstream_connection::reusable(kernel::steady_time now) const
+{
+    return connected_ && !closed_ && observer_ == nullptr && !writing_ &&
+           now - idle_since_ < idle_limit_;
+}
+
+void upstream_connection::close()
+{
+    if (closed_)
+        return;
+    closed_ = true;
+    timer_.cancel();
+    std::error_code ec;
+    // Nothing remains to be done if the socket is closed already.
+    socket_.close(ec);
+    if (auto handler = std::exchange(idle_closed_, nullptr))
+        handler(this);
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/routing_table.hpp
@@ -0,0 +1,60 @@
+#ifndef ENDIVEWARD_GATEWAY_ROUTING_TABLE_HPP
+#define ENDIVEWARD_GATEWAY_ROUTING_TABLE_HPP
+
+#include "gateway/types/routing_config.hpp"
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace endiveward::gateway
+{
+
+/// A version of the configuration, indexed for lookups. Immutable.
+class routing_table
+{
+public:
+    explicit routing_table(routing_config config);
+    routing_table(routing_table const&) = delete;
+    routing_table& operator=(routing_table const&) = delete;
+
+    kernel::config_version version() const { return config_.version; }
+    caller_limits const& limits() const { return config_.limits; }
+    routing_config const& config() const { return config_; }
+
+    /// The route of that host with the longest prefix of the path, or null.
+    /// The host may have a port and the target a query.
+    route const* match(std::string_view host, std::string_view target) const;
+    bool needs_keys() const { return !config_.workspaces.empty(); }
+    /// The workspace that holds the key, or null.
+    workspace_entry const* workspace_of(std::string_view key) const;
+    service const* find_service(kernel::service_id const& id) const;
+
+private:
+    struct text_hash
+    {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const
+        {
+            return std::hash<std::string_view>()(text);
+        }
+    };
+
+    routing_config config_;
+    /// Routes by lower-case host, longest prefix first.
+    std::unordered_map<std::string, std::vector<route const*>, text_hash,
+                       std::equal_to<>>
+        by_host_;
+    std::unordered_map<std::string, workspace_entry const*, text_hash,
+                       std::equal_to<>>
+        by_key_;
+};
+
+/// The service that takes a request; the same id gives the same service.
+kernel::service_id const* service_for(route const& chosen,
+                                      std::string_view request_id);
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/types/demand.hpp
@@ -0,0 +1,32 @@
+#ifndef ENDIVEWARD_GATEWAY_TYPES_DEMAND_HPP
+#define ENDIVEWARD_GATEWAY_TYPES_DEMAND_HPP
+
+#include "gateway/types/prompt_info.hpp"
+#include "gateway/types/repeat_rule.hpp"
+#include "kernel/types/identifiers.hpp"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace endiveward::gateway
+{
+
+/// What a request needs of an endpoint.
+struct demand
+{
+    kernel::service_id service;
+    repeat_rule rule = repeat_rule::at_most_once;
+    std::chrono::milliseconds target_latency{0};
+    std::chrono::milliseconds time_left{0};
+    std::optional<prompt_info> prompt;
+    /// Requests share KV cache within one group.
+    std::string cache_group;
+    /// Endpoints that have failed or refused the request.
+    std::vector<kernel::endpoint_id> excluded;
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/types/endpoint_entry.hpp
@@ -0,0 +1,34 @@
+#ifndef ENDIVEWARD_GATEWAY_TYPES_ENDPOINT_ENTRY_HPP
+#define ENDIVEWARD_GATEWAY_TYPES_ENDPOINT_ENTRY_HPP
+
+#include "kernel/types/identifiers.hpp"
+#include "weights/types/weight_version.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace endiveward::gateway
+{
+
+/// What an endpoint has registered about itself. A restart may keep the id;
+/// the incarnation then differs.
+struct endpoint_entry
+{
+    kernel::endpoint_id id;
+    kernel::incarnation incarnation = 0;
+    kernel::service_id service;
+    /// IPv4 address.
+    std::string host;
+    std::uint16_t port = 0;
+    kernel::zone_id zone;
+    std::uint32_t slots = 0;
+    bool draining = false;
+    std::map<kernel::model_id, weights::weight_version> models;
+
+    bool operator==(endpoint_entry const&) const = default;
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/types/placement_choice.hpp
@@ -0,0 +1,30 @@
+#ifndef ENDIVEWARD_GATEWAY_TYPES_PLACEMENT_CHOICE_HPP
+#define ENDIVEWARD_GATEWAY_TYPES_PLACEMENT_CHOICE_HPP
+
+#include "gateway/endpoint_record.hpp"
+#include "gateway/types/kv_route.hpp"
+#include "weights/types/weight_version.hpp"
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace endiveward::gateway
+{
+
+/// The endpoint for a request and how it is asked.
+struct placement_choice
+{
+    std::shared_ptr<endpoint_record> endpoint;
+    request_footprint footprint;
+    /// Zero if the request names no model.
+    weights::weight_version version = 0;
+    std::string cache_salt;
+    kv_route kv;
+    /// Estimated time until the first event.
+    std::chrono::milliseconds first_answer{0};
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/types/placement_settings.hpp
@@ -0,0 +1,40 @@
+#ifndef ENDIVEWARD_GATEWAY_TYPES_PLACEMENT_SETTINGS_HPP
+#define ENDIVEWARD_GATEWAY_TYPES_PLACEMENT_SETTINGS_HPP
+
+#include <chrono>
+
+namespace endiveward::gateway
+{
+
+/// Weights of the choice of an endpoint. Times are costs: what a unit of each
+/// disadvantage is worth in waiting time.
+struct placement_settings
+{
+    /// Prompt tokens that an engine reads in a millisecond beside the decoding
+    /// of other requests; 57 on an idle engine (sheet of the installations).
+    double prefill_tokens_per_ms = 45;
+    /// How much longer a step takes for each request in the batch (sheet).
+    double step_ms_per_request = 0.1;
+    /// Bytes that a link between engines carries in a millisecond: 130 Gbit/s.
+    double transfer_bytes_per_ms = 16e6;
+    /// Time to set a transfer up.
+    std::chrono::milliseconds transfer_setup{6};
+    /// Cost of sending a request to another availability zone.
+    std::chrono::milliseconds cross_zone{25};
+    /// Chance that the home of a prefix, the first in rank order, holds it
+    /// though this process has not sent it there.
+    double home_hit_chance = 0.5;
+    /// Cost of an endpoint at which every request failed lately.
+    std::chrono::milliseconds failing{1500};
+    /// Cost of an endpoint that is about to refuse requests for new weights.
+    std::chrono::milliseconds reloading{2000};
+    /// Cost of an endpoint with weights older than the named ones.
+    std::chrono::milliseconds old_weights{60};
+    /// Cost when the memory for running requests is full; waiting for room
+    /// takes as long as common requests run.
+    std::chrono::milliseconds memory_full{600};
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/types/workspace_entry.hpp
@@ -0,0 +1,26 @@
+#ifndef ENDIVEWARD_GATEWAY_TYPES_WORKSPACE_ENTRY_HPP
+#define ENDIVEWARD_GATEWAY_TYPES_WORKSPACE_ENTRY_HPP
+
+#include "kernel/types/identifiers.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace endiveward::gateway
+{
+
+/// A workspace with the keys of its callers.
+struct workspace_entry
+{
+    kernel::workspace_id id;
+    std::vector<std::string> keys;
+    /// Replaces the route's priority; 0 is the most urgent.
+    std::optional<int> priority;
+    /// Shares no KV cache with other workspaces.
+    bool isolated = false;
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/upstream_pool.hpp
@@ -0,0 +1,53 @@
+#ifndef ENDIVEWARD_GATEWAY_UPSTREAM_POOL_HPP
+#define ENDIVEWARD_GATEWAY_UPSTREAM_POOL_HPP
+
+#include "gateway/http/upstream_connection.hpp"
+#include "kernel/i_clock.hpp"
+
+#include <asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+namespace endiveward::gateway
+{
+
+/// The connections to one endpoint. Must outlive its connections' handlers or
+/// be cleared before.
+class upstream_pool : public std::enable_shared_from_this<upstream_pool>
+{
+public:
+    upstream_pool(asio::io_context& context, kernel::i_clock const& clock,
+                  std::shared_ptr<upstream_options const> options,
+                  asio::ip::tcp::endpoint peer);
+
+    asio::ip::tcp::endpoint const& peer() const { return peer_; }
+    /// An idle connection that was used within `max_idle`, or a new one. Null
+    /// if the limit of connections is reached.
+    std::shared_ptr<upstream_connection>
+    acquire(std::chrono::milliseconds max_idle);
+    /// Takes a connection back whose exchange has ended; it is kept if it may
+    /// be used again.
+    void release(std::shared_ptr<upstream_connection> conn);
+    void set_max_connections(std::size_t n) { max_connections_ = n; }
+    /// Closes connections that have been idle too long.
+    void close_expired();
+    void close_idle();
+    std::size_t connections() const { return idle_.size() + in_use_; }
+
+private:
+    asio::io_context& context_;
+    kernel::i_clock const& clock_;
+    std::shared_ptr<upstream_options const> options_;
+    asio::ip::tcp::endpoint peer_;
+    /// Most recently used last.
+    std::vector<std::shared_ptr<upstream_connection>> idle_;
+    std::size_t in_use_ = 0;
+    std::size_t max_connections_ = 1024;
+};
+
+} // namespace endiveward::gateway
+
+#endif
--- a/packages/router/agent_connections.hpp
+++ b/packages/router/agent_connections.hpp
@@ -30,7 +30,7 @@
 class i_placement;
 }
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 class i_vm_list;
 }
@@ -54,7 +54,7 @@
     std::shared_ptr<config::i_config_state> configuration;
     std::shared_ptr<placement::i_placement> placement;
     /// Null if the platform has no list.
-    std::shared_ptr<platform::i_vm_list> vms;
+    std::shared_ptr<storage::i_vm_list> vms;
     /// Name of this process.
     kernel::process_id self;
     kernel::region_id region;
--- a/packages/router/internal/agent_connections.cpp
+++ b/packages/router/internal/agent_connections.cpp
@@ -7,7 +7,7 @@
 #include "kernel/types/result.hpp"
 #include "placement/i_placement.hpp"
 #include "placement/types/endpoint_status.hpp"
-#include "platform/i_vm_list.hpp"
+#include "storage/i_vm_list.hpp"
 #include "router/agent_channel.hpp"
 #include "router/config_spread.hpp"
 #include "router/internal/backoff.hpp"
@@ -925,7 +925,7 @@
             return;
         options_.vms->list(options_.vm_timeout,
                            [weak = weak_from_this()](
-                               kernel::result<std::vector<platform::vm>> res)
+                               kernel::result<std::vector<storage::vm>> res)
                            {
                                auto const self = weak.lock();
                                if (!self)
@@ -936,7 +936,7 @@
                            });
     }
 
-    void on_vms(kernel::result<std::vector<platform::vm>> const& res)
+    void on_vms(kernel::result<std::vector<storage::vm>> const& res)
     {
         if (kernel::ok(res))
             apply_vms(kernel::value(res));
@@ -956,23 +956,23 @@
             });
     }
 
-    void apply_vms(std::vector<platform::vm> const& vms)
+    void apply_vms(std::vector<storage::vm> const& vms)
     {
         std::set<std::string> listed;
         std::vector<config::socket_address> routers;
         std::vector<listed_agent> remotes;
         for (auto const& it : vms)
         {
-            if (it.role == platform::vm_role::agent &&
+            if (it.role == storage::vm_role::agent &&
                 it.region != options_.region)
             {
                 if (!it.leaving)
                     remotes.push_back({it.endpoint, {it.address, it.port}});
                 apply_remote_leaving(it);
             }
-            if (it.role == platform::vm_role::router && !it.leaving)
+            if (it.role == storage::vm_role::router && !it.leaving)
                 routers.push_back({it.address, it.port});
-            if (it.role != platform::vm_role::agent ||
+            if (it.role != storage::vm_role::agent ||
                 it.region != options_.region)
                 continue;
             config::socket_address const address{it.address, it.port};
@@ -989,7 +989,7 @@
         remove_unlisted(listed);
     }
 
-    void apply_remote_leaving(platform::vm const& vm)
+    void apply_remote_leaving(storage::vm const& vm)
     {
         auto const it = links_.find(key_of({vm.address, vm.port}));
         if (it == links_.end() || it->second.leaving == vm.leaving)
--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -13,7 +13,7 @@
 #include "placement/i_placement.hpp"
 #include "placement/prefix_levels.hpp"
 #include "placement/retry_budget.hpp"
-#include "platform/i_vm_list.hpp"
+#include "storage/i_vm_list.hpp"
 #include "router/agent_connections.hpp"
 #include "router/caller_api.hpp"
 #include "router/caller_server.hpp"
@@ -85,7 +85,7 @@
         services_->placement =
             registry.get<placement::i_placement>("placement");
         if (registry.contains("vm_list"))
-            vms_ = registry.get<platform::i_vm_list>("vm_list");
+            vms_ = registry.get<storage::i_vm_list>("vm_list");
         if (registry.contains("store_follower"))
             follower_ = registry.get<config::store_follower>("store_follower");
     }
@@ -299,7 +299,7 @@
         std::make_shared<relay_services>();
     std::shared_ptr<kernel::i_random_source> random_;
     std::shared_ptr<config::i_config_state> configuration_;
-    std::shared_ptr<platform::i_vm_list> vms_;
+    std::shared_ptr<storage::i_vm_list> vms_;
     std::shared_ptr<config_readiness> readiness_;
     std::shared_ptr<agent_connections> connections_;
     std::shared_ptr<wire::connection_options> wire_options_;
--- a/packages/router/router_module.hpp
+++ b/packages/router/router_module.hpp
@@ -21,7 +21,7 @@
 /// Needs the services `clock` (`kernel::i_clock const`), `random`
 /// (`kernel::i_random_source`), `config_state` (`config::i_config_state`),
 /// `placement` (`placement::i_placement`) and, if the platform has one,
-/// `vm_list` (`platform::i_vm_list`).
+/// `vm_list` (`storage::i_vm_list`).
 class router_module : public kernel::i_module
 {
 public:
--- a/packages/router/tests/fakes.hpp
+++ b/packages/router/tests/fakes.hpp
@@ -12,7 +12,7 @@
 #include "placement/types/endpoint_status.hpp"
 #include "placement/types/placement_choice.hpp"
 #include "placement/types/placement_request.hpp"
-#include "platform/i_vm_list.hpp"
+#include "storage/i_vm_list.hpp"
 #include "wire/types/load_report.hpp"
 #include "wire/types/verdict.hpp"
 
@@ -222,7 +222,7 @@
 };
 
 /// Gives the same list each time.
-class fake_vm_list : public platform::i_vm_list
+class fake_vm_list : public storage::i_vm_list
 {
 public:
     void list(std::chrono::milliseconds, handler on_done) override
@@ -231,7 +231,7 @@
         on_done(vms);
     }
 
-    std::vector<platform::vm> vms;
+    std::vector<storage::vm> vms;
     std::atomic<int> polls{0};
 };
 
--- a/packages/router/tests/router_test.cpp
+++ b/packages/router/tests/router_test.cpp
@@ -463,8 +463,8 @@
 {
     fake_agent const agent("a", answer_all);
     auto const vms = std::make_shared<fake_vm_list>();
-    platform::vm far;
-    far.role = platform::vm_role::agent;
+    storage::vm far;
+    far.role = storage::vm_role::agent;
     far.address = "127.0.0.1";
     far.port = agent.port();
     far.region = kernel::region_id("far");
--- a/packages/router/tests/router_under_test.hpp
+++ b/packages/router/tests/router_under_test.hpp
@@ -49,7 +49,7 @@
         caller_api_options api_options = {},
         std::vector<fake_agent const*> const& routers = {},
         std::chrono::milliseconds probe_interval = {},
-        std::shared_ptr<platform::i_vm_list> vms = {})
+        std::shared_ptr<storage::i_vm_list> vms = {})
         : probe_interval_(probe_interval)
         , vms_(std::move(vms))
     {
@@ -225,7 +225,7 @@
     }
 
     std::chrono::milliseconds const probe_interval_;
-    std::shared_ptr<platform::i_vm_list> const vms_;
+    std::shared_ptr<storage::i_vm_list> const vms_;
     std::shared_ptr<wire::connection_options> const wire_options_ =
         std::make_shared<wire::connection_options>();
     std::uint16_t port_ = 0;
--- a/packages/platform/http_client.hpp
+++ b/packages/storage/http_client.hpp
@@ -1,5 +1,5 @@
-#ifndef ENDIVEWARD_PLATFORM_HTTP_CLIENT_HPP
-#define ENDIVEWARD_PLATFORM_HTTP_CLIENT_HPP
+#ifndef ENDIVEWARD_STORAGE_HTTP_CLIENT_HPP
+#define ENDIVEWARD_STORAGE_HTTP_CLIENT_HPP
 
 #include "kernel/types/result.hpp"
 
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 struct http_request
@@ -64,6 +64,6 @@
 /// Percent-encodes a query value.
 std::string url_encoded(std::string const& text);
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 #endif
--- a/packages/platform/http_object_store.hpp
+++ b/packages/storage/http_object_store.hpp
@@ -1,12 +1,12 @@
-#ifndef ENDIVEWARD_PLATFORM_HTTP_OBJECT_STORE_HPP
-#define ENDIVEWARD_PLATFORM_HTTP_OBJECT_STORE_HPP
+#ifndef ENDIVEWARD_STORAGE_HTTP_OBJECT_STORE_HPP
+#define ENDIVEWARD_STORAGE_HTTP_OBJECT_STORE_HPP
 
-#include "platform/i_object_store.hpp"
+#include "storage/i_object_store.hpp"
 
 #include <memory>
 #include <string>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 class http_client;
@@ -29,6 +29,6 @@
     std::string base_url_;
 };
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 #endif
--- a/packages/platform/http_table.hpp
+++ b/packages/storage/http_table.hpp
@@ -1,12 +1,12 @@
-#ifndef ENDIVEWARD_PLATFORM_HTTP_TABLE_HPP
-#define ENDIVEWARD_PLATFORM_HTTP_TABLE_HPP
+#ifndef ENDIVEWARD_STORAGE_HTTP_TABLE_HPP
+#define ENDIVEWARD_STORAGE_HTTP_TABLE_HPP
 
-#include "platform/i_table.hpp"
+#include "storage/i_table.hpp"
 
 #include <memory>
 #include <string>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 class http_client;
@@ -31,6 +31,6 @@
     std::string base_url_;
 };
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 #endif
--- a/packages/platform/http_vm_list.hpp
+++ b/packages/storage/http_vm_list.hpp
@@ -1,12 +1,12 @@
-#ifndef ENDIVEWARD_PLATFORM_HTTP_VM_LIST_HPP
-#define ENDIVEWARD_PLATFORM_HTTP_VM_LIST_HPP
+#ifndef ENDIVEWARD_STORAGE_HTTP_VM_LIST_HPP
+#define ENDIVEWARD_STORAGE_HTTP_VM_LIST_HPP
 
-#include "platform/i_vm_list.hpp"
+#include "storage/i_vm_list.hpp"
 
 #include <memory>
 #include <string>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 class http_client;
@@ -24,6 +24,6 @@
     std::string base_url_;
 };
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 #endif
--- a/packages/platform/i_object_store.hpp
+++ b/packages/storage/i_object_store.hpp
@@ -1,5 +1,5 @@
-#ifndef ENDIVEWARD_PLATFORM_I_OBJECT_STORE_HPP
-#define ENDIVEWARD_PLATFORM_I_OBJECT_STORE_HPP
+#ifndef ENDIVEWARD_STORAGE_I_OBJECT_STORE_HPP
+#define ENDIVEWARD_STORAGE_I_OBJECT_STORE_HPP
 
 #include "kernel/types/result.hpp"
 
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 /// The platform's object store. Handlers as for `i_table`.
@@ -28,6 +28,6 @@
                      handler<std::optional<std::string>> on_done) = 0;
 };
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 #endif
--- a/packages/platform/i_table.hpp
+++ b/packages/storage/i_table.hpp
@@ -1,9 +1,9 @@
-#ifndef ENDIVEWARD_PLATFORM_I_TABLE_HPP
-#define ENDIVEWARD_PLATFORM_I_TABLE_HPP
+#ifndef ENDIVEWARD_STORAGE_I_TABLE_HPP
+#define ENDIVEWARD_STORAGE_I_TABLE_HPP
 
 #include "kernel/types/result.hpp"
-#include "platform/types/row.hpp"
-#include "platform/types/table_transaction.hpp"
+#include "storage/types/row.hpp"
+#include "storage/types/table_transaction.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 /// The platform's transactional table. Methods return at once; the handler is
@@ -41,6 +41,6 @@
                       handler<std::vector<row>> on_done) = 0;
 };
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 #endif
--- a/packages/platform/i_vm_list.hpp
+++ b/packages/storage/i_vm_list.hpp
@@ -1,14 +1,14 @@
-#ifndef ENDIVEWARD_PLATFORM_I_VM_LIST_HPP
-#define ENDIVEWARD_PLATFORM_I_VM_LIST_HPP
+#ifndef ENDIVEWARD_STORAGE_I_VM_LIST_HPP
+#define ENDIVEWARD_STORAGE_I_VM_LIST_HPP
 
 #include "kernel/types/result.hpp"
-#include "platform/types/vm.hpp"
+#include "storage/types/vm.hpp"
 
 #include <chrono>
 #include <functional>
 #include <vector>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 /// The platform's list of live and leaving VMs, which lags. Handlers as for
@@ -23,6 +23,6 @@
     virtual void list(std::chrono::milliseconds timeout, handler on_done) = 0;
 };
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 #endif
--- a/packages/platform/internal/http_client.cpp
+++ b/packages/storage/internal/http_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_client.hpp"
+#include "storage/http_client.hpp"
 
 #include <curl/curl.h>
 #include <fmt/format.h>
@@ -10,7 +10,7 @@
 #include <thread>
 #include <utility>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 namespace
@@ -241,4 +241,4 @@
     return res ? res.get() : "";
 }
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
--- a/packages/platform/internal/http_object_store.cpp
+++ b/packages/storage/internal/http_object_store.cpp
@@ -1,11 +1,11 @@
-#include "platform/http_object_store.hpp"
+#include "storage/http_object_store.hpp"
 
-#include "platform/http_client.hpp"
-#include "platform/internal/store_answer.hpp"
+#include "storage/http_client.hpp"
+#include "storage/internal/store_answer.hpp"
 
 #include <utility>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 namespace
@@ -59,4 +59,4 @@
                       std::move(on_done)));
 }
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
--- a/packages/platform/internal/http_table.cpp
+++ b/packages/storage/internal/http_table.cpp
@@ -1,14 +1,14 @@
-#include "platform/http_table.hpp"
+#include "storage/http_table.hpp"
 
-#include "platform/http_client.hpp"
-#include "platform/internal/store_answer.hpp"
+#include "storage/http_client.hpp"
+#include "storage/internal/store_answer.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <utility>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 namespace
@@ -128,4 +128,4 @@
                       std::move(on_done)));
 }
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
--- a/packages/platform/internal/http_vm_list.cpp
+++ b/packages/storage/internal/http_vm_list.cpp
@@ -1,13 +1,13 @@
-#include "platform/http_vm_list.hpp"
+#include "storage/http_vm_list.hpp"
 
-#include "platform/http_client.hpp"
-#include "platform/internal/store_answer.hpp"
+#include "storage/http_client.hpp"
+#include "storage/internal/store_answer.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <utility>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 namespace
@@ -61,4 +61,4 @@
                       std::move(on_done)));
 }
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
--- a/packages/platform/internal/store_answer.cpp
+++ b/packages/storage/internal/store_answer.cpp
@@ -1,8 +1,8 @@
-#include "platform/internal/store_answer.hpp"
+#include "storage/internal/store_answer.hpp"
 
 #include <fmt/format.h>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 kernel::error indefinite_answer(http_response const& response)
@@ -20,4 +20,4 @@
     return res;
 }
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
--- a/packages/platform/internal/store_answer.hpp
+++ b/packages/storage/internal/store_answer.hpp
@@ -1,13 +1,13 @@
-#ifndef ENDIVEWARD_PLATFORM_INTERNAL_STORE_ANSWER_HPP
-#define ENDIVEWARD_PLATFORM_INTERNAL_STORE_ANSWER_HPP
+#ifndef ENDIVEWARD_STORAGE_INTERNAL_STORE_ANSWER_HPP
+#define ENDIVEWARD_STORAGE_INTERNAL_STORE_ANSWER_HPP
 
-#include "platform/http_client.hpp"
+#include "storage/http_client.hpp"
 
 #include <functional>
 #include <initializer_list>
 #include <string>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 /// The error for a response that is not a definite answer: 503 is `not_run`,
@@ -22,8 +22,8 @@
               std::function<T(http_response&)> read,
               std::function<void(kernel::result<T>)> on_done);
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
-#include "platform/internal/store_answer_impl.hpp"
+#include "storage/internal/store_answer_impl.hpp"
 
 #endif
--- a/packages/platform/internal/store_answer_impl.hpp
+++ b/packages/storage/internal/store_answer_impl.hpp
@@ -1,14 +1,14 @@
-#ifndef ENDIVEWARD_PLATFORM_INTERNAL_STORE_ANSWER_IMPL_HPP
-#define ENDIVEWARD_PLATFORM_INTERNAL_STORE_ANSWER_IMPL_HPP
+#ifndef ENDIVEWARD_STORAGE_INTERNAL_STORE_ANSWER_IMPL_HPP
+#define ENDIVEWARD_STORAGE_INTERNAL_STORE_ANSWER_IMPL_HPP
 
-#include "platform/internal/store_answer.hpp"
+#include "storage/internal/store_answer.hpp"
 
 #include <algorithm>
 #include <exception>
 #include <utility>
 #include <vector>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 template <typename T>
@@ -44,6 +44,6 @@
     };
 }
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 #endif
--- a/packages/platform/internal/vm.cpp
+++ b/packages/storage/internal/vm.cpp
@@ -1,8 +1,8 @@
-#include "platform/types/vm.hpp"
+#include "storage/types/vm.hpp"
 
 #include <array>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 namespace
@@ -27,4 +27,4 @@
     return std::nullopt;
 }
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
--- a/packages/platform/tests/http_clients_test.cpp
+++ b/packages/storage/tests/http_clients_test.cpp
@@ -1,8 +1,8 @@
-#include "platform/http_client.hpp"
-#include "platform/http_object_store.hpp"
-#include "platform/http_table.hpp"
-#include "platform/http_vm_list.hpp"
-#include "platform/tests/support/scripted_server.hpp"
+#include "storage/http_client.hpp"
+#include "storage/http_object_store.hpp"
+#include "storage/http_table.hpp"
+#include "storage/http_vm_list.hpp"
+#include "storage/tests/support/scripted_server.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -11,7 +11,7 @@
 #include <memory>
 
 using namespace endiveward;
-using platform::tests::scripted_server;
+using storage::tests::scripted_server;
 
 namespace
 {
@@ -31,16 +31,16 @@
 struct clients
 {
     scripted_server server;
-    std::shared_ptr<platform::http_client> http =
-        std::make_shared<platform::http_client>();
-    platform::http_table table{http, server.url()};
-    platform::http_object_store objects{http, server.url()};
-    platform::http_vm_list vms{http, server.url()};
+    std::shared_ptr<storage::http_client> http =
+        std::make_shared<storage::http_client>();
+    storage::http_table table{http, server.url()};
+    storage::http_object_store objects{http, server.url()};
+    storage::http_vm_list vms{http, server.url()};
 
-    kernel::result<platform::transaction_outcome>
+    kernel::result<storage::transaction_outcome>
     commit(std::chrono::milliseconds timeout = long_timeout)
     {
-        return await<platform::transaction_outcome>(
+        return await<storage::transaction_outcome>(
             [&](auto on_done)
             {
                 table.commit({{{"a", 0}, {"b", 7}}, {{"a", "x"}, {"b", {}}}},
@@ -48,9 +48,9 @@
             });
     }
 
-    kernel::result<std::optional<platform::row>> read(std::string const& key)
+    kernel::result<std::optional<storage::row>> read(std::string const& key)
     {
-        return await<std::optional<platform::row>>(
+        return await<std::optional<storage::row>>(
             [&](auto on_done) { table.read(key, long_timeout, on_done); });
     }
 };
@@ -135,9 +135,9 @@
 TEST_CASE("a refused connection is not run", "[http_table]")
 {
     // Guards against a needless "unknown" while the store is down.
-    auto const http = std::make_shared<platform::http_client>();
-    platform::http_table table(http, refused_url());
-    auto const res = await<platform::transaction_outcome>(
+    auto const http = std::make_shared<storage::http_client>();
+    storage::http_table table(http, refused_url());
+    auto const res = await<storage::transaction_outcome>(
         [&](auto on_done) { table.commit({}, long_timeout, on_done); });
     REQUIRE_FALSE(kernel::ok(res));
     CHECK(kernel::failure(res).kind == kernel::error_kind::store_unavailable);
@@ -151,9 +151,9 @@
     // the server has the request, so that the result does not depend on time.
     scripted_server server;
     server.push({"", true, true});
-    auto http = std::make_shared<platform::http_client>();
+    auto http = std::make_shared<storage::http_client>();
     std::promise<kernel::run_state> run;
-    platform::http_table(http, server.url())
+    storage::http_table(http, server.url())
         .commit({}, long_timeout,
                 [&](auto const& res)
                 { run.set_value(kernel::failure(res).run); });
@@ -194,15 +194,15 @@
     it.server.push_response(503, "", "Retry-After: 7\r\n");
     auto const found = it.read("a/b &");
     REQUIRE(kernel::ok(found));
-    CHECK(kernel::value(found) == platform::row{"a/b &", "v", 3});
+    CHECK(kernel::value(found) == storage::row{"a/b &", "v", 3});
     auto const absent = it.read("k");
     REQUIRE(kernel::ok(absent));
     CHECK_FALSE(kernel::value(absent));
-    auto const rows = await<std::vector<platform::row>>(
+    auto const rows = await<std::vector<storage::row>>(
         [&](auto on_done)
         { it.table.scan("k", "k0", 5, long_timeout, on_done); });
     REQUIRE(kernel::ok(rows));
-    CHECK(kernel::value(rows) == std::vector<platform::row>{{"k1", "", 1}});
+    CHECK(kernel::value(rows) == std::vector<storage::row>{{"k1", "", 1}});
     auto const busy = it.read("k");
     REQUIRE_FALSE(kernel::ok(busy));
     CHECK(kernel::failure(busy).retry_after == std::chrono::seconds(7));
@@ -245,13 +245,13 @@
          "region":"r","zone":"z","endpoint":"e","leaving":true},
         {"id":"v2","role":"new","address":"127.0.0.1","port":1,"region":"r",
          "zone":"z","endpoint":null,"leaving":false}]})");
-    auto const res = await<std::vector<platform::vm>>(
+    auto const res = await<std::vector<storage::vm>>(
         [&](auto on_done) { it.vms.list(long_timeout, on_done); });
     REQUIRE(kernel::ok(res));
     auto const& vms = kernel::value(res);
     REQUIRE(vms.size() == 2);
-    CHECK(vms[0].role == platform::vm_role::agent);
+    CHECK(vms[0].role == storage::vm_role::agent);
     CHECK(vms[0].endpoint.str() == "e");
     CHECK(vms[0].leaving);
-    CHECK(vms[1].role == platform::vm_role::other);
+    CHECK(vms[1].role == storage::vm_role::other);
 }
--- a/packages/platform/tests/support/fake_object_store.hpp
+++ b/packages/storage/tests/support/fake_object_store.hpp
@@ -1,7 +1,7 @@
-#ifndef ENDIVEWARD_PLATFORM_TESTS_SUPPORT_FAKE_OBJECT_STORE_HPP
-#define ENDIVEWARD_PLATFORM_TESTS_SUPPORT_FAKE_OBJECT_STORE_HPP
+#ifndef ENDIVEWARD_STORAGE_TESTS_SUPPORT_FAKE_OBJECT_STORE_HPP
+#define ENDIVEWARD_STORAGE_TESTS_SUPPORT_FAKE_OBJECT_STORE_HPP
 
-#include "platform/i_object_store.hpp"
+#include "storage/i_object_store.hpp"
 
 #include <map>
 #include <mutex>
@@ -9,7 +9,7 @@
 #include <string>
 #include <utility>
 
-namespace endiveward::platform::tests
+namespace endiveward::storage::tests
 {
 
 /// An in-memory object store that can be unavailable. Handlers run before the
@@ -74,6 +74,6 @@
     bool unavailable_ = false;
 };
 
-} // namespace endiveward::platform::tests
+} // namespace endiveward::storage::tests
 
 #endif
--- a/packages/platform/tests/support/fake_table.hpp
+++ b/packages/storage/tests/support/fake_table.hpp
@@ -1,7 +1,7 @@
-#ifndef ENDIVEWARD_PLATFORM_TESTS_SUPPORT_FAKE_TABLE_HPP
-#define ENDIVEWARD_PLATFORM_TESTS_SUPPORT_FAKE_TABLE_HPP
+#ifndef ENDIVEWARD_STORAGE_TESTS_SUPPORT_FAKE_TABLE_HPP
+#define ENDIVEWARD_STORAGE_TESTS_SUPPORT_FAKE_TABLE_HPP
 
-#include "platform/i_table.hpp"
+#include "storage/i_table.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -15,7 +15,7 @@
 #include <utility>
 #include <vector>
 
-namespace endiveward::platform::tests
+namespace endiveward::storage::tests
 {
 
 /// What happens to a commit.
@@ -288,6 +288,6 @@
     std::size_t reads_ = 0;
 };
 
-} // namespace endiveward::platform::tests
+} // namespace endiveward::storage::tests
 
 #endif
--- a/packages/platform/tests/support/scripted_server.hpp
+++ b/packages/storage/tests/support/scripted_server.hpp
@@ -1,5 +1,5 @@
-#ifndef ENDIVEWARD_PLATFORM_TESTS_SUPPORT_SCRIPTED_SERVER_HPP
-#define ENDIVEWARD_PLATFORM_TESTS_SUPPORT_SCRIPTED_SERVER_HPP
+#ifndef ENDIVEWARD_STORAGE_TESTS_SUPPORT_SCRIPTED_SERVER_HPP
+#define ENDIVEWARD_STORAGE_TESTS_SUPPORT_SCRIPTED_SERVER_HPP
 
 #include <asio.hpp>
 
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-namespace endiveward::platform::tests
+namespace endiveward::storage::tests
 {
 
 /// An HTTP server on a loopback port that plays one step for each request and
@@ -166,6 +166,6 @@
     std::thread thread_;
 };
 
-} // namespace endiveward::platform::tests
+} // namespace endiveward::storage::tests
 
 #endif
--- a/packages/platform/types/row.hpp
+++ b/packages/storage/types/row.hpp
@@ -1,10 +1,10 @@
-#ifndef ENDIVEWARD_PLATFORM_TYPES_ROW_HPP
-#define ENDIVEWARD_PLATFORM_TYPES_ROW_HPP
+#ifndef ENDIVEWARD_STORAGE_TYPES_ROW_HPP
+#define ENDIVEWARD_STORAGE_TYPES_ROW_HPP
 
 #include <cstdint>
 #include <string>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 /// A row of the platform's table. The table counts the writes of each row.
@@ -17,6 +17,6 @@
     bool operator==(row const&) const = default;
 };
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 #endif
--- a/packages/platform/types/table_transaction.hpp
+++ b/packages/storage/types/table_transaction.hpp
@@ -1,12 +1,12 @@
-#ifndef ENDIVEWARD_PLATFORM_TYPES_TABLE_TRANSACTION_HPP
-#define ENDIVEWARD_PLATFORM_TYPES_TABLE_TRANSACTION_HPP
+#ifndef ENDIVEWARD_STORAGE_TYPES_TABLE_TRANSACTION_HPP
+#define ENDIVEWARD_STORAGE_TYPES_TABLE_TRANSACTION_HPP
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 /// The row must have this version; 0 means that it must not exist.
@@ -38,6 +38,6 @@
     std::vector<std::string> failed_keys;
 };
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 #endif
--- a/packages/platform/types/vm.hpp
+++ b/packages/storage/types/vm.hpp
@@ -1,5 +1,5 @@
-#ifndef ENDIVEWARD_PLATFORM_TYPES_VM_HPP
-#define ENDIVEWARD_PLATFORM_TYPES_VM_HPP
+#ifndef ENDIVEWARD_STORAGE_TYPES_VM_HPP
+#define ENDIVEWARD_STORAGE_TYPES_VM_HPP
 
 #include "kernel/types/identifiers.hpp"
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace endiveward::platform
+namespace endiveward::storage
 {
 
 enum class vm_role : std::uint8_t
@@ -39,6 +39,6 @@
     bool operator==(vm const&) const = default;
 };
 
-} // namespace endiveward::platform
+} // namespace endiveward::storage
 
 #endif
--- /dev/null
+++ b/packages/weights/internal/rollout_plan.cpp
@@ -0,0 +1,60 @@
+#include "weights/rollout_plan.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace endiveward::weights
+{
+
+namespace
+{
+
+std::uint64_t position_hash(kernel::endpoint_id const& id)
+{
+    return XXH3_64bits(id.str().data(), id.str().size());
+}
+
+} // namespace
+
+rollout_plan::rollout_plan(std::vector<kernel::endpoint_id> endpoints,
+                           weight_version version, rollout_options options)
+    : order_(std::move(endpoints))
+    , options_(options)
+{
+    std::sort(order_.begin(), order_.end(),
+              [](auto const& a, auto const& b)
+              {
+                  auto const x = position_hash(a);
+                  auto const y = position_hash(b);
+                  return x != y ? x < y : a < b;
+              });
+    // Versions may follow each other before a rollout has ended. With the
+    // order reversed each time, no endpoint is always the last one.
+    if (version % 2 == 0)
+        std::reverse(order_.begin(), order_.end());
+}
+
+std::optional<std::chrono::milliseconds>
+rollout_plan::start_of(kernel::endpoint_id const& id) const
+{
+    auto const found = std::find(order_.begin(), order_.end(), id);
+    if (found == order_.end())
+        return std::nullopt;
+    return start_at(static_cast<std::size_t>(found - order_.begin()));
+}
+
+std::chrono::milliseconds rollout_plan::last_start() const
+{
+    return order_.empty() ? std::chrono::milliseconds(0)
+                          : start_at(order_.size() - 1);
+}
+
+std::chrono::milliseconds rollout_plan::start_at(std::size_t position) const
+{
+    auto const group = std::max(options_.smallest_group,
+                                order_.size() / options_.group_divisor);
+    return options_.interval * static_cast<int>(position / group);
+}
+
+} // namespace endiveward::weights
--- /dev/null
+++ b/packages/weights/internal/weight_updater.cpp
@@ -0,0 +1,90 @@
+#include "weights/weight_updater.hpp"
+
+#include <algorithm>
+
+namespace endiveward::weights
+{
+
+weight_updater::weight_updater(updater_options options)
+    : options_(std::move(options))
+{
+}
+
+void weight_updater::set_target(kernel::model_id const& model,
+                                weight_version version,
+                                kernel::steady_time named,
+                                kernel::steady_time turn)
+{
+    auto& wanted = targets_[model];
+    if (version < wanted.version)
+        return;
+    auto const was_behind =
+        wanted.version != 0 && lacks(model, wanted.version);
+    if (!was_behind)
+        wanted.lacking_since = named;
+    wanted.version = version;
+    wanted.turn = turn;
+}
+
+void weight_updater::on_report(engine_report const& report)
+{
+    auto const restarted =
+        report_ && report_->incarnation != report.incarnation;
+    auto const accepted =
+        report_ && report_->orders_accepted != report.orders_accepted;
+    if (restarted || accepted)
+        sent_at_.reset();
+    report_ = report;
+}
+
+void weight_updater::on_outcome(load_order const& order, order_outcome outcome)
+{
+    if (outcome == order_outcome::fenced)
+        fencing_number_ = std::max(fencing_number_, order.fencing_number + 1);
+    if (outcome == order_outcome::conflict ||
+        outcome == order_outcome::fenced)
+        sent_at_.reset();
+}
+
+std::optional<load_order>
+weight_updater::next_order(kernel::steady_time now)
+{
+    if (!report_ || report_->busy)
+        return std::nullopt;
+    if (sent_at_ && now - *sent_at_ < options_.repeat_after)
+        return std::nullopt;
+    for (auto const& [model, wanted] : targets_)
+    {
+        if (!lacks(model, wanted.version) || now < due(wanted))
+            continue;
+        sent_at_ = now;
+        return load_order{model,          wanted.version,
+                          options_.holder, fencing_number_,
+                          report_->orders_accepted};
+    }
+    return std::nullopt;
+}
+
+bool weight_updater::behind() const
+{
+    return std::any_of(targets_.begin(), targets_.end(),
+                       [this](auto const& it)
+                       { return lacks(it.first, it.second.version); });
+}
+
+bool weight_updater::lacks(kernel::model_id const& model,
+                           weight_version version) const
+{
+    if (!report_)
+        return false;
+    auto const found = report_->models.find(model);
+    return found != report_->models.end() && found->second < version;
+}
+
+kernel::steady_time weight_updater::due(target const& wanted) const
+{
+    return std::min(wanted.turn,
+                    wanted.lacking_since + options_.latest_start);
+}
+
+} // namespace endiveward::weights
--- /dev/null
+++ b/packages/weights/types/load_order.hpp
@@ -0,0 +1,28 @@
+#ifndef ENDIVEWARD_WEIGHTS_TYPES_LOAD_ORDER_HPP
+#define ENDIVEWARD_WEIGHTS_TYPES_LOAD_ORDER_HPP
+
+#include "kernel/types/identifiers.hpp"
+#include "weights/types/weight_version.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace endiveward::weights
+{
+
+/// An order to an engine to serve another version of a model. Runs that are
+/// in progress finish first.
+struct load_order
+{
+    kernel::model_id model;
+    weight_version version = 0;
+    std::string holder;
+    std::uint64_t fencing_number = 0;
+    /// Orders that the engine must have accepted so far; an order that arrives
+    /// late, after another one, is refused for it.
+    std::uint64_t orders_accepted = 0;
+};
+
+} // namespace endiveward::weights
+
+#endif
--- /dev/null
+++ b/packages/weights/types/order_outcome.hpp
@@ -0,0 +1,24 @@
+#ifndef ENDIVEWARD_WEIGHTS_TYPES_ORDER_OUTCOME_HPP
+#define ENDIVEWARD_WEIGHTS_TYPES_ORDER_OUTCOME_HPP
+
+namespace endiveward::weights
+{
+
+/// What an engine answered to an order.
+enum class order_outcome
+{
+    started,
+    already_holds,
+    /// Another order is in progress, or another number of orders was accepted.
+    conflict,
+    /// The engine has seen a higher fencing number.
+    fenced,
+    /// The order is not understood, or meant for another engine.
+    refused,
+    /// The order may have been accepted, or may be carried out later.
+    no_answer
+};
+
+} // namespace endiveward::weights
+
+#endif
