--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -1,5 +1,7 @@
 #include "endiveward/gateway_process.hpp"
 
+#include "enginelink/agent_links.hpp"
+#include "enginelink/link_options.hpp"
 #include "follower/cluster_view.hpp"
 #include "follower/table_follower.hpp"
 #include "gateway/gateway.hpp"
@@ -34,11 +36,14 @@
 /// The settings file may change without a signal.
 constexpr milliseconds reload_interval{2000};
 constexpr std::uint16_t metrics_port = 9464;
+/// How often agents are asked for the operators' table while the store does
+/// not answer.
+constexpr milliseconds ask_interval{500};
 
 } // namespace
 
 gateway_process::gateway_process(gateway::process_settings settings,
-                                 std::string path)
+                                 std::string path, wire::cluster_key key)
     : settings_(std::move(settings))
     , path_(std::move(path))
     , signals_(control_, SIGTERM, SIGINT, SIGHUP)
@@ -55,6 +60,14 @@
           traffic_settings(), *metrics_, traffic_log_))
     , drain_(stop_notice)
 {
+    auto const started = std::chrono::duration_cast<milliseconds>(
+        clock_.wall_now().time_since_epoch());
+    links_ = std::make_unique<enginelink::agent_links>(
+        control_, random_, std::move(key),
+        std::make_shared<enginelink::link_identity>(
+            wire::process_role::router, settings_.name, settings_.zone,
+            static_cast<kernel::incarnation>(started.count())),
+        *this, row_exchange_);
 }
 
 gateway_process::~gateway_process() = default;
@@ -71,6 +84,7 @@
     tick();
     traffic_.start();
     control_.run();
+    links_->close();
     traffic_.stop();
     if (ready_server_ != nullptr)
         ready_server_->stop();
@@ -133,6 +147,7 @@
         return res;
     };
     operators_ = follow(platform::operators_table, view_->operators());
+    row_exchange_.set_follower(operators_);
     endpoints_ = follow(platform::endpoints_table, view_->endpoints());
 }
 
@@ -149,6 +164,13 @@
 {
     asio::post(traffic_.context(0),
                [this, endpoints] { gateway_->apply(endpoints); });
+    std::vector<enginelink::agent_address> agents;
+    for (auto const& it : endpoints)
+    {
+        if (!it.models.empty())
+            agents.push_back({it.id, it.host, settings_.internal_port});
+    }
+    links_->update(agents);
     ready_ = view_->complete() && !drain_.draining();
 }
 
@@ -159,6 +181,35 @@
                [this, target, named] { gateway_->apply(target, named); });
 }
 
+void gateway_process::on_engine_state(kernel::endpoint_id const& endpoint,
+                                      wire::engine_state const& state)
+{
+    asio::post(traffic_.context(0), [this, endpoint, state]
+               { gateway_->on_engine_state(endpoint, state); });
+}
+
+void gateway_process::on_cache_change(kernel::endpoint_id const& endpoint,
+                                      wire::cache_change const& change)
+{
+    asio::post(traffic_.context(0), [this, endpoint, change]
+               { gateway_->on_cache_change(endpoint, change); });
+}
+
+void gateway_process::on_link_lost(kernel::endpoint_id const& endpoint)
+{
+    asio::post(traffic_.context(0),
+               [this, endpoint] { gateway_->on_link_lost(endpoint); });
+}
+
+void gateway_process::ask_agents()
+{
+    auto const now = clock_.now();
+    if (operators_->reachable() || now - asked_at_ < ask_interval)
+        return;
+    asked_at_ = now;
+    links_->request_rows();
+}
+
 void gateway_process::wait_for_signal()
 {
     signals_.async_wait(
@@ -219,6 +270,7 @@
             if (ec)
                 return;
             observe::flush_logging();
+            ask_agents();
             if (drain_.draining())
             {
                 asio::post(traffic_.context(0),
--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -1,7 +1,9 @@
 #ifndef ENDIVEWARD_APP_GATEWAY_PROCESS_HPP
 #define ENDIVEWARD_APP_GATEWAY_PROCESS_HPP
 
+#include "enginelink/i_engine_listener.hpp"
 #include "follower/i_cluster_observer.hpp"
+#include "follower/row_exchange.hpp"
 #include "gateway/types/process_settings.hpp"
 #include "kernel/secure_random_source.hpp"
 #include "kernel/system_clock.hpp"
@@ -10,6 +12,7 @@
 #include "platform/entry_decoder.hpp"
 #include "platform/store_rows.hpp"
 #include "router/drain_sequence.hpp"
+#include "wire/types/cluster_key.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -24,6 +27,11 @@
 class Registry;
 }
 
+namespace endiveward::enginelink
+{
+class agent_links;
+}
+
 namespace endiveward::follower
 {
 class cluster_view;
@@ -46,10 +54,12 @@
 
 /// A router on the users' platform: follows the store on the control thread
 /// and serves callers on the traffic thread.
-class gateway_process : public follower::i_cluster_observer
+class gateway_process : public follower::i_cluster_observer,
+                        public enginelink::i_engine_listener
 {
 public:
-    gateway_process(gateway::process_settings settings, std::string path);
+    gateway_process(gateway::process_settings settings, std::string path,
+                    wire::cluster_key key);
     ~gateway_process() override;
     gateway_process(gateway_process const&) = delete;
     gateway_process& operator=(gateway_process const&) = delete;
@@ -65,12 +75,20 @@
     void on_target(weights::model_target const& target,
                    kernel::steady_time named) override;
 
+    void on_engine_state(kernel::endpoint_id const& endpoint,
+                         wire::engine_state const& state) override;
+    void on_cache_change(kernel::endpoint_id const& endpoint,
+                         wire::cache_change const& change) override;
+    void on_link_lost(kernel::endpoint_id const& endpoint) override;
+
     bool listen();
     void start_followers();
     void wait_for_signal();
     void on_signal(int number);
     void perform(router::drain_sequence::step next);
     void tick();
+    /// Asks agents for what the store does not tell.
+    void ask_agents();
     void reload();
     void end(int code);
     gateway::gateway_settings traffic_settings() const;
@@ -92,12 +110,15 @@
     std::shared_ptr<follower::table_follower> operators_;
     std::shared_ptr<follower::table_follower> endpoints_;
     std::unique_ptr<gateway::gateway> gateway_;
+    follower::row_exchange row_exchange_;
+    std::unique_ptr<enginelink::agent_links> links_;
     std::unique_ptr<observe::operator_server> ready_server_;
     std::unique_ptr<observe::operator_server> metrics_server_;
     router::drain_sequence drain_;
     std::atomic<bool> ready_{false};
     std::atomic<std::size_t> connections_{0};
     kernel::steady_time stop_at_{};
+    kernel::steady_time asked_at_{};
     int exit_code_ = 0;
 };
 
--- a/apps/endiveward/run_command.cpp
+++ b/apps/endiveward/run_command.cpp
@@ -4,6 +4,7 @@
 #include "config/types/router_settings.hpp"
 #include "endiveward/gateway_process.hpp"
 #include "endiveward/process_services_module.hpp"
+#include "enginelink/link_options.hpp"
 #include "kernel/application.hpp"
 #include "kernel/system_clock.hpp"
 #include "observe/logging.hpp"
@@ -184,8 +185,14 @@
 }
 
 /// Runs on the users' platform, which names the settings file.
-int run_on_platform(std::string const& level)
+int run_on_platform(std::string const& level, std::string const& key_env)
 {
+    auto const key = enginelink::read_cluster_key(key_env);
+    if (!kernel::ok(key))
+    {
+        std::cerr << kernel::failure(key).message << '\n';
+        return exit_usage;
+    }
     auto const path = platform::boot_file_path();
     if (!kernel::ok(path))
     {
@@ -208,7 +215,7 @@
     try
     {
         code = gateway_process(kernel::value(std::move(loaded)),
-                               kernel::value(path))
+                               kernel::value(path), kernel::value(key))
                    .run();
     }
     catch (std::exception const& ex)
@@ -229,8 +236,10 @@
                           "FILE")("check", "check the settings and exit")(
         "platform", "take the settings from the users' platform")(
         "log-level", "with --platform: trace, debug, info, warn or error",
-        cxxopts::value<std::string>()->default_value("info"),
-        "LEVEL")("h,help", "show this help");
+        cxxopts::value<std::string>()->default_value("info"), "LEVEL")(
+        "key-env", "with --platform: environment variable with the cluster key",
+        cxxopts::value<std::string>()->default_value("ENDIVEWARD_CLUSTER_KEY"),
+        "NAME")("h,help", "show this help");
     try
     {
         auto const parsed = options.parse(argc, argv);
@@ -240,7 +249,8 @@
             return 0;
         }
         if (parsed.count("platform") > 0)
-            return run_on_platform(parsed["log-level"].as<std::string>());
+            return run_on_platform(parsed["log-level"].as<std::string>(),
+                                   parsed["key-env"].as<std::string>());
         if (parsed.count("settings") == 0)
         {
             std::cerr << "name the settings file with --settings FILE\n";
--- a/apps/endiveward_agent/main.cpp
+++ b/apps/endiveward_agent/main.cpp
@@ -4,6 +4,7 @@
 #include "config/types/agent_settings.hpp"
 #include "endiveward_agent/store_module.hpp"
 #include "endiveward_agent/weights_process.hpp"
+#include "enginelink/link_options.hpp"
 #include "kernel/application.hpp"
 #include "observe/logging.hpp"
 #include "platform/boot_file.hpp"
@@ -156,8 +157,14 @@
 }
 
 /// Runs on the users' platform, which names the settings file.
-int run_on_platform(std::string const& level)
+int run_on_platform(std::string const& level, std::string const& key_env)
 {
+    auto const key = enginelink::read_cluster_key(key_env);
+    if (!kernel::ok(key))
+    {
+        std::cerr << kernel::failure(key).message << '\n';
+        return exit_settings;
+    }
     auto const path = platform::boot_file_path();
     if (!kernel::ok(path))
     {
@@ -183,8 +190,9 @@
         std::cerr << kernel::failure(logging).message << '\n';
         return exit_settings;
     }
-    auto const code =
-        app::weights_process(kernel::value(std::move(loaded))).run();
+    auto const code = app::weights_process(kernel::value(std::move(loaded)),
+                                           kernel::value(key))
+                          .run();
     observe::shutdown_logging();
     return code;
 }
@@ -202,6 +210,9 @@
     add("platform", "Take the settings from the users' platform");
     add("log-level", "With --platform: trace, debug, info, warn or error",
         cxxopts::value<std::string>()->default_value("info"), "LEVEL");
+    add("key-env", "With --platform: environment variable with the cluster key",
+        cxxopts::value<std::string>()->default_value("ENDIVEWARD_CLUSTER_KEY"),
+        "NAME");
     add("check", "Check the settings and exit");
     add("version", "Print the version and exit");
     add("h,help", "Print this help and exit");
@@ -219,7 +230,8 @@
             return exit_ok;
         }
         if (args.count("platform") > 0)
-            return run_on_platform(args["log-level"].as<std::string>());
+            return run_on_platform(args["log-level"].as<std::string>(),
+                                   args["key-env"].as<std::string>());
         if (args.count("settings") == 0 || !args.unmatched().empty())
         {
             std::cerr << "name the settings file: endiveward-agent --settings "
--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -1,11 +1,17 @@
 #include "endiveward_agent/weights_process.hpp"
 
+#include "enginelink/link_options.hpp"
 #include "follower/cluster_view.hpp"
 #include "follower/table_follower.hpp"
+#include "gateway/prefix_memory.hpp"
 #include "gateway/routing_table.hpp"
 #include "observe/logging.hpp"
 #include "weights/rollout_plan.hpp"
 
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+
 #include <csignal>
 
 namespace endiveward::app
@@ -17,9 +23,13 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint32_t lines_per_second = 50;
-constexpr milliseconds poll_behind{120};
-/// An engine that restarts has the weights that it had before.
-constexpr milliseconds poll_current{1000};
+constexpr milliseconds poll_reloading{50};
+constexpr milliseconds poll_behind{100};
+/// The load that routers are told of is at most this old.
+constexpr milliseconds poll_current{250};
+/// How often routers are asked for the operators' table while the store does
+/// not answer.
+constexpr milliseconds ask_interval{500};
 constexpr milliseconds flush_interval{500};
 constexpr milliseconds endpoints_timeout{900};
 /// The store answers as soon as something changes; a longer wait only delays
@@ -35,19 +45,37 @@
     return res;
 }
 
+std::shared_ptr<wire::i_local_identity const>
+identity_of(gateway::process_settings const& settings,
+            kernel::i_clock const& clock)
+{
+    auto const started = std::chrono::duration_cast<milliseconds>(
+        clock.wall_now().time_since_epoch());
+    return std::make_shared<enginelink::link_identity>(
+        wire::process_role::agent, settings.name, settings.zone,
+        static_cast<kernel::incarnation>(started.count()));
+}
+
 } // namespace
 
-weights_process::weights_process(gateway::process_settings settings)
+weights_process::weights_process(gateway::process_settings settings,
+                                 wire::cluster_key key)
     : settings_(std::move(settings))
-    , signals_(control_, SIGTERM, SIGINT, SIGHUP)
-    , poll_timer_(control_)
-    , flush_timer_(control_)
+    , pool_(1)
+    , poll_timer_(pool_.context(0))
+    , flush_timer_(pool_.context(0))
     , log_(clock_, "endiveward.agent", lines_per_second)
-    , store_(control_, clock_, settings_.store)
-    , engine_(control_, clock_, settings_.engine.value())
+    , store_(pool_.context(0), clock_, settings_.store)
+    , engine_(pool_.context(0), clock_, settings_.engine.value())
+    , cache_(pool_.context(0), clock_, settings_.engine.value())
+    , cache_follower_(pool_.context(0), cache_, gateway::part_key,
+                      [this](bool reset, std::vector<wire::cached_part> parts)
+                      { publisher_.publish_cache(reset, std::move(parts)); })
+    , publisher_(pool_, clock_, std::move(key), identity_of(settings_, clock_),
+                 row_exchange_)
     , updater_(updater_options(settings_))
-    , view_(std::make_unique<follower::cluster_view>(control_, clock_, decoder_,
-                                                     *this, log_))
+    , view_(std::make_unique<follower::cluster_view>(pool_.context(0), clock_,
+                                                     decoder_, *this, log_))
 {
 }
 
@@ -57,43 +85,48 @@
 {
     log_.write("start", "process={} engine={}:{}", settings_.name.str(),
                settings_.engine->host, settings_.engine->port);
+    asio::io_context control{1};
+    asio::signal_set signals(control, SIGTERM, SIGINT);
+    // Nothing that an agent uses can change while its engine stays the same.
+    std::signal(SIGHUP, SIG_IGN);
+    signals.async_wait([](std::error_code, int) {});
+    auto const res = publisher_.listen(settings_.host, settings_.internal_port);
+    if (!kernel::ok(res))
+        log_.write("cannot_listen", "reason=\"{}\"",
+                   kernel::failure(res).message);
+    asio::post(pool_.context(0), [this] { start(); });
+    pool_.start();
+    control.run();
+    pool_.stop();
+    log_.write("stop", "process={}", settings_.name.str());
+    pool_.discard_handlers();
+    return 0;
+}
+
+void weights_process::start()
+{
     follower::follower_options options;
     options.table = platform::operators_table;
     options.wait = store_wait;
     operators_ = std::make_shared<follower::table_follower>(
-        control_, store_, random_, view_->operators(), options);
+        pool_.context(0), store_, random_, view_->operators(), options);
+    row_exchange_.set_follower(operators_);
     operators_->start();
-    std::function<void()> wait_for_signal = [&]
-    {
-        signals_.async_wait(
-            [&](std::error_code ec, int number)
-            {
-                if (ec)
-                    return;
-                // Nothing of the settings that an agent uses can change while
-                // the engine stays the same.
-                if (number == SIGHUP)
-                    return wait_for_signal();
-                log_.write("stop", "process={}", settings_.name.str());
-                control_.stop();
-            });
-    };
-    wait_for_signal();
-    std::function<void()> flush = [&]
-    {
-        observe::flush_logging();
-        flush_timer_.expires_after(flush_interval);
-        flush_timer_.async_wait(
-            [&](std::error_code ec)
-            {
-                if (!ec)
-                    flush();
-            });
-    };
+    cache_follower_.start();
     flush();
     ask();
-    control_.run();
-    return 0;
+}
+
+void weights_process::flush()
+{
+    observe::flush_logging();
+    flush_timer_.expires_after(flush_interval);
+    flush_timer_.async_wait(
+        [this](std::error_code ec)
+        {
+            if (!ec)
+                flush();
+        });
 }
 
 void weights_process::on_configuration(
@@ -167,7 +200,16 @@
 
 void weights_process::poll()
 {
-    poll_timer_.expires_after(updater_.behind() ? poll_behind : poll_current);
+    auto const now = clock_.now();
+    auto pause = poll_current;
+    if (updater_.behind())
+        pause = updater_.reloading(now) ? poll_reloading : poll_behind;
+    if (!operators_->reachable() && now - asked_routers_at_ > ask_interval)
+    {
+        asked_routers_at_ = now;
+        publisher_.request_rows();
+    }
+    poll_timer_.expires_after(pause);
     poll_timer_.async_wait(
         [this](std::error_code ec)
         {
@@ -186,12 +228,29 @@
         {
             asking_ = false;
             if (kernel::ok(res))
+            {
                 updater_.on_report(kernel::value(res));
-            order_if_due();
+                order_if_due();
+                publish(kernel::value(res));
+            }
             poll();
         });
 }
 
+void weights_process::publish(weights::engine_report const& report)
+{
+    wire::engine_state state;
+    state.endpoint_incarnation = report.incarnation;
+    for (auto const& [model, version] : report.models)
+        state.weights.push_back({model, version});
+    state.reloading = updater_.reloading(clock_.now());
+    state.running = report.running;
+    state.waiting = report.waiting;
+    state.memory_used = report.memory_used;
+    state.memory_total = report.memory_total;
+    publisher_.publish(state);
+}
+
 void weights_process::order_if_due()
 {
     auto const order = updater_.next_order(clock_.now());
--- a/apps/endiveward_agent/weights_process.hpp
+++ b/apps/endiveward_agent/weights_process.hpp
@@ -1,18 +1,21 @@
 #ifndef ENDIVEWARD_AGENT_APP_WEIGHTS_PROCESS_HPP
 #define ENDIVEWARD_AGENT_APP_WEIGHTS_PROCESS_HPP
 
+#include "enginelink/cache_follower.hpp"
+#include "enginelink/state_publisher.hpp"
 #include "follower/i_cluster_observer.hpp"
+#include "follower/row_exchange.hpp"
 #include "gateway/types/process_settings.hpp"
 #include "kernel/secure_random_source.hpp"
 #include "kernel/system_clock.hpp"
+#include "kernel/thread_pool.hpp"
 #include "observe/decision_log.hpp"
+#include "platform/engine_cache.hpp"
 #include "platform/engine_orders.hpp"
 #include "platform/entry_decoder.hpp"
 #include "platform/store_rows.hpp"
 #include "weights/weight_updater.hpp"
 
-#include <asio/io_context.hpp>
-#include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
 #include <map>
@@ -32,7 +35,7 @@
 class weights_process : public follower::i_cluster_observer
 {
 public:
-    explicit weights_process(gateway::process_settings settings);
+    weights_process(gateway::process_settings settings, wire::cluster_key key);
     ~weights_process() override;
     weights_process(weights_process const&) = delete;
     weights_process& operator=(weights_process const&) = delete;
@@ -58,24 +61,32 @@
     void read_endpoints();
     void plan_turns(std::vector<gateway::endpoint_entry> const& endpoints);
     void poll();
+    void publish(weights::engine_report const& report);
+    void start();
+    void flush();
     void ask();
     void order_if_due();
 
     gateway::process_settings settings_;
     kernel::system_clock clock_;
     kernel::secure_random_source random_;
-    asio::io_context control_{1};
-    asio::signal_set signals_;
+    /// All work but the wait for signals.
+    kernel::thread_pool pool_;
     asio::steady_timer poll_timer_;
     asio::steady_timer flush_timer_;
     observe::decision_log log_;
     platform::store_rows store_;
     platform::entry_decoder decoder_;
     platform::engine_orders engine_;
+    platform::engine_cache cache_;
+    enginelink::cache_follower cache_follower_;
+    follower::row_exchange row_exchange_;
+    enginelink::state_publisher publisher_;
     weights::weight_updater updater_;
     std::unique_ptr<follower::cluster_view> view_;
     std::shared_ptr<follower::table_follower> operators_;
     std::map<kernel::model_id, named_version> named_;
+    kernel::steady_time asked_routers_at_{};
     bool asking_ = false;
 };
 
--- /dev/null
+++ b/packages/enginelink/agent_links.hpp
@@ -0,0 +1,71 @@
+#ifndef ENDIVEWARD_ENGINELINK_AGENT_LINKS_HPP
+#define ENDIVEWARD_ENGINELINK_AGENT_LINKS_HPP
+
+#include "kernel/types/identifiers.hpp"
+#include "wire/types/cluster_key.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace asio
+{
+class io_context;
+}
+
+namespace endiveward::kernel
+{
+class i_random_source;
+}
+
+namespace endiveward::wire
+{
+class i_local_identity;
+}
+
+namespace endiveward::enginelink
+{
+
+class i_engine_listener;
+class i_row_source;
+
+struct agent_address
+{
+    kernel::endpoint_id endpoint;
+    std::string host;
+    std::uint16_t port = 0;
+
+    bool operator==(agent_address const&) const = default;
+};
+
+/// The router's side of the links: keeps a connection to the agent beside each
+/// engine. Belongs to the thread of the context.
+class agent_links
+{
+public:
+    agent_links(asio::io_context& context, kernel::i_random_source& random,
+                wire::cluster_key key,
+                std::shared_ptr<wire::i_local_identity const> identity,
+                i_engine_listener& listener, i_row_source& rows);
+    ~agent_links();
+    agent_links(agent_links const&) = delete;
+    agent_links& operator=(agent_links const&) = delete;
+
+    /// Connects to these agents and drops the links to others.
+    void update(std::vector<agent_address> const& agents);
+    /// Asks some agents for rows that are newer than those known here.
+    void request_rows();
+    /// Drops all links.
+    void close();
+    std::size_t connected() const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace endiveward::enginelink
+
+#endif
--- /dev/null
+++ b/packages/enginelink/i_engine_listener.hpp
@@ -0,0 +1,27 @@
+#ifndef ENDIVEWARD_ENGINELINK_I_ENGINE_LISTENER_HPP
+#define ENDIVEWARD_ENGINELINK_I_ENGINE_LISTENER_HPP
+
+#include "kernel/types/identifiers.hpp"
+#include "wire/types/cache_change.hpp"
+#include "wire/types/engine_state.hpp"
+
+namespace endiveward::enginelink
+{
+
+/// Hears what agents tell of their engines, on the links' thread.
+class i_engine_listener
+{
+public:
+    virtual ~i_engine_listener() = default;
+
+    virtual void on_engine_state(kernel::endpoint_id const& endpoint,
+                                 wire::engine_state const& state) = 0;
+    virtual void on_cache_change(kernel::endpoint_id const& endpoint,
+                                 wire::cache_change const& change) = 0;
+    /// Nothing more is heard of the endpoint until its next state.
+    virtual void on_link_lost(kernel::endpoint_id const& endpoint) = 0;
+};
+
+} // namespace endiveward::enginelink
+
+#endif
--- /dev/null
+++ b/packages/enginelink/internal/agent_links.cpp
@@ -0,0 +1,258 @@
+#include "enginelink/agent_links.hpp"
+
+#include "enginelink/i_engine_listener.hpp"
+#include "enginelink/i_row_source.hpp"
+#include "enginelink/link_options.hpp"
+#include "kernel/i_random_source.hpp"
+#include "kernel/types/result.hpp"
+#include "wire/connection_options.hpp"
+#include "wire/connector.hpp"
+#include "wire/i_connection.hpp"
+#include "wire/i_connection_observer.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace endiveward::enginelink
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds first_retry{200};
+constexpr milliseconds longest_retry{3000};
+/// Agents that are asked for rows at a time; any of them may be cut off, too.
+constexpr std::size_t asked_agents = 3;
+
+} // namespace
+
+class agent_links::impl : public wire::i_connection_observer,
+                          public std::enable_shared_from_this<impl>
+{
+public:
+    impl(asio::io_context& context, kernel::i_random_source& random,
+         i_engine_listener& listener, i_row_source& rows)
+        : context_(context)
+        , random_(random)
+        , listener_(listener)
+        , rows_(rows)
+    {
+    }
+
+    void set_connector(std::unique_ptr<wire::connector> connector)
+    {
+        connector_ = std::move(connector);
+    }
+
+    void update(std::vector<agent_address> const& agents)
+    {
+        std::map<kernel::endpoint_id, agent_address> wanted;
+        for (auto const& it : agents)
+            wanted.emplace(it.endpoint, it);
+        for (auto it = links_.begin(); it != links_.end();)
+        {
+            auto const found = wanted.find(it->first);
+            if (found != wanted.end() && found->second == it->second->address)
+            {
+                ++it;
+                continue;
+            }
+            auto const gone = it->second;
+            it = links_.erase(it);
+            drop(*gone);
+        }
+        for (auto const& [id, address] : wanted)
+        {
+            auto& place = links_[id];
+            if (place != nullptr)
+                continue;
+            place = std::make_shared<link>(context_, address);
+            connect(place);
+        }
+    }
+
+    void request_rows()
+    {
+        std::vector<std::shared_ptr<link>> open;
+        for (auto const& [id, it] : links_)
+        {
+            if (it->connection != nullptr)
+                open.push_back(it);
+        }
+        for (std::size_t n = 0; n < asked_agents && !open.empty(); ++n)
+        {
+            auto const index =
+                static_cast<std::size_t>(random_.next() % open.size());
+            open[index]->connection->send(wire::table_request{rows_.version()});
+            open.erase(open.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+    }
+
+    void close()
+    {
+        auto const all = std::move(links_);
+        links_.clear();
+        for (auto const& [id, it] : all)
+            drop(*it);
+    }
+
+    std::size_t connected() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            links_.begin(), links_.end(),
+            [](auto const& it) { return it.second->connection != nullptr; }));
+    }
+
+    void on_open(std::shared_ptr<wire::i_connection> const&) override {}
+
+    void on_message(std::shared_ptr<wire::i_connection> const& conn,
+                    wire::message msg) override
+    {
+        auto const owner = link_of(conn);
+        if (owner == nullptr)
+            return;
+        auto const& id = owner->address.endpoint;
+        if (auto const* state = std::get_if<wire::engine_state>(&msg))
+            listener_.on_engine_state(id, *state);
+        else if (auto const* change = std::get_if<wire::cache_change>(&msg))
+            listener_.on_cache_change(id, *change);
+        else if (auto const* request = std::get_if<wire::table_request>(&msg))
+            conn->send(wire::table_rows{rows_.rows_after(request->after)});
+        else if (auto const* answer = std::get_if<wire::table_rows>(&msg))
+            rows_.merge(answer->rows);
+    }
+
+    void on_closed(std::shared_ptr<wire::i_connection> const& conn,
+                   kernel::error const&) override
+    {
+        auto const owner = link_of(conn);
+        if (owner == nullptr)
+            return;
+        owner->connection = nullptr;
+        listener_.on_link_lost(owner->address.endpoint);
+        retry(owner);
+    }
+
+private:
+    struct link
+    {
+        link(asio::io_context& context, agent_address at)
+            : address(std::move(at))
+            , timer(context)
+        {
+        }
+
+        agent_address address;
+        asio::steady_timer timer;
+        std::shared_ptr<wire::i_connection> connection;
+        milliseconds pause{0};
+        bool dropped = false;
+    };
+
+    std::shared_ptr<link>
+    link_of(std::shared_ptr<wire::i_connection> const& conn) const
+    {
+        for (auto const& [id, it] : links_)
+        {
+            if (it->connection == conn)
+                return it;
+        }
+        return nullptr;
+    }
+
+    void drop(link& it)
+    {
+        it.dropped = true;
+        it.timer.cancel();
+        if (it.connection == nullptr)
+            return;
+        it.connection->close();
+        it.connection = nullptr;
+    }
+
+    void connect(std::shared_ptr<link> const& it)
+    {
+        connector_->connect(
+            context_, it->address.host, it->address.port,
+            [weak = weak_from_this(),
+             it](kernel::result<std::shared_ptr<wire::i_connection>> res)
+            {
+                auto const self = weak.lock();
+                if (self == nullptr)
+                    return;
+                if (!kernel::ok(res))
+                    return self->retry(it);
+                auto conn = kernel::value(std::move(res));
+                if (it->dropped)
+                    return conn->close();
+                it->connection = std::move(conn);
+                it->pause = milliseconds(0);
+            });
+    }
+
+    void retry(std::shared_ptr<link> const& it)
+    {
+        if (it->dropped)
+            return;
+        it->pause = std::clamp(it->pause * 2, first_retry, longest_retry);
+        auto const half = it->pause.count() / 2;
+        it->timer.expires_after(milliseconds(
+            half + static_cast<std::int64_t>(
+                       random_.next() % static_cast<std::uint64_t>(half + 1))));
+        it->timer.async_wait(
+            [weak = weak_from_this(), it](std::error_code ec)
+            {
+                auto const self = weak.lock();
+                if (!ec && self != nullptr && !it->dropped)
+                    self->connect(it);
+            });
+    }
+
+    asio::io_context& context_;
+    kernel::i_random_source& random_;
+    i_engine_listener& listener_;
+    i_row_source& rows_;
+    std::unique_ptr<wire::connector> connector_;
+    std::map<kernel::endpoint_id, std::shared_ptr<link>> links_;
+};
+
+agent_links::agent_links(asio::io_context& context,
+                         kernel::i_random_source& random, wire::cluster_key key,
+                         std::shared_ptr<wire::i_local_identity const> identity,
+                         i_engine_listener& listener, i_row_source& rows)
+    : impl_(std::make_shared<impl>(context, random, listener, rows))
+{
+    impl_->set_connector(std::make_unique<wire::connector>(
+        make_link_options(std::move(key), std::move(identity),
+                          std::shared_ptr<wire::i_connection_observer>(
+                              std::shared_ptr<void>(), impl_.get()))));
+}
+
+agent_links::~agent_links() = default;
+
+void agent_links::update(std::vector<agent_address> const& agents)
+{
+    impl_->update(agents);
+}
+
+void agent_links::request_rows()
+{
+    impl_->request_rows();
+}
+
+void agent_links::close()
+{
+    impl_->close();
+}
+
+std::size_t agent_links::connected() const
+{
+    return impl_->connected();
+}
+
+} // namespace endiveward::enginelink
--- /dev/null
+++ b/packages/enginelink/link_options.hpp
@@ -0,0 +1,44 @@
+#ifndef ENDIVEWARD_ENGINELINK_LINK_OPTIONS_HPP
+#define ENDIVEWARD_ENGINELINK_LINK_OPTIONS_HPP
+
+#include "kernel/types/result.hpp"
+#include "wire/i_local_identity.hpp"
+#include "wire/types/cluster_key.hpp"
+
+#include <memory>
+#include <string>
+
+namespace endiveward::wire
+{
+class i_connection_observer;
+struct connection_options;
+} // namespace endiveward::wire
+
+namespace endiveward::enginelink
+{
+
+/// Says who this process is.
+class link_identity : public wire::i_local_identity
+{
+public:
+    link_identity(wire::process_role role, kernel::process_id name,
+                  kernel::zone_id zone, kernel::incarnation incarnation);
+
+    wire::hello describe() const override { return hello_; }
+
+private:
+    wire::hello hello_;
+};
+
+/// Reads the secret of the deployment from an environment variable.
+kernel::result<wire::cluster_key> read_cluster_key(std::string const& variable);
+
+/// Options of the connections between agents and routers.
+std::shared_ptr<wire::connection_options>
+make_link_options(wire::cluster_key key,
+                  std::shared_ptr<wire::i_local_identity const> identity,
+                  std::shared_ptr<wire::i_connection_observer> observer);
+
+} // namespace endiveward::enginelink
+
+#endif
--- /dev/null
+++ b/packages/enginelink/state_publisher.hpp
@@ -0,0 +1,64 @@
+#ifndef ENDIVEWARD_ENGINELINK_STATE_PUBLISHER_HPP
+#define ENDIVEWARD_ENGINELINK_STATE_PUBLISHER_HPP
+
+#include "kernel/i_clock.hpp"
+#include "kernel/types/result.hpp"
+#include "wire/types/cached_part.hpp"
+#include "wire/types/cluster_key.hpp"
+#include "wire/types/engine_state.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace endiveward::kernel
+{
+class thread_pool;
+}
+
+namespace endiveward::wire
+{
+class acceptor;
+class i_local_identity;
+} // namespace endiveward::wire
+
+namespace endiveward::enginelink
+{
+
+class i_row_source;
+
+/// The agent's side of the links: tells the routers that have connected of the
+/// engine's state and cache. Belongs to the thread of the pool's only context.
+class state_publisher
+{
+public:
+    state_publisher(kernel::thread_pool& pool, kernel::i_clock const& clock,
+                    wire::cluster_key key,
+                    std::shared_ptr<wire::i_local_identity const> identity,
+                    i_row_source& rows);
+    ~state_publisher();
+    state_publisher(state_publisher const&) = delete;
+    state_publisher& operator=(state_publisher const&) = delete;
+
+    kernel::result<std::uint16_t> listen(std::string const& address,
+                                         std::uint16_t port);
+    /// Publishes what has changed: weights and reloading at once, the load at
+    /// most a few times a second.
+    void publish(wire::engine_state const& state);
+    void publish_cache(bool reset, std::vector<wire::cached_part> parts);
+    /// Asks routers for rows that are newer than those known here.
+    void request_rows();
+    std::size_t routers() const;
+
+private:
+    class observer;
+
+    std::shared_ptr<observer> observer_;
+    std::unique_ptr<wire::acceptor> acceptor_;
+};
+
+} // namespace endiveward::enginelink
+
+#endif
--- /dev/null
+++ b/packages/follower/internal/row_exchange.cpp
@@ -0,0 +1,52 @@
+#include "follower/row_exchange.hpp"
+
+#include "follower/table_follower.hpp"
+
+#include <algorithm>
+
+namespace endiveward::follower
+{
+
+void row_exchange::set_follower(std::shared_ptr<table_follower> table)
+{
+    table_ = std::move(table);
+}
+
+std::vector<wire::table_row>
+row_exchange::rows_after(std::uint64_t version) const
+{
+    std::vector<wire::table_row> res;
+    if (table_ == nullptr)
+        return res;
+    for (auto const& [key, it] : table_->rows())
+    {
+        if (it.version > version)
+            res.push_back({it.key, it.value, it.version});
+    }
+    return res;
+}
+
+void row_exchange::merge(std::vector<wire::table_row> const& rows)
+{
+    if (table_ == nullptr)
+        return;
+    std::vector<storage::table_row> taken;
+    taken.reserve(rows.size());
+    for (auto const& it : rows)
+        taken.push_back({it.key, it.value, it.version, false});
+    table_->merge(taken);
+}
+
+/// The newest row that is known: what the store has told beyond it concerns
+/// other tables.
+std::uint64_t row_exchange::version() const
+{
+    std::uint64_t res = 0;
+    if (table_ == nullptr)
+        return res;
+    for (auto const& [key, it] : table_->rows())
+        res = std::max(res, it.version);
+    return res;
+}
+
+} // namespace endiveward::follower
--- a/packages/gateway/endpoint_chooser.hpp
+++ b/packages/gateway/endpoint_chooser.hpp
@@ -34,6 +34,13 @@
 private:
     struct offer;
 
+    struct source
+    {
+        endpoint_record const* from = nullptr;
+        /// Tokens of the prefix that it holds.
+        std::uint32_t held = 0;
+    };
+
     std::optional<offer> offer_of(std::shared_ptr<endpoint_record> const& it,
                                   record_list endpoints, service const& target,
                                   demand const& wanted,
@@ -44,6 +51,17 @@
     void add_prompt(offer& made, record_list endpoints, service const& target,
                     demand const& wanted, kernel::steady_time now) const;
 
+    source source_for(endpoint_record const& self, record_list endpoints,
+                      std::vector<prefix_level> const& levels,
+                      kernel::model_id const& model,
+                      weights::weight_version version,
+                      kernel::steady_time now) const;
+    double fetch_ms(endpoint_record const& to, endpoint_record const& from,
+                    std::uint32_t tokens, service const& target) const;
+    double memory_cost(endpoint_record const& self,
+                       request_footprint const& footprint,
+                       service const& target, kernel::steady_time now) const;
+
     placement_settings settings_;
     kernel::zone_id own_zone_;
 };
--- a/packages/gateway/endpoint_directory.hpp
+++ b/packages/gateway/endpoint_directory.hpp
@@ -25,19 +25,18 @@
     explicit endpoint_directory(pool_factory make_pool);
 
     /// Takes over the whole list. Endpoints that are no longer listed get no
-    /// new requests; those in progress go on. `kv_capacity` gives the tokens
-    /// that an engine of a service can cache.
-    void update(std::vector<endpoint_entry> entries,
-                std::function<std::uint64_t(kernel::service_id const&)> const&
-                    kv_capacity);
+    /// new requests; those in progress go on.
+    void update(std::vector<endpoint_entry> entries);
+    /// The endpoint of that id, or null.
+    std::shared_ptr<endpoint_record> find(kernel::endpoint_id const& id) const;
     record_list const& of_service(kernel::service_id const& id) const;
     std::shared_ptr<upstream_pool> pool_of(endpoint_record const& record);
     std::vector<kernel::endpoint_id>
     ids_with_model(kernel::model_id const& model) const;
     std::size_t size() const { return records_.size(); }
 
-    void for_each(std::function<void(endpoint_record const&,
-                                     upstream_pool&)> const& visit) const;
+    void for_each(std::function<void(endpoint_record&, upstream_pool&)> const&
+                      visit) const;
 
 private:
     struct slot
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -5,6 +5,8 @@
 #include "gateway/types/endpoint_entry.hpp"
 #include "gateway/types/load_sample.hpp"
 #include "kernel/i_clock.hpp"
+#include "wire/types/cache_change.hpp"
+#include "wire/types/engine_state.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -28,7 +30,7 @@
 class endpoint_record
 {
 public:
-    endpoint_record(endpoint_entry entry, std::uint64_t kv_capacity_tokens);
+    explicit endpoint_record(endpoint_entry entry);
 
     endpoint_entry const& entry() const { return entry_; }
     /// Takes over a newer entry. A restart clears what was believed.
@@ -42,6 +44,14 @@
     /// The request has ended, with or without an answer.
     void on_finished(request_footprint const& footprint, bool answered);
     void on_load(load_sample const& sample) { load_ = sample; }
+    /// The agent beside the endpoint has told of it.
+    void on_state(wire::engine_state const& state, kernel::steady_time now);
+    void on_cache(wire::cache_change const& change);
+    /// Nothing more is heard from the agent.
+    void on_link_lost();
+    /// Whether the agent tells of changes.
+    bool linked() const { return linked_; }
+    bool reloading() const { return linked_ && reloading_; }
     void on_success(kernel::steady_time now);
     /// The endpoint answered with a failure of its own.
     void on_error(kernel::steady_time now);
@@ -81,6 +91,8 @@
     /// Requests of other processes at the endpoint, by its last report.
     double others(kernel::steady_time now) const;
     std::optional<load_sample> const& load() const { return load_; }
+    /// Memory that others' requests occupy, by the agent's last report.
+    std::uint64_t foreign_memory() const { return foreign_memory_; }
     prefix_memory& cache() { return cache_; }
     prefix_memory const& cache() const { return cache_; }
 
@@ -102,7 +114,10 @@
     double failures_ = 0;
     double results_ = 0;
     kernel::steady_time rated_at_{};
+    std::uint64_t foreign_memory_ = 0;
     bool gone_ = false;
+    bool linked_ = false;
+    bool reloading_ = false;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -9,6 +9,8 @@
 #include "gateway/types/protocol_names.hpp"
 #include "kernel/i_clock.hpp"
 #include "weights/types/model_target.hpp"
+#include "wire/types/cache_change.hpp"
+#include "wire/types/engine_state.hpp"
 
 #include <asio/steady_timer.hpp>
 
@@ -45,6 +47,12 @@
     void apply(std::vector<endpoint_entry> endpoints);
     /// A version of weights was named; the endpoints' turns count from then.
     void apply(weights::model_target const& target, kernel::steady_time named);
+    /// What the agents beside the endpoints tell of them.
+    void on_engine_state(kernel::endpoint_id const& endpoint,
+                         wire::engine_state const& state);
+    void on_cache_change(kernel::endpoint_id const& endpoint,
+                         wire::cache_change const& change);
+    void on_link_lost(kernel::endpoint_id const& endpoint);
     void set_settings(gateway_settings settings);
 
     /// From now on answers end their connections.
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -41,15 +41,20 @@
     return std::find(list.begin(), list.end(), id) != list.end();
 }
 
-/// The endpoint that all processes agree on as the first for a prefix.
+/// The endpoint that all processes agree on as the first for a prefix, among
+/// those that serve the version.
 endpoint_record const* home_of(endpoint_chooser::record_list endpoints,
-                               std::uint64_t prefix, kernel::steady_time now)
+                               std::uint64_t prefix,
+                               kernel::model_id const& model,
+                               weights::weight_version version,
+                               kernel::steady_time now)
 {
     endpoint_record const* res = nullptr;
     std::uint64_t best = 0;
     for (auto const& it : endpoints)
     {
-        if (!it->available(now))
+        if (!it->available(now) || it->reloading() ||
+            it->version_of(model) != version)
             continue;
         auto const rank = rank_of(it->entry().id, prefix);
         if (res == nullptr || rank > best)
@@ -168,75 +173,106 @@
            requests * settings_.step_ms_per_request;
 }
 
+/// The endpoint to fetch the prefix from: the one that holds most of it.
+endpoint_chooser::source endpoint_chooser::source_for(
+    endpoint_record const& self, record_list endpoints,
+    std::vector<prefix_level> const& levels, kernel::model_id const& model,
+    weights::weight_version version, kernel::steady_time now) const
+{
+    source res;
+    for (auto const& it : endpoints)
+    {
+        if (it.get() == &self || it->version_of(model) != version)
+            continue;
+        auto const held = it->cache().held(levels, now);
+        auto const nearer = held == res.held && res.from != nullptr &&
+                            it->entry().zone == self.entry().zone &&
+                            res.from->entry().zone != self.entry().zone;
+        if (held > res.held || (nearer && held > 0))
+            res = {it.get(), held};
+    }
+    return res;
+}
+
 void endpoint_chooser::add_prompt(offer& made, record_list endpoints,
                                   service const& target, demand const& wanted,
                                   kernel::steady_time now) const
 {
     auto const& prompt = *wanted.prompt;
     auto& choice = made.choice;
-    auto const levels = prefix_levels(prompt, choice.cache_salt);
     auto const& self = *choice.endpoint;
-    std::uint32_t held = 0;
-    std::uint32_t fetched = 0;
-    double fetch_ms = 0;
+    auto const levels = prefix_levels(prompt, choice.cache_salt);
+    auto const total = std::max(prompt.prompt_tokens,
+                                levels.empty() ? 0 : levels.back().tokens);
+    auto const held = self.cache().held(levels, now);
+    auto known = held;
     if (!levels.empty())
     {
         auto const& shared = shared_level(levels);
-        auto const* const home = home_of(endpoints, shared.hash, now);
-        held = self.cache().held(levels);
-        if (home == &self && held < shared.tokens)
-            held += static_cast<std::uint32_t>(settings_.home_hit_chance *
-                                               (shared.tokens - held));
-        endpoint_record const* source = nullptr;
-        std::uint32_t best = held;
-        for (auto const& it : endpoints)
+        auto const from = source_for(self, endpoints, levels, prompt.model,
+                                     choice.version, now);
+        // Named even if nothing is missing: what is believed of the endpoint
+        // may be wrong, and a source that is not needed costs nothing.
+        if (from.from != nullptr && from.held >= least_fetched_tokens)
+            choice.kv.source = address_of(from.from->entry());
+        if (from.held > held)
         {
-            if (it.get() == &self || !it->available(now))
-                continue;
-            auto there = it->cache().held(levels);
-            if (it.get() == home && there < shared.tokens)
-                there += static_cast<std::uint32_t>(settings_.home_hit_chance *
-                                                    (shared.tokens - there));
-            if (there >= best + least_fetched_tokens)
-            {
-                best = there;
-                source = it.get();
-            }
-        }
-        if (source != nullptr)
-        {
-            choice.kv.source = address_of(source->entry());
-            fetched = best - held;
-            auto const bytes =
-                static_cast<double>(fetched) *
-                static_cast<double>(target.engine->kv_token_bytes);
-            auto const factor = source->entry().zone == self.entry().zone
-                                    ? 1
-                                    : cross_zone_transfer;
-            fetch_ms = ms(settings_.transfer_setup).count() +
-                       factor * bytes / settings_.transfer_bytes_per_ms;
+            known = from.held;
+            made.cost += fetch_ms(self, *from.from, from.held - held, target);
         }
+        // Requests that share a prefix which is held nowhere meet at its home.
+        auto const* const home =
+            home_of(endpoints, shared.key, prompt.model, choice.version, now);
+        if (home != &self && known < shared.tokens)
+            made.cost += ms(settings_.away_from_home).count() *
+                         (shared.tokens - known) / shared.tokens;
+        else if (home != &self && held < shared.tokens)
+            made.cost += ms(settings_.fetch).count();
     }
-    auto const total = std::max(prompt.prompt_tokens,
-                                levels.empty() ? 0 : levels.back().tokens);
-    choice.footprint.uncached_tokens = total - std::min(total, held + fetched);
+    choice.footprint.uncached_tokens = total - std::min(total, known);
     choice.footprint.memory_tokens = total + prompt.max_output_tokens;
-    made.cost += fetch_ms + choice.footprint.uncached_tokens /
-                                settings_.prefill_tokens_per_ms;
+    made.cost +=
+        choice.footprint.uncached_tokens / settings_.prefill_tokens_per_ms;
     choice.first_answer =
         std::chrono::milliseconds(static_cast<std::int64_t>(made.cost));
-    if (!target.engine || target.engine->kv_capacity_tokens == 0)
-        return;
+    made.cost += memory_cost(self, choice.footprint, target, now);
+}
+
+double endpoint_chooser::fetch_ms(endpoint_record const& to,
+                                  endpoint_record const& from,
+                                  std::uint32_t tokens,
+                                  service const& target) const
+{
+    auto const bytes = static_cast<double>(tokens) *
+                       static_cast<double>(target.engine->kv_token_bytes);
+    auto const factor =
+        from.entry().zone == to.entry().zone ? 1 : cross_zone_transfer;
+    return ms(settings_.transfer_setup).count() +
+           factor * bytes / settings_.transfer_bytes_per_ms;
+}
+
+double endpoint_chooser::memory_cost(endpoint_record const& self,
+                                     request_footprint const& footprint,
+                                     service const& target,
+                                     kernel::steady_time now) const
+{
     auto const capacity =
         static_cast<double>(target.engine->kv_capacity_tokens);
-    auto const mean =
-        self.in_flight() > 0
-            ? static_cast<double>(self.memory_tokens()) / self.in_flight()
-            : static_cast<double>(choice.footprint.memory_tokens);
-    auto const used = static_cast<double>(self.memory_tokens()) +
-                      self.others(now) * mean + choice.footprint.memory_tokens;
-    if (used > capacity)
-        made.cost += ms(settings_.memory_full).count() * used / capacity;
+    if (capacity <= 0)
+        return 0;
+    auto foreign = static_cast<double>(self.foreign_memory());
+    if (!self.linked())
+    {
+        auto const mean =
+            self.in_flight() > 0
+                ? static_cast<double>(self.memory_tokens()) / self.in_flight()
+                : static_cast<double>(footprint.memory_tokens);
+        foreign = self.others(now) * mean;
+    }
+    auto const used = static_cast<double>(self.memory_tokens()) + foreign +
+                      footprint.memory_tokens;
+    return used > capacity ? ms(settings_.memory_full).count() * used / capacity
+                           : 0;
 }
 
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/endpoint_directory.cpp
+++ b/packages/gateway/internal/endpoint_directory.cpp
@@ -26,9 +26,7 @@
 {
 }
 
-void endpoint_directory::update(
-    std::vector<endpoint_entry> entries,
-    std::function<std::uint64_t(kernel::service_id const&)> const& kv_capacity)
+void endpoint_directory::update(std::vector<endpoint_entry> entries)
 {
     std::unordered_set<kernel::endpoint_id> listed;
     by_service_.clear();
@@ -41,8 +39,7 @@
         auto const peer = address_of(it);
         auto& place = records_[it.id];
         if (place.record == nullptr)
-            place.record =
-                std::make_shared<endpoint_record>(it, kv_capacity(it.service));
+            place.record = std::make_shared<endpoint_record>(it);
         else
             place.record->update(it);
         if (place.pool == nullptr || place.pool->peer() != peer)
@@ -66,6 +63,13 @@
     return found == by_service_.end() ? none_ : found->second;
 }
 
+std::shared_ptr<endpoint_record>
+endpoint_directory::find(kernel::endpoint_id const& id) const
+{
+    auto const found = records_.find(id);
+    return found == records_.end() ? nullptr : found->second.record;
+}
+
 std::shared_ptr<upstream_pool>
 endpoint_directory::pool_of(endpoint_record const& record)
 {
@@ -86,8 +90,7 @@
 }
 
 void endpoint_directory::for_each(
-    std::function<void(endpoint_record const&, upstream_pool&)> const& visit)
-    const
+    std::function<void(endpoint_record&, upstream_pool&)> const& visit) const
 {
     for (auto const& [id, it] : records_)
         visit(*it.record, *it.pool);
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -34,10 +34,8 @@
 
 } // namespace
 
-endpoint_record::endpoint_record(endpoint_entry entry,
-                                 std::uint64_t kv_capacity_tokens)
+endpoint_record::endpoint_record(endpoint_entry entry)
     : entry_(std::move(entry))
-    , cache_(kv_capacity_tokens)
 {
 }
 
@@ -46,7 +44,9 @@
     if (entry.incarnation != entry_.incarnation || entry.host != entry_.host ||
         entry.port != entry_.port)
     {
-        cache_.clear();
+        // What an agent has told of this start already stays.
+        if (!linked_)
+            cache_.clear();
         load_.reset();
         gone_ = false;
         avoided_until_ = {};
@@ -98,6 +98,47 @@
     pending_tokens_ -= footprint.uncached_tokens;
 }
 
+void endpoint_record::on_state(wire::engine_state const& state,
+                               kernel::steady_time now)
+{
+    // A restart may keep the id; the endpoint's entry tells of it later.
+    if (state.endpoint_incarnation != 0 &&
+        state.endpoint_incarnation < entry_.incarnation)
+        return;
+    if (state.endpoint_incarnation > entry_.incarnation)
+    {
+        entry_.incarnation = state.endpoint_incarnation;
+        cache_.clear();
+    }
+    linked_ = true;
+    reloading_ = state.reloading;
+    cache_.set_reported(true);
+    for (auto const& it : state.weights)
+        set_version(it.model, it.version);
+    load_ = load_sample{state.running, state.waiting, entry_.slots, now,
+                        in_flight_};
+    foreign_memory_ = state.memory_used > memory_tokens_
+                          ? state.memory_used - memory_tokens_
+                          : 0;
+}
+
+void endpoint_record::on_cache(wire::cache_change const& change)
+{
+    if (change.reset)
+        cache_.clear();
+    for (auto const& it : change.parts)
+        cache_.report(it.key, it.tokens);
+}
+
+void endpoint_record::on_link_lost()
+{
+    linked_ = false;
+    reloading_ = false;
+    cache_.clear();
+    cache_.set_reported(false);
+    foreign_memory_ = 0;
+}
+
 void endpoint_record::on_success(kernel::steady_time now)
 {
     backoff_ = milliseconds(0);
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -232,8 +232,8 @@
                                  ? *workspace_->priority
                                  : route_->priority;
         fields.priority = std::clamp(urgency, 0, lowest_priority);
-        endpoint_->cache().add(
-            prefix_levels(*demand_.prompt, choice.cache_salt));
+        endpoint_->cache().expect(
+            prefix_levels(*demand_.prompt, choice.cache_salt), now);
         services_.metrics.on_prompt(demand_.prompt->prompt_tokens,
                                     choice.footprint.uncached_tokens);
     }
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -83,15 +83,7 @@
 
 void gateway::apply(std::vector<endpoint_entry> endpoints)
 {
-    auto const capacity = [this](kernel::service_id const& id) -> std::uint64_t
-    {
-        auto const* const found =
-            table_ == nullptr ? nullptr : table_->find_service(id);
-        return found != nullptr && found->engine
-                   ? found->engine->kv_capacity_tokens
-                   : 0;
-    };
-    endpoints_->update(std::move(endpoints), capacity);
+    endpoints_->update(std::move(endpoints));
     update_limits();
 }
 
@@ -105,6 +97,33 @@
                endpoints_->ids_with_model(target.model).size());
 }
 
+void gateway::on_engine_state(kernel::endpoint_id const& endpoint,
+                              wire::engine_state const& state)
+{
+    auto const found = endpoints_->find(endpoint);
+    if (found == nullptr)
+        return;
+    auto const was_reloading = found->reloading();
+    found->on_state(state, clock_.now());
+    if (was_reloading != found->reloading())
+        log_.write("engine_state", "endpoint={} reloading={} running={}",
+                   endpoint.str(), state.reloading, state.running);
+}
+
+void gateway::on_cache_change(kernel::endpoint_id const& endpoint,
+                              wire::cache_change const& change)
+{
+    if (auto const found = endpoints_->find(endpoint))
+        found->on_cache(change);
+}
+
+void gateway::on_link_lost(kernel::endpoint_id const& endpoint)
+{
+    log_.write("link_lost", "endpoint={}", endpoint.str());
+    if (auto const found = endpoints_->find(endpoint))
+        found->on_link_lost();
+}
+
 void gateway::set_settings(gateway_settings settings)
 {
     settings_ = std::move(settings);
@@ -122,7 +141,7 @@
     if (table_ == nullptr)
         return;
     endpoints_->for_each(
-        [&](endpoint_record const& record, upstream_pool& pool)
+        [&](endpoint_record& record, upstream_pool& pool)
         {
             auto const* const found =
                 table_->find_service(record.entry().service);
@@ -141,7 +160,7 @@
         {
             if (ec)
                 return;
-            endpoints_->for_each([](endpoint_record const&, upstream_pool& pool)
+            endpoints_->for_each([](endpoint_record&, upstream_pool& pool)
                                  { pool.close_expired(); });
             tick();
         });
@@ -166,7 +185,7 @@
 {
     timer_.cancel();
     front_.close_all();
-    endpoints_->for_each([](endpoint_record const&, upstream_pool& pool)
+    endpoints_->for_each([](endpoint_record&, upstream_pool& pool)
                          { pool.close_idle(); });
 }
 
--- a/packages/gateway/internal/prefix_memory.cpp
+++ b/packages/gateway/internal/prefix_memory.cpp
@@ -2,76 +2,99 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace endiveward::gateway
 {
 
+namespace
+{
+
+/// Reports come within a second of the read; an expectation that was not
+/// confirmed by then was wrong.
+constexpr std::chrono::seconds expectation_time_reported{2};
+/// Without reports, parts are taken to be evicted after this: caches of the
+/// installations turn over in about ten seconds.
+constexpr std::chrono::seconds expectation_time_alone{8};
+
+} // namespace
+
+std::uint64_t part_key(std::string_view salt, std::string_view part_id)
+{
+    auto const seed = XXH3_64bits(salt.data(), salt.size());
+    return XXH3_64bits_withSeed(part_id.data(), part_id.size(), seed);
+}
+
 std::vector<prefix_level> prefix_levels(prompt_info const& prompt,
                                         std::string_view salt)
 {
     std::vector<prefix_level> res;
     res.reserve(prompt.parts.size());
-    auto hash = XXH3_64bits(salt.data(), salt.size());
     std::uint32_t tokens = 0;
     for (auto const& it : prompt.parts)
     {
-        hash = XXH3_64bits_withSeed(it.id.data(), it.id.size(), hash);
         tokens += it.tokens;
-        res.push_back({hash, tokens});
+        res.push_back({part_key(salt, it.id), it.tokens, tokens});
     }
     return res;
 }
 
-prefix_memory::prefix_memory(std::uint64_t capacity_tokens)
-    : capacity_(capacity_tokens)
+std::uint32_t prefix_memory::tokens_of(std::uint64_t key,
+                                       kernel::steady_time now) const
 {
+    std::uint32_t res = 0;
+    if (auto const found = reports_.find(key); found != reports_.end())
+        res = found->second;
+    auto const limit =
+        reported_ ? expectation_time_reported : expectation_time_alone;
+    auto const expected = expected_.find(key);
+    if (expected != expected_.end() && now - expected->second.at < limit)
+        res = std::max(res, expected->second.tokens);
+    return res;
 }
 
-std::uint32_t prefix_memory::held(std::vector<prefix_level> const& levels) const
+std::uint32_t prefix_memory::held(std::vector<prefix_level> const& levels,
+                                  kernel::steady_time now) const
 {
     std::uint32_t res = 0;
     for (auto const& it : levels)
     {
-        if (!by_hash_.contains(it.hash))
+        auto const n = tokens_of(it.key, now);
+        res += std::min(n, it.part_tokens);
+        if (n < it.part_tokens)
             break;
-        res = it.tokens;
     }
     return res;
 }
 
-void prefix_memory::add(std::vector<prefix_level> const& levels)
+void prefix_memory::expect(std::vector<prefix_level> const& levels,
+                           kernel::steady_time now)
 {
-    std::uint32_t before = 0;
-    // The deepest level becomes the least recent of the chain: a part is of no
-    // use without those before it.
     for (auto const& it : levels)
-    {
-        touch(it.hash, it.tokens - before);
-        before = it.tokens;
-    }
-    for (auto it = levels.rbegin(); it != levels.rend(); ++it)
-        items_.splice(items_.begin(), items_, by_hash_.at(it->hash));
-    while (used_ > capacity_ && items_.size() > levels.size())
-    {
-        used_ -= items_.back().tokens;
-        by_hash_.erase(items_.back().hash);
-        items_.pop_back();
-    }
+        expected_[it.key] = {it.part_tokens, now};
 }
 
-void prefix_memory::touch(std::uint64_t hash, std::uint32_t tokens)
+void prefix_memory::report(std::uint64_t key, std::uint32_t tokens)
 {
-    if (by_hash_.contains(hash))
+    if (tokens == 0)
+    {
+        reports_.erase(key);
+        expected_.erase(key);
         return;
-    items_.push_front({hash, tokens});
-    by_hash_.emplace(hash, items_.begin());
-    used_ += tokens;
+    }
+    reports_[key] = tokens;
 }
 
 void prefix_memory::clear()
 {
-    items_.clear();
-    by_hash_.clear();
-    used_ = 0;
+    reports_.clear();
+    expected_.clear();
+}
+
+void prefix_memory::expire(kernel::steady_time now)
+{
+    std::erase_if(expected_, [now](auto const& it)
+                  { return now - it.second.at >= expectation_time_alone; });
 }
 
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/upstream_connection.cpp
+++ b/packages/gateway/internal/upstream_connection.cpp
@@ -1,13 +1,12 @@
 #include "gateway/http/upstream_connection.hpp"
 
 #include "gateway/http/i_upstream_observer.hpp"
+#include "kernel/tcp_liveness.hpp"
 
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/write.hpp>
 
-#include <netinet/tcp.h>
-
 #include <algorithm>
 #include <charconv>
 #include <optional>
@@ -25,15 +24,6 @@
 constexpr std::chrono::milliseconds idle_margin{700};
 constexpr std::chrono::milliseconds shortest_idle{300};
 
-using keep_idle =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-using keep_interval =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-using keep_count =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-using user_timeout =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-
 /// The `timeout` parameter of a `Keep-Alive` field.
 std::optional<std::chrono::seconds> keep_alive_timeout(header_list const& list)
 {
@@ -137,18 +127,10 @@
 
 void upstream_connection::set_socket_options()
 {
-    using std::chrono::duration_cast;
-    using std::chrono::seconds;
     std::error_code ec;
-    auto const limit = static_cast<int>(options_->peer_timeout.count());
-    // An option that cannot be set leaves the default of the system, which
-    // only detects a lost peer later.
+    // Without the option the connection works, but slower.
     socket_.set_option(asio::ip::tcp::no_delay(true), ec);
-    socket_.set_option(asio::socket_base::keep_alive(true), ec);
-    socket_.set_option(keep_idle(1), ec);
-    socket_.set_option(keep_interval(1), ec);
-    socket_.set_option(keep_count(2), ec);
-    socket_.set_option(user_timeout(limit), ec);
+    kernel::watch_peer(socket_, options_->peer_timeout);
 }
 
 void upstream_connection::write()
--- a/packages/gateway/internal/weights_view.cpp
+++ b/packages/gateway/internal/weights_view.cpp
@@ -70,7 +70,15 @@
     auto const& current = found->second;
     auto const version = endpoint.version_of(model);
     if (version >= current.version)
-        return weights_standing::current;
+        return endpoint.reloading() ? weights_standing::reloading
+                                    : weights_standing::current;
+    if (endpoint.linked())
+    {
+        if (endpoint.reloading())
+            return weights_standing::reloading;
+        return expired(current, version, now) ? weights_standing::expired
+                                              : weights_standing::old;
+    }
     auto const turn = current.plan->start_of(endpoint.entry().id);
     // An endpoint that is not part of the plan has started since then.
     auto const begin =
--- a/packages/gateway/types/placement_settings.hpp
+++ b/packages/gateway/types/placement_settings.hpp
@@ -21,9 +21,12 @@
     std::chrono::milliseconds transfer_setup{6};
     /// Cost of sending a request to another availability zone.
     std::chrono::milliseconds cross_zone{25};
-    /// Chance that the home of a prefix, the first in rank order, holds it
-    /// though this process has not sent it there.
-    double home_hit_chance = 0.5;
+    /// Cost of reading a shared prefix elsewhere than at its home, the
+    /// endpoint that all processes agree on. Another process may just have it
+    /// read at the home; reading it twice wastes more than the wait.
+    std::chrono::milliseconds away_from_home{400};
+    /// Cost of fetching a prefix beside the time of the transfer.
+    std::chrono::milliseconds fetch{20};
     /// Cost of an endpoint at which every request failed lately.
     std::chrono::milliseconds failing{1500};
     /// Cost of an endpoint that is about to refuse requests for new weights.
--- a/packages/weights/internal/weight_updater.cpp
+++ b/packages/weights/internal/weight_updater.cpp
@@ -54,9 +54,17 @@
     {
         if (!lacks(model, wanted.version) || now < due(wanted))
             continue;
+        auto const idle = report_->running + report_->waiting == 0;
+        if (!idle && now < due(wanted) + options_.drain_limit)
+            continue;
+        load_order res;
+        res.model = model;
+        res.version = wanted.version;
+        res.holder = options_.holder;
+        res.fencing_number = fencing_number_;
+        res.orders_accepted = report_->orders_accepted;
         sent_at_ = now;
-        return load_order{model, wanted.version, options_.holder,
-                          fencing_number_, report_->orders_accepted};
+        return res;
     }
     return std::nullopt;
 }
@@ -68,6 +76,17 @@
                        { return lacks(it.first, it.second.version); });
 }
 
+bool weight_updater::reloading(kernel::steady_time now) const
+{
+    if (report_ && report_->busy)
+        return true;
+    return std::any_of(targets_.begin(), targets_.end(),
+                       [&](auto const& it) {
+                           return lacks(it.first, it.second.version) &&
+                                  now >= due(it.second);
+                       });
+}
+
 bool weight_updater::lacks(kernel::model_id const& model,
                            weight_version version) const
 {
--- a/packages/weights/types/engine_report.hpp
+++ b/packages/weights/types/engine_report.hpp
@@ -20,6 +20,11 @@
     bool busy = false;
     /// Orders accepted since the start.
     std::uint64_t orders_accepted = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /// Tokens of memory that cannot be given up, and of all memory.
+    std::uint64_t memory_used = 0;
+    std::uint64_t memory_total = 0;
 };
 
 } // namespace endiveward::weights
--- a/packages/weights/types/load_order.hpp
+++ b/packages/weights/types/load_order.hpp
@@ -10,12 +10,21 @@
 namespace endiveward::weights
 {
 
-/// An order to an engine to serve another version of a model. Runs that are
-/// in progress finish first.
+/// What becomes of the runs that are in progress when an engine takes new
+/// weights.
+enum class running_requests
+{
+    finish_first,
+    /// They go on under the new version.
+    keep
+};
+
+/// An order to an engine to serve another version of a model.
 struct load_order
 {
     kernel::model_id model;
     weight_version version = 0;
+    running_requests runs = running_requests::finish_first;
     std::string holder;
     std::uint64_t fencing_number = 0;
     /// Orders that the engine must have accepted so far; an order that arrives
--- a/packages/weights/weight_updater.hpp
+++ b/packages/weights/weight_updater.hpp
@@ -22,6 +22,9 @@
     /// An endpoint whose turn has not come takes its weights at this age of
     /// the oldest version that it lacks.
     std::chrono::milliseconds latest_start{4500};
+    /// Routers avoid an engine from its turn on; its runs have this long to
+    /// end before it is ordered.
+    std::chrono::milliseconds drain_limit{1500};
 };
 
 /// Decides when the engine of this VM is ordered to take which version. The
@@ -42,6 +45,8 @@
     std::optional<load_order> next_order(kernel::steady_time now);
     /// Whether a model lacks its newest version.
     bool behind() const;
+    /// Whether the engine takes new weights, or its turn to do so has come.
+    bool reloading(kernel::steady_time now) const;
 
 private:
     struct target
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -385,6 +385,91 @@
     return out;
 }
 
+offset<fbs::engine_state> put(builder& fbb, engine_state const& msg)
+{
+    std::vector<offset<fbs::model_weights>> weights;
+    weights.reserve(msg.weights.size());
+    for (auto const& it : msg.weights)
+        weights.push_back(fbs::Createmodel_weightsDirect(
+            fbb, it.model.str().c_str(), it.version));
+    return fbs::Createengine_stateDirect(
+        fbb, msg.endpoint_incarnation, &weights, msg.reloading, msg.running,
+        msg.waiting, msg.memory_used, msg.memory_total);
+}
+
+engine_state get(fbs::engine_state const& in)
+{
+    engine_state out;
+    out.endpoint_incarnation = in.endpoint_incarnation();
+    out.reloading = in.reloading();
+    out.running = in.running();
+    out.waiting = in.waiting();
+    out.memory_used = in.memory_used();
+    out.memory_total = in.memory_total();
+    if (in.weights() == nullptr)
+        return out;
+    for (auto const* it : *in.weights())
+        out.weights.push_back(
+            {kernel::model_id(text(it->model())), it->version()});
+    return out;
+}
+
+offset<fbs::cache_change> put(builder& fbb, cache_change const& msg)
+{
+    std::vector<fbs::cached_part> parts;
+    parts.reserve(msg.parts.size());
+    for (auto const& it : msg.parts)
+        parts.emplace_back(it.key, it.tokens);
+    return fbs::Createcache_changeDirect(fbb, msg.reset, &parts);
+}
+
+cache_change get(fbs::cache_change const& in)
+{
+    cache_change out;
+    out.reset = in.reset();
+    if (in.parts() == nullptr)
+        return out;
+    out.parts.reserve(in.parts()->size());
+    for (auto const* it : *in.parts())
+        out.parts.push_back({it->key(), it->tokens()});
+    return out;
+}
+
+offset<fbs::table_request> put(builder& fbb, table_request const& msg)
+{
+    return fbs::Createtable_request(fbb, msg.after);
+}
+
+table_request get(fbs::table_request const& in)
+{
+    return {in.after()};
+}
+
+offset<fbs::table_rows> put(builder& fbb, table_rows const& msg)
+{
+    std::vector<offset<fbs::table_row>> rows;
+    rows.reserve(msg.rows.size());
+    for (auto const& it : msg.rows)
+    {
+        auto const value = put_bytes(fbb, it.value);
+        auto const key = fbb.CreateString(it.key);
+        rows.push_back(fbs::Createtable_row(fbb, key, value, it.version));
+    }
+    return fbs::Createtable_rowsDirect(fbb, &rows);
+}
+
+table_rows get(fbs::table_rows const& in)
+{
+    table_rows out;
+    if (in.rows() == nullptr)
+        return out;
+    out.rows.reserve(in.rows()->size());
+    for (auto const* it : *in.rows())
+        out.rows.push_back(
+            {text(it->key()), bytes_of(it->value()), it->version()});
+    return out;
+}
+
 template <typename Table>
 message get_body(fbs::envelope const& envelope)
 {
@@ -451,6 +536,14 @@
         return get_body<fbs::draining>(envelope);
     case fbs::message_body::gossip:
         return get_body<fbs::gossip>(envelope);
+    case fbs::message_body::engine_state:
+        return get_body<fbs::engine_state>(envelope);
+    case fbs::message_body::cache_change:
+        return get_body<fbs::cache_change>(envelope);
+    case fbs::message_body::table_request:
+        return get_body<fbs::table_request>(envelope);
+    case fbs::message_body::table_rows:
+        return get_body<fbs::table_rows>(envelope);
     case fbs::message_body::NONE:
         break;
     }
--- a/packages/wire/internal/connection.cpp
+++ b/packages/wire/internal/connection.cpp
@@ -1,6 +1,7 @@
 #include "wire/internal/connection.hpp"
 
 #include "kernel/i_random_source.hpp"
+#include "kernel/tcp_liveness.hpp"
 #include "kernel/types/result.hpp"
 #include "wire/codec.hpp"
 #include "wire/i_connection_observer.hpp"
@@ -22,6 +23,8 @@
 {
 
 constexpr std::size_t nonce_bytes = 32;
+/// Data that a peer has not acknowledged for this long ends the connection.
+constexpr std::chrono::milliseconds peer_timeout{5000};
 // A peer that is not authenticated yet gets little memory.
 constexpr std::size_t max_hello_bytes = 64U << 10U;
 constexpr std::size_t max_batch_frames = 64;
@@ -101,6 +104,7 @@
         return;
     std::error_code ec;
     socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+    kernel::watch_peer(socket_, peer_timeout);
     // The server answers a hello, so that a port scan learns nothing.
     if (side_ == side::client)
         send_hello();
--- /dev/null
+++ b/packages/wire/types/engine_state.hpp
@@ -0,0 +1,33 @@
+#ifndef ENDIVEWARD_WIRE_TYPES_ENGINE_STATE_HPP
+#define ENDIVEWARD_WIRE_TYPES_ENGINE_STATE_HPP
+
+#include "kernel/types/identifiers.hpp"
+#include "wire/types/model_weights.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace endiveward::wire
+{
+
+/// What an agent has just read from its engine.
+struct engine_state
+{
+    /// Differs after a restart of the engine.
+    kernel::incarnation endpoint_incarnation = 0;
+    std::vector<model_weights> weights;
+    /// The engine takes, or is about to take, new weights; requests should go
+    /// elsewhere.
+    bool reloading = false;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /// Tokens of memory that cannot be given up, and of all memory.
+    std::uint64_t memory_used = 0;
+    std::uint64_t memory_total = 0;
+
+    bool operator==(engine_state const&) const = default;
+};
+
+} // namespace endiveward::wire
+
+#endif
--- a/packages/wire/types/message.hpp
+++ b/packages/wire/types/message.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEWARD_WIRE_TYPES_MESSAGE_HPP
 #define ENDIVEWARD_WIRE_TYPES_MESSAGE_HPP
 
+#include "wire/types/cache_change.hpp"
 #include "wire/types/call_end.hpp"
 #include "wire/types/cancel.hpp"
 #include "wire/types/chunk.hpp"
@@ -8,11 +9,14 @@
 #include "wire/types/config_request.hpp"
 #include "wire/types/config_update.hpp"
 #include "wire/types/draining.hpp"
+#include "wire/types/engine_state.hpp"
 #include "wire/types/gossip.hpp"
 #include "wire/types/heartbeat.hpp"
 #include "wire/types/hello.hpp"
 #include "wire/types/invoke.hpp"
 #include "wire/types/resume.hpp"
+#include "wire/types/table_request.hpp"
+#include "wire/types/table_rows.hpp"
 #include "wire/types/verdict.hpp"
 
 #include <variant>
@@ -21,9 +25,10 @@
 {
 
 /// Any message between two processes of endiveward.
-using message = std::variant<hello, heartbeat, invoke, verdict, chunk, call_end,
-                             chunk_ack, cancel, resume, config_request,
-                             config_update, draining, gossip>;
+using message =
+    std::variant<hello, heartbeat, invoke, verdict, chunk, call_end, chunk_ack,
+                 cancel, resume, config_request, config_update, draining,
+                 gossip, engine_state, cache_change, table_request, table_rows>;
 
 } // namespace endiveward::wire
 
