--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -30,7 +30,7 @@
 constexpr milliseconds tick_interval{100};
 /// The load balancer takes a process out of rotation after it has missed two
 /// questions, one a second.
-constexpr milliseconds stop_notice{3000};
+constexpr milliseconds stop_notice{2800};
 /// Left of the grace for the end of the process itself.
 constexpr milliseconds exit_margin{500};
 /// The settings file may change without a signal.
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -48,6 +48,9 @@
     /// False if the request has been answered already.
     bool start();
 
+    /// Refuses the request because the process stops.
+    void refuse_stopping();
+
     void on_caller_gone() override;
     void on_caller_ready() override;
 
@@ -99,6 +102,7 @@
     void on_timer();
     void on_silence();
     std::optional<kernel::steady_time> silence_deadline() const;
+    kernel::steady_time next_look() const;
     std::chrono::milliseconds time_left() const;
     std::chrono::milliseconds age() const;
     header_list answer_headers(response_head const& head) const;
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -57,6 +57,7 @@
 
     /// From now on answers end their connections.
     void announce_stop();
+    /// From now on new requests are refused.
     void stop_listening();
     void close_idle();
     void close_all();
@@ -87,6 +88,8 @@
     front_server front_;
     asio::steady_timer timer_;
     bool draining_ = false;
+    /// New requests might not end before the process does.
+    bool refusing_ = false;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -55,12 +55,14 @@
 /// A plain call without an answer after this share of its target latency is
 /// sent to another endpoint, which then still answers in time.
 constexpr double plain_patience = 0.6;
-/// The same for the first event of a stream, whose time varies more.
-constexpr double first_event_patience = 0.8;
-/// Share of the longest pause between events after which a stream is resumed
-/// elsewhere.
-constexpr double event_patience = 0.7;
+/// The same for the first event of a stream, whose time varies more, and for
+/// the longest pause between events of a stream that can be resumed.
+constexpr double stream_patience = 0.8;
+/// While the endpoint still sends to others, the request is only slow there,
+/// and giving up what it has done costs more than the wait.
+constexpr double patience_with_busy_endpoint = 2.5;
 constexpr milliseconds least_patience{40};
+constexpr milliseconds look_interval{200};
 /// A connection that was idle for longer may be closed by the peer just then;
 /// for requests that cannot be repeated a new one is made.
 constexpr milliseconds max_idle_once{1500};
@@ -70,6 +72,8 @@
 constexpr milliseconds still_old_pause{600};
 /// When callers may come back.
 constexpr milliseconds retry_no_configuration{400};
+/// Another process can take the request at once.
+constexpr milliseconds retry_stopping{50};
 constexpr milliseconds retry_no_endpoint{350};
 constexpr milliseconds retry_refused{250};
 /// A caller that does not read holds back the endpoint from this on.
@@ -112,6 +116,13 @@
     return progress_ != progress::ended;
 }
 
+void exchange::refuse_stopping()
+{
+    arrived_ = services_.clock.now();
+    id_ = request_.headers.value_or(services_.names.request_id, "");
+    refuse(retry_stopping, "stopping");
+}
+
 /// Whether the configuration allows the request; otherwise it is answered.
 bool exchange::admit()
 {
@@ -261,7 +272,7 @@
     upstream_->send(pool_->peer(),
                     build_request(request_, fields, services_.names), id_,
                     request_.method == "HEAD", *this);
-    arm(silence_deadline().value_or(expires_ + expiry_slack));
+    arm(next_look());
 }
 
 void exchange::on_head(response_head const& head)
@@ -367,7 +378,7 @@
         reply_->write(event->text);
     }
     if (may_repeat(demand_.rule))
-        arm(silence_deadline().value_or(expires_ + expiry_slack));
+        arm(next_look());
 }
 
 void exchange::begin_stream()
@@ -506,7 +517,11 @@
         id_, entry.id.str(), head_.status, asked_version_,
         demand_.prompt ? endpoint_->version_of(demand_.prompt->model) : 0,
         instance != nullptr ? *instance : "", refusals_);
-    if (!misdirected)
+    // An endpoint that has taken the newer weights may be asked again.
+    auto const renewed =
+        demand_.prompt &&
+        endpoint_->version_of(demand_.prompt->model) > asked_version_;
+    if (!renewed)
         demand_.excluded.push_back(entry.id);
     if (refusals_ > max_refusals || !budget_->try_repeat(now))
         return give_up("refused_by_endpoint");
@@ -672,7 +687,7 @@
     auto const silence = silence_deadline();
     if (silence && now >= *silence)
         return on_silence();
-    arm(silence.value_or(expires_ + expiry_slack));
+    arm(next_look());
 }
 
 /// When a request that may run again is sent to another endpoint because this
@@ -681,35 +696,53 @@
 {
     if (!may_repeat(demand_.rule) || runs_ >= route_->max_attempts)
         return std::nullopt;
-    if (progress_ == progress::streaming && head_passed_)
-        return last_event_at_ +
-               std::max(share_of(route_->target_gap, event_patience),
-                        least_patience);
+    if (!is_stream(demand_.rule))
+    {
+        if (head_passed_)
+            return std::nullopt;
+        return sent_at_ +
+               std::max({share_of(route_->target_latency, plain_patience),
+                         least_patience, expected_answer_ * 2});
+    }
+    auto const share = endpoint_->silent(services_.clock.now())
+                           ? stream_patience
+                           : patience_with_busy_endpoint;
     if (head_passed_)
-        return std::nullopt;
-    auto patience = share_of(route_->target_latency, is_stream(demand_.rule)
-                                                         ? first_event_patience
-                                                         : plain_patience);
-    patience = std::max({patience, least_patience, expected_answer_ * 2});
-    return sent_at_ + patience;
+        return last_event_at_ +
+               std::max(share_of(route_->target_gap, share), least_patience);
+    return sent_at_ + std::max({share_of(route_->target_latency, share),
+                                least_patience, expected_answer_ * 2});
 }
 
 void exchange::on_silence()
 {
     if (!may_run_again("silent"))
         return arm(expires_ + expiry_slack);
-    services_.log.write("silent", "id={} endpoint={} waited_ms={} passed={}",
-                        id_, endpoint_->entry().id.str(),
-                        std::chrono::duration_cast<milliseconds>(
-                            services_.clock.now() - sent_at_)
-                            .count(),
-                        head_passed_);
-    if (endpoint_->silent(services_.clock.now()))
-        endpoint_->on_lost(services_.clock.now());
+    auto const now = services_.clock.now();
+    services_.log.write(
+        "silent", "id={} endpoint={} waited_ms={} passed={}", id_,
+        endpoint_->entry().id.str(),
+        std::chrono::duration_cast<milliseconds>(now - sent_at_).count(),
+        head_passed_);
+    if (endpoint_->silent(now))
+        endpoint_->on_lost(now);
+    else
+        endpoint_->on_error(now);
     release_upstream(false);
     attempt();
 }
 
+/// The next time at which the exchange looks whether to go on waiting.
+kernel::steady_time exchange::next_look() const
+{
+    auto const end = expires_ + expiry_slack;
+    auto const silence = silence_deadline();
+    if (!silence)
+        return end;
+    // Whether the endpoint is silent towards all may change before.
+    return std::min({end, *silence, services_.clock.now() + look_interval});
+}
+
 milliseconds exchange::time_left() const
 {
     return std::chrono::duration_cast<milliseconds>(expires_ -
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -173,6 +173,7 @@
 
 void gateway::stop_listening()
 {
+    refusing_ = true;
     front_.stop_listening();
 }
 
@@ -194,6 +195,11 @@
 {
     auto res = std::make_shared<exchange>(*services_, table_,
                                           std::move(request), reply);
+    if (refusing_)
+    {
+        res->refuse_stopping();
+        return nullptr;
+    }
     if (!res->start())
         return nullptr;
     return res;
--- a/packages/gateway/internal/weights_view.cpp
+++ b/packages/gateway/internal/weights_view.cpp
@@ -100,6 +100,9 @@
                              kernel::steady_time now) const
 {
     auto const version = endpoint.version_of(model);
+    // Its agent tells at once when the version changes.
+    if (endpoint.linked() && version != 0)
+        return version;
     auto const place = standing(endpoint, model, now);
     if (place == weights_standing::expected_current ||
         place == weights_standing::reloading ||
