Order new weights with runs kept after a short drain

Engines refused requests until their longest run had ended, up to 5 s each, and rollouts follow each other every 4 s. Runs now go on under the new version; what they still make earns nothing, which costs less.

--- a/packages/weights/internal/weight_updater.cpp
+++ b/packages/weights/internal/weight_updater.cpp
@@ -60,6 +60,7 @@
         load_order res;
         res.model = model;
         res.version = wanted.version;
+        res.runs = running_requests::keep;
         res.holder = options_.holder;
         res.fencing_number = fencing_number_;
         res.orders_accepted = report_->orders_accepted;
--- a/packages/weights/weight_updater.hpp
+++ b/packages/weights/weight_updater.hpp
@@ -24,7 +24,7 @@
     std::chrono::milliseconds latest_start{4500};
     /// Routers avoid an engine from its turn on; its runs have this long to
     /// end before it is ordered.
-    std::chrono::milliseconds drain_limit{1500};
+    std::chrono::milliseconds drain_limit{600};
 };
 
 /// Decides when the engine of this VM is ordered to take which version. The
