--- a/packages/weights/types/rollout_options.hpp
+++ b/packages/weights/types/rollout_options.hpp
@@ -12,7 +12,7 @@
 {
     /// Time between two groups: one load takes about 0.8 s, and requests that
     /// run when the order arrives are finished first.
-    std::chrono::milliseconds interval{800};
+    std::chrono::milliseconds interval{1100};
     /// How long one endpoint refuses requests, from its order to its new
     /// weights: the load and the longest common run before it.
     std::chrono::milliseconds unavailable{1600};
