--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -20,8 +20,8 @@
 constexpr double plain_call_ms = 40;
 /// Transfers between zones take twice as long.
 constexpr double cross_zone_transfer = 2;
-/// Fewer tokens than this are read sooner than they are fetched.
-constexpr std::uint32_t least_fetched_tokens = 512;
+/// Fewer tokens than this are not worth a transfer.
+constexpr std::uint32_t least_fetched_tokens = 48;
 
 std::uint64_t rank_of(kernel::endpoint_id const& id, std::uint64_t prefix)
 {
