--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -220,6 +220,12 @@
             known = from.held;
             made.cost += fetch_ms(self, *from.from, from.held - held, target);
         }
+        if (known < shared.tokens && wanted.kv_store)
+        {
+            if (choice.kv.source.empty())
+                choice.kv.source = *wanted.kv_store;
+            choice.kv.target = *wanted.kv_store;
+        }
         // Requests that share a prefix which is held nowhere meet at its home.
         auto const* const home =
             home_of(endpoints, shared.key, prompt.model, choice.version, now);
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -178,6 +178,11 @@
         demand_.prompt = parse_prompt(request_.headers, services_.names);
     if (workspace_ != nullptr && workspace_->isolated)
         demand_.cache_group = workspace_->id.str();
+    for (auto const& it : table_->config().services)
+    {
+        if (it.kv_store)
+            demand_.kv_store = it.kv_store->address;
+    }
     budget_ = &services_.budgets.of(demand_.service);
     budget_->on_request(arrived_);
 }
