--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -222,8 +222,9 @@
         }
         if (known < shared.tokens && wanted.kv_store)
         {
-            if (choice.kv.source.empty())
-                choice.kv.source = *wanted.kv_store;
+            // Another process may have had it saved; a miss costs a
+            // millisecond.
+            choice.kv.source = *wanted.kv_store;
             choice.kv.target = *wanted.kv_store;
         }
         // Requests that share a prefix which is held nowhere meet at its home.
@@ -235,6 +236,9 @@
         else if (home != &self && held < shared.tokens)
             made.cost += ms(settings_.fetch).count();
     }
+    if (!levels.empty())
+        choice.shared = shared_level(levels);
+    choice.known_tokens = known;
     choice.footprint.uncached_tokens = total - std::min(total, known);
     choice.footprint.memory_tokens = total + prompt.max_output_tokens;
     made.cost +=
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -269,11 +269,13 @@
     services_.log.write(
         "sent",
         "id={} route={} endpoint={} zone={} attempt={} version={} "
-        "uncached={} expect_ms={} in_flight={} source={} left_ms={}",
+        "prefix={:x} shared={} known={} uncached={} source={} expect_ms={} "
+        "in_flight={} left_ms={}",
         id_, route_->name, entry.id.str(), entry.zone.str(),
-        runs_ + refusals_ + failed_connects_, asked_version_,
-        footprint_.uncached_tokens, expected_answer_.count(),
-        endpoint_->in_flight(), choice.kv.source, time_left().count());
+        runs_ + refusals_ + failed_connects_, asked_version_, choice.shared.key,
+        choice.shared.tokens, choice.known_tokens, footprint_.uncached_tokens,
+        choice.kv.source, expected_answer_.count(), endpoint_->in_flight(),
+        time_left().count());
     upstream_->send(pool_->peer(),
                     build_request(request_, fields, services_.names), id_,
                     request_.method == "HEAD", *this);
--- a/packages/gateway/types/placement_choice.hpp
+++ b/packages/gateway/types/placement_choice.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEWARD_GATEWAY_TYPES_PLACEMENT_CHOICE_HPP
 
 #include "gateway/endpoint_record.hpp"
+#include "gateway/prefix_memory.hpp"
 #include "gateway/types/kv_route.hpp"
 #include "weights/types/weight_version.hpp"
 
@@ -21,6 +22,10 @@
     weights::weight_version version = 0;
     std::string cache_salt;
     kv_route kv;
+    /// The part that other requests share, and its tokens with those before.
+    prefix_level shared;
+    /// Tokens of it that the endpoint or the source is believed to hold.
+    std::uint32_t known_tokens = 0;
     /// Estimated time until the first event.
     std::chrono::milliseconds first_answer{0};
 };
