--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -39,6 +39,8 @@
 /// How often agents are asked for the operators' table while the store does
 /// not answer.
 constexpr milliseconds ask_interval{500};
+/// Operators change the configuration seldom, and it must be in force soon.
+constexpr milliseconds operators_pause{200};
 
 } // namespace
 
@@ -141,6 +143,8 @@
     {
         follower::follower_options options;
         options.table = table;
+        if (table == std::string_view(platform::operators_table))
+            options.pause_after_changes = operators_pause;
         auto res = std::make_shared<follower::table_follower>(
             control_, store_, random_, listener, options);
         res->start();
--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -34,7 +34,7 @@
 constexpr milliseconds endpoints_timeout{900};
 /// The store answers as soon as something changes; a longer wait only delays
 /// the notice of a store that has fallen silent.
-constexpr milliseconds store_wait{5000};
+constexpr milliseconds store_wait{8000};
 
 weights::updater_options
 updater_options(gateway::process_settings const& settings)
@@ -108,6 +108,7 @@
     follower::follower_options options;
     options.table = platform::operators_table;
     options.wait = store_wait;
+    options.pause_after_changes = milliseconds(0);
     operators_ = std::make_shared<follower::table_follower>(
         pool_.context(0), store_, random_, view_->operators(), options);
     row_exchange_.set_follower(operators_);
--- a/packages/follower/internal/table_follower.cpp
+++ b/packages/follower/internal/table_follower.cpp
@@ -90,9 +90,16 @@
     auto& batch = std::get<row_batch>(res);
     version_ = std::max(version_, batch.version);
     auto const changed = take_over(std::move(batch.rows));
-    if (!changed.empty())
-        listener_.on_rows(changed, version_);
-    wait_for_changes();
+    if (changed.empty())
+        return wait_for_changes();
+    listener_.on_rows(changed, version_);
+    timer_.expires_after(options_.pause_after_changes);
+    timer_.async_wait(
+        [self = shared_from_this()](std::error_code ec)
+        {
+            if (!ec && !self->stopped_)
+                self->wait_for_changes();
+        });
 }
 
 void table_follower::merge(std::vector<table_row> const& rows)
