--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -247,6 +247,7 @@
     state.reloading = updater_.reloading(clock_.now());
     state.running = report.running;
     state.waiting = report.waiting;
+    state.unanswered = report.unanswered;
     state.memory_used = report.memory_used;
     state.memory_total = report.memory_total;
     publisher_.publish(state);
--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -21,6 +21,7 @@
 {
     a.running = b.running;
     a.waiting = b.waiting;
+    a.unanswered = b.unanswered;
     a.memory_used = b.memory_used;
     return a == b;
 }
--- a/packages/gateway/endpoint_chooser.hpp
+++ b/packages/gateway/endpoint_chooser.hpp
@@ -7,6 +7,7 @@
 #include "gateway/types/placement_settings.hpp"
 #include "gateway/types/service.hpp"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -18,7 +19,7 @@
 class weights_view;
 
 /// Chooses the endpoint at which a request is expected to begin its answer
-/// first, counting what it would read again.
+/// first, counting what would be read again and what moves between zones.
 class endpoint_chooser
 {
 public:
@@ -33,34 +34,20 @@
 
 private:
     struct offer;
-
-    struct source
-    {
-        endpoint_record const* from = nullptr;
-        /// Tokens of the prefix that it holds.
-        std::uint32_t held = 0;
-    };
+    struct prompt_view;
+    struct search;
 
     std::optional<offer> offer_of(std::shared_ptr<endpoint_record> const& it,
-                                  record_list endpoints, service const& target,
-                                  demand const& wanted,
-                                  weights_view const& weights,
-                                  kernel::steady_time now) const;
-    double wait_ms(endpoint_record const& it, service const& target,
-                   double pending_per_request, kernel::steady_time now) const;
-    void add_prompt(offer& made, record_list endpoints, service const& target,
-                    demand const& wanted, kernel::steady_time now) const;
-
-    source source_for(endpoint_record const& self, record_list endpoints,
-                      std::vector<prefix_level> const& levels,
-                      kernel::model_id const& model,
-                      weights::weight_version version,
-                      kernel::steady_time now) const;
+                                  search& context) const;
+    prompt_view const& view_of(weights::weight_version version,
+                               search& context) const;
+    double wait_ms(endpoint_record const& it, search const& context) const;
+    void add_prompt(offer& made, search& context) const;
     double fetch_ms(endpoint_record const& to, endpoint_record const& from,
                     std::uint32_t tokens, service const& target) const;
     double memory_cost(endpoint_record const& self,
                        request_footprint const& footprint,
-                       service const& target, kernel::steady_time now) const;
+                       search const& context) const;
 
     placement_settings settings_;
     kernel::zone_id own_zone_;
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -91,6 +91,8 @@
     /// Requests of other processes at the endpoint, by its last report.
     double others(kernel::steady_time now) const;
     std::optional<load_sample> const& load() const { return load_; }
+    /// Requests of other processes that have no output yet.
+    double foreign_unanswered(kernel::steady_time now) const;
     /// Memory that others' requests occupy, by the agent's last report.
     std::uint64_t foreign_memory() const { return foreign_memory_; }
     prefix_memory& cache() { return cache_; }
@@ -115,6 +117,7 @@
     double results_ = 0;
     kernel::steady_time rated_at_{};
     std::uint64_t foreign_memory_ = 0;
+    std::uint32_t foreign_unanswered_ = 0;
     bool gone_ = false;
     bool linked_ = false;
     bool reloading_ = false;
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -41,31 +41,6 @@
     return std::find(list.begin(), list.end(), id) != list.end();
 }
 
-/// The endpoint that all processes agree on as the first for a prefix, among
-/// those that serve the version.
-endpoint_record const* home_of(endpoint_chooser::record_list endpoints,
-                               std::uint64_t prefix,
-                               kernel::model_id const& model,
-                               weights::weight_version version,
-                               kernel::steady_time now)
-{
-    endpoint_record const* res = nullptr;
-    std::uint64_t best = 0;
-    for (auto const& it : endpoints)
-    {
-        if (!it->available(now) || it->reloading() ||
-            it->version_of(model) != version)
-            continue;
-        auto const rank = rank_of(it->entry().id, prefix);
-        if (res == nullptr || rank > best)
-        {
-            res = it.get();
-            best = rank;
-        }
-    }
-    return res;
-}
-
 std::string address_of(endpoint_entry const& entry)
 {
     return fmt::format("{}:{}", entry.host, entry.port);
@@ -86,6 +61,60 @@
     double cost = 0;
 };
 
+/// How the prompt lies in the caches under one version of the weights.
+struct endpoint_chooser::prompt_view
+{
+    struct holder
+    {
+        endpoint_record const* at = nullptr;
+        std::uint32_t held = 0;
+    };
+
+    std::string salt;
+    std::vector<prefix_level> levels;
+    /// Endpoints that hold a part, most first.
+    std::vector<holder> holders;
+    /// The endpoint that all processes agree on as the first for the prefix.
+    endpoint_record const* home = nullptr;
+
+    std::uint32_t held_by(endpoint_record const& it) const
+    {
+        auto const found =
+            std::find_if(holders.begin(), holders.end(),
+                         [&](holder const& h) { return h.at == &it; });
+        return found == holders.end() ? 0 : found->held;
+    }
+
+    /// What an endpoint would fetch the prefix from: the one that holds most,
+    /// in its own zone if several do.
+    holder source_for(endpoint_record const& it) const
+    {
+        holder res;
+        for (auto const& h : holders)
+        {
+            if (h.held < res.held)
+                break;
+            if (h.at != &it &&
+                (res.at == nullptr || h.at->entry().zone == it.entry().zone))
+                res = h;
+        }
+        return res;
+    }
+};
+
+/// One choice: its inputs and what is computed once for all endpoints.
+struct endpoint_chooser::search
+{
+    record_list endpoints;
+    service const& target;
+    demand const& wanted;
+    weights_view const& weights;
+    kernel::steady_time now;
+    /// Uncached tokens of a request that has no output yet, on average.
+    double tokens_per_request = 0;
+    std::map<weights::weight_version, prompt_view> views;
+};
+
 endpoint_chooser::endpoint_chooser(placement_settings settings,
                                    kernel::zone_id own_zone)
     : settings_(settings)
@@ -98,10 +127,20 @@
                          demand const& wanted, weights_view const& weights,
                          kernel::steady_time now) const
 {
+    search context{endpoints, target, wanted, weights, now, 0, {}};
+    double pending = 0;
+    double unanswered = 0;
+    for (auto const& it : endpoints)
+    {
+        pending += static_cast<double>(it->pending_tokens());
+        unanswered += it->unanswered();
+    }
+    context.tokens_per_request =
+        (pending + settings_.usual_prompt_tokens) / (unanswered + 1);
     std::optional<offer> best;
     for (auto const& it : endpoints)
     {
-        auto made = offer_of(it, endpoints, target, wanted, weights, now);
+        auto made = offer_of(it, context);
         if (made && (!best || made->cost < best->cost))
             best = std::move(made);
     }
@@ -112,41 +151,30 @@
 
 std::optional<endpoint_chooser::offer>
 endpoint_chooser::offer_of(std::shared_ptr<endpoint_record> const& it,
-                           record_list endpoints, service const& target,
-                           demand const& wanted, weights_view const& weights,
-                           kernel::steady_time now) const
+                           search& context) const
 {
+    auto const& wanted = context.wanted;
+    auto const now = context.now;
     if (!it->available(now) || has(wanted.excluded, it->entry().id))
         return std::nullopt;
     offer res;
     res.choice.endpoint = it;
+    auto const wait = wait_ms(*it, context);
+    res.cost += wait;
+    res.choice.first_answer =
+        std::chrono::milliseconds(static_cast<std::int64_t>(wait));
     if (wanted.prompt)
     {
         auto const& model = wanted.prompt->model;
-        auto const standing = weights.standing(*it, model, now);
+        auto const standing = context.weights.standing(*it, model, now);
         if (standing == weights_standing::reloading ||
             standing == weights_standing::expired)
             res.cost += ms(settings_.reloading).count();
         if (standing == weights_standing::old)
             res.cost += ms(settings_.old_weights).count();
-        res.choice.version = weights.version_to_ask(*it, model, now);
-        res.choice.cache_salt =
-            make_cache_salt(wanted.cache_group, model, res.choice.version);
-    }
-    double pending = 0;
-    double in_flight = 0;
-    for (auto const& each : endpoints)
-    {
-        pending += static_cast<double>(each->pending_tokens());
-        in_flight += each->in_flight();
+        res.choice.version = context.weights.version_to_ask(*it, model, now);
+        add_prompt(res, context);
     }
-    auto const wait =
-        wait_ms(*it, target, in_flight > 0 ? pending / in_flight : 0, now);
-    res.cost += wait;
-    res.choice.first_answer =
-        std::chrono::milliseconds(static_cast<std::int64_t>(wait));
-    if (wanted.prompt && target.engine)
-        add_prompt(res, endpoints, target, wanted, now);
     if (it->entry().zone != own_zone_)
         res.cost += ms(settings_.cross_zone).count();
     res.cost += it->failure_share(now) * ms(settings_.failing).count();
@@ -156,96 +184,109 @@
 }
 
 double endpoint_chooser::wait_ms(endpoint_record const& it,
-                                 service const& target,
-                                 double pending_per_request,
-                                 kernel::steady_time now) const
+                                 search const& context) const
 {
-    auto const others = it.others(now);
-    auto const requests = it.in_flight() + others;
-    if (!target.engine)
+    auto const requests = it.in_flight() + it.others(context.now);
+    if (!context.target.engine)
     {
         auto const slots = std::max<double>(it.entry().slots, 1);
         return plain_call_ms * requests / slots;
     }
-    auto const pending =
-        static_cast<double>(it.pending_tokens()) + others * pending_per_request;
+    auto const foreign =
+        it.linked() ? it.foreign_unanswered(context.now)
+                    : it.others(context.now) * settings_.unanswered_share;
+    auto const pending = static_cast<double>(it.pending_tokens()) +
+                         foreign * context.tokens_per_request;
     return pending / settings_.prefill_tokens_per_ms +
            requests * settings_.step_ms_per_request;
 }
 
-/// The endpoint to fetch the prefix from: the one that holds most of it.
-endpoint_chooser::source endpoint_chooser::source_for(
-    endpoint_record const& self, record_list endpoints,
-    std::vector<prefix_level> const& levels, kernel::model_id const& model,
-    weights::weight_version version, kernel::steady_time now) const
+endpoint_chooser::prompt_view const&
+endpoint_chooser::view_of(weights::weight_version version,
+                          search& context) const
 {
-    source res;
-    for (auto const& it : endpoints)
+    auto const [found, is_new] = context.views.try_emplace(version);
+    auto& view = found->second;
+    if (!is_new)
+        return view;
+    auto const& prompt = *context.wanted.prompt;
+    view.salt =
+        make_cache_salt(context.wanted.cache_group, prompt.model, version);
+    view.levels = prefix_levels(prompt, view.salt);
+    if (view.levels.empty())
+        return view;
+    auto const& shared = shared_level(view.levels);
+    std::uint64_t best = 0;
+    for (auto const& it : context.endpoints)
     {
-        if (it.get() == &self || it->version_of(model) != version)
+        if (it->version_of(prompt.model) != version)
+            continue;
+        auto const held = it->cache().held(view.levels, context.now);
+        if (held >= least_fetched_tokens)
+            view.holders.push_back({it.get(), held});
+        if (!it->available(context.now) || it->reloading())
             continue;
-        auto const held = it->cache().held(levels, now);
-        auto const nearer = held == res.held && res.from != nullptr &&
-                            it->entry().zone == self.entry().zone &&
-                            res.from->entry().zone != self.entry().zone;
-        if (held > res.held || (nearer && held > 0))
-            res = {it.get(), held};
+        auto const rank = rank_of(it->entry().id, shared.key);
+        if (view.home == nullptr || rank > best)
+        {
+            view.home = it.get();
+            best = rank;
+        }
     }
-    return res;
+    std::stable_sort(view.holders.begin(), view.holders.end(),
+                     [](auto const& a, auto const& b)
+                     { return a.held > b.held; });
+    return view;
 }
 
-void endpoint_chooser::add_prompt(offer& made, record_list endpoints,
-                                  service const& target, demand const& wanted,
-                                  kernel::steady_time now) const
+void endpoint_chooser::add_prompt(offer& made, search& context) const
 {
-    auto const& prompt = *wanted.prompt;
     auto& choice = made.choice;
+    auto const& prompt = *context.wanted.prompt;
+    auto const& view = view_of(choice.version, context);
     auto const& self = *choice.endpoint;
-    auto const levels = prefix_levels(prompt, choice.cache_salt);
-    auto const total = std::max(prompt.prompt_tokens,
-                                levels.empty() ? 0 : levels.back().tokens);
-    auto const held = self.cache().held(levels, now);
-    auto known = held;
-    if (!levels.empty())
+    choice.cache_salt = view.salt;
+    auto const total =
+        std::max(prompt.prompt_tokens,
+                 view.levels.empty() ? 0 : view.levels.back().tokens);
+    std::uint32_t known = 0;
+    if (!view.levels.empty() && context.target.engine)
     {
-        auto const& shared = shared_level(levels);
-        auto const from = source_for(self, endpoints, levels, prompt.model,
-                                     choice.version, now);
+        choice.shared = shared_level(view.levels);
+        auto const shared = choice.shared.tokens;
+        auto const held = view.held_by(self);
+        auto const source = view.source_for(self);
+        known = std::max(held, source.held);
         // Named even if nothing is missing: what is believed of the endpoint
         // may be wrong, and a source that is not needed costs nothing.
-        if (from.from != nullptr && from.held >= least_fetched_tokens)
-            choice.kv.source = address_of(from.from->entry());
-        if (from.held > held)
-        {
-            known = from.held;
-            made.cost += fetch_ms(self, *from.from, from.held - held, target);
-        }
-        if (known < shared.tokens && wanted.kv_store)
+        if (source.at != nullptr)
+            choice.kv.source = address_of(source.at->entry());
+        if (source.held > held)
+            made.cost +=
+                fetch_ms(self, *source.at, source.held - held, context.target);
+        if (known < shared && context.wanted.kv_store)
         {
             // Another process may have had it saved; a miss costs a
             // millisecond.
-            choice.kv.source = *wanted.kv_store;
-            choice.kv.target = *wanted.kv_store;
+            choice.kv.source = *context.wanted.kv_store;
+            choice.kv.target = *context.wanted.kv_store;
         }
         // Requests that share a prefix which is held nowhere meet at its home.
-        auto const* const home =
-            home_of(endpoints, shared.key, prompt.model, choice.version, now);
-        if (home != &self && known < shared.tokens)
+        if (view.home != &self && known < shared)
             made.cost += ms(settings_.away_from_home).count() *
-                         (shared.tokens - known) / shared.tokens;
-        else if (home != &self && held < shared.tokens)
+                         (shared - known) / shared;
+        else if (view.home != &self && held < shared)
             made.cost += ms(settings_.fetch).count();
     }
-    if (!levels.empty())
-        choice.shared = shared_level(levels);
     choice.known_tokens = known;
     choice.footprint.uncached_tokens = total - std::min(total, known);
     choice.footprint.memory_tokens = total + prompt.max_output_tokens;
     made.cost +=
         choice.footprint.uncached_tokens / settings_.prefill_tokens_per_ms;
-    choice.first_answer =
-        std::chrono::milliseconds(static_cast<std::int64_t>(made.cost));
-    made.cost += memory_cost(self, choice.footprint, target, now);
+    choice.first_answer += std::chrono::milliseconds(static_cast<std::int64_t>(
+        choice.footprint.uncached_tokens / settings_.prefill_tokens_per_ms));
+    if (context.target.engine)
+        made.cost += memory_cost(self, choice.footprint, context);
 }
 
 double endpoint_chooser::fetch_ms(endpoint_record const& to,
@@ -263,11 +304,10 @@
 
 double endpoint_chooser::memory_cost(endpoint_record const& self,
                                      request_footprint const& footprint,
-                                     service const& target,
-                                     kernel::steady_time now) const
+                                     search const& context) const
 {
     auto const capacity =
-        static_cast<double>(target.engine->kv_capacity_tokens);
+        static_cast<double>(context.target.engine->kv_capacity_tokens);
     if (capacity <= 0)
         return 0;
     auto foreign = static_cast<double>(self.foreign_memory());
@@ -277,7 +317,7 @@
             self.in_flight() > 0
                 ? static_cast<double>(self.memory_tokens()) / self.in_flight()
                 : static_cast<double>(footprint.memory_tokens);
-        foreign = self.others(now) * mean;
+        foreign = self.others(context.now) * mean;
     }
     auto const used = static_cast<double>(self.memory_tokens()) + foreign +
                       footprint.memory_tokens;
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -117,6 +117,8 @@
         set_version(it.model, it.version);
     load_ = load_sample{state.running, state.waiting, entry_.slots, now,
                         in_flight_};
+    foreign_unanswered_ =
+        state.unanswered > unanswered_ ? state.unanswered - unanswered_ : 0;
     foreign_memory_ = state.memory_used > memory_tokens_
                           ? state.memory_used - memory_tokens_
                           : 0;
@@ -204,6 +206,13 @@
            now - std::max(waiting_since_, last_bytes_) > silence_limit;
 }
 
+double endpoint_record::foreign_unanswered(kernel::steady_time now) const
+{
+    if (!load_)
+        return 0;
+    return foreign_unanswered_ * decay(load_->at, now, load_half_life);
+}
+
 double endpoint_record::others(kernel::steady_time now) const
 {
     if (!load_)
--- a/packages/gateway/types/placement_settings.hpp
+++ b/packages/gateway/types/placement_settings.hpp
@@ -13,6 +13,11 @@
     /// Prompt tokens that an engine reads in a millisecond beside the decoding
     /// of other requests; 57 on an idle engine (sheet of the installations).
     double prefill_tokens_per_ms = 45;
+    /// Prompt tokens that a request is taken to have where nothing is known.
+    double usual_prompt_tokens = 4000;
+    /// Share of the requests at an endpoint that have no output yet, where
+    /// only their number is known.
+    double unanswered_share = 0.4;
     /// How much longer a step takes for each request in the batch (sheet).
     double step_ms_per_request = 0.1;
     /// Bytes that a link between engines carries in a millisecond: 130 Gbit/s.
--- a/packages/weights/types/engine_report.hpp
+++ b/packages/weights/types/engine_report.hpp
@@ -22,6 +22,8 @@
     std::uint64_t orders_accepted = 0;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    /// Requests, waiting or running, that have no output yet.
+    std::uint32_t unanswered = 0;
     /// Tokens of memory that cannot be given up, and of all memory.
     std::uint64_t memory_used = 0;
     std::uint64_t memory_total = 0;
--- a/packages/wire/types/engine_state.hpp
+++ b/packages/wire/types/engine_state.hpp
@@ -24,6 +24,8 @@
     /// Tokens of memory that cannot be given up, and of all memory.
     std::uint64_t memory_used = 0;
     std::uint64_t memory_total = 0;
+    /// Requests, waiting or running, that have no output yet.
+    std::uint32_t unanswered = 0;
 
     bool operator==(engine_state const&) const = default;
 };
