--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -22,6 +22,7 @@
     a.running = b.running;
     a.waiting = b.waiting;
     a.unanswered = b.unanswered;
+    a.routers = b.routers;
     a.memory_used = b.memory_used;
     return a == b;
 }
@@ -63,8 +64,9 @@
         std::erase(routers_, conn);
     }
 
-    void publish(wire::engine_state const& state)
+    void publish(wire::engine_state state)
     {
+        state.routers = static_cast<std::uint32_t>(routers_.size());
         auto const now = clock_.now();
         auto const same = same_but_load(state, state_);
         if (state == state_ || (same && now - sent_at_ < load_interval))
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -72,11 +72,15 @@
 private:
     void tick();
     void update_limits();
+    void count_processes(std::size_t routers);
 
     asio::io_context& context_;
     kernel::i_clock const& clock_;
     protocol_names const names_;
     gateway_settings settings_;
+    /// Routers of the deployment, by the agents' reports.
+    std::size_t processes_;
+    kernel::steady_time processes_at_{};
     observe::decision_log& log_;
     std::unique_ptr<gateway_metrics> metrics_;
     std::shared_ptr<endpoint_directory> endpoints_;
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -12,6 +12,7 @@
 #include <asio/io_context.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace endiveward::gateway
 {
@@ -26,6 +27,8 @@
 /// An endpoint's connections are shared by all processes, health checks and
 /// the endpoint's own reserve.
 constexpr double connection_part = 0.9;
+/// A router that has stopped may be back within this.
+constexpr std::chrono::seconds process_memory{15};
 
 } // namespace
 
@@ -36,6 +39,7 @@
     , clock_(clock)
     , names_(std::move(names))
     , settings_(std::move(settings))
+    , processes_(settings_.processes)
     , log_(log)
     , metrics_(std::make_unique<gateway_metrics>(metrics))
     , chooser_(std::make_unique<endpoint_chooser>(settings_.placement,
@@ -105,11 +109,28 @@
         return;
     auto const was_reloading = found->reloading();
     found->on_state(state, clock_.now());
+    count_processes(state.routers);
     if (was_reloading != found->reloading())
         log_.write("engine_state", "endpoint={} reloading={} running={}",
                    endpoint.str(), state.reloading, state.running);
 }
 
+/// The agents together know all routers, and each router its share of what all
+/// may do.
+void gateway::count_processes(std::size_t routers)
+{
+    auto const now = clock_.now();
+    if (routers < processes_ && now - processes_at_ < process_memory)
+        return;
+    if (routers == 0)
+        return;
+    processes_at_ = now;
+    if (routers == std::exchange(processes_, routers))
+        return;
+    update_limits();
+    log_.write("processes_counted", "processes={}", processes_);
+}
+
 void gateway::on_cache_change(kernel::endpoint_id const& endpoint,
                               wire::cache_change const& change)
 {
@@ -135,7 +156,7 @@
 void gateway::update_limits()
 {
     auto const processes =
-        static_cast<double>(std::max<std::size_t>(settings_.processes, 1));
+        static_cast<double>(std::max<std::size_t>(processes_, 1));
     budgets_->set_limits(settings_.repeat_ratio * budget_part,
                          settings_.repeat_extra * budget_part / processes);
     if (table_ == nullptr)
--- a/packages/gateway/types/gateway_settings.hpp
+++ b/packages/gateway/types/gateway_settings.hpp
@@ -20,9 +20,8 @@
     /// share of the requests plus a fixed number.
     double repeat_ratio = 0.2;
     double repeat_extra = 50;
-    /// The share of the fixed number that this process takes is one in so
-    /// many.
-    std::size_t processes = 8;
+    /// Processes that serve callers, until the agents tell how many there are.
+    std::size_t processes = 32;
     /// Time in which a newly named version of weights must be in use.
     std::chrono::milliseconds version_deadline{10000};
     weights::rollout_options rollout;
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -394,7 +394,7 @@
             fbb, it.model.str().c_str(), it.version));
     return fbs::Createengine_stateDirect(
         fbb, msg.endpoint_incarnation, &weights, msg.reloading, msg.running,
-        msg.waiting, msg.memory_used, msg.memory_total, msg.unanswered);
+        msg.waiting, msg.memory_used, msg.memory_total, msg.unanswered, msg.routers);
 }
 
 engine_state get(fbs::engine_state const& in)
@@ -407,6 +407,7 @@
     out.memory_used = in.memory_used();
     out.memory_total = in.memory_total();
     out.unanswered = in.unanswered();
+    out.routers = in.routers();
     if (in.weights() == nullptr)
         return out;
     for (auto const* it : *in.weights())
--- a/packages/wire/types/engine_state.hpp
+++ b/packages/wire/types/engine_state.hpp
@@ -26,6 +26,8 @@
     std::uint64_t memory_total = 0;
     /// Requests, waiting or running, that have no output yet.
     std::uint32_t unanswered = 0;
+    /// Routers that are connected to the agent.
+    std::uint32_t routers = 0;
 
     bool operator==(engine_state const&) const = default;
 };
