--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -23,9 +23,9 @@
 /// Fewer tokens than this are not worth a transfer.
 constexpr std::uint32_t least_fetched_tokens = 48;
 
-std::uint64_t rank_of(kernel::endpoint_id const& id, std::uint64_t prefix)
+std::uint64_t rank_of(std::string const& id, std::uint64_t prefix)
 {
-    return XXH3_64bits_withSeed(id.str().data(), id.str().size(), prefix);
+    return XXH3_64bits_withSeed(id.data(), id.size(), prefix);
 }
 
 /// The level that requests of one session or file share: all but the last
@@ -76,6 +76,8 @@
     std::vector<holder> holders;
     /// The endpoint that all processes agree on as the first for the prefix.
     endpoint_record const* home = nullptr;
+    /// The store of KV cache that takes this prefix, or null.
+    std::string const* store = nullptr;
 
     std::uint32_t held_by(endpoint_record const& it) const
     {
@@ -226,13 +228,23 @@
             view.holders.push_back({it.get(), held});
         if (!it->available(context.now) || it->reloading())
             continue;
-        auto const rank = rank_of(it->entry().id, shared.key);
+        auto const rank = rank_of(it->entry().id.str(), shared.key);
         if (view.home == nullptr || rank > best)
         {
             view.home = it.get();
             best = rank;
         }
     }
+    best = 0;
+    for (auto const& it : context.wanted.kv_stores)
+    {
+        auto const rank = rank_of(it, shared.key);
+        if (view.store == nullptr || rank > best)
+        {
+            view.store = &it;
+            best = rank;
+        }
+    }
     std::stable_sort(view.holders.begin(), view.holders.end(),
                      [](auto const& a, auto const& b)
                      { return a.held > b.held; });
@@ -264,12 +276,12 @@
         if (source.held > held)
             made.cost +=
                 fetch_ms(self, *source.at, source.held - held, context.target);
-        if (known < shared && context.wanted.kv_store)
+        if (known < shared && view.store != nullptr)
         {
             // Another process may have had it saved; a miss costs a
             // millisecond.
-            choice.kv.source = *context.wanted.kv_store;
-            choice.kv.target = *context.wanted.kv_store;
+            choice.kv.source = *view.store;
+            choice.kv.target = *view.store;
         }
         // Requests that share a prefix which is held nowhere meet at its home.
         if (view.home != &self && known < shared)
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -181,7 +181,7 @@
     for (auto const& it : table_->config().services)
     {
         if (it.kv_store)
-            demand_.kv_store = it.kv_store->address;
+            demand_.kv_stores.push_back(it.kv_store->address);
     }
     budget_ = &services_.budgets.of(demand_.service);
     budget_->on_request(arrived_);
--- a/packages/gateway/types/demand.hpp
+++ b/packages/gateway/types/demand.hpp
@@ -23,8 +23,8 @@
     std::optional<prompt_info> prompt;
     /// Requests share KV cache within one group.
     std::string cache_group;
-    /// `IP:PORT` of a store of KV cache, if there is one.
-    std::optional<std::string> kv_store;
+    /// `IP:PORT` of the stores of KV cache.
+    std::vector<std::string> kv_stores;
     /// Endpoints that have failed or refused the request.
     std::vector<kernel::endpoint_id> excluded;
 };
