--- a/packages/gateway/endpoint_chooser.hpp
+++ b/packages/gateway/endpoint_chooser.hpp
@@ -37,6 +37,11 @@
     struct prompt_view;
     struct search;
 
+    using record_set = std::vector<endpoint_record const*>;
+
+    record_set sample(search const& context) const;
+    bool is_candidate(endpoint_record const& it, record_set const& sampled,
+                      search& context) const;
     std::optional<offer> offer_of(std::shared_ptr<endpoint_record> const& it,
                                   search& context) const;
     prompt_view const& view_of(weights::weight_version version,
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace endiveward::gateway
 {
@@ -139,9 +140,12 @@
     }
     context.tokens_per_request =
         (pending + settings_.usual_prompt_tokens) / (unanswered + 1);
+    auto const sampled = sample(context);
     std::optional<offer> best;
     for (auto const& it : endpoints)
     {
+        if (!is_candidate(*it, sampled, context))
+            continue;
         auto made = offer_of(it, context);
         if (made && (!best || made->cost < best->cost))
             best = std::move(made);
@@ -151,6 +155,52 @@
     return std::move(best->choice);
 }
 
+/// Some endpoints that can take the request, drawn by its id. The load of an
+/// endpoint is known with a delay; if all processes took the least loaded one
+/// of many, they would overload it together.
+endpoint_chooser::record_set
+endpoint_chooser::sample(search const& context) const
+{
+    std::vector<std::pair<std::uint64_t, endpoint_record const*>> ranked;
+    for (auto const& it : context.endpoints)
+    {
+        auto const& id = it->entry().id;
+        if (it->available(context.now) && !it->reloading() &&
+            !has(context.wanted.excluded, id))
+            ranked.emplace_back(rank_of(id.str(), context.wanted.seed),
+                                it.get());
+    }
+    auto const n = std::min(ranked.size(), settings_.sampled_endpoints);
+    std::partial_sort(ranked.begin(),
+                      ranked.begin() + static_cast<std::ptrdiff_t>(n),
+                      ranked.end(), std::greater<>());
+    record_set res;
+    for (std::size_t k = 0; k < n; ++k)
+        res.push_back(ranked[k].second);
+    return res;
+}
+
+/// Besides the sample, an endpoint is a candidate if it has the prefix or is
+/// its home.
+bool endpoint_chooser::is_candidate(endpoint_record const& it,
+                                    record_set const& sampled,
+                                    search& context) const
+{
+    if (sampled.empty() ||
+        std::find(sampled.begin(), sampled.end(), &it) != sampled.end())
+        return true;
+    if (!context.wanted.prompt)
+        return false;
+    auto const& view =
+        view_of(context.weights.version_to_ask(it, context.wanted.prompt->model,
+                                               context.now),
+                context);
+    if (view.levels.empty())
+        return false;
+    return view.home == &it ||
+           view.held_by(it) >= shared_level(view.levels).tokens;
+}
+
 std::optional<endpoint_chooser::offer>
 endpoint_chooser::offer_of(std::shared_ptr<endpoint_record> const& it,
                            search& context) const
@@ -276,7 +326,8 @@
         if (source.held > held)
             made.cost +=
                 fetch_ms(self, *source.at, source.held - held, context.target);
-        if (known < shared && view.store != nullptr)
+        if (known + settings_.least_saved_tokens <= shared &&
+            view.store != nullptr)
         {
             // Another process may have had it saved; a miss costs a
             // millisecond.
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -15,6 +15,7 @@
 #include "observe/decision_log.hpp"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -173,6 +174,7 @@
                                   : milliseconds(*deadline);
     expires_ = arrived_ + limit;
     demand_.rule = route_->rule;
+    demand_.seed = XXH3_64bits(id_.data(), id_.size());
     demand_.target_latency = route_->target_latency;
     if (route_->has_prompt || is_stream(route_->rule))
         demand_.prompt = parse_prompt(request_.headers, services_.names);
--- a/packages/gateway/types/demand.hpp
+++ b/packages/gateway/types/demand.hpp
@@ -6,6 +6,7 @@
 #include "kernel/types/identifiers.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,6 +24,8 @@
     std::optional<prompt_info> prompt;
     /// Requests share KV cache within one group.
     std::string cache_group;
+    /// Differs from request to request.
+    std::uint64_t seed = 0;
     /// `IP:PORT` of the stores of KV cache.
     std::vector<std::string> kv_stores;
     /// Endpoints that have failed or refused the request.
--- a/packages/gateway/types/placement_settings.hpp
+++ b/packages/gateway/types/placement_settings.hpp
@@ -2,6 +2,8 @@
 #define ENDIVEWARD_GATEWAY_TYPES_PLACEMENT_SETTINGS_HPP
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 
 namespace endiveward::gateway
 {
@@ -18,6 +20,11 @@
     /// Share of the requests at an endpoint that have no output yet, where
     /// only their number is known.
     double unanswered_share = 0.4;
+    /// Endpoints that are compared beside those that hold a prefix.
+    std::size_t sampled_endpoints = 3;
+    /// Tokens of a prefix that must be missing for the store of KV cache to be
+    /// asked and to get them; its links carry about 200 prompts a second.
+    std::uint32_t least_saved_tokens = 1500;
     /// How much longer a step takes for each request in the batch (sheet).
     double step_ms_per_request = 0.1;
     /// Bytes that a link between engines carries in a millisecond: 130 Gbit/s.
