--- /dev/null
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -0,0 +1,185 @@
+#include "gateway/endpoint_chooser.hpp"
+#include "gateway/weights_view.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+kernel::model_id const model("m");
+kernel::zone_id const near_zone("near");
+kernel::steady_time const start{std::chrono::seconds(100)};
+
+struct world
+{
+    explicit world(std::size_t n)
+        : chooser({}, near_zone)
+        , weights({}, std::chrono::seconds(10))
+    {
+        target.id = kernel::service_id("s");
+        target.engine = engine_properties{64, 200000, 18432, 6};
+        for (std::size_t k = 0; k < n; ++k)
+        {
+            endpoint_entry entry;
+            entry.id = kernel::endpoint_id("e" + std::to_string(k));
+            entry.service = target.id;
+            entry.host = "127.0.0.1";
+            entry.port = static_cast<std::uint16_t>(1000 + k);
+            entry.zone = near_zone;
+            entry.slots = 64;
+            entry.incarnation = 1;
+            entry.models = {{model, 1}};
+            records.push_back(std::make_shared<endpoint_record>(entry));
+            wire::engine_state state;
+            state.endpoint_incarnation = 1;
+            state.weights = {{model, 1}};
+            records.back()->on_state(state, start);
+        }
+    }
+
+    static demand make_demand(std::string const& session, std::uint64_t seed)
+    {
+        demand res;
+        res.service = kernel::service_id("s");
+        res.rule = repeat_rule::stream;
+        res.seed = seed;
+        res.prompt =
+            prompt_info{model,
+                        {{"policy", 500}, {session, 5000}, {"own", 6000}},
+                        11500,
+                        300};
+        return res;
+    }
+
+    std::optional<placement_choice> choose(demand const& wanted) const
+    {
+        return chooser.choose(records, target, wanted, weights, start);
+    }
+
+    endpoint_chooser chooser;
+    weights_view weights;
+    service target;
+    std::vector<std::shared_ptr<endpoint_record>> records;
+};
+
+} // namespace
+
+// Load pattern: requests of one session arrive through different routers
+// before any cache report. They must meet, or the prefix is read many times.
+TEST_CASE("requests of a session meet at one endpoint")
+{
+    world w(12);
+    std::map<std::string, int> places;
+    for (std::uint64_t n = 0; n < 20; ++n)
+        ++places[w.choose(world::make_demand("file1", n))
+                     ->endpoint->entry()
+                     .id.str()];
+    CHECK(places.size() == 1);
+}
+
+TEST_CASE("sessions are spread over the endpoints")
+{
+    world w(12);
+    std::map<std::string, int> places;
+    for (std::uint64_t n = 0; n < 240; ++n)
+        ++places[w.choose(world::make_demand("file" + std::to_string(n), n))
+                     ->endpoint->entry()
+                     .id.str()];
+    CHECK(places.size() == 12);
+}
+
+// Load pattern: a hot session. Its endpoint has more to read than others, and
+// fetching the prefix elsewhere is cheaper than the wait.
+TEST_CASE("an overloaded home is left, and the prefix fetched from it")
+{
+    world w(12);
+    auto const wanted = world::make_demand("hot", 1);
+    auto const home = w.choose(wanted)->endpoint;
+    auto const salt = make_cache_salt("", model, 1);
+    for (auto const& it : prefix_levels(*wanted.prompt, salt))
+        home->cache().report(it.key, it.part_tokens);
+    for (int n = 0; n < 10; ++n)
+        home->on_sent({11500, 11800}, start);
+    auto const other = w.choose(wanted);
+    REQUIRE(other);
+    CHECK(other->endpoint != home);
+    CHECK(other->kv.source ==
+          "127.0.0.1:" + std::to_string(home->entry().port));
+    CHECK(other->known_tokens == 11500);
+}
+
+// Load pattern: many routers with the same, old picture of the load. If each
+// took the least loaded endpoint of all, they would overload it together.
+TEST_CASE("the least loaded endpoint does not take all requests")
+{
+    world w(40);
+    for (std::size_t n = 1; n < w.records.size(); ++n)
+    {
+        wire::engine_state state;
+        state.endpoint_incarnation = 1;
+        state.weights = {{model, 1}};
+        state.unanswered = 3;
+        w.records[n]->on_state(state, start);
+    }
+    int idle = 0;
+    constexpr int requests = 400;
+    for (std::uint64_t n = 0; n < requests; ++n)
+    {
+        auto const choice =
+            w.choose(world::make_demand("file" + std::to_string(n), n));
+        idle += choice->endpoint == w.records[0] ? 1 : 0;
+    }
+    CHECK(idle < requests / 4);
+}
+
+// Guards against refusals: an engine that takes new weights refuses requests.
+TEST_CASE("engines that take new weights are avoided")
+{
+    world w(4);
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        wire::engine_state state;
+        state.endpoint_incarnation = 1;
+        state.weights = {{model, 1}};
+        state.reloading = true;
+        w.records[n]->on_state(state, start);
+    }
+    for (std::uint64_t n = 0; n < 30; ++n)
+        CHECK(w.choose(world::make_demand("f" + std::to_string(n), n))
+                  ->endpoint == w.records[3]);
+}
+
+TEST_CASE("endpoints that drain or fail take no requests")
+{
+    world w(2);
+    auto entry = w.records[0]->entry();
+    entry.draining = true;
+    w.records[0]->update(entry);
+    w.records[1]->on_lost(start);
+    CHECK_FALSE(w.choose(world::make_demand("f", 1)));
+    auto const later = start + std::chrono::seconds(1);
+    CHECK(w.chooser.choose(w.records, w.target, world::make_demand("f", 1),
+                           w.weights, later));
+}
+
+// Guards against a prefix that is read again though a store could have it.
+TEST_CASE("what no endpoint holds is fetched from and saved to one store")
+{
+    world w(3);
+    auto wanted = world::make_demand("f", 1);
+    wanted.kv_stores = {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"};
+    auto const choice = w.choose(wanted);
+    CHECK_FALSE(choice->kv.source.empty());
+    CHECK(choice->kv.source == choice->kv.target);
+    wanted.seed = 2;
+    CHECK(w.choose(wanted)->kv.target == choice->kv.target);
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/tests/event_splitter_test.cpp
@@ -0,0 +1,45 @@
+#include "gateway/http/event_splitter.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+namespace endiveward::gateway
+{
+
+// Guards against a piece of an event that is passed on before a resumption,
+// whatever the pieces in which it arrives.
+TEST_CASE("events come whole and in order for any split of the bytes")
+{
+    std::string const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                             "versions: 3\nid: 3\ndata: c\n\n";
+    auto const step = GENERATE(1U, 2U, 3U, 7U, 100U);
+    event_splitter splitter;
+    std::vector<std::uint64_t> ids;
+    std::string all;
+    for (std::size_t at = 0; at < text.size(); at += step)
+    {
+        splitter.feed(std::string_view(text).substr(at, step));
+        while (auto const event = splitter.next())
+        {
+            REQUIRE(event->id);
+            ids.push_back(*event->id);
+            all += event->text;
+        }
+    }
+    CHECK(ids == std::vector<std::uint64_t>{1, 2, 3});
+    CHECK(all == text);
+    CHECK(splitter.pending() == 0);
+}
+
+TEST_CASE("an event that is cut is pending")
+{
+    event_splitter splitter;
+    splitter.feed("id: 1\ndata: a\n\nid: 2\ndata");
+    CHECK(splitter.next()->id == 1U);
+    CHECK_FALSE(splitter.next());
+    CHECK(splitter.pending() == 10);
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/tests/prefix_memory_test.cpp
@@ -0,0 +1,61 @@
+#include "gateway/endpoint_chooser.hpp"
+#include "gateway/prefix_memory.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+using std::chrono::seconds;
+
+prompt_info const prompt{
+    kernel::model_id("m"), {{"a", 100}, {"b", 50}}, 150, 10};
+kernel::steady_time const start{seconds(100)};
+
+} // namespace
+
+// Guards against cache entries that are used across the walls between
+// isolated workspaces, models and versions.
+TEST_CASE("each group, model and version has a salt of its own")
+{
+    kernel::model_id const m("m");
+    auto const salt = make_cache_salt("w", m, 1);
+    CHECK(salt != make_cache_salt("", m, 1));
+    CHECK(salt != make_cache_salt("w", m, 2));
+    CHECK(salt != make_cache_salt("w", kernel::model_id("n"), 1));
+    CHECK(part_key(salt, "a") != part_key(make_cache_salt("w", m, 2), "a"));
+}
+
+TEST_CASE("a part counts only if all parts before it are held")
+{
+    prefix_memory memory;
+    auto const levels = prefix_levels(prompt, "s");
+    memory.report(levels[1].key, 50);
+    CHECK(memory.held(levels, start) == 0);
+    memory.report(levels[0].key, 64);
+    CHECK(memory.held(levels, start) == 64);
+    memory.report(levels[0].key, 100);
+    CHECK(memory.held(levels, start) == 150);
+    memory.report(levels[0].key, 0);
+    CHECK(memory.held(levels, start) == 0);
+}
+
+// Guards against a source that is named long after it has evicted a prefix.
+TEST_CASE("an expectation that is not confirmed ends")
+{
+    prefix_memory memory;
+    auto const levels = prefix_levels(prompt, "s");
+    memory.set_reported(true);
+    memory.expect(levels, start);
+    CHECK(memory.held(levels, start + seconds(1)) == 150);
+    CHECK(memory.held(levels, start + seconds(3)) == 0);
+    memory.set_reported(false);
+    CHECK(memory.held(levels, start + seconds(3)) == 150);
+    memory.expire(start + seconds(9));
+    CHECK(memory.size() == 0);
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/tests/repeat_budget_test.cpp
@@ -0,0 +1,59 @@
+#include "gateway/repeat_budget.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+kernel::steady_time at(double seconds)
+{
+    return kernel::steady_time(
+        std::chrono::duration_cast<kernel::steady_time::duration>(
+            std::chrono::duration<double>(1000 + seconds)));
+}
+
+} // namespace
+
+// Guards against repetitions that multiply an overload.
+TEST_CASE("repetitions stay within the share and the fixed number")
+{
+    repeat_budget budget(0.2, 5);
+    for (int n = 0; n < 100; ++n)
+        budget.on_request(at(n * 0.01));
+    int allowed = 0;
+    for (int n = 0; n < 100; ++n)
+        allowed += budget.try_repeat(at(1 + n * 0.01)) ? 1 : 0;
+    CHECK(allowed == 25);
+}
+
+// Guards against a limit that holds in aligned windows only: any ten seconds
+// count.
+TEST_CASE("no window of ten seconds has more repetitions than allowed")
+{
+    repeat_budget budget(0, 10);
+    std::vector<double> granted;
+    for (int n = 0; n < 4000; ++n)
+    {
+        if (budget.try_repeat(at(n * 0.01)))
+            granted.push_back(n * 0.01);
+    }
+    REQUIRE(granted.size() >= 30);
+    for (std::size_t n = 10; n < granted.size(); ++n)
+        CHECK(granted[n] - granted[n - 10] >= 10.0);
+}
+
+TEST_CASE("what was spent comes back after the window")
+{
+    repeat_budget budget(0, 1);
+    CHECK(budget.try_repeat(at(0)));
+    CHECK_FALSE(budget.try_repeat(at(9.9)));
+    CHECK(budget.try_repeat(at(11.1)));
+    CHECK(budget.remaining(at(1000)) == 1);
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/tests/request_reader_test.cpp
@@ -0,0 +1,101 @@
+#include "gateway/http/request_reader.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+message_limits const limits{256, 32};
+
+std::size_t feed_all(request_reader& reader, std::string_view text)
+{
+    return reader.feed(text);
+}
+
+} // namespace
+
+// Guards against a request that is lost or changed when it arrives in pieces.
+TEST_CASE("a request that arrives byte by byte is read whole")
+{
+    request_reader reader(limits);
+    std::string const text = "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-Id:  7 "
+                             "\r\nContent-Length: 4\r\n\r\nbody";
+    for (char const it : text)
+        REQUIRE(reader.feed({&it, 1}) == 1);
+    REQUIRE(reader.state() == read_state::complete);
+    auto const request = reader.take();
+    CHECK(request.method == "POST");
+    CHECK(request.target == "/a/b?c=d");
+    CHECK(request.headers.value_or("x-id", "") == "7");
+    CHECK(request.body == "body");
+    CHECK(request.keep_alive);
+}
+
+// Guards against one request that is read as two, or the reverse, by the
+// gateway and the endpoint behind it.
+TEST_CASE("requests with an ambiguous length are refused")
+{
+    auto const* const text =
+        GENERATE("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                 "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                 "Content-Length: 5\r\n\r\nbody",
+                 "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                 "Transfer-Encoding: identity\r\n\r\n0\r\n\r\n",
+                 "GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n");
+    request_reader reader(limits);
+    feed_all(reader, text);
+    CHECK(reader.state() == read_state::failed);
+    CHECK(reader.failure_status() == 400);
+}
+
+TEST_CASE("requests above the limits are refused with the status for it")
+{
+    request_reader long_header(limits);
+    feed_all(long_header, "GET / HTTP/1.1\r\nX: " + std::string(300, 'x'));
+    CHECK(long_header.failure_status() == 431);
+
+    request_reader long_body(limits);
+    feed_all(long_body, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 33\r\n"
+                        "\r\n");
+    CHECK(long_body.failure_status() == 413);
+
+    request_reader chunks(limits);
+    feed_all(chunks, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n21\r\n" +
+                         std::string(33, 'x') + "\r\n0\r\n\r\n");
+    CHECK(chunks.failure_status() == 413);
+}
+
+// Guards against fields that a caller adds after the body to set what only
+// the gateway may set.
+TEST_CASE("trailer fields of a chunked body are not taken over")
+{
+    request_reader reader(limits);
+    feed_all(reader, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Evil: 1\r\n\r\n");
+    REQUIRE(reader.state() == read_state::complete);
+    auto const request = reader.take();
+    CHECK(request.body == "body");
+    CHECK(request.headers.find("X-Evil") == nullptr);
+}
+
+TEST_CASE("bytes after a request are left for the next one")
+{
+    request_reader reader(limits);
+    std::string const first = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::string const both = first + "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+    auto const n = reader.feed(both);
+    CHECK(n == first.size());
+    CHECK(reader.take().target == "/1");
+    reader.feed(std::string_view(both).substr(n));
+    REQUIRE(reader.state() == read_state::complete);
+    CHECK(reader.take().target == "/2");
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/tests/weights_view_test.cpp
@@ -0,0 +1,91 @@
+#include "gateway/endpoint_record.hpp"
+#include "gateway/weights_view.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+kernel::model_id const model("m");
+kernel::steady_time const start{seconds(100)};
+
+endpoint_record make_record(weights::weight_version version)
+{
+    endpoint_entry entry;
+    entry.id = kernel::endpoint_id("e");
+    entry.incarnation = 7;
+    entry.models = {{model, version}};
+    return endpoint_record(entry);
+}
+
+weights_view make_view()
+{
+    weights_view res({}, seconds(10));
+    res.set_target({model, 2}, {kernel::endpoint_id("e")}, start);
+    return res;
+}
+
+} // namespace
+
+TEST_CASE("an endpoint without a link follows the plan of the rollout")
+{
+    auto const view = make_view();
+    auto const record = make_record(1);
+    CHECK(view.standing(record, model, start) == weights_standing::reloading);
+    auto const later = start + seconds(3);
+    CHECK(view.standing(record, model, later) ==
+          weights_standing::expected_current);
+    CHECK(view.version_to_ask(record, model, later) == 2);
+}
+
+// Guards against requests that ask an engine for weights it does not have,
+// though its agent tells which it has.
+TEST_CASE("a linked endpoint is asked for the version that its agent tells")
+{
+    auto const view = make_view();
+    auto record = make_record(1);
+    wire::engine_state state;
+    state.endpoint_incarnation = 7;
+    state.weights = {{model, 1}};
+    record.on_state(state, start);
+    CHECK(view.standing(record, model, start + seconds(3)) ==
+          weights_standing::old);
+    CHECK(view.version_to_ask(record, model, start + seconds(3)) == 1);
+    state.reloading = true;
+    record.on_state(state, start);
+    CHECK(view.standing(record, model, start) == weights_standing::reloading);
+    state.reloading = false;
+    state.weights = {{model, 2}};
+    record.on_state(state, start);
+    CHECK(view.standing(record, model, start) == weights_standing::current);
+}
+
+// Guards against requests that begin on weights which were replaced too long
+// ago.
+TEST_CASE("an old version expires before its time is over")
+{
+    auto const view = make_view();
+    auto record = make_record(1);
+    record.on_state({7, {{model, 1}}}, start);
+    CHECK(view.standing(record, model, start + seconds(7)) ==
+          weights_standing::old);
+    CHECK(view.standing(record, model, start + seconds(9)) ==
+          weights_standing::expired);
+}
+
+// Guards against the report of an engine's earlier start that arrives late.
+TEST_CASE("a report of an earlier start changes nothing")
+{
+    auto record = make_record(3);
+    record.on_state({6, {{model, 1}}}, start);
+    CHECK(record.version_of(model) == 3);
+    CHECK_FALSE(record.linked());
+}
+
+} // namespace endiveward::gateway
