--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -13,6 +13,7 @@
 #include <asio/signal_set.hpp>
 
 #include <csignal>
+#include <future>
 
 namespace endiveward::app
 {
@@ -31,6 +32,7 @@
 /// not answer.
 constexpr milliseconds ask_interval{500};
 constexpr milliseconds flush_interval{500};
+constexpr milliseconds close_timeout{300};
 constexpr milliseconds endpoints_timeout{900};
 /// The store answers as soon as something changes; a longer wait only delays
 /// the notice of a store that has fallen silent.
@@ -97,12 +99,28 @@
     asio::post(pool_.context(0), [this] { start(); });
     pool_.start();
     control.run();
+    close_links();
     pool_.stop();
     log_.write("stop", "process={}", settings_.name.str());
     pool_.discard_handlers();
     return 0;
 }
 
+/// Closes the links, so that routers learn of the stop at once.
+void weights_process::close_links()
+{
+    auto const closed = std::make_shared<std::promise<void>>();
+    asio::post(pool_.context(0),
+               [this, closed]
+               {
+                   publisher_.close();
+                   // The connections close with tasks that were just posted.
+                   asio::post(pool_.context(0),
+                              [closed] { closed->set_value(); });
+               });
+    closed->get_future().wait_for(close_timeout);
+}
+
 void weights_process::start()
 {
     follower::follower_options options;
--- a/apps/endiveward_agent/weights_process.hpp
+++ b/apps/endiveward_agent/weights_process.hpp
@@ -63,6 +63,7 @@
     void poll();
     void publish(weights::engine_report const& report);
     void start();
+    void close_links();
     void flush();
     void ask();
     void order_if_due();
--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -93,6 +93,12 @@
 
     void request_rows() { send(wire::table_request{rows_.version()}); }
 
+    void close()
+    {
+        for (auto const& it : routers_)
+            it->close();
+    }
+
     std::size_t routers() const { return routers_.size(); }
 
 private:
@@ -145,6 +151,12 @@
     observer_->request_rows();
 }
 
+void state_publisher::close()
+{
+    acceptor_->stop();
+    observer_->close();
+}
+
 std::size_t state_publisher::routers() const
 {
     return observer_->routers();
--- a/packages/enginelink/state_publisher.hpp
+++ b/packages/enginelink/state_publisher.hpp
@@ -50,6 +50,8 @@
     void publish_cache(bool reset, std::vector<wire::cached_part> parts);
     /// Asks routers for rows that are newer than those known here.
     void request_rows();
+    /// Closes the links; routers learn of it at once.
+    void close();
     std::size_t routers() const;
 
 private:
--- /dev/null
+++ b/packages/enginelink/tests/cache_follower_test.cpp
@@ -0,0 +1,68 @@
+#include "enginelink/cache_follower.hpp"
+#include "enginelink/i_cache_feed.hpp"
+
+#include <asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <map>
+
+namespace endiveward::enginelink
+{
+
+namespace
+{
+
+struct scripted_cache : i_cache_feed
+{
+    void
+    events(std::uint64_t since, std::chrono::milliseconds,
+           std::function<void(kernel::result<cache_events>)> on_done) override
+    {
+        asked.push_back(since);
+        if (answers.empty())
+            return;
+        auto res = std::move(answers.front());
+        answers.pop_front();
+        on_done(std::move(res));
+    }
+
+    std::deque<kernel::result<cache_events>> answers;
+    std::vector<std::uint64_t> asked;
+};
+
+} // namespace
+
+// Guards against parts that are believed to be cached after a restart or after
+// their eviction was missed.
+TEST_CASE("a restart or lost events empty what is known of a cache")
+{
+    asio::io_context context;
+    scripted_cache cache;
+    std::map<std::uint64_t, std::uint32_t> known;
+    int resets = 0;
+    cache_follower follower(
+        context, cache,
+        [](std::string_view, std::string_view part) { return part.size(); },
+        [&](bool reset, std::vector<wire::cached_part> parts)
+        {
+            resets += reset ? 1 : 0;
+            if (reset)
+                known.clear();
+            for (auto const& it : parts)
+                known[it.key] = it.tokens;
+        });
+    cache.answers = {
+        cache_events{1, 3, false, {{"s", "a", 10}, {"s", "bb", 20}}},
+        kernel::error{kernel::error_kind::connection_lost, "x", {}, {}},
+        cache_events{1, 9, true, {{"s", "ccc", 30}}},
+        cache_events{2, 2, false, {{"s", "a", 10}}},
+        cache_events{2, 4, false, {{"s", "dddd", 40}}}};
+    follower.start();
+    context.run();
+    CHECK(cache.asked == std::vector<std::uint64_t>{0, 3, 3, 9, 0, 4});
+    CHECK(resets == 2);
+    CHECK(known == std::map<std::uint64_t, std::uint32_t>{{4, 40}});
+}
+
+} // namespace endiveward::enginelink
--- /dev/null
+++ b/packages/enginelink/tests/links_test.cpp
@@ -0,0 +1,291 @@
+#include "enginelink/agent_links.hpp"
+#include "enginelink/i_engine_listener.hpp"
+#include "enginelink/i_row_source.hpp"
+#include "enginelink/link_options.hpp"
+#include "enginelink/state_publisher.hpp"
+#include "kernel/seeded_random_source.hpp"
+#include "kernel/system_clock.hpp"
+#include "kernel/thread_pool.hpp"
+
+#include <asio/post.hpp>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace endiveward::enginelink
+{
+
+namespace
+{
+
+struct test_rows : i_row_source
+{
+    std::vector<wire::table_row> rows_after(std::uint64_t after) const override
+    {
+        std::lock_guard const lock(mutex);
+        std::vector<wire::table_row> res;
+        for (auto const& it : rows)
+        {
+            if (it.version > after)
+                res.push_back(it);
+        }
+        return res;
+    }
+
+    void merge(std::vector<wire::table_row> const& more) override
+    {
+        std::lock_guard const lock(mutex);
+        rows.insert(rows.end(), more.begin(), more.end());
+    }
+
+    std::uint64_t version() const override
+    {
+        std::lock_guard const lock(mutex);
+        return rows.empty() ? 0 : rows.back().version;
+    }
+
+    std::size_t size() const
+    {
+        std::lock_guard const lock(mutex);
+        return rows.size();
+    }
+
+    mutable std::mutex mutex;
+    std::vector<wire::table_row> rows;
+};
+
+struct recorder : i_engine_listener
+{
+    void on_engine_state(kernel::endpoint_id const&,
+                         wire::engine_state const& it) override
+    {
+        std::lock_guard const lock(mutex);
+        state = it;
+        ++states;
+    }
+
+    void on_cache_change(kernel::endpoint_id const&,
+                         wire::cache_change const& change) override
+    {
+        std::lock_guard const lock(mutex);
+        if (change.reset)
+            parts.clear();
+        for (auto const& it : change.parts)
+        {
+            if (it.tokens == 0)
+                parts.erase(it.key);
+            else
+                parts[it.key] = it.tokens;
+        }
+    }
+
+    void on_link_lost(kernel::endpoint_id const&) override { ++lost; }
+
+    template <typename F>
+    bool check(F test) const
+    {
+        std::lock_guard const lock(mutex);
+        return test();
+    }
+
+    mutable std::mutex mutex;
+    wire::engine_state state;
+    std::map<std::uint64_t, std::uint32_t> parts;
+    std::atomic<int> states{0};
+    std::atomic<int> lost{0};
+};
+
+bool eventually(std::function<bool()> const& test)
+{
+    for (int n = 0; n < 4000; ++n)
+    {
+        if (test())
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return false;
+}
+
+std::shared_ptr<link_identity> identity(wire::process_role role)
+{
+    return std::make_shared<link_identity>(role, kernel::process_id("p"),
+                                           kernel::zone_id("z"), 1);
+}
+
+wire::cluster_key const key{"0123456789012345678901234567890123456789"};
+
+struct agent
+{
+    explicit agent(wire::cluster_key secret = key)
+        : pool(1)
+        , publisher(pool, clock, std::move(secret),
+                    identity(wire::process_role::agent), rows)
+    {
+        port = kernel::value(publisher.listen("127.0.0.1", 0));
+        pool.start();
+    }
+
+    ~agent()
+    {
+        run([this] { publisher.close(); });
+        // The closing is posted; it is done before the next task.
+        run([] {});
+        pool.stop();
+        pool.discard_handlers();
+    }
+
+    void run(std::function<void()> work)
+    {
+        std::promise<void> done;
+        asio::post(pool.context(0),
+                   [&]
+                   {
+                       work();
+                       done.set_value();
+                   });
+        done.get_future().wait();
+    }
+
+    kernel::system_clock clock;
+    test_rows rows;
+    kernel::thread_pool pool;
+    state_publisher publisher;
+    std::uint16_t port = 0;
+};
+
+struct router
+{
+    router()
+        : random(1)
+        , pool(1)
+        , links(pool.context(0), random, key,
+                identity(wire::process_role::router), listener, rows)
+    {
+        pool.start();
+    }
+
+    ~router()
+    {
+        run([this] { links.close(); });
+        pool.stop();
+        pool.discard_handlers();
+    }
+
+    void run(std::function<void()> work)
+    {
+        std::promise<void> done;
+        asio::post(pool.context(0),
+                   [&]
+                   {
+                       work();
+                       done.set_value();
+                   });
+        done.get_future().wait();
+    }
+
+    void connect(std::uint16_t port)
+    {
+        run(
+            [&] {
+                links.update({{kernel::endpoint_id("e"), "127.0.0.1", port}});
+            });
+    }
+
+    kernel::seeded_random_source random;
+    recorder listener;
+    test_rows rows;
+    kernel::thread_pool pool;
+    agent_links links;
+};
+
+wire::engine_state make_state(bool reloading)
+{
+    wire::engine_state res;
+    res.endpoint_incarnation = 1;
+    res.weights = {{kernel::model_id("m"), 3}};
+    res.reloading = reloading;
+    return res;
+}
+
+} // namespace
+
+TEST_CASE("a router that connects learns state and cache, then changes")
+{
+    agent a;
+    a.run(
+        [&]
+        {
+            a.publisher.publish(make_state(false));
+            a.publisher.publish_cache(true, {{1, 10}, {2, 20}});
+            a.publisher.publish_cache(false, {{1, 0}});
+        });
+    router r;
+    r.connect(a.port);
+    REQUIRE(eventually(
+        [&]
+        {
+            return r.listener.check(
+                [&]
+                {
+                    return r.listener.parts ==
+                           std::map<std::uint64_t, std::uint32_t>{{2, 20}};
+                });
+        }));
+    // Reloading is told at once, whatever was sent just before.
+    a.run([&] { a.publisher.publish(make_state(true)); });
+    CHECK(eventually(
+        [&] {
+            return r.listener.check([&] { return r.listener.state.reloading; });
+        }));
+    CHECK(r.listener.check([&] { return r.listener.state.routers; }) == 1);
+}
+
+// Guards against configurations that do not reach a process which the store
+// turns away.
+TEST_CASE("processes give each other rows of the operators' table")
+{
+    agent a;
+    a.rows.merge({{"config", "new", 7}});
+    router r;
+    r.connect(a.port);
+    REQUIRE(eventually([&] { return r.listener.states > 0; }));
+    r.run([&] { r.links.request_rows(); });
+    CHECK(eventually([&] { return r.rows.version() == 7; }));
+    r.rows.merge({{"version", "2", 9}});
+    a.run([&] { a.publisher.request_rows(); });
+    CHECK(eventually([&] { return a.rows.version() == 9; }));
+    // Only what is newer is sent.
+    CHECK(a.rows.size() == 2);
+}
+
+TEST_CASE("a link that is lost is reported and made again")
+{
+    router r;
+    std::uint16_t port = 0;
+    {
+        agent a;
+        port = a.port;
+        a.run([&] { a.publisher.publish(make_state(false)); });
+        r.connect(port);
+        REQUIRE(eventually([&] { return r.listener.states > 0; }));
+    }
+    CHECK(eventually([&] { return r.listener.lost > 0; }));
+    CHECK(r.links.connected() == 0);
+}
+
+// Guards against an outsider on the network that tells routers where to send.
+TEST_CASE("an agent with another key is not believed")
+{
+    agent a(wire::cluster_key{"another key, but of the right length too"});
+    router r;
+    r.connect(a.port);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    CHECK(r.listener.states == 0);
+}
+
+} // namespace endiveward::enginelink
--- /dev/null
+++ b/packages/follower/tests/table_follower_test.cpp
@@ -0,0 +1,177 @@
+#include "follower/i_table_listener.hpp"
+#include "follower/row_exchange.hpp"
+#include "follower/table_follower.hpp"
+#include "kernel/seeded_random_source.hpp"
+
+#include <asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+namespace endiveward::follower
+{
+
+namespace
+{
+
+using storage::feed_error;
+using storage::row_batch;
+using storage::table_row;
+
+/// Answers each call with the next prepared answer; without one it waits.
+struct scripted_feed : storage::i_row_feed
+{
+    void read_all(std::string const&, std::chrono::milliseconds,
+                  batch_handler on_done) override
+    {
+        ++reads;
+        answer(all, std::move(on_done));
+    }
+
+    void wait_for_changes(std::string const&, std::uint64_t after,
+                          std::chrono::milliseconds, std::chrono::milliseconds,
+                          batch_handler on_done) override
+    {
+        waited_after.push_back(after);
+        answer(changes, std::move(on_done));
+    }
+
+    void put(std::string const&, std::string const&, std::string const&,
+             std::chrono::milliseconds, write_handler) override
+    {
+    }
+
+    static void answer(std::deque<batch_result>& queue, batch_handler on_done)
+    {
+        if (queue.empty())
+            return;
+        auto res = std::move(queue.front());
+        queue.pop_front();
+        on_done(std::move(res));
+    }
+
+    std::deque<batch_result> all;
+    std::deque<batch_result> changes;
+    std::vector<std::uint64_t> waited_after;
+    int reads = 0;
+};
+
+struct recorder : i_table_listener
+{
+    void on_rows(std::vector<table_row> const& changed, std::uint64_t) override
+    {
+        rows.insert(rows.end(), changed.begin(), changed.end());
+    }
+
+    void on_contact(bool reachable, std::string const&) override
+    {
+        contacts.push_back(reachable);
+    }
+
+    std::vector<table_row> rows;
+    std::vector<bool> contacts;
+};
+
+struct world
+{
+    world()
+        : random(1)
+    {
+        follower_options options;
+        options.table = "t";
+        options.pause_after_changes = std::chrono::milliseconds(0);
+        options.first_pause = std::chrono::milliseconds(1);
+        options.longest_pause = std::chrono::milliseconds(2);
+        table = std::make_shared<table_follower>(context, feed, random,
+                                                 listener, options);
+    }
+
+    void start()
+    {
+        table->start();
+        context.run();
+        context.restart();
+    }
+
+    asio::io_context context;
+    kernel::seeded_random_source random;
+    scripted_feed feed;
+    recorder listener;
+    std::shared_ptr<table_follower> table;
+};
+
+} // namespace
+
+TEST_CASE("a table is read once and then its changes")
+{
+    world w;
+    w.feed.all = {row_batch{{{"a", "1", 3, false}}, 5}};
+    w.feed.changes = {row_batch{{{"b", "2", 7, false}}, 8}, row_batch{{}, 9}};
+    w.start();
+    CHECK(w.feed.reads == 1);
+    CHECK(w.feed.waited_after == std::vector<std::uint64_t>{5, 8, 9});
+    CHECK(w.listener.rows.size() == 2);
+    CHECK(w.listener.contacts == std::vector<bool>{true});
+}
+
+// Guards against rows that were deleted while the history was lost.
+TEST_CASE("after lost history the difference to the whole table is reported")
+{
+    world w;
+    w.feed.all = {row_batch{{{"a", "1", 3, false}, {"b", "2", 4, false}}, 5},
+                  row_batch{{{"b", "2", 4, false}, {"c", "3", 8, false}}, 9}};
+    w.feed.changes = {
+        feed_error{feed_error::reason::history_lost, "status=410"}};
+    w.start();
+    REQUIRE(w.listener.rows.size() == 4);
+    CHECK(w.listener.rows[2] == table_row{"c", "3", 8, false});
+    CHECK(w.listener.rows[3].key == "a");
+    CHECK(w.listener.rows[3].deleted);
+    CHECK(w.table->rows().size() == 2);
+}
+
+TEST_CASE("a store that does not answer is asked again")
+{
+    world w;
+    w.feed.all = {feed_error{feed_error::reason::unreachable, "timeout"},
+                  feed_error{feed_error::reason::refused, "status=503"},
+                  row_batch{{{"a", "1", 3, false}}, 5}};
+    w.feed.changes = {feed_error{feed_error::reason::refused, "status=503"},
+                      row_batch{{}, 6}};
+    w.start();
+    CHECK(w.feed.reads == 3);
+    CHECK(w.table->rows().size() == 1);
+    CHECK(w.listener.contacts == std::vector<bool>{true, false, true});
+}
+
+// Guards against rows of another process that bring back what was deleted or
+// replaced.
+TEST_CASE("rows of other processes count only if they are newer")
+{
+    world w;
+    w.feed.all = {row_batch{{{"a", "1", 3, false}}, 5}};
+    w.start();
+    w.listener.rows.clear();
+    w.table->merge({{"a", "old", 2, false}, {"gone", "x", 4, false}});
+    CHECK(w.listener.rows.empty());
+    w.table->merge({{"a", "new", 6, false}});
+    REQUIRE(w.listener.rows.size() == 1);
+    CHECK(w.table->rows().at("a").value == "new");
+}
+
+TEST_CASE("processes exchange the rows that the other lacks")
+{
+    world w;
+    w.feed.all = {row_batch{{{"a", "1", 3, false}, {"b", "2", 4, false}}, 9}};
+    w.start();
+    row_exchange exchange;
+    CHECK(exchange.rows_after(0).empty());
+    exchange.set_follower(w.table);
+    CHECK(exchange.version() == 4);
+    REQUIRE(exchange.rows_after(3).size() == 1);
+    CHECK(exchange.rows_after(3)[0].key == "b");
+    exchange.merge({{"c", "3", 12}});
+    CHECK(exchange.version() == 12);
+}
+
+} // namespace endiveward::follower
