--- a/apps/endiveward/run_command.cpp
+++ b/apps/endiveward/run_command.cpp
@@ -222,8 +222,7 @@
     {
         LOG4CPLUS_ERROR(logger(), ex.what());
     }
-    observe::shutdown_logging();
-    return code;
+    observe::flush_logging_and_exit(code);
 }
 
 } // namespace
--- a/apps/endiveward_agent/main.cpp
+++ b/apps/endiveward_agent/main.cpp
@@ -193,8 +193,7 @@
     auto const code = app::weights_process(kernel::value(std::move(loaded)),
                                            kernel::value(key))
                           .run();
-    observe::shutdown_logging();
-    return code;
+    observe::flush_logging_and_exit(code);
 }
 
 } // namespace
--- a/packages/admission/idempotency_ledger.hpp
+++ b/packages/admission/idempotency_ledger.hpp
@@ -38,9 +38,8 @@
 
 public:
     idempotency_ledger(kernel::i_clock const& clock,
-                       kernel::i_random_source& random,
-                       storage::i_table& table, kernel::post_function post,
-                       idempotency_options options);
+                       kernel::i_random_source& random, storage::i_table& table,
+                       kernel::post_function post, idempotency_options options);
 
     void begin(kernel::workspace_id const& workspace, std::string const& key,
                kernel::hash128 const& request_hash,
--- a/packages/observe/internal/logging.cpp
+++ b/packages/observe/internal/logging.cpp
@@ -9,6 +9,7 @@
 #include <log4cplus/logger.h>
 
 #include <array>
+#include <cstdlib>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -98,6 +99,15 @@
         bounded->flush();
 }
 
+// The threads of log4cplus are joined by static destructors, which did not
+// return on the machines of the users' bench: processes that had ended their
+// work were killed at the end of the grace time.
+void flush_logging_and_exit(int code)
+{
+    flush_logging();
+    std::_Exit(code);
+}
+
 void shutdown_logging()
 {
     flush_logging();
--- a/packages/observe/logging.hpp
+++ b/packages/observe/logging.hpp
@@ -19,6 +19,9 @@
 /// To be called several times a second after `init_bounded_logging`.
 void flush_logging();
 void shutdown_logging();
+/// Writes what can be written and ends the process without running the
+/// destructors of static objects; for `init_bounded_logging`.
+[[noreturn]] void flush_logging_and_exit(int code);
 
 } // namespace endiveward::observe
 
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -394,7 +394,8 @@
             fbb, it.model.str().c_str(), it.version));
     return fbs::Createengine_stateDirect(
         fbb, msg.endpoint_incarnation, &weights, msg.reloading, msg.running,
-        msg.waiting, msg.memory_used, msg.memory_total, msg.unanswered, msg.routers);
+        msg.waiting, msg.memory_used, msg.memory_total, msg.unanswered,
+        msg.routers);
 }
 
 engine_state get(fbs::engine_state const& in)
