--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -15,6 +15,7 @@
 #include <prometheus/registry.h>
 
 #include <csignal>
+#include <utility>
 
 namespace endiveward::app
 {
@@ -275,6 +276,7 @@
                 return;
             observe::flush_logging();
             ask_agents();
+            reload_if_changed();
             if (drain_.draining())
             {
                 asio::post(traffic_.context(0),
@@ -287,6 +289,20 @@
         });
 }
 
+void gateway_process::reload_if_changed()
+{
+    auto const now = clock_.now();
+    if (now - looked_at_ < reload_interval)
+        return;
+    looked_at_ = now;
+    std::error_code ec;
+    auto const changed = std::filesystem::last_write_time(path_, ec);
+    // A file that is being replaced is looked at again.
+    if (ec || changed == std::exchange(file_time_, changed))
+        return;
+    reload();
+}
+
 void gateway_process::reload()
 {
     auto loaded = platform::read_boot_file(path_);
--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -19,6 +19,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <atomic>
+#include <filesystem>
 #include <memory>
 #include <string>
 
@@ -90,6 +91,8 @@
     /// Asks agents for what the store does not tell.
     void ask_agents();
     void reload();
+    /// The settings file may change without a signal.
+    void reload_if_changed();
     void end(int code);
     gateway::gateway_settings traffic_settings() const;
 
@@ -119,6 +122,8 @@
     std::atomic<std::size_t> connections_{0};
     kernel::steady_time stop_at_{};
     kernel::steady_time asked_at_{};
+    kernel::steady_time looked_at_{};
+    std::filesystem::file_time_type file_time_{};
     int exit_code_ = 0;
 };
 
--- a/packages/gateway/internal/endpoint_directory.cpp
+++ b/packages/gateway/internal/endpoint_directory.cpp
@@ -32,7 +32,8 @@
     by_service_.clear();
     // The order of the list must not decide between equal endpoints.
     std::sort(entries.begin(), entries.end(),
-              [](auto const& a, auto const& b) { return a.id < b.id; });
+              [](auto const& a, auto const& b)
+              { return a.id.str() < b.id.str(); });
     for (auto& it : entries)
     {
         listed.insert(it.id);
--- a/packages/weights/internal/rollout_plan.cpp
+++ b/packages/weights/internal/rollout_plan.cpp
@@ -27,7 +27,7 @@
               {
                   auto const x = position_hash(a);
                   auto const y = position_hash(b);
-                  return x != y ? x < y : a < b;
+                  return x != y ? x < y : a.str() < b.str();
               });
     // Versions may follow each other before a rollout has ended. With the
     // order reversed each time, no endpoint is always the last one.
