--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -32,6 +32,8 @@
 /// not answer.
 constexpr milliseconds ask_interval{500};
 constexpr milliseconds flush_interval{500};
+/// Reports that fail one after the other until routers are told.
+constexpr int reports_until_unreachable = 2;
 constexpr milliseconds close_timeout{300};
 constexpr milliseconds endpoints_timeout{900};
 /// The store answers as soon as something changes; a longer wait only delays
@@ -246,6 +248,9 @@
         [this](kernel::result<weights::engine_report> res)
         {
             asking_ = false;
+            failed_reports_ = kernel::ok(res) ? 0 : failed_reports_ + 1;
+            if (failed_reports_ == reports_until_unreachable)
+                publish_unreachable();
             if (kernel::ok(res))
             {
                 updater_.on_report(kernel::value(res));
@@ -268,9 +273,17 @@
     state.unanswered = report.unanswered;
     state.memory_used = report.memory_used;
     state.memory_total = report.memory_total;
+    last_state_ = state;
     publisher_.publish(state);
 }
 
+void weights_process::publish_unreachable()
+{
+    log_.write("engine_unreachable", "failed_reports={}", failed_reports_);
+    last_state_.unreachable = true;
+    publisher_.publish(last_state_);
+}
+
 void weights_process::order_if_due()
 {
     auto const order = updater_.next_order(clock_.now());
--- a/apps/endiveward_agent/weights_process.hpp
+++ b/apps/endiveward_agent/weights_process.hpp
@@ -62,6 +62,7 @@
     void plan_turns(std::vector<gateway::endpoint_entry> const& endpoints);
     void poll();
     void publish(weights::engine_report const& report);
+    void publish_unreachable();
     void start();
     void close_links();
     void flush();
@@ -88,6 +89,8 @@
     std::shared_ptr<follower::table_follower> operators_;
     std::map<kernel::model_id, named_version> named_;
     kernel::steady_time asked_routers_at_{};
+    wire::engine_state last_state_;
+    int failed_reports_ = 0;
     bool asking_ = false;
 };
 
--- a/packages/enginelink/tests/cache_follower_test.cpp
+++ b/packages/enginelink/tests/cache_follower_test.cpp
@@ -44,7 +44,7 @@
     cache_follower follower(
         context, cache,
         [](std::string_view, std::string_view part) { return part.size(); },
-        [&](bool reset, std::vector<wire::cached_part> parts)
+        [&](bool reset, std::vector<wire::cached_part> const& parts)
         {
             resets += reset ? 1 : 0;
             if (reset)
--- a/packages/follower/tests/table_follower_test.cpp
+++ b/packages/follower/tests/table_follower_test.cpp
@@ -25,7 +25,7 @@
                   batch_handler on_done) override
     {
         ++reads;
-        answer(all, std::move(on_done));
+        answer(all, on_done);
     }
 
     void wait_for_changes(std::string const&, std::uint64_t after,
@@ -33,7 +33,7 @@
                           batch_handler on_done) override
     {
         waited_after.push_back(after);
-        answer(changes, std::move(on_done));
+        answer(changes, on_done);
     }
 
     void put(std::string const&, std::string const&, std::string const&,
@@ -41,7 +41,8 @@
     {
     }
 
-    static void answer(std::deque<batch_result>& queue, batch_handler on_done)
+    static void answer(std::deque<batch_result>& queue,
+                       batch_handler const& on_done)
     {
         if (queue.empty())
             return;
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -52,6 +52,12 @@
     /// Whether the agent tells of changes.
     bool linked() const { return linked_; }
     bool reloading() const { return linked_ && reloading_; }
+    /// The agent does not reach the endpoint, or has seen a start of it that
+    /// its entry does not tell of yet; its id may be another one then.
+    bool absent() const
+    {
+        return linked_ && (unreachable_ || started_ > entry_.incarnation);
+    }
     void on_success(kernel::steady_time now);
     /// The endpoint answered with a failure of its own.
     void on_error(kernel::steady_time now);
@@ -121,6 +127,9 @@
     bool gone_ = false;
     bool linked_ = false;
     bool reloading_ = false;
+    bool unreachable_ = false;
+    /// The last start that the agent has seen.
+    kernel::incarnation started_ = 0;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/front_server.hpp
+++ b/packages/gateway/front_server.hpp
@@ -46,7 +46,6 @@
     void accept();
     void tick();
 
-    asio::io_context& context_;
     kernel::i_clock const& clock_;
     i_request_handler& handler_;
     std::size_t max_connections_;
--- a/packages/gateway/http/call_client.hpp
+++ b/packages/gateway/http/call_client.hpp
@@ -48,7 +48,7 @@
     /// `target` is path and query; `headers` complete lines. The handler is
     /// called exactly once, not from within this method.
     void send(std::string const& method, std::string const& target,
-              std::string const& headers, std::string body,
+              std::string const& headers, std::string const& body,
               std::chrono::milliseconds timeout, handler on_done);
 
 private:
--- a/packages/gateway/internal/call_client.cpp
+++ b/packages/gateway/internal/call_client.cpp
@@ -102,7 +102,7 @@
 call_client::~call_client() = default;
 
 void call_client::send(std::string const& method, std::string const& target,
-                       std::string const& headers, std::string body,
+                       std::string const& headers, std::string const& body,
                        std::chrono::milliseconds timeout, handler on_done)
 {
     auto bytes =
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -105,11 +105,13 @@
     if (state.endpoint_incarnation != 0 &&
         state.endpoint_incarnation < entry_.incarnation)
         return;
-    if (state.endpoint_incarnation > entry_.incarnation)
+    if (state.endpoint_incarnation > started_)
     {
-        entry_.incarnation = state.endpoint_incarnation;
-        cache_.clear();
+        started_ = state.endpoint_incarnation;
+        if (started_ > entry_.incarnation)
+            cache_.clear();
     }
+    unreachable_ = state.unreachable;
     linked_ = true;
     reloading_ = state.reloading;
     cache_.set_reported(true);
@@ -136,6 +138,7 @@
 {
     linked_ = false;
     reloading_ = false;
+    unreachable_ = false;
     cache_.clear();
     cache_.set_reported(false);
     foreign_memory_ = 0;
@@ -197,7 +200,7 @@
 
 bool endpoint_record::available(kernel::steady_time now) const
 {
-    return !gone_ && !entry_.draining && now >= avoided_until_;
+    return !gone_ && !absent() && !entry_.draining && now >= avoided_until_;
 }
 
 bool endpoint_record::silent(kernel::steady_time now) const
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -28,7 +28,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr int status_ok = 200;
 constexpr int status_multiple_choices = 300;
 constexpr int status_bad_request = 400;
 constexpr int status_unauthorized = 401;
--- a/packages/gateway/internal/front_server.cpp
+++ b/packages/gateway/internal/front_server.cpp
@@ -24,8 +24,7 @@
                            kernel::i_clock const& clock,
                            i_request_handler& handler,
                            std::size_t max_connections)
-    : context_(context)
-    , clock_(clock)
+    : clock_(clock)
     , handler_(handler)
     , max_connections_(max_connections)
     , acceptor_(context)
--- a/packages/gateway/tests/weights_view_test.cpp
+++ b/packages/gateway/tests/weights_view_test.cpp
@@ -88,4 +88,36 @@
     CHECK_FALSE(record.linked());
 }
 
+// Guards against requests to an engine that has just restarted under another
+// id: each router lost one request to each (scale-2 of stkp-audit-grown).
+TEST_CASE("an engine that restarted is left alone until its entry tells")
+{
+    auto record = make_record(1);
+    record.on_state({7, {{model, 1}}}, start);
+    CHECK(record.available(start));
+    record.on_state({9, {{model, 1}}}, start);
+    CHECK_FALSE(record.available(start));
+    auto entry = record.entry();
+    entry.incarnation = 9;
+    record.update(entry);
+    CHECK(record.available(start));
+}
+
+TEST_CASE("an engine that its agent does not reach takes no requests")
+{
+    auto record = make_record(1);
+    wire::engine_state state{7, {{model, 1}}};
+    state.unreachable = true;
+    record.on_state(state, start);
+    CHECK_FALSE(record.available(start));
+    state.unreachable = false;
+    record.on_state(state, start);
+    CHECK(record.available(start));
+    // Without a link nothing is known of it.
+    state.unreachable = true;
+    record.on_state(state, start);
+    record.on_link_lost();
+    CHECK(record.available(start));
+}
+
 } // namespace endiveward::gateway
--- a/packages/weights/weight_updater.hpp
+++ b/packages/weights/weight_updater.hpp
@@ -17,8 +17,9 @@
 struct updater_options
 {
     std::string holder;
-    /// An order whose effect does not show within this is sent again.
-    std::chrono::milliseconds repeat_after{800};
+    /// An order whose effect does not show within this is sent again. An engine
+    /// reports an accepted order at once, and refuses a late one by its count.
+    std::chrono::milliseconds repeat_after{250};
     /// An endpoint whose turn has not come takes its weights at this age of
     /// the oldest version that it lacks.
     std::chrono::milliseconds latest_start{4500};
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -395,7 +395,7 @@
     return fbs::Createengine_stateDirect(
         fbb, msg.endpoint_incarnation, &weights, msg.reloading, msg.running,
         msg.waiting, msg.memory_used, msg.memory_total, msg.unanswered,
-        msg.routers);
+        msg.routers, msg.unreachable);
 }
 
 engine_state get(fbs::engine_state const& in)
@@ -409,6 +409,7 @@
     out.memory_total = in.memory_total();
     out.unanswered = in.unanswered();
     out.routers = in.routers();
+    out.unreachable = in.unreachable();
     if (in.weights() == nullptr)
         return out;
     for (auto const* it : *in.weights())
--- a/packages/wire/types/engine_state.hpp
+++ b/packages/wire/types/engine_state.hpp
@@ -28,6 +28,8 @@
     std::uint32_t unanswered = 0;
     /// Routers that are connected to the agent.
     std::uint32_t routers = 0;
+    /// The engine does not answer its agent.
+    bool unreachable = false;
 
     bool operator==(engine_state const&) const = default;
 };
