--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -273,10 +273,13 @@
     {
         if (it->version_of(prompt.model) != version)
             continue;
+        // A source that does not answer costs some hundred milliseconds.
+        if (!it->available(context.now) || it->silent(context.now))
+            continue;
         auto const held = it->cache().held(view.levels, context.now);
         if (held >= least_fetched_tokens)
             view.holders.push_back({it.get(), held});
-        if (!it->available(context.now) || it->reloading())
+        if (it->reloading())
             continue;
         auto const rank = rank_of(it->entry().id.str(), shared.key);
         if (view.home == nullptr || rank > best)
