--- a/packages/follower/tests/table_follower_test.cpp
+++ b/packages/follower/tests/table_follower_test.cpp
@@ -36,11 +36,6 @@
         answer(changes, on_done);
     }
 
-    void put(std::string const&, std::string const&, std::string const&,
-             std::chrono::milliseconds, write_handler) override
-    {
-    }
-
     static void answer(std::deque<batch_result>& queue,
                        batch_handler const& on_done)
     {
--- a/packages/gateway/http/upstream_connection.hpp
+++ b/packages/gateway/http/upstream_connection.hpp
@@ -64,7 +64,6 @@
     /// Whether another request may be sent.
     bool reusable(kernel::steady_time now) const;
     kernel::steady_time idle_since() const { return idle_since_; }
-    bool is_new() const { return requests_ <= 1; }
     /// Whether a byte of the current request may have reached the peer.
     bool sent() const { return sent_; }
 
@@ -97,7 +96,6 @@
     std::string request_id_;
     std::chrono::milliseconds idle_limit_{0};
     kernel::steady_time idle_since_{};
-    unsigned requests_ = 0;
     bool connected_ = false;
     bool closed_ = false;
     bool reading_ = false;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -172,9 +172,7 @@
         limit = limit.count() > 0 ? std::min(limit, milliseconds(*deadline))
                                   : milliseconds(*deadline);
     expires_ = arrived_ + limit;
-    demand_.rule = route_->rule;
     demand_.seed = XXH3_64bits(id_.data(), id_.size());
-    demand_.target_latency = route_->target_latency;
     if (route_->has_prompt || is_stream(route_->rule))
         demand_.prompt = parse_prompt(request_.headers, services_.names);
     if (workspace_ != nullptr && workspace_->isolated)
@@ -192,7 +190,6 @@
 {
     if (time_left() < least_time)
         return give_up("expired");
-    demand_.time_left = time_left();
     auto const& target = *table_->find_service(demand_.service);
     auto choice = services_.chooser.choose(
         services_.endpoints.of_service(demand_.service), target, demand_,
@@ -224,7 +221,7 @@
     auto const now = services_.clock.now();
     pool_ = services_.endpoints.pool_of(*choice.endpoint);
     auto const max_idle =
-        may_repeat(demand_.rule) ? max_idle_repeatable : max_idle_once;
+        may_repeat(route_->rule) ? max_idle_repeatable : max_idle_once;
     upstream_ = pool_ == nullptr ? nullptr : pool_->acquire(max_idle);
     endpoint_ = choice.endpoint;
     auto const& entry = endpoint_->entry();
@@ -238,7 +235,7 @@
     if (workspace_ != nullptr)
         fields.workspace = workspace_->id;
     fields.time_left = time_left();
-    fields.passes_last_event_id = demand_.rule == repeat_rule::resumable_stream;
+    fields.passes_last_event_id = route_->rule == repeat_rule::resumable_stream;
     fields.resume_after = last_event_;
     if (demand_.prompt)
     {
@@ -301,7 +298,7 @@
         release_upstream(false);
         return after_failure("improper_answer");
     }
-    if (is_stream(demand_.rule))
+    if (is_stream(route_->rule))
         progress_ = progress::streaming;
 }
 
@@ -385,7 +382,7 @@
         last_event_at_ = services_.clock.now();
         reply_->write(event->text);
     }
-    if (may_repeat(demand_.rule))
+    if (may_repeat(route_->rule))
         arm(next_look());
 }
 
@@ -557,7 +554,7 @@
 
 bool exchange::may_run_again(std::string_view reason)
 {
-    if (!may_repeat(demand_.rule) || runs_ >= route_->max_attempts)
+    if (!may_repeat(route_->rule) || runs_ >= route_->max_attempts)
         return false;
     if (time_left() < least_time)
         return false;
@@ -572,7 +569,7 @@
 /// passed on.
 void exchange::resume_stream(std::string_view reason)
 {
-    auto const resumable = is_stream(demand_.rule) &&
+    auto const resumable = is_stream(route_->rule) &&
                            (!head_passed_ || last_event_) &&
                            may_run_again(reason);
     if (resumable)
@@ -702,9 +699,9 @@
 /// one is silent. Silence ends no other request.
 std::optional<kernel::steady_time> exchange::silence_deadline() const
 {
-    if (!may_repeat(demand_.rule) || runs_ >= route_->max_attempts)
+    if (!may_repeat(route_->rule) || runs_ >= route_->max_attempts)
         return std::nullopt;
-    if (!is_stream(demand_.rule))
+    if (!is_stream(route_->rule))
     {
         if (head_passed_)
             return std::nullopt;
--- a/packages/gateway/internal/upstream_connection.cpp
+++ b/packages/gateway/internal/upstream_connection.cpp
@@ -88,7 +88,6 @@
     skipping_ = false;
     sent_ = false;
     paused_ = false;
-    ++requests_;
     if (!connected_)
         return connect(peer);
     write();
--- a/packages/gateway/tests/endpoint_chooser_test.cpp
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -24,7 +24,7 @@
         , weights({}, std::chrono::seconds(10))
     {
         target.id = kernel::service_id("s");
-        target.engine = engine_properties{64, 200000, 18432, 6};
+        target.engine = engine_properties{64, 200000, 18432};
         for (std::size_t k = 0; k < n; ++k)
         {
             endpoint_entry entry;
@@ -48,7 +48,6 @@
     {
         demand res;
         res.service = kernel::service_id("s");
-        res.rule = repeat_rule::stream;
         res.seed = seed;
         res.prompt =
             prompt_info{model,
--- a/packages/gateway/types/demand.hpp
+++ b/packages/gateway/types/demand.hpp
@@ -2,10 +2,8 @@
 #define ENDIVEWARD_GATEWAY_TYPES_DEMAND_HPP
 
 #include "gateway/types/prompt_info.hpp"
-#include "gateway/types/repeat_rule.hpp"
 #include "kernel/types/identifiers.hpp"
 
-#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,9 +16,6 @@
 struct demand
 {
     kernel::service_id service;
-    repeat_rule rule = repeat_rule::at_most_once;
-    std::chrono::milliseconds target_latency{0};
-    std::chrono::milliseconds time_left{0};
     std::optional<prompt_info> prompt;
     /// Requests share KV cache within one group.
     std::string cache_group;
--- a/packages/gateway/types/process_settings.hpp
+++ b/packages/gateway/types/process_settings.hpp
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace endiveward::gateway
 {
@@ -18,7 +17,6 @@
 {
     kernel::process_id name;
     kernel::zone_id zone;
-    kernel::region_id region;
     /// Address of this VM.
     std::string host;
     /// Where callers connect, and where readiness is asked for.
@@ -27,8 +25,6 @@
     /// The engine on this VM.
     std::optional<socket_address> engine;
     socket_address store;
-    /// Hosts of other processes that may be asked while the store is away.
-    std::vector<std::string> seeds;
     /// First port for connections between processes, the same on all VMs.
     std::uint16_t internal_port = 0;
     /// Time from the signal to stop until the process is killed.
--- a/packages/gateway/types/service.hpp
+++ b/packages/gateway/types/service.hpp
@@ -18,8 +18,6 @@
     /// Memory for running requests and cached parts.
     std::uint64_t kv_capacity_tokens = 0;
     std::uint64_t kv_token_bytes = 0;
-    /// Tokens in one event of a stream, at the most.
-    std::uint32_t tokens_per_event = 1;
 };
 
 /// A store of KV cache, which serves no requests.
@@ -35,7 +33,6 @@
 struct service
 {
     kernel::service_id id;
-    std::string health_path;
     /// Connections of all callers together that one endpoint accepts.
     std::uint32_t max_connections = 0;
     std::optional<engine_properties> engine;
--- a/packages/storage/i_row_feed.hpp
+++ b/packages/storage/i_row_feed.hpp
@@ -20,9 +20,6 @@
 public:
     using batch_result = std::variant<row_batch, feed_error>;
     using batch_handler = std::function<void(batch_result)>;
-    /// Gives the version of the write.
-    using write_result = std::variant<std::uint64_t, feed_error>;
-    using write_handler = std::function<void(write_result)>;
 
     virtual ~i_row_feed() = default;
 
@@ -36,11 +33,6 @@
                                   std::chrono::milliseconds wait,
                                   std::chrono::milliseconds timeout,
                                   batch_handler on_done) = 0;
-    /// Writes a row, whatever was there.
-    virtual void put(std::string const& table, std::string const& key,
-                     std::string const& value,
-                     std::chrono::milliseconds timeout,
-                     write_handler on_done) = 0;
 };
 
 } // namespace endiveward::storage
