Share what the platform's code had written twice; look up less for each request

- kernel::parse_number serves the gateway, the platform and two older places that had the same loop.
- The parts of a prompt are hashed once for a choice and the stores of KV cache listed once for a configuration, not again for each request.
- Unused members and includes removed.
Behaviour is unchanged; the two tests touched only build their input in another way, their assertions stand.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -63,13 +63,10 @@
           traffic_settings(), *metrics_, traffic_log_))
     , drain_(stop_notice)
 {
-    auto const started = std::chrono::duration_cast<milliseconds>(
-        clock_.wall_now().time_since_epoch());
     links_ = std::make_unique<enginelink::agent_links>(
         control_, random_, std::move(key),
         std::make_shared<enginelink::link_identity>(
-            wire::process_role::router, settings_.name, settings_.zone,
-            static_cast<kernel::incarnation>(started.count())),
+            wire::process_role::router, settings_.name, settings_.zone, clock_),
         *this, row_exchange_);
 }
 
--- a/apps/endiveward/run_command.cpp
+++ b/apps/endiveward/run_command.cpp
@@ -193,13 +193,7 @@
         std::cerr << kernel::failure(key).message << '\n';
         return exit_usage;
     }
-    auto const path = platform::boot_file_path();
-    if (!kernel::ok(path))
-    {
-        std::cerr << kernel::failure(path).message << '\n';
-        return exit_usage;
-    }
-    auto loaded = platform::read_boot_file(kernel::value(path));
+    auto const loaded = platform::load_boot_file();
     if (!kernel::ok(loaded))
     {
         std::cerr << kernel::failure(loaded).message << '\n';
@@ -214,8 +208,8 @@
     int code = exit_failure;
     try
     {
-        code = gateway_process(kernel::value(std::move(loaded)),
-                               kernel::value(path), kernel::value(key))
+        code = gateway_process(kernel::value(loaded).settings,
+                               kernel::value(loaded).path, kernel::value(key))
                    .run();
     }
     catch (std::exception const& ex)
--- a/apps/endiveward_agent/main.cpp
+++ b/apps/endiveward_agent/main.cpp
@@ -165,21 +165,15 @@
         std::cerr << kernel::failure(key).message << '\n';
         return exit_settings;
     }
-    auto const path = platform::boot_file_path();
-    if (!kernel::ok(path))
-    {
-        std::cerr << kernel::failure(path).message << '\n';
-        return exit_settings;
-    }
-    auto loaded = platform::read_boot_file(kernel::value(path));
+    auto const loaded = platform::load_boot_file();
     if (!kernel::ok(loaded))
     {
         std::cerr << kernel::failure(loaded).message << '\n';
         return exit_settings;
     }
-    if (!kernel::value(loaded).engine)
+    if (!kernel::value(loaded).settings.engine)
     {
-        std::cerr << kernel::value(path)
+        std::cerr << kernel::value(loaded).path
                   << ": names no engine on this VM; run the agent on the VM "
                      "of an engine\n";
         return exit_settings;
@@ -190,9 +184,9 @@
         std::cerr << kernel::failure(logging).message << '\n';
         return exit_settings;
     }
-    auto const code = app::weights_process(kernel::value(std::move(loaded)),
-                                           kernel::value(key))
-                          .run();
+    auto const code =
+        app::weights_process(kernel::value(loaded).settings, kernel::value(key))
+            .run();
     observe::flush_logging_and_exit(code);
 }
 
--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -49,17 +49,6 @@
     return res;
 }
 
-std::shared_ptr<wire::i_local_identity const>
-identity_of(gateway::process_settings const& settings,
-            kernel::i_clock const& clock)
-{
-    auto const started = std::chrono::duration_cast<milliseconds>(
-        clock.wall_now().time_since_epoch());
-    return std::make_shared<enginelink::link_identity>(
-        wire::process_role::agent, settings.name, settings.zone,
-        static_cast<kernel::incarnation>(started.count()));
-}
-
 } // namespace
 
 weights_process::weights_process(gateway::process_settings settings,
@@ -75,7 +64,10 @@
     , cache_follower_(pool_.context(0), cache_, gateway::part_key,
                       [this](bool reset, std::vector<wire::cached_part> parts)
                       { publisher_.publish_cache(reset, std::move(parts)); })
-    , publisher_(pool_, clock_, std::move(key), identity_of(settings_, clock_),
+    , publisher_(pool_, clock_, std::move(key),
+                 std::make_shared<enginelink::link_identity>(
+                     wire::process_role::agent, settings_.name, settings_.zone,
+                     clock_),
                  row_exchange_)
     , updater_(updater_options(settings_))
     , view_(std::make_unique<follower::cluster_view>(pool_.context(0), clock_,
--- a/packages/config/internal/log_reader.cpp
+++ b/packages/config/internal/log_reader.cpp
@@ -1,12 +1,12 @@
 #include "config/log_reader.hpp"
 
 #include "config/config_state.hpp"
+#include "kernel/parse_number.hpp"
 #include "storage/i_object_store.hpp"
 #include "storage/i_table.hpp"
 
 #include <fmt/format.h>
 
-#include <charconv>
 #include <utility>
 
 namespace endiveward::config
@@ -53,12 +53,7 @@
 
 std::optional<kernel::config_version> parse_version(std::string const& text)
 {
-    kernel::config_version res = 0;
-    auto const* end = text.data() + text.size();
-    auto const [at, ec] = std::from_chars(text.data(), end, res);
-    if (ec != std::errc() || at != end)
-        return std::nullopt;
-    return res;
+    return kernel::parse_number<kernel::config_version>(text);
 }
 
 /// One read; kept alive by the handlers that it passes on.
--- a/packages/enginelink/internal/link_options.cpp
+++ b/packages/enginelink/internal/link_options.cpp
@@ -22,13 +22,14 @@
 } // namespace
 
 link_identity::link_identity(wire::process_role role, kernel::process_id name,
-                             kernel::zone_id zone,
-                             kernel::incarnation incarnation)
+                             kernel::zone_id zone, kernel::i_clock const& clock)
 {
     hello_.role = role;
     hello_.process = std::move(name);
     hello_.zone = std::move(zone);
-    hello_.incarnation = incarnation;
+    auto const started = std::chrono::duration_cast<std::chrono::milliseconds>(
+        clock.wall_now().time_since_epoch());
+    hello_.incarnation = static_cast<kernel::incarnation>(started.count());
 }
 
 kernel::result<wire::cluster_key> read_cluster_key(std::string const& variable)
--- a/packages/enginelink/link_options.hpp
+++ b/packages/enginelink/link_options.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEWARD_ENGINELINK_LINK_OPTIONS_HPP
 #define ENDIVEWARD_ENGINELINK_LINK_OPTIONS_HPP
 
+#include "kernel/i_clock.hpp"
 #include "kernel/types/result.hpp"
 #include "wire/i_local_identity.hpp"
 #include "wire/types/cluster_key.hpp"
@@ -17,12 +18,12 @@
 namespace endiveward::enginelink
 {
 
-/// Says who this process is.
+/// Says who this process is. Its incarnation is the time of its start.
 class link_identity : public wire::i_local_identity
 {
 public:
     link_identity(wire::process_role role, kernel::process_id name,
-                  kernel::zone_id zone, kernel::incarnation incarnation);
+                  kernel::zone_id zone, kernel::i_clock const& clock);
 
     wire::hello describe() const override { return hello_; }
 
--- a/packages/enginelink/tests/links_test.cpp
+++ b/packages/enginelink/tests/links_test.cpp
@@ -114,7 +114,8 @@
 std::shared_ptr<link_identity> identity(wire::process_role role)
 {
     return std::make_shared<link_identity>(role, kernel::process_id("p"),
-                                           kernel::zone_id("z"), 1);
+                                           kernel::zone_id("z"),
+                                           kernel::system_clock());
 }
 
 wire::cluster_key const key{"0123456789012345678901234567890123456789"};
--- a/packages/gateway/endpoint_directory.hpp
+++ b/packages/gateway/endpoint_directory.hpp
@@ -5,7 +5,6 @@
 #include "gateway/upstream_pool.hpp"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -33,7 +32,6 @@
     std::shared_ptr<upstream_pool> pool_of(endpoint_record const& record);
     std::vector<kernel::endpoint_id>
     ids_with_model(kernel::model_id const& model) const;
-    std::size_t size() const { return records_.size(); }
 
     void for_each(std::function<void(endpoint_record&, upstream_pool&)> const&
                       visit) const;
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -96,7 +96,6 @@
     std::uint64_t memory_tokens() const { return memory_tokens_; }
     /// Requests of other processes at the endpoint, by its last report.
     double others(kernel::steady_time now) const;
-    std::optional<load_sample> const& load() const { return load_; }
     /// Requests of other processes that have no output yet.
     double foreign_unanswered(kernel::steady_time now) const;
     /// Memory that others' requests occupy, by the agent's last report.
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -104,6 +104,7 @@
     std::optional<kernel::steady_time> silence_deadline() const;
     kernel::steady_time next_look() const;
     std::chrono::milliseconds time_left() const;
+    std::chrono::milliseconds since_sent() const;
     std::chrono::milliseconds age() const;
     header_list answer_headers(response_head const& head) const;
 
--- a/packages/gateway/exchange_services.hpp
+++ b/packages/gateway/exchange_services.hpp
@@ -1,7 +1,6 @@
 #ifndef ENDIVEWARD_GATEWAY_EXCHANGE_SERVICES_HPP
 #define ENDIVEWARD_GATEWAY_EXCHANGE_SERVICES_HPP
 
-#include "gateway/types/gateway_settings.hpp"
 #include "gateway/types/protocol_names.hpp"
 #include "kernel/types/identifiers.hpp"
 
@@ -38,7 +37,6 @@
     asio::io_context& context;
     kernel::i_clock const& clock;
     protocol_names const& names;
-    gateway_settings const& settings;
     endpoint_directory& endpoints;
     endpoint_chooser const& chooser;
     weights_view const& weights;
--- a/packages/gateway/front_server.hpp
+++ b/packages/gateway/front_server.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace endiveward::kernel
 {
@@ -45,6 +46,7 @@
 private:
     void accept();
     void tick();
+    std::vector<std::shared_ptr<front_connection>> current() const;
 
     kernel::i_clock const& clock_;
     i_request_handler& handler_;
--- a/packages/gateway/internal/call_client.cpp
+++ b/packages/gateway/internal/call_client.cpp
@@ -91,9 +91,9 @@
 
 call_client::call_client(asio::io_context& context,
                          kernel::i_clock const& clock,
-                         asio::ip::tcp::endpoint peer)
+                         socket_address const& peer)
     : context_(context)
-    , peer_(std::move(peer))
+    , peer_(asio::ip::make_address(peer.host), peer.port)
     , pool_(std::make_shared<upstream_pool>(
           context, clock, std::make_shared<upstream_options const>(), peer_))
 {
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -152,6 +152,8 @@
     }
     if (!best)
         return std::nullopt;
+    if (wanted.prompt)
+        best->choice.levels = view_of(best->choice.version, context).levels;
     return std::move(best->choice);
 }
 
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -12,6 +12,7 @@
 #include "gateway/routing_table.hpp"
 #include "gateway/upstream_pool.hpp"
 #include "gateway/weights_view.hpp"
+#include "kernel/parse_number.hpp"
 #include "observe/decision_log.hpp"
 
 #include <fmt/format.h>
@@ -166,7 +167,7 @@
 void exchange::prepare_demand()
 {
     auto limit = route_->timeout;
-    auto const deadline = parse_number<std::int64_t>(
+    auto const deadline = kernel::parse_number<std::int64_t>(
         request_.headers.value_or(services_.names.deadline, ""));
     if (deadline && *deadline >= 0)
         limit = limit.count() > 0 ? std::min(limit, milliseconds(*deadline))
@@ -177,11 +178,7 @@
         demand_.prompt = parse_prompt(request_.headers, services_.names);
     if (workspace_ != nullptr && workspace_->isolated)
         demand_.cache_group = workspace_->id.str();
-    for (auto const& it : table_->config().services)
-    {
-        if (it.kv_store)
-            demand_.kv_stores.push_back(it.kv_store->address);
-    }
+    demand_.kv_stores = table_->kv_stores();
     budget_ = &services_.budgets.of(demand_.service);
     budget_->on_request(arrived_);
 }
@@ -246,8 +243,7 @@
                                  ? *workspace_->priority
                                  : route_->priority;
         fields.priority = std::clamp(urgency, 0, lowest_priority);
-        endpoint_->cache().expect(
-            prefix_levels(*demand_.prompt, choice.cache_salt), now);
+        endpoint_->cache().expect(choice.levels, now);
         services_.metrics.on_prompt(demand_.prompt->prompt_tokens,
                                     choice.footprint.uncached_tokens);
     }
@@ -339,7 +335,7 @@
     auto const* const text = head.headers.find(services_.names.weight_version);
     if (text == nullptr)
         return;
-    if (auto const n = parse_number<weights::weight_version>(*text))
+    if (auto const n = kernel::parse_number<weights::weight_version>(*text))
         endpoint_->set_version(demand_.prompt->model, *n);
 }
 
@@ -397,7 +393,7 @@
 /// Begins to pass on an answer that is too long to collect.
 void exchange::begin_relay()
 {
-    auto const length = parse_number<std::uint64_t>(
+    auto const length = kernel::parse_number<std::uint64_t>(
         head_.headers.value_or("Content-Length", ""));
     head_passed_ = true;
     progress_ = progress::relaying;
@@ -482,10 +478,8 @@
     --runs_;
     ++failed_connects_;
     demand_.excluded.push_back(endpoint_->entry().id);
-    services_.log.write(
-        "connect_failed", "id={} endpoint={} waited_ms={}", id_,
-        endpoint_->entry().id.str(),
-        std::chrono::duration_cast<milliseconds>(now - sent_at_).count());
+    services_.log.write("connect_failed", "id={} endpoint={} waited_ms={}", id_,
+                        endpoint_->entry().id.str(), since_sent().count());
     if (failed_connects_ > max_failed_connects)
         return give_up("no_connection");
     attempt();
@@ -541,10 +535,8 @@
                         "id={} endpoint={} reason={} after_ms={} passed={} "
                         "last_event={}",
                         id_, endpoint_->entry().id.str(), reason,
-                        std::chrono::duration_cast<milliseconds>(
-                            services_.clock.now() - sent_at_)
-                            .count(),
-                        head_passed_, last_event_.value_or(0));
+                        since_sent().count(), head_passed_,
+                        last_event_.value_or(0));
     if (head_passed_)
         return resume_stream(reason);
     if (may_run_again(reason))
@@ -724,11 +716,9 @@
     if (!may_run_again("silent"))
         return arm(expires_ + expiry_slack);
     auto const now = services_.clock.now();
-    services_.log.write(
-        "silent", "id={} endpoint={} waited_ms={} passed={}", id_,
-        endpoint_->entry().id.str(),
-        std::chrono::duration_cast<milliseconds>(now - sent_at_).count(),
-        head_passed_);
+    services_.log.write("silent", "id={} endpoint={} waited_ms={} passed={}",
+                        id_, endpoint_->entry().id.str(), since_sent().count(),
+                        head_passed_);
     if (endpoint_->silent(now))
         endpoint_->on_lost(now);
     else
@@ -754,6 +744,12 @@
                                                     services_.clock.now());
 }
 
+milliseconds exchange::since_sent() const
+{
+    return std::chrono::duration_cast<milliseconds>(services_.clock.now() -
+                                                    sent_at_);
+}
+
 milliseconds exchange::age() const
 {
     return std::chrono::duration_cast<milliseconds>(services_.clock.now() -
--- a/packages/gateway/internal/front_server.cpp
+++ b/packages/gateway/internal/front_server.cpp
@@ -100,16 +100,22 @@
         {
             if (ec)
                 return;
-            std::vector<std::shared_ptr<front_connection>> all;
-            all.reserve(connections_.size());
-            for (auto const& [key, it] : connections_)
-                all.push_back(it);
-            for (auto const& it : all)
+            for (auto const& it : current())
                 it->on_tick(clock_.now());
             tick();
         });
 }
 
+/// A copy, since connections leave the map when they close.
+std::vector<std::shared_ptr<front_connection>> front_server::current() const
+{
+    std::vector<std::shared_ptr<front_connection>> res;
+    res.reserve(connections_.size());
+    for (auto const& [key, it] : connections_)
+        res.push_back(it);
+    return res;
+}
+
 void front_server::stop_listening()
 {
     std::error_code ec;
@@ -119,10 +125,7 @@
 
 void front_server::close_idle()
 {
-    std::vector<std::shared_ptr<front_connection>> all;
-    for (auto const& [key, it] : connections_)
-        all.push_back(it);
-    for (auto const& it : all)
+    for (auto const& it : current())
         it->close_if_idle();
 }
 
@@ -130,10 +133,7 @@
 {
     timer_.cancel();
     accept_retry_.cancel();
-    std::vector<std::shared_ptr<front_connection>> all;
-    for (auto const& [key, it] : connections_)
-        all.push_back(it);
-    for (auto const& it : all)
+    for (auto const& it : current())
         it->close();
 }
 
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -58,8 +58,8 @@
                                                    peer);
         });
     services_ = std::make_unique<exchange_services>(
-        exchange_services{context_, clock_, names_, settings_, *endpoints_,
-                          *chooser_, *weights_, *budgets_, *metrics_, log_});
+        exchange_services{context_, clock_, names_, *endpoints_, *chooser_,
+                          *weights_, *budgets_, *metrics_, log_});
     update_limits();
 }
 
@@ -94,11 +94,10 @@
 void gateway::apply(weights::model_target const& target,
                     kernel::steady_time named)
 {
-    weights_->set_target(target, endpoints_->ids_with_model(target.model),
-                         named);
+    auto ids = endpoints_->ids_with_model(target.model);
     log_.write("weights_named", "model={} version={} endpoints={}",
-               target.model.str(), target.version,
-               endpoints_->ids_with_model(target.model).size());
+               target.model.str(), target.version, ids.size());
+    weights_->set_target(target, std::move(ids), named);
 }
 
 void gateway::on_engine_state(kernel::endpoint_id const& endpoint,
--- a/packages/gateway/internal/request_fields.cpp
+++ b/packages/gateway/internal/request_fields.cpp
@@ -1,5 +1,7 @@
 #include "gateway/request_fields.hpp"
 
+#include "kernel/parse_number.hpp"
+
 #include <array>
 #include <cstdint>
 
@@ -31,9 +33,11 @@
     res.model = kernel::model_id(*model);
     auto counts = headers.value_or(names.token_counts, "");
     res.prompt_tokens =
-        parse_number<std::uint32_t>(take_until(counts, ',')).value_or(0);
+        kernel::parse_number<std::uint32_t>(take_until(counts, ','))
+            .value_or(0);
     res.max_output_tokens =
-        parse_number<std::uint32_t>(take_until(counts, ',')).value_or(0);
+        kernel::parse_number<std::uint32_t>(take_until(counts, ','))
+            .value_or(0);
     auto parts = headers.value_or(names.prompt_parts, "");
     while (!parts.empty())
     {
@@ -45,7 +49,7 @@
             break;
         res.parts.push_back(
             {std::string(id),
-             parse_number<std::uint32_t>(trimmed(part)).value_or(0)});
+             kernel::parse_number<std::uint32_t>(trimmed(part)).value_or(0)});
     }
     return res;
 }
@@ -55,7 +59,8 @@
     std::array<std::uint32_t, 3> counts{};
     for (auto& it : counts)
     {
-        auto const n = parse_number<std::uint32_t>(take_until(text, ','));
+        auto const n =
+            kernel::parse_number<std::uint32_t>(take_until(text, ','));
         if (!n)
             return std::nullopt;
         it = *n;
--- a/packages/gateway/internal/routing_table.cpp
+++ b/packages/gateway/internal/routing_table.cpp
@@ -34,6 +34,11 @@
                          [](route const* a, route const* b)
                          { return a->prefix.size() > b->prefix.size(); });
     }
+    for (auto const& it : config_.services)
+    {
+        if (it.kv_store)
+            kv_stores_.push_back(it.kv_store->address);
+    }
     for (auto const& it : config_.workspaces)
     {
         for (auto const& key : it.keys)
--- a/packages/gateway/request_fields.hpp
+++ b/packages/gateway/request_fields.hpp
@@ -6,25 +6,12 @@
 #include "gateway/types/prompt_info.hpp"
 #include "gateway/types/protocol_names.hpp"
 
-#include <charconv>
 #include <optional>
 #include <string_view>
 
 namespace endiveward::gateway
 {
 
-/// The whole text as a decimal number, if it is one.
-template <typename T>
-std::optional<T> parse_number(std::string_view text)
-{
-    T res{};
-    auto const* const end = text.data() + text.size();
-    auto const [at, ec] = std::from_chars(text.data(), end, res);
-    if (ec != std::errc() || at != end || text.empty())
-        return std::nullopt;
-    return res;
-}
-
 /// What the header fields say of the prompt; none without a model.
 std::optional<prompt_info> parse_prompt(header_list const& headers,
                                         protocol_names const& names);
--- a/packages/gateway/routing_table.hpp
+++ b/packages/gateway/routing_table.hpp
@@ -30,6 +30,8 @@
     /// The workspace that holds the key, or null.
     workspace_entry const* workspace_of(std::string_view key) const;
     service const* find_service(kernel::service_id const& id) const;
+    /// `IP:PORT` of the stores of KV cache.
+    std::vector<std::string> const& kv_stores() const { return kv_stores_; }
 
 private:
     struct text_hash
@@ -42,6 +44,7 @@
     };
 
     routing_config config_;
+    std::vector<std::string> kv_stores_;
     /// Routes by lower-case host, longest prefix first.
     std::unordered_map<std::string, std::vector<route const*>, text_hash,
                        std::equal_to<>>
--- a/packages/gateway/tests/endpoint_chooser_test.cpp
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -173,7 +173,9 @@
 {
     world w(3);
     auto wanted = world::make_demand("f", 1);
-    wanted.kv_stores = {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"};
+    std::vector<std::string> const stores{"10.0.0.1:1", "10.0.0.2:1",
+                                          "10.0.0.3:1"};
+    wanted.kv_stores = stores;
     auto const choice = w.choose(wanted);
     CHECK_FALSE(choice->kv.source.empty());
     CHECK(choice->kv.source == choice->kv.target);
--- a/packages/gateway/types/demand.hpp
+++ b/packages/gateway/types/demand.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -22,7 +23,7 @@
     /// Differs from request to request.
     std::uint64_t seed = 0;
     /// `IP:PORT` of the stores of KV cache.
-    std::vector<std::string> kv_stores;
+    std::span<std::string const> kv_stores;
     /// Endpoints that have failed or refused the request.
     std::vector<kernel::endpoint_id> excluded;
 };
--- a/packages/gateway/types/placement_choice.hpp
+++ b/packages/gateway/types/placement_choice.hpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace endiveward::gateway
 {
@@ -22,6 +23,8 @@
     weights::weight_version version = 0;
     std::string cache_salt;
     kv_route kv;
+    /// The parts of the prompt under the salt.
+    std::vector<prefix_level> levels;
     /// The part that other requests share, and its tokens with those before.
     prefix_level shared;
     /// Tokens of it that the endpoint or the source is believed to hold.
--- a/packages/router/internal/request_parser.cpp
+++ b/packages/router/internal/request_parser.cpp
@@ -2,6 +2,7 @@
 
 #include "config/types/service_entry.hpp"
 #include "config/types/workspace_entry.hpp"
+#include "kernel/parse_number.hpp"
 #include "router/types/caller_request.hpp"
 
 #include <fmt/format.h>
@@ -9,7 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace endiveward::router
 {
@@ -72,13 +72,11 @@
     auto const text = request.header("x-request-timeout-ms");
     if (text.empty())
         return limits.default_deadline;
-    std::int64_t n = 0;
-    auto const [end, ec] =
-        std::from_chars(text.data(), text.data() + text.size(), n);
-    if (ec != std::errc() || end != text.data() + text.size() || n <= 0)
+    auto const n = kernel::parse_number<std::int64_t>(text);
+    if (!n || *n <= 0)
         return invalid("X-Request-Timeout-Ms must be a positive number of "
                        "milliseconds");
-    return std::min(std::chrono::milliseconds(n), limits.max_deadline);
+    return std::min(std::chrono::milliseconds(*n), limits.max_deadline);
 }
 
 kernel::result<call_request>
