Add `endiveward explain`: a request's story and cause from logs

Reads logs of several processes and prints the lines of one request in order, what else is logged of its endpoints and its router, the likely cause and the next step. A third of the lines that a process may write in a second is kept for lines that are not routine.

--- a/packages/cli/internal/subcommands.cpp
+++ b/packages/cli/internal/subcommands.cpp
@@ -11,6 +11,8 @@
 #include "config/settings_loader.hpp"
 #include "config/types/agent_settings.hpp"
 #include "config/types/router_settings.hpp"
+#include "explain/log_reader.hpp"
+#include "explain/request_story.hpp"
 #include "kernel/secure_random_source.hpp"
 #include "storage/http_client.hpp"
 #include "storage/http_object_store.hpp"
@@ -578,6 +580,90 @@
     }
 };
 
+class explain_request : public command
+{
+public:
+    explicit explain_request(environment const& env)
+        : command(env, "explain",
+                  "Tells from the logs of processes how a request went and why "
+                  "it ended as it did. Reads standard input without files.")
+    {
+    }
+
+protected:
+    std::string synopsis() const override { return "REQUEST-ID [LOG...]"; }
+
+    int execute() override
+    {
+        auto const args = positional();
+        if (args.empty())
+            return usage("expected: explain REQUEST-ID [LOG...]");
+        explain::request_story story(args.front());
+        if (args.size() == 1)
+            add(story, std::cin, "stdin");
+        for (std::size_t n = 1; n < args.size(); ++n)
+        {
+            std::ifstream in(args[n]);
+            if (!in)
+                return usage(fmt::format("cannot read the log {}", args[n]));
+            add(story, in, args[n]);
+        }
+        if (as_json())
+            print_json(story);
+        else
+            print_text(story);
+        return story.found() ? exit_accepted : exit_other;
+    }
+
+private:
+    void add(explain::request_story& story, std::istream& in,
+             std::string const& name)
+    {
+        explain::log_reader reader(name);
+        for (std::string line; std::getline(in, line);)
+        {
+            if (auto record = reader.read(line))
+                story.add(std::move(*record));
+        }
+        if (reader.unreadable() > 0)
+            env_.err << fmt::format("{}: {} lines could not be read\n", name,
+                                    reader.unreadable());
+    }
+
+    void print_text(explain::request_story const& story)
+    {
+        auto const lines = story.lines();
+        for (auto const& it : lines)
+        {
+            std::string fields;
+            for (auto const& [name, value] : it.fields)
+                fields += fmt::format(" {}={}", name, value);
+            env_.out << fmt::format("{:+6} ms  {}  {}{}\n",
+                                    (it.time - lines.front().time).count(),
+                                    it.process, it.event, fields);
+        }
+        auto const why = story.explain();
+        env_.out << fmt::format("cause ({}): {}\nnext: {}\n", why.code,
+                                why.cause, why.next_step);
+    }
+
+    void print_json(explain::request_story const& story)
+    {
+        auto list = json::array();
+        for (auto const& it : story.lines())
+            list.push_back(json{{"time_ms", it.time.time_since_epoch().count()},
+                                {"process", it.process},
+                                {"event", it.event},
+                                {"fields", it.fields}});
+        auto const why = story.explain();
+        env_.out << json{{"lines", std::move(list)},
+                         {"code", why.code},
+                         {"cause", why.cause},
+                         {"next", why.next_step}}
+                 << '\n';
+    }
+};
+
 template <typename Command>
 subcommand make_subcommand(environment const& env, std::string name,
                            std::string brief)
@@ -620,7 +706,9 @@
             make_subcommand<status_command>(
                 env, "status", "show the version in force in each process"),
             make_subcommand<dump_command>(env, "dump",
-                                          "print the state of a process")};
+                                          "print the state of a process"),
+            make_subcommand<explain_request>(
+                env, "explain", "tell from logs how a request went")};
 }
 
 } // namespace endiveward::cli
--- a/packages/cli/tests/subcommands_test.cpp
+++ b/packages/cli/tests/subcommands_test.cpp
@@ -106,6 +106,15 @@
     std::string settings_;
 };
 
+// One request that an endpoint cut off, beside another one's line.
+constexpr char const* log_lines =
+    R"({"time":"2026-12-04T01:00:00.000Z","message":"event=start process=r1 zone=a"}
+{"time":"2026-12-04T01:00:01.000Z","message":"event=sent id=q1 endpoint=e1 expect_ms=20"}
+{"time":"2026-12-04T01:00:01.500Z","message":"event=sent id=q2 endpoint=e1 expect_ms=20"}
+{"time":"2026-12-04T01:00:02.000Z","message":"event=failed id=q1 endpoint=e1 reason=cut_short"}
+{"time":"2026-12-04T01:00:02.001Z","message":"event=cut id=q1 reason=cut_short took_ms=1001"}
+)";
+
 constexpr char const* operations = R"([
  {"op":"put_endpoint","endpoint":{"id":"a","labels":{"zone":"hall-a"}}},
  {"op":"put_endpoint","endpoint":{"id":"b","labels":{"zone":"hall-b"}}},
@@ -269,3 +278,26 @@
     CHECK(it.output().at("config").at("version") == 3);
     CHECK(it.run({"status", address_of(server)}) == cli::exit_other);
 }
+
+// Guards against a story that mixes in lines of other requests, and against a
+// wrong file that looks like a request that was never seen.
+TEST_CASE("a request is explained from log files")
+{
+    command_line line;
+    auto const log = line.write("r1.log", log_lines);
+    REQUIRE(line.run_plain({"explain", "q1", log}) == cli::exit_accepted);
+    auto const text = line.out.str();
+    CHECK(text.find("r1  sent") != std::string::npos);
+    CHECK(text.find("q2") == std::string::npos);
+    CHECK(text.find("cause (endpoint_failed)") != std::string::npos);
+
+    REQUIRE(line.run_plain({"explain", "q1", log, "--json"}) ==
+            cli::exit_accepted);
+    CHECK(line.output()["code"] == "endpoint_failed");
+    CHECK(line.output()["lines"].size() == 4);
+
+    CHECK(line.run_plain({"explain", "q9", log}) == cli::exit_other);
+    CHECK(line.run_plain({"explain", "q1", log + ".none"}) == cli::exit_usage);
+    CHECK(line.err.str().find("cannot read the log") != std::string::npos);
+    CHECK(line.run_plain({"explain"}) == cli::exit_usage);
+}
--- /dev/null
+++ b/packages/explain/internal/request_story.cpp
@@ -0,0 +1,290 @@
+#include "explain/request_story.hpp"
+
+#include "kernel/parse_number.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <map>
+
+namespace endiveward::explain
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// What happened this long before a request may explain how it ended: a
+/// router forgets failures of an endpoint within about this time.
+constexpr milliseconds context_before{5000};
+/// Lines of an agent may be written somewhat after those of a router.
+constexpr milliseconds context_after{500};
+
+/// Lines that are many and tell nothing of other requests.
+bool is_routine(std::string const& event)
+{
+    return event == "sent" || event == "completed" || event == "answered" ||
+           event == "gave_up" || event == "caller_gone" ||
+           event == "overloaded";
+}
+
+/// Lines that tell of the process that wrote them, not of an endpoint.
+bool is_of_process(std::string const& event)
+{
+    constexpr std::array events{
+        "start",         "stop",           "stopping",
+        "reload",        "store_contact",  "configuration_in_force",
+        "weights_named", "lines_left_out", "listeners_closed"};
+    return std::find(events.begin(), events.end(), event) != events.end();
+}
+
+std::int64_t number(log_record const& it, std::string const& field)
+{
+    return kernel::parse_number<std::int64_t>(it.value(field)).value_or(0);
+}
+
+bool earlier(log_record const& a, log_record const& b)
+{
+    return a.time < b.time;
+}
+
+} // namespace
+
+request_story::request_story(std::string request_id)
+    : id_(std::move(request_id))
+{
+}
+
+void request_story::add(log_record record)
+{
+    if (record.value("id") == id_)
+        own_.push_back(std::move(record));
+    else if (!is_routine(record.event))
+        others_.push_back(std::move(record));
+}
+
+std::vector<log_record> request_story::own_lines() const
+{
+    auto res = own_;
+    std::stable_sort(res.begin(), res.end(), earlier);
+    return res;
+}
+
+std::set<std::string> request_story::endpoints() const
+{
+    std::set<std::string> res;
+    for (auto const& it : own_)
+    {
+        if (auto name = it.value("endpoint"); !name.empty())
+            res.insert(std::move(name));
+    }
+    return res;
+}
+
+bool request_story::is_related(log_record const& it,
+                               std::set<std::string> const& endpoints) const
+{
+    auto const [first, last] =
+        std::minmax_element(own_.begin(), own_.end(), earlier);
+    if (it.time < first->time - context_before ||
+        it.time > last->time + context_after)
+        return false;
+    if (endpoints.contains(it.value("endpoint")))
+        return true;
+    return is_of_process(it.event) &&
+           std::any_of(own_.begin(), own_.end(),
+                       [&](log_record const& mine)
+                       { return mine.process == it.process; });
+}
+
+std::vector<log_record> request_story::lines() const
+{
+    auto res = own_;
+    if (res.empty())
+        return res;
+    auto const names = endpoints();
+    std::copy_if(others_.begin(), others_.end(), std::back_inserter(res),
+                 [&](log_record const& it) { return is_related(it, names); });
+    std::stable_sort(res.begin(), res.end(), earlier);
+    return res;
+}
+
+log_record const* request_story::last_of(std::string const& event) const
+{
+    log_record const* res = nullptr;
+    for (auto const& it : own_)
+    {
+        if (it.event == event && (res == nullptr || it.time >= res->time))
+            res = &it;
+    }
+    return res;
+}
+
+/// Names what else went wrong at an endpoint around the request.
+std::string request_story::trouble_at(std::string const& endpoint) const
+{
+    std::map<std::string, std::size_t> counts;
+    for (auto const& it : others_)
+    {
+        if (it.value("endpoint") == endpoint && is_related(it, {endpoint}) &&
+            it.event != "endpoint_entry" && it.event != "turn_planned")
+            ++counts[it.event];
+    }
+    std::string res;
+    for (auto const& [event, n] : counts)
+        res += fmt::format("{}{} {}", res.empty() ? "" : ", ", n, event);
+    return res.empty() ? "nothing else is logged of it" : "also logged: " + res;
+}
+
+verdict request_story::explain() const
+{
+    if (own_.empty())
+        return explain_absence();
+    auto const last = own_lines().back();
+    if (last.event == "caller_gone")
+        return {"caller_gone",
+                fmt::format("the caller closed its connection after {} ms",
+                            last.value("took_ms")),
+                "compare with the caller's own time limit; `sent` tells the "
+                "expected wait"};
+    if (last.event == "cut")
+        return explain_failure(last.value("reason"));
+    if (last.event == "gave_up")
+        return last.value("status") == "503"
+                   ? explain_refusal(last)
+                   : explain_failure(last.value("reason"));
+    if (last.event == "answered" || last.event == "completed")
+        return explain_answer(last);
+    return {"in_progress",
+            fmt::format("the last line is `{}`; the request has not ended in "
+                        "these logs",
+                        last.event),
+            "read later logs of the same process; if they begin with `start`, "
+            "the process was killed with the request"};
+}
+
+verdict request_story::explain_absence() const
+{
+    auto const left_out = std::any_of(others_.begin(), others_.end(),
+                                      [](log_record const& it)
+                                      { return it.event == "lines_left_out"; });
+    if (left_out)
+        return {"left_out",
+                "no line has this id, and some process left lines out",
+                "look at `lines_left_out` of the router at the time of the "
+                "request"};
+    return {"not_seen", "no line has this id",
+            "read the logs of all routers of the caller's zone; if no one has "
+            "it, the request did not reach endiveward"};
+}
+
+verdict request_story::explain_refusal(log_record const& last) const
+{
+    auto const reason = last.value("reason");
+    if (reason == "overloaded")
+    {
+        auto const* const why = last_of("overloaded");
+        return {"overloaded",
+                fmt::format(
+                    "all engines were busy: the best one, {}, was expected to "
+                    "begin in {} ms; the limit is {} ms for a target of {} ms",
+                    why != nullptr ? why->value("endpoint") : "unknown",
+                    why != nullptr ? why->value("wait_ms") : "?",
+                    why != nullptr ? why->value("limit_ms") : "?",
+                    why != nullptr ? why->value("target_ms") : "?"),
+                "compare the number of engines in use with the load; engines "
+                "that take new weights show as `engine_state`"};
+    }
+    if (reason == "no_configuration")
+        return {"no_configuration",
+                "the process had not read a configuration yet",
+                "look at its `start` and `store_contact`"};
+    if (reason == "stopping")
+        return {"stopping", "the process was being stopped",
+                "none; callers come back to another process"};
+    if (reason == "refused_by_endpoint")
+    {
+        auto const* const why = last_of("refused_by_endpoint");
+        auto const endpoint =
+            why != nullptr ? why->value("endpoint") : std::string();
+        auto const instance =
+            why != nullptr ? why->value("instance") : std::string();
+        if (!instance.empty() && instance != endpoint)
+            return {"endpoint_replaced",
+                    fmt::format("at the address of endpoint {} answers {}: it "
+                                "has restarted or ended, which the router did "
+                                "not know yet; {}",
+                                endpoint, instance, trouble_at(endpoint)),
+                    "look for `endpoint_removed` and `endpoint_entry` of both, "
+                    "and whether the store was in contact"};
+        return {"refused_by_endpoint",
+                fmt::format("endpoint {} refused it with {} (version asked "
+                            "for {}, version there {}); {}",
+                            endpoint,
+                            why != nullptr ? why->value("status") : "?",
+                            why != nullptr ? why->value("asked_version") : "?",
+                            why != nullptr ? why->value("has_version") : "?",
+                            trouble_at(endpoint)),
+                "421 with versions that differ: the rollout of weights; 503: "
+                "the engine was full or took new weights"};
+    }
+    if (reason == "no_endpoint" || reason == "no_service")
+        return {"no_endpoint", "no endpoint of the service could be used",
+                "look for `endpoint_removed`, `connect_failed` and `failed` in "
+                "the seconds before"};
+    return explain_failure(reason);
+}
+
+verdict request_story::explain_failure(std::string const& reason) const
+{
+    if (reason == "expired")
+        return {"expired", "its time was over before an endpoint answered",
+                "compare `left_ms` and `expect_ms` of `sent`"};
+    auto const* why = last_of("failed");
+    if (auto const* const refused = last_of("connect_failed");
+        why == nullptr && refused != nullptr)
+        why = refused;
+    if (why == nullptr)
+        return {reason.empty() ? "unknown" : reason,
+                fmt::format("it ended with the reason `{}`", reason),
+                "see the list of reasons in OPERATIONS.md"};
+    auto const endpoint = why->value("endpoint");
+    auto const trouble = trouble_at(endpoint);
+    return {"endpoint_failed",
+            fmt::format("endpoint {} gave no complete answer ({}); {}",
+                        endpoint,
+                        why->event == "connect_failed" ? "no connection"
+                                                       : why->value("reason"),
+                        trouble),
+            "if other requests failed there, or its entry or link went at "
+            "that time, the endpoint or its VM was lost"};
+}
+
+verdict request_story::explain_answer(log_record const& last) const
+{
+    auto const took = number(last, "took_ms");
+    auto const own = own_lines();
+    auto const attempts =
+        std::count_if(own.begin(), own.end(),
+                      [](log_record const& it) { return it.event == "sent"; });
+    if (attempts > 1)
+        return {"repeated",
+                fmt::format("it was answered after {} ms in attempt {}; the "
+                            "time went into the attempts before",
+                            took, attempts),
+                "look at the lines between `sent` and `sent`"};
+    auto const* const sent = last_of("sent");
+    auto const expected = sent != nullptr ? number(*sent, "expect_ms") : 0;
+    return {"answered",
+            fmt::format("it was answered after {} ms; its first event was "
+                        "expected after {} ms",
+                        took, expected),
+            "an expected wait that is long: engines were busy (`in_flight`); "
+            "a short one: the engine was slower than its reports, see "
+            "`source` for where a prefix was fetched from"};
+}
+
+} // namespace endiveward::explain
--- /dev/null
+++ b/packages/explain/tests/request_story_test.cpp
@@ -0,0 +1,177 @@
+#include "explain/log_reader.hpp"
+#include "explain/request_story.hpp"
+#include "kernel/tests/support/property_check.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <utility>
+#include <vector>
+
+namespace endiveward::explain
+{
+
+namespace
+{
+
+std::string line(int ms, std::string const& message)
+{
+    return fmt::format("{{\"time\":\"2026-12-04T01:00:{:02}.{:03}Z\",\"level\":"
+                       "\"INFO\",\"logger\":\"l\",\"message\":\"{}\"}}",
+                       ms / 1000, ms % 1000, message);
+}
+
+/// Processes with their lines: time in milliseconds and message.
+using log_of_process =
+    std::pair<std::string, std::vector<std::pair<int, std::string>>>;
+
+request_story story_of(std::vector<log_of_process> const& logs)
+{
+    request_story res("q1");
+    for (auto const& [process, lines] : logs)
+    {
+        log_reader reader(process);
+        for (auto const& [ms, message] : lines)
+        {
+            if (auto record = reader.read(line(ms, message)))
+                res.add(std::move(*record));
+        }
+    }
+    return res;
+}
+
+} // namespace
+
+TEST_CASE("a line is read with its process, time and fields")
+{
+    log_reader reader("file");
+    auto const first = reader.read(
+        line(5, "event=start process=r1 note=\\\"two words\\\" x="));
+    REQUIRE(first);
+    CHECK(first->process == "r1");
+    CHECK(first->event == "start");
+    CHECK(first->value("note") == "two words");
+    CHECK(first->value("x").empty());
+    auto const second = reader.read(line(1250, "event=sent id=q1"));
+    REQUIRE(second);
+    CHECK(second->process == "r1");
+    CHECK((second->time - first->time).count() == 1245);
+    // A collector's prefix names the process.
+    auto const third = reader.read("  12.5 r2 " + line(2000, "event=stop "));
+    REQUIRE(third);
+    CHECK(third->process == "r2");
+    CHECK_FALSE(reader.read("plain text"));
+    CHECK_FALSE(reader.read(line(0, "no decision")));
+    CHECK(reader.unreadable() == 0);
+    CHECK_FALSE(reader.read("{\"time\":"));
+    CHECK(reader.unreadable() == 1);
+}
+
+// Guards against a torn or foreign line that ends the reading of a log.
+TEST_CASE("no line ends the reading")
+{
+    kernel::tests::check_property(
+        []
+        {
+            log_reader reader("file");
+            auto const text = *rc::gen::arbitrary<std::string>();
+            reader.read(text);
+            auto whole = line(1, "event=sent id=q1 a=\\\"b c\\\"");
+            auto const cut =
+                *rc::gen::inRange<std::size_t>(0, whole.size() + 1);
+            whole.resize(cut);
+            reader.read(whole + text);
+            RC_ASSERT(reader.read(line(1, "event=sent id=q1")).has_value());
+        },
+        {}, kernel::tests::expected_verdict::holds);
+}
+
+TEST_CASE("a refusal for load names the wait and the target")
+{
+    auto const story = story_of(
+        {{"r1",
+          {{100, "event=overloaded id=q1 endpoint=e1 wait_ms=400 limit_ms=180 "
+                 "target_ms=600"},
+           {100, "event=gave_up id=q1 status=503 reason=overloaded runs=0"}}}});
+    auto const why = story.explain();
+    CHECK(why.code == "overloaded");
+    CHECK(why.cause.find("400 ms") != std::string::npos);
+    CHECK(why.cause.find("600 ms") != std::string::npos);
+}
+
+TEST_CASE("a lost endpoint is known by what others saw of it")
+{
+    auto const story = story_of(
+        {{"r1",
+          {{1000, "event=sent id=q1 endpoint=e1 expect_ms=20"},
+           {1400, "event=failed id=q1 endpoint=e1 reason=no_answer"},
+           {1401, "event=gave_up id=q1 status=502 reason=no_answer runs=1"}}},
+         {"r2",
+          {{1390, "event=failed id=q2 endpoint=e1 reason=no_answer"},
+           {1395, "event=failed id=q3 endpoint=e2 reason=no_answer"},
+           {9000, "event=failed id=q4 endpoint=e1 reason=no_answer"}}},
+         {"a1", {{1600, "event=engine_state endpoint=e1 reloading=false"}}}});
+    auto const why = story.explain();
+    CHECK(why.code == "endpoint_failed");
+    CHECK(why.cause.find("e1") != std::string::npos);
+    CHECK(why.cause.find("1 failed") != std::string::npos);
+    // The lines of another endpoint and of a much later time are left out.
+    CHECK(story.lines().size() == 5);
+}
+
+TEST_CASE("a refusal by an endpoint names the versions")
+{
+    auto const story = story_of(
+        {{"r1",
+          {{900, "event=engine_state endpoint=e1 reloading=true running=3"},
+           {1000, "event=sent id=q1 endpoint=e1"},
+           {1010, "event=refused_by_endpoint id=q1 endpoint=e1 status=503 "
+                  "asked_version=1 has_version=1"},
+           {1011, "event=gave_up id=q1 status=503 "
+                  "reason=refused_by_endpoint runs=0"}}}});
+    auto const why = story.explain();
+    CHECK(why.code == "refused_by_endpoint");
+    CHECK(why.cause.find("1 engine_state") != std::string::npos);
+}
+
+// Guards against a restart that is taken for a rollout of weights.
+TEST_CASE("a refusal by another start is told from one for the weights")
+{
+    auto const story = story_of(
+        {{"r1",
+          {{0, "event=sent id=q1 endpoint=e1"},
+           {5, "event=refused_by_endpoint id=q1 endpoint=e1 status=421 "
+               "asked_version=5 has_version=5 instance=e9"},
+           {6, "event=gave_up id=q1 status=503 reason=refused_by_endpoint"}}}});
+    CHECK(story.explain().code == "endpoint_replaced");
+}
+
+TEST_CASE("an answer after a repeat is told from one that was slow")
+{
+    auto const repeated =
+        story_of({{"r1",
+                   {{0, "event=sent id=q1 endpoint=e1 expect_ms=20"},
+                    {800, "event=silent id=q1 endpoint=e1"},
+                    {801, "event=sent id=q1 endpoint=e2 expect_ms=20"},
+                    {900, "event=completed id=q1 endpoint=e2 took_ms=900"}}}});
+    CHECK(repeated.explain().code == "repeated");
+    auto const slow =
+        story_of({{"r1",
+                   {{0, "event=sent id=q1 endpoint=e1 expect_ms=20"},
+                    {900, "event=completed id=q1 endpoint=e1 took_ms=900"}}}});
+    CHECK(slow.explain().code == "answered");
+}
+
+TEST_CASE("a request without lines is told from one that was left out")
+{
+    CHECK(story_of({{"r1", {{0, "event=start process=r1"}}}}).explain().code ==
+          "not_seen");
+    CHECK(story_of({{"r1", {{0, "event=lines_left_out lines=7"}}}})
+              .explain()
+              .code == "left_out");
+    CHECK(story_of({{"r1", {{0, "event=sent id=q1 endpoint=e1"}}}})
+              .explain()
+              .code == "in_progress");
+}
+
+} // namespace endiveward::explain
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -206,15 +206,15 @@
 {
     if (runs_ > 0)
         return false;
-    auto const back = services_.overload.refusal(
-        choice.wait, route_->target_latency, time_left());
-    if (!back)
+    auto const limit =
+        services_.overload.admitted_wait(route_->target_latency, time_left());
+    if (choice.wait <= limit)
         return false;
-    services_.log.write("overloaded",
-                        "id={} endpoint={} wait_ms={} target_ms={}", id_,
-                        choice.endpoint->entry().id.str(), choice.wait.count(),
-                        route_->target_latency.count());
-    refuse(*back, "overloaded");
+    services_.log.write(
+        "overloaded", "id={} endpoint={} wait_ms={} limit_ms={} target_ms={}",
+        id_, choice.endpoint->entry().id.str(), choice.wait.count(),
+        limit.count(), route_->target_latency.count());
+    refuse(services_.overload.retry_after(), "overloaded");
     return true;
 }
 
@@ -281,7 +281,7 @@
     ++runs_;
     endpoint_->on_sent(footprint_, now);
     services_.metrics.on_attempt();
-    services_.log.write(
+    services_.log.write_routine(
         "sent",
         "id={} route={} endpoint={} zone={} attempt={} version={} "
         "prefix={:x} shared={} known={} uncached={} source={} expect_ms={} "
@@ -477,7 +477,7 @@
         status == status_request_timeout)
         return answer_own(status_bad_gateway, "endpoint_failed");
     services_.metrics.on_first_byte(age());
-    services_.log.write(
+    services_.log.write_routine(
         "answered", "id={} endpoint={} status={} bytes={} took_ms={}", id_,
         endpoint_->entry().id.str(), status, body_.size(), age().count());
     reply_->answer(status, answer_headers(head_), std::move(body_));
@@ -655,10 +655,10 @@
     timer_.cancel();
     services_.metrics.on_request_end(outcome, age());
     if (outcome == "complete")
-        services_.log.write("completed",
-                            "id={} endpoint={} last_event={} took_ms={}", id_,
-                            endpoint_->entry().id.str(),
-                            last_event_.value_or(0), age().count());
+        services_.log.write_routine(
+            "completed", "id={} endpoint={} last_event={} took_ms={}", id_,
+            endpoint_->entry().id.str(), last_event_.value_or(0),
+            age().count());
     reply_ = nullptr;
 }
 
--- a/packages/gateway/internal/overload_policy.cpp
+++ b/packages/gateway/internal/overload_policy.cpp
@@ -1,5 +1,7 @@
 #include "gateway/overload_policy.hpp"
 
+#include <algorithm>
+
 namespace endiveward::gateway
 {
 
@@ -13,17 +15,15 @@
 // Only the wait counts, not the time to read the request's own prompt:
 // otherwise long prompts would be refused at a load at which short ones are
 // served.
-std::optional<milliseconds>
-overload_policy::refusal(milliseconds wait, milliseconds target_latency,
-                         milliseconds time_left) const
+milliseconds overload_policy::admitted_wait(milliseconds target_latency,
+                                            milliseconds time_left) const
 {
     using ms = std::chrono::duration<double, std::milli>;
-    if (wait >= time_left)
-        return settings_.retry_after;
-    if (target_latency.count() > 0 &&
-        ms(wait) > ms(target_latency) * settings_.admitted_wait)
-        return settings_.retry_after;
-    return std::nullopt;
+    if (target_latency.count() == 0)
+        return time_left;
+    auto const limit = std::chrono::duration_cast<milliseconds>(
+        ms(target_latency) * settings_.admitted_wait);
+    return std::min(limit, time_left);
 }
 
 } // namespace endiveward::gateway
--- a/packages/gateway/overload_policy.hpp
+++ b/packages/gateway/overload_policy.hpp
@@ -4,7 +4,6 @@
 #include "gateway/types/overload_settings.hpp"
 
 #include <chrono>
-#include <optional>
 
 namespace endiveward::gateway
 {
@@ -16,13 +15,18 @@
 public:
     explicit overload_policy(overload_settings settings);
 
-    /// Gives when the caller may come back if the request is to be refused.
-    /// `wait` is the expected time until an endpoint begins with the request.
-    /// A target latency of zero sets no limit but the time left.
-    std::optional<std::chrono::milliseconds>
-    refusal(std::chrono::milliseconds wait,
-            std::chrono::milliseconds target_latency,
-            std::chrono::milliseconds time_left) const;
+    /// How long a request may be expected to wait until an endpoint begins
+    /// with it; if it is longer, the request is refused. A target latency of
+    /// zero sets no limit but the time left.
+    std::chrono::milliseconds
+    admitted_wait(std::chrono::milliseconds target_latency,
+                  std::chrono::milliseconds time_left) const;
+
+    /// When a caller that was refused may come back.
+    std::chrono::milliseconds retry_after() const
+    {
+        return settings_.retry_after;
+    }
 
 private:
     overload_settings settings_;
--- a/packages/gateway/tests/overload_policy_test.cpp
+++ b/packages/gateway/tests/overload_policy_test.cpp
@@ -35,7 +35,8 @@
     {
         auto const now = arrival_interval * k;
         auto const wait = std::max(free_at - now, milliseconds(0));
-        if (policy != nullptr && policy->refusal(wait, target, time_left))
+        if (policy != nullptr &&
+            wait > policy->admitted_wait(target, time_left))
         {
             ++res.refused;
             continue;
@@ -65,24 +66,20 @@
     CHECK(limited.refused <= 170);
 }
 
-TEST_CASE("a request is admitted while the wait is short")
+TEST_CASE("a short wait is admitted and a refused caller can be in time")
 {
     overload_policy const policy({});
-    CHECK_FALSE(policy.refusal(milliseconds(0), target, time_left));
-    CHECK_FALSE(policy.refusal(milliseconds(100), target, time_left));
-    auto const back = policy.refusal(milliseconds(400), target, time_left);
-    REQUIRE(back);
-    CHECK(*back > milliseconds(0));
-    CHECK(*back < target);
+    CHECK(policy.admitted_wait(target, time_left) >= milliseconds(100));
+    CHECK(policy.admitted_wait(target, time_left) < target / 2);
+    CHECK(policy.retry_after() > milliseconds(0));
+    CHECK(policy.retry_after() < target);
 }
 
-TEST_CASE("a wait beyond the caller's time refuses a request of any route")
+TEST_CASE("no request is admitted to wait beyond the caller's time")
 {
     overload_policy const policy({});
-    CHECK(
-        policy.refusal(milliseconds(500), milliseconds(0), milliseconds(400)));
-    CHECK_FALSE(
-        policy.refusal(milliseconds(500), milliseconds(0), milliseconds(4000)));
+    CHECK(policy.admitted_wait(milliseconds(0), time_left) == time_left);
+    CHECK(policy.admitted_wait(target, milliseconds(20)) == milliseconds(20));
 }
 
 } // namespace endiveward::gateway
--- a/packages/observe/decision_log.hpp
+++ b/packages/observe/decision_log.hpp
@@ -18,7 +18,9 @@
 {
 
 /// Writes one line for each decision, at most a number a second. What exceeds
-/// it is counted and reported by a line when the second has passed.
+/// it is counted and reported by a line when the second has passed. A third of
+/// the number is kept for lines that are not routine, so that a busy process
+/// still tells what went wrong.
 class decision_log
 {
 public:
@@ -30,7 +32,16 @@
     void write(std::string_view event, fmt::format_string<Ts...> format,
                Ts&&... args)
     {
-        if (admit())
+        if (admit(limit_))
+            put(event, fmt::format(format, std::forward<Ts>(args)...));
+    }
+
+    /// The same for a decision that says that all went as usual.
+    template <typename... Ts>
+    void write_routine(std::string_view event, fmt::format_string<Ts...> format,
+                       Ts&&... args)
+    {
+        if (admit(limit_ - limit_ / 3))
             put(event, fmt::format(format, std::forward<Ts>(args)...));
     }
 
@@ -38,7 +49,7 @@
     std::uint64_t left_out() const { return left_out_; }
 
 private:
-    bool admit();
+    bool admit(std::uint32_t limit);
     void put(std::string_view event, std::string const& text);
 
     kernel::i_clock const& clock_;
--- a/packages/observe/internal/decision_log.cpp
+++ b/packages/observe/internal/decision_log.cpp
@@ -16,7 +16,7 @@
 {
 }
 
-bool decision_log::admit()
+bool decision_log::admit(std::uint32_t limit)
 {
     auto const now = clock_.now();
     if (now - second_start_ >= std::chrono::seconds(1))
@@ -26,7 +26,7 @@
         if (auto const n = std::exchange(skipped_, 0); n > 0)
             put("lines_left_out", fmt::format("lines={}", n));
     }
-    if (written_ < limit_)
+    if (written_ < limit)
     {
         ++written_;
         return true;
--- a/packages/observe/tests/bounded_log_test.cpp
+++ b/packages/observe/tests/bounded_log_test.cpp
@@ -89,4 +89,21 @@
     CHECK(log.left_out() == 7);
 }
 
+// Guards against a busy process whose lines of failed requests are left out
+// for those of requests that went well.
+TEST_CASE("a part of the lines is kept for what is not routine")
+{
+    initialize();
+    kernel::manual_clock clock;
+    decision_log log(clock, "test.kept", 6);
+    for (int n = 0; n < 10; ++n)
+        log.write_routine("completed", "n={}", n);
+    CHECK(log.left_out() == 6);
+    log.write("failed", "n={}", 1);
+    log.write("failed", "n={}", 2);
+    CHECK(log.left_out() == 6);
+    log.write("failed", "n={}", 3);
+    CHECK(log.left_out() == 7);
+}
+
 } // namespace endiveward::observe
