Remove the copying of KV cache by agents

Its test of the namespace goes with it; that no cache crosses a wall or a version is tested where it is decided now, in the salt that the gateway makes.

--- a/packages/agent/internal/http_endpoint_client.cpp
+++ b/packages/agent/internal/http_endpoint_client.cpp
@@ -249,50 +249,6 @@
           });
 }
 
-http_request
-http_endpoint_client::make_kv_request(placement::cache_namespace const& space,
-                                      kernel::hash128 const& block) const
-{
-    http_request request;
-    request.url = base_url_ + "/v1/kv/" + kernel::to_hex(block);
-    request.headers = {{"X-Cache-Salt", space.salt()}};
-    request.timeout = query_timeout;
-    return request;
-}
-
-void http_endpoint_client::export_block(
-    placement::cache_namespace const& space, kernel::hash128 const& block,
-    i_kv_endpoint::handler<std::string> on_done)
-{
-    fetch(make_kv_request(space, block),
-          [on_done](int status, std::string body, std::string const& reason)
-          {
-              if (status == status_ok)
-                  return on_done(std::move(body));
-              on_done(query_error(
-                  "the export of a block",
-                  reason.empty() ? fmt::format("status {}", status) : reason));
-          });
-}
-
-void http_endpoint_client::import_block(
-    placement::cache_namespace const& space, kernel::hash128 const& block,
-    std::string bytes, i_kv_endpoint::handler<kernel::done> on_done)
-{
-    auto request = make_kv_request(space, block);
-    request.method = "PUT";
-    request.body = std::move(bytes);
-    fetch(std::move(request),
-          [on_done](int status, std::string const&, std::string const& reason)
-          {
-              if (status == status_ok)
-                  return on_done(kernel::done{});
-              on_done(query_error(
-                  "the import of a block",
-                  reason.empty() ? fmt::format("status {}", status) : reason));
-          });
-}
-
 void http_endpoint_client::fetch(
     http_request request,
     std::function<void(int, std::string, std::string)> const& on_done)
--- a/packages/agent/internal/http_endpoint_client.hpp
+++ b/packages/agent/internal/http_endpoint_client.hpp
@@ -3,7 +3,6 @@
 
 #include "agent/i_endpoint_client.hpp"
 #include "agent/i_endpoint_observer.hpp"
-#include "agent/i_kv_endpoint.hpp"
 #include "agent/internal/http_transport.hpp"
 
 #include <memory>
@@ -17,7 +16,6 @@
 
 /// The endpoint by the protocols of design section 8.
 class http_endpoint_client : public i_endpoint_client,
-                             public i_kv_endpoint,
                              public i_endpoint_observer
 {
     asio::io_context& context_;
@@ -39,16 +37,8 @@
                     done) override;
     void order(engine_order const& what,
                i_endpoint_client::handler<kernel::done> on_done) override;
-    void export_block(placement::cache_namespace const& space,
-                      kernel::hash128 const& block,
-                      i_kv_endpoint::handler<std::string> on_done) override;
-    void import_block(placement::cache_namespace const& space,
-                      kernel::hash128 const& block, std::string bytes,
-                      i_kv_endpoint::handler<kernel::done> on_done) override;
 
 private:
-    http_request make_kv_request(placement::cache_namespace const& space,
-                                 kernel::hash128 const& block) const;
     struct entry
     {
         std::shared_ptr<endpoint_exchange> exchange;
--- a/packages/agent/tests/http_endpoint_client_test.cpp
+++ b/packages/agent/tests/http_endpoint_client_test.cpp
@@ -353,46 +353,4 @@
     test.run_until([&] { return answers == 5; });
 }
 
-// Guards against KV cache that is exported or imported under another salt or
-// block, and against a refused import that counts as done.
-TEST_CASE("KV export and import follow the protocol")
-{
-    fake_engine engine({{plain_answer("200 OK", "bytes")},
-                        {plain_answer("404 Not Found", "{}")},
-                        {plain_answer("200 OK", "{}")},
-                        {plain_answer("409 Conflict", "{}")}});
-    client_under_test test(engine.url());
-    placement::cache_namespace const space(kernel::workspace_id("w"),
-                                           kernel::model_id("m"),
-                                           kernel::model_version("v1"), "");
-    std::vector<std::string> exported;
-    std::vector<bool> imported;
-    for (std::size_t n = 1; n <= 2; ++n)
-    {
-        test.client.export_block(space, {1, 2},
-                                 [&](kernel::result<std::string> const& res) {
-                                     exported.push_back(kernel::ok(res)
-                                                            ? kernel::value(res)
-                                                            : "failed");
-                                 });
-        test.run_until([&] { return exported.size() == n; });
-    }
-    for (std::size_t n = 1; n <= 2; ++n)
-    {
-        test.client.import_block(space, {1, 2}, "bytes",
-                                 [&](kernel::result<kernel::done> const& res)
-                                 { imported.push_back(kernel::ok(res)); });
-        test.run_until([&] { return imported.size() == n; });
-    }
-    CHECK(exported == std::vector<std::string>{"bytes", "failed"});
-    CHECK(imported == std::vector<bool>{true, false});
-    auto const requests = engine.requests();
-    std::string const path = "/v1/kv/00000000000000010000000000000002 ";
-    CHECK(requests.at(0).starts_with("GET " + path));
-    CHECK(requests.at(2).starts_with("PUT " + path));
-    CHECK(requests.at(2).ends_with("bytes"));
-    for (auto const& it : requests)
-        CHECK(it.find("X-Cache-Salt: " + space.salt()) != std::string::npos);
-}
-
 } // namespace endiveward::agent
