--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -99,7 +99,7 @@
 
 bool gateway_process::listen()
 {
-    auto const start = [this](gateway::socket_address const& at)
+    auto const start = [this](kernel::socket_address const& at)
     {
         observe::operator_server_options options;
         options.address = at.host;
--- a/packages/agent/agent_module.cpp
+++ b/packages/agent/agent_module.cpp
@@ -43,7 +43,7 @@
     operators(config::common_settings const& settings, agent_core const& core,
               std::shared_ptr<config::i_config_state const> configuration,
               std::shared_ptr<prometheus::Registry> metrics)
-        : server_({settings.listen_operators.address,
+        : server_({settings.listen_operators.host,
                    settings.listen_operators.port,
                    settings.operator_token,
                    std::move(metrics),
--- a/packages/agent/internal/agent_core.cpp
+++ b/packages/agent/internal/agent_core.cpp
@@ -217,7 +217,7 @@
 kernel::result<std::uint16_t> agent_core::start()
 {
     auto const& address = settings_.common.listen_peers;
-    auto port = acceptor_->listen(address.address, address.port);
+    auto port = acceptor_->listen(address.host, address.port);
     if (!kernel::ok(port))
         return port;
     asio::post(context(),
--- a/packages/agent/tests/agent_core_test.cpp
+++ b/packages/agent/tests/agent_core_test.cpp
@@ -116,7 +116,7 @@
     explicit service_agent(std::string const& url)
     {
         config::agent_settings settings;
-        settings.common.listen_peers.address = "127.0.0.1";
+        settings.common.listen_peers.host = "127.0.0.1";
         settings.common.cluster_key.bytes = key;
         settings.endpoint = kernel::endpoint_id("gate-1");
         settings.kind = config::endpoint_kind::service;
--- a/packages/config/internal/settings_reader.cpp
+++ b/packages/config/internal/settings_reader.cpp
@@ -111,7 +111,7 @@
     out = std::chrono::milliseconds(count);
 }
 
-std::optional<socket_address>
+std::optional<kernel::socket_address>
 settings_reader::parse_address(std::string_view text) const
 {
     auto const colon = text.rfind(':');
@@ -129,18 +129,19 @@
                     [](char it) { return it >= '0' && it <= '9'; });
     if (ec || !digits || std::stoul(port) > 65535)
         return std::nullopt;
-    return socket_address{host, static_cast<std::uint16_t>(std::stoul(port))};
+    return kernel::socket_address{host,
+                                  static_cast<std::uint16_t>(std::stoul(port))};
 }
 
 void settings_reader::address(std::string_view table, std::string_view key,
-                              socket_address& out)
+                              kernel::socket_address& out)
 {
     auto const* node = find(table, key, need::required);
     if (node == nullptr)
         return;
     auto const value = node->value_exact<std::string>();
     auto const parsed =
-        value ? parse_address(*value) : std::optional<socket_address>();
+        value ? parse_address(*value) : std::optional<kernel::socket_address>();
     if (!parsed)
         return fail(
             table, key,
@@ -149,7 +150,7 @@
 }
 
 void settings_reader::addresses(std::string_view table, std::string_view key,
-                                std::vector<socket_address>& out)
+                                std::vector<kernel::socket_address>& out)
 {
     auto const* node = find(table, key);
     if (node == nullptr)
@@ -162,8 +163,8 @@
     for (auto const& it : *node->as_array())
     {
         auto const value = it.value_exact<std::string>();
-        auto const parsed =
-            value ? parse_address(*value) : std::optional<socket_address>();
+        auto const parsed = value ? parse_address(*value)
+                                  : std::optional<kernel::socket_address>();
         if (!parsed || parsed->port == 0)
             return fail(table, key, problem);
         out.push_back(*parsed);
--- a/packages/config/internal/settings_reader.hpp
+++ b/packages/config/internal/settings_reader.hpp
@@ -1,7 +1,7 @@
 #ifndef ENDIVEWARD_CONFIG_INTERNAL_SETTINGS_READER_HPP
 #define ENDIVEWARD_CONFIG_INTERNAL_SETTINGS_READER_HPP
 
-#include "config/types/socket_address.hpp"
+#include "kernel/types/socket_address.hpp"
 
 #include <toml++/toml.h>
 
@@ -44,9 +44,9 @@
                       std::int64_t least, std::int64_t greatest,
                       std::chrono::milliseconds& out);
     void address(std::string_view table, std::string_view key,
-                 socket_address& out);
+                 kernel::socket_address& out);
     void addresses(std::string_view table, std::string_view key,
-                   std::vector<socket_address>& out);
+                   std::vector<kernel::socket_address>& out);
     void url(std::string_view table, std::string_view key, need presence,
              std::string& out);
     /// Gives the index of the value in `choices`, or nothing.
@@ -70,7 +70,8 @@
     toml::node const* find(std::string_view table, std::string_view key);
     toml::node const* find(std::string_view table, std::string_view key,
                            need presence);
-    std::optional<socket_address> parse_address(std::string_view text) const;
+    std::optional<kernel::socket_address>
+    parse_address(std::string_view text) const;
     std::string resolve_path(std::string const& path) const;
     void fail_at(std::size_t line, std::string const& key,
                  std::string_view problem);
--- a/packages/config/tests/settings_loader_test.cpp
+++ b/packages/config/tests/settings_loader_test.cpp
@@ -105,7 +105,7 @@
     CHECK(settings.common.cluster_key.bytes == key_text);
     CHECK(settings.common.operator_token == "operator-token-0");
     CHECK(settings.common.listen_operators ==
-          config::socket_address{"::1", 7001});
+          kernel::socket_address{"::1", 7001});
     CHECK(settings.recompute_weight == 1.0);
     CHECK(settings.max_deadline == std::chrono::minutes(10));
     CHECK(settings.shutdown_notice == std::chrono::seconds(3));
--- a/packages/config/types/common_settings.hpp
+++ b/packages/config/types/common_settings.hpp
@@ -1,8 +1,8 @@
 #ifndef ENDIVEWARD_CONFIG_TYPES_COMMON_SETTINGS_HPP
 #define ENDIVEWARD_CONFIG_TYPES_COMMON_SETTINGS_HPP
 
-#include "config/types/socket_address.hpp"
 #include "kernel/types/identifiers.hpp"
+#include "kernel/types/socket_address.hpp"
 #include "wire/types/cluster_key.hpp"
 
 #include <chrono>
@@ -30,9 +30,9 @@
 
     // [listen]
     /// Connections of our other processes (`peers`).
-    socket_address listen_peers;
+    kernel::socket_address listen_peers;
     /// HTTP for operators (`operators`).
-    socket_address listen_operators;
+    kernel::socket_address listen_operators;
 
     // [cluster] key_file or key_env
     wire::cluster_key cluster_key;
@@ -48,7 +48,7 @@
 
     // [members]
     /// Peer addresses of routers and agents to start from.
-    std::vector<socket_address> seeds;
+    std::vector<kernel::socket_address> seeds;
 
     // [log]
     std::string log_level = "info";
--- a/packages/config/types/router_settings.hpp
+++ b/packages/config/types/router_settings.hpp
@@ -25,7 +25,7 @@
 
     // [listen]
     /// HTTP for callers (`callers`).
-    socket_address listen_callers;
+    kernel::socket_address listen_callers;
 
     // [placement]
     /// Seconds of extra wait accepted to save one second of recomputation.
--- a/packages/gateway/http/call_client.hpp
+++ b/packages/gateway/http/call_client.hpp
@@ -2,8 +2,8 @@
 #define ENDIVEWARD_GATEWAY_HTTP_CALL_CLIENT_HPP
 
 #include "gateway/http/upstream_connection.hpp"
-#include "gateway/types/socket_address.hpp"
 #include "kernel/i_clock.hpp"
+#include "kernel/types/socket_address.hpp"
 
 #include <asio/ip/tcp.hpp>
 
@@ -41,7 +41,7 @@
     using handler = std::function<void(result)>;
 
     call_client(asio::io_context& context, kernel::i_clock const& clock,
-                socket_address const& peer);
+                kernel::socket_address const& peer);
     ~call_client();
     call_client(call_client const&) = delete;
     call_client& operator=(call_client const&) = delete;
--- a/packages/gateway/internal/call_client.cpp
+++ b/packages/gateway/internal/call_client.cpp
@@ -91,7 +91,7 @@
 
 call_client::call_client(asio::io_context& context,
                          kernel::i_clock const& clock,
-                         socket_address const& peer)
+                         kernel::socket_address const& peer)
     : context_(context)
     , peer_(asio::ip::make_address(peer.host), peer.port)
     , pool_(std::make_shared<upstream_pool>(
--- a/packages/gateway/types/process_settings.hpp
+++ b/packages/gateway/types/process_settings.hpp
@@ -1,8 +1,8 @@
 #ifndef ENDIVEWARD_GATEWAY_TYPES_PROCESS_SETTINGS_HPP
 #define ENDIVEWARD_GATEWAY_TYPES_PROCESS_SETTINGS_HPP
 
-#include "gateway/types/socket_address.hpp"
 #include "kernel/types/identifiers.hpp"
+#include "kernel/types/socket_address.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -20,11 +20,11 @@
     /// Address of this VM.
     std::string host;
     /// Where callers connect, and where readiness is asked for.
-    std::optional<socket_address> front;
-    std::optional<socket_address> ready;
+    std::optional<kernel::socket_address> front;
+    std::optional<kernel::socket_address> ready;
     /// The engine on this VM.
-    std::optional<socket_address> engine;
-    socket_address store;
+    std::optional<kernel::socket_address> engine;
+    kernel::socket_address store;
     /// First port for connections between processes, the same on all VMs.
     std::uint16_t internal_port = 0;
     /// Time from the signal to stop until the process is killed.
--- a/packages/router/agent_connections.hpp
+++ b/packages/router/agent_connections.hpp
@@ -1,8 +1,8 @@
 #ifndef ENDIVEWARD_ROUTER_AGENT_CONNECTIONS_HPP
 #define ENDIVEWARD_ROUTER_AGENT_CONNECTIONS_HPP
 
-#include "config/types/socket_address.hpp"
 #include "kernel/types/identifiers.hpp"
+#include "kernel/types/socket_address.hpp"
 #include "observe/i_state_source.hpp"
 #include "router/i_agent_directory.hpp"
 #include "wire/i_connection_observer.hpp"
@@ -58,7 +58,7 @@
     /// Name of this process.
     kernel::process_id self;
     kernel::region_id region;
-    std::vector<config::socket_address> seeds;
+    std::vector<kernel::socket_address> seeds;
     std::chrono::milliseconds vm_poll_interval{3000};
     std::chrono::milliseconds vm_timeout{1000};
     std::chrono::milliseconds heartbeat_interval{30'000};
@@ -91,7 +91,7 @@
     agent_connections& operator=(agent_connections const&) = delete;
 
     /// Where this process listens for others; call before `start`.
-    void set_own_address(config::socket_address const& address);
+    void set_own_address(kernel::socket_address const& address);
     /// Starts connecting; `wire_options` names this object as observer.
     void start(std::shared_ptr<wire::connection_options const> wire_options);
     /// Closes all connections and starts no more.
--- a/packages/router/config_spread.hpp
+++ b/packages/router/config_spread.hpp
@@ -2,8 +2,8 @@
 #define ENDIVEWARD_ROUTER_CONFIG_SPREAD_HPP
 
 #include "config/config_distribution.hpp"
-#include "config/types/socket_address.hpp"
 #include "kernel/i_clock.hpp"
+#include "kernel/types/socket_address.hpp"
 #include "router/types/push_target.hpp"
 #include "wire/types/gossip.hpp"
 #include "wire/types/hello.hpp"
@@ -47,17 +47,17 @@
                   std::shared_ptr<kernel::i_random_source> random);
 
     /// An address at which this router itself listens.
-    void add_own_address(config::socket_address const& address);
+    void add_own_address(kernel::socket_address const& address);
     /// A seed that turned out to be a router; kept for good.
-    void add_seed(config::socket_address const& address);
+    void add_seed(kernel::socket_address const& address);
     /// Routers of the list of VMs that are not leaving; replaces the last list.
-    void set_listed(std::vector<config::socket_address> const& routers);
+    void set_listed(std::vector<kernel::socket_address> const& routers);
 
     /// A connection was opened, by either side.
     void on_open(wire::hello const& peer);
     void on_closed(wire::hello const& peer);
     void on_address(kernel::process_id const& router,
-                    config::socket_address const& address);
+                    kernel::socket_address const& address);
     /// A connected process sent or was sent something.
     void on_used(kernel::process_id const& process);
     /// A connected process reported its version.
@@ -82,7 +82,7 @@
     {
         wire::hello hello;
         kernel::config_version version = 0;
-        config::socket_address address;
+        kernel::socket_address address;
         std::size_t connections = 0;
         /// Last message of the process itself or of gossip about it.
         kernel::steady_time heard;
@@ -94,7 +94,7 @@
     using process_map = std::map<std::string, known_process>;
 
     bool is_self(kernel::process_id const& process) const;
-    bool is_own(config::socket_address const& address) const;
+    bool is_own(kernel::socket_address const& address) const;
     bool is_live(known_process const& it) const;
     void drop_expired();
     std::vector<config::distribution_member>
@@ -105,9 +105,9 @@
     kernel::region_id const region_;
     config::config_distribution const distribution_;
     mutable std::mutex mutex_;
-    std::vector<config::socket_address> own_addresses_;
-    std::vector<config::socket_address> seeds_;
-    std::vector<config::socket_address> listed_;
+    std::vector<kernel::socket_address> own_addresses_;
+    std::vector<kernel::socket_address> seeds_;
+    std::vector<kernel::socket_address> listed_;
     process_map routers_;
     process_map agents_;
 };
--- a/packages/router/internal/agent_connections.cpp
+++ b/packages/router/internal/agent_connections.cpp
@@ -48,9 +48,9 @@
 // Enough to tell isolation from the loss of a process, for few bytes.
 constexpr std::size_t probed_processes = 3;
 
-std::string key_of(config::socket_address const& address)
+std::string key_of(kernel::socket_address const& address)
 {
-    return fmt::format("{}:{}", address.address, address.port);
+    return fmt::format("{}:{}", address.host, address.port);
 }
 
 } // namespace
@@ -75,11 +75,11 @@
     {
     }
 
-    void set_own_address(config::socket_address const& address)
+    void set_own_address(kernel::socket_address const& address)
     {
         // Other processes cannot connect to 0.0.0.0 or ::.
         std::error_code ec;
-        auto const ip = asio::ip::make_address(address.address, ec);
+        auto const ip = asio::ip::make_address(address.host, ec);
         if (!ec && !ip.is_unspecified())
             spread_.add_own_address(address);
     }
@@ -313,7 +313,7 @@
     /// An address to which a connection is kept.
     struct link
     {
-        config::socket_address address;
+        kernel::socket_address address;
         bool seed = false;
         bool listed = false;
         bool leaving = false;
@@ -676,7 +676,7 @@
         return out;
     }
 
-    void connect_to_router(config::socket_address const& address)
+    void connect_to_router(kernel::socket_address const& address)
     {
         if (address.port == 0)
             return;
@@ -736,7 +736,7 @@
 
     // Membership, control thread
 
-    void add_link(config::socket_address const& address, bool seed)
+    void add_link(kernel::socket_address const& address, bool seed)
     {
         auto const key = key_of(address);
         auto& added = links_[key];
@@ -774,7 +774,7 @@
         it->second.connecting = true;
         auto const& address = it->second.address;
         connector_->connect(
-            options_.traffic->next_context(), address.address, address.port,
+            options_.traffic->next_context(), address.host, address.port,
             [weak = weak_from_this(), key](
                 kernel::result<std::shared_ptr<wire::i_connection>> const& res)
             {
@@ -959,7 +959,7 @@
     void apply_vms(std::vector<storage::vm> const& vms)
     {
         std::set<std::string> listed;
-        std::vector<config::socket_address> routers;
+        std::vector<kernel::socket_address> routers;
         std::vector<listed_agent> remotes;
         for (auto const& it : vms)
         {
@@ -975,7 +975,7 @@
             if (it.role != storage::vm_role::agent ||
                 it.region != options_.region)
                 continue;
-            config::socket_address const address{it.address, it.port};
+            kernel::socket_address const address{it.address, it.port};
             auto const key = key_of(address);
             listed.insert(key);
             add_link(address, false);
@@ -1057,7 +1057,7 @@
 
 agent_connections::~agent_connections() = default;
 
-void agent_connections::set_own_address(config::socket_address const& address)
+void agent_connections::set_own_address(kernel::socket_address const& address)
 {
     impl_->set_own_address(address);
 }
--- a/packages/router/internal/config_spread.cpp
+++ b/packages/router/internal/config_spread.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-bool contains(std::vector<config::socket_address> const& all,
-              config::socket_address const& address)
+bool contains(std::vector<kernel::socket_address> const& all,
+              kernel::socket_address const& address)
 {
     return std::find(all.begin(), all.end(), address) != all.end();
 }
@@ -41,14 +41,14 @@
 {
 }
 
-void config_spread::add_own_address(config::socket_address const& address)
+void config_spread::add_own_address(kernel::socket_address const& address)
 {
     std::lock_guard const lock(mutex_);
     if (!is_own(address))
         own_addresses_.push_back(address);
 }
 
-void config_spread::add_seed(config::socket_address const& address)
+void config_spread::add_seed(kernel::socket_address const& address)
 {
     std::lock_guard const lock(mutex_);
     if (!contains(seeds_, address))
@@ -56,7 +56,7 @@
 }
 
 void config_spread::set_listed(
-    std::vector<config::socket_address> const& routers)
+    std::vector<kernel::socket_address> const& routers)
 {
     std::lock_guard const lock(mutex_);
     listed_ = routers;
@@ -91,7 +91,7 @@
 }
 
 void config_spread::on_address(kernel::process_id const& router,
-                               config::socket_address const& address)
+                               kernel::socket_address const& address)
 {
     std::lock_guard const lock(mutex_);
     auto const it = routers_.find(router.str());
@@ -201,7 +201,7 @@
 std::vector<router_contact> config_spread::contacts() const
 {
     std::vector<router_contact> out;
-    std::vector<config::socket_address> taken = own_addresses_;
+    std::vector<kernel::socket_address> taken = own_addresses_;
     for (auto const& [name, it] : routers_)
     {
         if (it.connections == 0 && (it.address.port == 0 || is_own(it.address)))
@@ -244,7 +244,7 @@
     out.config_version = version;
     for (auto const& it : heard)
         out.members.push_back({it.hello.process, wire::process_role::router,
-                               it.address.address, it.address.port,
+                               it.address.host, it.address.port,
                                it.hello.region, it.hello.zone,
                                it.hello.incarnation, false});
     return out;
@@ -267,7 +267,7 @@
     return process == self_;
 }
 
-bool config_spread::is_own(config::socket_address const& address) const
+bool config_spread::is_own(kernel::socket_address const& address) const
 {
     return contains(own_addresses_, address);
 }
--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -103,8 +103,8 @@
         operator_port_ = value_or_throw(operators_->start());
         auto const& peers = settings_.common.listen_peers;
         auto const peer_port =
-            value_or_throw(acceptor_->listen(peers.address, peers.port));
-        connections_->set_own_address({peers.address, peer_port});
+            value_or_throw(acceptor_->listen(peers.host, peers.port));
+        connections_->set_own_address({peers.host, peer_port});
         connections_->start(wire_options_);
         caller_port_ = value_or_throw(callers_->start());
         update_metrics();
@@ -227,7 +227,7 @@
         api_ = std::make_shared<caller_api>(std::move(api));
 
         caller_server_options callers;
-        callers.address = settings_.listen_callers.address;
+        callers.address = settings_.listen_callers.host;
         callers.port = settings_.listen_callers.port;
         callers.max_body_bytes = settings_.max_body_bytes;
         callers.max_header_bytes = settings_.max_header_bytes;
@@ -238,7 +238,7 @@
                                                    std::move(callers), api_);
 
         observe::operator_server_options operators;
-        operators.address = settings_.common.listen_operators.address;
+        operators.address = settings_.common.listen_operators.host;
         operators.port = settings_.common.listen_operators.port;
         operators.token = settings_.common.operator_token;
         operators.metrics = registry_;
--- a/packages/router/tests/config_spread_test.cpp
+++ b/packages/router/tests/config_spread_test.cpp
@@ -21,7 +21,7 @@
     return kernel::process_id("router-" + std::to_string(n));
 }
 
-config::socket_address address_of(int n)
+kernel::socket_address address_of(int n)
 {
     return {"127.0.0.1", static_cast<std::uint16_t>(9000 + n)};
 }
@@ -77,7 +77,7 @@
 {
     wire::gossip out;
     out.members.push_back({router_name(n), wire::process_role::router,
-                           address_of(n).address, address_of(n).port,
+                           address_of(n).host, address_of(n).port,
                            kernel::region_id(region), kernel::zone_id("z"), 1,
                            false});
     return out;
--- a/packages/router/tests/router_module_test.cpp
+++ b/packages/router/tests/router_module_test.cpp
@@ -23,7 +23,7 @@
     out.common.operator_token = "operator-token-0";
     for (auto* const it : {&out.common.listen_peers,
                            &out.common.listen_operators, &out.listen_callers})
-        it->address = "127.0.0.1";
+        it->host = "127.0.0.1";
     for (auto const it : seeds)
         out.common.seeds.push_back({"127.0.0.1", it});
     return out;
--- a/packages/router/types/listed_agent.hpp
+++ b/packages/router/types/listed_agent.hpp
@@ -1,8 +1,8 @@
 #ifndef ENDIVEWARD_ROUTER_TYPES_LISTED_AGENT_HPP
 #define ENDIVEWARD_ROUTER_TYPES_LISTED_AGENT_HPP
 
-#include "config/types/socket_address.hpp"
 #include "kernel/types/identifiers.hpp"
+#include "kernel/types/socket_address.hpp"
 
 namespace endiveward::router
 {
@@ -11,7 +11,7 @@
 struct listed_agent
 {
     kernel::endpoint_id endpoint;
-    config::socket_address address;
+    kernel::socket_address address;
 };
 
 } // namespace endiveward::router
--- a/packages/router/types/router_contact.hpp
+++ b/packages/router/types/router_contact.hpp
@@ -1,8 +1,8 @@
 #ifndef ENDIVEWARD_ROUTER_TYPES_ROUTER_CONTACT_HPP
 #define ENDIVEWARD_ROUTER_TYPES_ROUTER_CONTACT_HPP
 
-#include "config/types/socket_address.hpp"
 #include "kernel/types/identifiers.hpp"
+#include "kernel/types/socket_address.hpp"
 
 namespace endiveward::router
 {
@@ -13,7 +13,7 @@
     /// Empty until the router has said its name.
     kernel::process_id process;
     /// Port 0 if it is reachable only by a connection that it opened.
-    config::socket_address address;
+    kernel::socket_address address;
 };
 
 } // namespace endiveward::router
