--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -7,6 +7,7 @@
 #include "gateway/http/upstream_connection.hpp"
 #include "gateway/i_reply.hpp"
 #include "gateway/overload_policy.hpp"
+#include "gateway/patience.hpp"
 #include "gateway/repeat_budgets.hpp"
 #include "gateway/request_builder.hpp"
 #include "gateway/request_fields.hpp"
@@ -54,16 +55,6 @@
 /// latency, looking again in steps.
 constexpr int wait_divisor = 8;
 constexpr int wait_steps = 4;
-/// A plain call without an answer after this share of its target latency is
-/// sent to another endpoint, which then still answers in time.
-constexpr double plain_patience = 0.6;
-/// The same for the first event of a stream, whose time varies more, and for
-/// the longest pause between events of a stream that can be resumed.
-constexpr double stream_patience = 0.8;
-/// While the endpoint still sends to others, the request is only slow there,
-/// and giving up what it has done costs more than the wait.
-constexpr double patience_with_busy_endpoint = 2.5;
-constexpr milliseconds least_patience{40};
 constexpr milliseconds look_interval{200};
 /// A connection that was idle for longer may be closed by the peer just then;
 /// for requests that cannot be repeated a new one is made.
@@ -84,12 +75,6 @@
 constexpr std::size_t max_collected_bytes = 256U << 10U;
 constexpr int lowest_priority = 9;
 
-milliseconds share_of(milliseconds time, double share)
-{
-    return milliseconds(
-        static_cast<std::int64_t>(static_cast<double>(time.count()) * share));
-}
-
 } // namespace
 
 exchange::exchange(exchange_services const& services,
@@ -714,22 +699,13 @@
 {
     if (!may_repeat(route_->rule) || runs_ >= route_->max_attempts)
         return std::nullopt;
-    if (!is_stream(route_->rule))
-    {
-        if (head_passed_)
-            return std::nullopt;
+    auto const silent = endpoint_->silent(services_.clock.now());
+    if (!head_passed_)
         return sent_at_ +
-               std::max({share_of(route_->target_latency, plain_patience),
-                         least_patience, expected_answer_ * 2});
-    }
-    auto const share = endpoint_->silent(services_.clock.now())
-                           ? stream_patience
-                           : patience_with_busy_endpoint;
-    if (head_passed_)
-        return last_event_at_ +
-               std::max(share_of(route_->target_gap, share), least_patience);
-    return sent_at_ + std::max({share_of(route_->target_latency, share),
-                                least_patience, expected_answer_ * 2});
+               patience_with_answer(*route_, expected_answer_, silent);
+    if (!is_stream(route_->rule))
+        return std::nullopt;
+    return last_event_at_ + patience_with_events(*route_, silent);
 }
 
 void exchange::on_silence()
--- /dev/null
+++ b/packages/gateway/internal/patience.cpp
@@ -0,0 +1,53 @@
+#include "gateway/patience.hpp"
+
+#include "gateway/types/route.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// A plain call without an answer after this share of its target latency is
+/// sent to another endpoint, which then still answers in time.
+constexpr double plain_share = 0.6;
+/// The same for the first event of a stream, whose time varies more, and for
+/// the longest pause between events of a stream that can be resumed.
+constexpr double stream_share = 0.8;
+/// While the endpoint still sends to others, the request is only slow there,
+/// and giving up what it has done costs more than the wait.
+constexpr double busy_endpoint_share = 2.5;
+constexpr milliseconds least_patience{40};
+/// An endpoint may take this many times as long as expected.
+constexpr int expectation_factor = 2;
+
+milliseconds share_of(milliseconds time, double share)
+{
+    return milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(time.count()) * share));
+}
+
+} // namespace
+
+milliseconds patience_with_answer(route const& target, milliseconds expected,
+                                  bool endpoint_silent)
+{
+    auto share = plain_share;
+    if (is_stream(target.rule))
+        share = endpoint_silent ? stream_share : busy_endpoint_share;
+    return std::max({share_of(target.target_latency, share), least_patience,
+                     expected * expectation_factor});
+}
+
+milliseconds patience_with_events(route const& target, bool endpoint_silent)
+{
+    auto const share = endpoint_silent ? stream_share : busy_endpoint_share;
+    return std::max(share_of(target.target_gap, share), least_patience);
+}
+
+} // namespace endiveward::gateway
--- /dev/null
+++ b/packages/gateway/tests/patience_test.cpp
@@ -0,0 +1,65 @@
+#include "gateway/patience.hpp"
+#include "gateway/types/route.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+route make_route(repeat_rule rule)
+{
+    route res;
+    res.rule = rule;
+    res.target_latency = milliseconds(600);
+    res.target_gap = milliseconds(800);
+    return res;
+}
+
+} // namespace
+
+// Load pattern: an endpoint is lost with all its requests. Those that may run
+// again must be answered elsewhere within their target latency.
+TEST_CASE("a lost endpoint is left in time for an answer elsewhere")
+{
+    for (auto const rule : {repeat_rule::idempotent, repeat_rule::stream,
+                            repeat_rule::resumable_stream})
+    {
+        auto const target = make_route(rule);
+        CHECK(patience_with_answer(target, milliseconds(0), true) <
+              target.target_latency);
+    }
+    auto const target = make_route(repeat_rule::resumable_stream);
+    CHECK(patience_with_events(target, true) < target.target_gap);
+}
+
+// Load pattern: engines are busy. Sending requests again would add load and
+// throw away what they have read.
+TEST_CASE("a stream at a busy endpoint is not sent again for being slow")
+{
+    auto const target = make_route(repeat_rule::resumable_stream);
+    CHECK(patience_with_answer(target, milliseconds(0), false) >
+          2 * target.target_latency);
+    CHECK(patience_with_events(target, false) > 2 * target.target_gap);
+}
+
+TEST_CASE("an answer that was expected late is waited for")
+{
+    auto const target = make_route(repeat_rule::stream);
+    CHECK(patience_with_answer(target, milliseconds(1000), true) >
+          milliseconds(1000));
+}
+
+TEST_CASE("a route without a target latency leaves time for an answer")
+{
+    route const target;
+    CHECK(patience_with_answer(target, milliseconds(0), true) >
+          milliseconds(0));
+    CHECK(patience_with_events(target, true) > milliseconds(0));
+}
+
+} // namespace endiveward::gateway
