Send a request to an idle engine before refusing it

If the best one would wait too long, an endpoint that is expected to begin within 50 ms goes before it.

The test fails without the change.

--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -21,6 +21,8 @@
 constexpr double plain_call_ms = 40;
 /// Transfers between zones take twice as long.
 constexpr double cross_zone_transfer = 2;
+/// An endpoint at which a request is expected to begin within this is idle.
+constexpr std::chrono::milliseconds idle_wait{50};
 /// Fewer tokens than this are not worth a transfer.
 constexpr std::uint32_t least_fetched_tokens = 48;
 
@@ -142,16 +144,24 @@
         (pending + settings_.usual_prompt_tokens) / (unanswered + 1);
     auto const sampled = sample(context);
     std::optional<offer> best;
+    std::optional<offer> idle;
     for (auto const& it : endpoints)
     {
         if (!is_candidate(*it, sampled, context))
             continue;
         auto made = offer_of(it, context);
-        if (made && (!best || made->cost < best->cost))
+        if (!made)
+            continue;
+        if (made->choice.wait <= idle_wait &&
+            (!idle || made->cost < idle->cost))
+            idle = made;
+        if (!best || made->cost < best->cost)
             best = std::move(made);
     }
     if (!best)
         return std::nullopt;
+    if (best->choice.wait > wanted.admitted_wait && idle)
+        best = std::move(idle);
     if (wanted.prompt)
         best->choice.levels = view_of(best->choice.version, context).levels;
     return std::move(best->choice);
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -174,6 +174,9 @@
     if (time_left() < least_time)
         return give_up("expired");
     auto const& target = *table_->find_service(demand_.service);
+    if (target.engine)
+        demand_.admitted_wait = services_.overload.admitted_wait(
+            route_->target_latency, time_left());
     auto choice = services_.chooser.choose(
         services_.endpoints.of_service(demand_.service), target, demand_,
         services_.weights, services_.clock.now());
--- a/packages/gateway/tests/endpoint_chooser_test.cpp
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -183,4 +183,25 @@
     CHECK(w.choose(wanted)->kv.target == choice->kv.target);
 }
 
+// Load pattern: the endpoint of a prefix is busy beyond the limit at which
+// requests are refused, and others are idle. Refusing the request there would
+// turn callers away from an installation with room.
+TEST_CASE("an idle endpoint goes before one that would wait too long")
+{
+    world w(4);
+    auto wanted = world::make_demand("hot", 1);
+    // The wait of 230 ms costs less than leaving the home, but is too long.
+    auto const home = w.choose(wanted)->endpoint;
+    home->on_sent({10000, 10300}, start);
+    CHECK(w.choose(wanted)->endpoint == home);
+    wanted.admitted_wait = milliseconds(180);
+    auto const idle = w.choose(wanted);
+    CHECK(idle->endpoint != home);
+    CHECK(idle->wait <= wanted.admitted_wait);
+    // Without an idle one the best is given, for the caller to decide.
+    for (auto const& it : w.records)
+        it->on_sent({10000, 10300}, start);
+    CHECK(w.choose(wanted)->wait > wanted.admitted_wait);
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/types/demand.hpp
+++ b/packages/gateway/types/demand.hpp
@@ -4,6 +4,7 @@
 #include "gateway/types/prompt_info.hpp"
 #include "kernel/types/identifiers.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -24,6 +25,9 @@
     std::uint64_t seed = 0;
     /// `IP:PORT` of the stores of KV cache.
     std::span<std::string const> kv_stores;
+    /// If the request is expected to wait longer at the best endpoint, one that
+    /// is idle goes before it.
+    std::chrono::milliseconds admitted_wait = std::chrono::milliseconds::max();
     /// Endpoints that have failed or refused the request.
     std::vector<kernel::endpoint_id> excluded;
 };
