--- a/packages/explain/internal/request_story.cpp
+++ b/packages/explain/internal/request_story.cpp
@@ -123,6 +123,14 @@
     return res;
 }
 
+/// The last line of the request with this event; one without fields if that
+/// line was left out.
+log_record request_story::last_or_empty(std::string const& event) const
+{
+    auto const* const found = last_of(event);
+    return found != nullptr ? *found : log_record();
+}
+
 /// Names what else went wrong at an endpoint around the request.
 std::string request_story::trouble_at(std::string const& endpoint) const
 {
@@ -185,19 +193,9 @@
 {
     auto const reason = last.value("reason");
     if (reason == "overloaded")
-    {
-        auto const* const why = last_of("overloaded");
-        return {"overloaded",
-                fmt::format(
-                    "all engines were busy: the best one, {}, was expected to "
-                    "begin in {} ms; the limit is {} ms for a target of {} ms",
-                    why != nullptr ? why->value("endpoint") : "unknown",
-                    why != nullptr ? why->value("wait_ms") : "?",
-                    why != nullptr ? why->value("limit_ms") : "?",
-                    why != nullptr ? why->value("target_ms") : "?"),
-                "compare the number of engines in use with the load; engines "
-                "that take new weights show as `engine_state`"};
-    }
+        return explain_overload();
+    if (reason == "refused_by_endpoint")
+        return explain_endpoint_refusal();
     if (reason == "no_configuration")
         return {"no_configuration",
                 "the process had not read a configuration yet",
@@ -205,32 +203,6 @@
     if (reason == "stopping")
         return {"stopping", "the process was being stopped",
                 "none; callers come back to another process"};
-    if (reason == "refused_by_endpoint")
-    {
-        auto const* const why = last_of("refused_by_endpoint");
-        auto const endpoint =
-            why != nullptr ? why->value("endpoint") : std::string();
-        auto const instance =
-            why != nullptr ? why->value("instance") : std::string();
-        if (!instance.empty() && instance != endpoint)
-            return {"endpoint_replaced",
-                    fmt::format("at the address of endpoint {} answers {}: it "
-                                "has restarted or ended, which the router did "
-                                "not know yet; {}",
-                                endpoint, instance, trouble_at(endpoint)),
-                    "look for `endpoint_removed` and `endpoint_entry` of both, "
-                    "and whether the store was in contact"};
-        return {"refused_by_endpoint",
-                fmt::format("endpoint {} refused it with {} (version asked "
-                            "for {}, version there {}); {}",
-                            endpoint,
-                            why != nullptr ? why->value("status") : "?",
-                            why != nullptr ? why->value("asked_version") : "?",
-                            why != nullptr ? why->value("has_version") : "?",
-                            trouble_at(endpoint)),
-                "421 with versions that differ: the rollout of weights; 503: "
-                "the engine was full or took new weights"};
-    }
     if (reason == "no_endpoint" || reason == "no_service")
         return {"no_endpoint", "no endpoint of the service could be used",
                 "look for `endpoint_removed`, `connect_failed` and `failed` in "
@@ -238,6 +210,42 @@
     return explain_failure(reason);
 }
 
+verdict request_story::explain_overload() const
+{
+    auto const why = last_or_empty("overloaded");
+    return {"overloaded",
+            fmt::format("all engines were busy: the best one, {}, was expected "
+                        "to begin in {} ms; the limit is {} ms for a target of "
+                        "{} ms",
+                        why.value("endpoint"), why.value("wait_ms"),
+                        why.value("limit_ms"), why.value("target_ms")),
+            "compare the number of engines in use with the load; engines that "
+            "take new weights show as `engine_state`"};
+}
+
+verdict request_story::explain_endpoint_refusal() const
+{
+    auto const why = last_or_empty("refused_by_endpoint");
+    auto const endpoint = why.value("endpoint");
+    auto const instance = why.value("instance");
+    if (!instance.empty() && instance != endpoint)
+        return {"endpoint_replaced",
+                fmt::format("at the address of endpoint {} answers {}: it has "
+                            "restarted or ended, which the router did not know "
+                            "yet; {}",
+                            endpoint, instance, trouble_at(endpoint)),
+                "look for `endpoint_removed` and `endpoint_entry` of both, and "
+                "whether the store was in contact"};
+    return {"refused_by_endpoint",
+            fmt::format("endpoint {} refused it with {} (version asked for {}, "
+                        "version there {}); {}",
+                        endpoint, why.value("status"),
+                        why.value("asked_version"), why.value("has_version"),
+                        trouble_at(endpoint)),
+            "421 with versions that differ: the rollout of weights; 503: the "
+            "engine was full or took new weights"};
+}
+
 verdict request_story::explain_failure(std::string const& reason) const
 {
     if (reason == "expired")
--- a/packages/explain/request_story.hpp
+++ b/packages/explain/request_story.hpp
@@ -34,10 +34,13 @@
     bool is_related(log_record const& it,
                     std::set<std::string> const& endpoints) const;
     verdict explain_refusal(log_record const& last) const;
+    verdict explain_overload() const;
+    verdict explain_endpoint_refusal() const;
     verdict explain_failure(std::string const& reason) const;
     verdict explain_answer(log_record const& last) const;
     verdict explain_absence() const;
     log_record const* last_of(std::string const& event) const;
+    log_record last_or_empty(std::string const& event) const;
     std::string trouble_at(std::string const& endpoint) const;
 
     std::string id_;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -183,7 +183,7 @@
     if (!choice)
         return after_unavailable();
     refuse_at_.reset();
-    if (target.engine && is_overload(*choice))
+    if (is_overload(*choice))
         return;
     send(std::move(*choice));
 }
@@ -192,16 +192,12 @@
 /// that may have run goes on.
 bool exchange::is_overload(placement_choice const& choice)
 {
-    if (runs_ > 0)
-        return false;
-    auto const limit =
-        services_.overload.admitted_wait(route_->target_latency, time_left());
-    if (choice.wait <= limit)
+    if (runs_ > 0 || choice.wait <= demand_.admitted_wait)
         return false;
     services_.log.write(
         "overloaded", "id={} endpoint={} wait_ms={} limit_ms={} target_ms={}",
         id_, choice.endpoint->entry().id.str(), choice.wait.count(),
-        limit.count(), route_->target_latency.count());
+        demand_.admitted_wait.count(), route_->target_latency.count());
     refuse(services_.overload.retry_after(), "overloaded");
     return true;
 }
--- a/packages/gateway/types/overload_settings.hpp
+++ b/packages/gateway/types/overload_settings.hpp
@@ -10,9 +10,9 @@
 struct overload_settings
 {
     /// Share of a route's target latency that a request may be expected to
-    /// wait before an engine begins with it. Engines were measured to begin
-    /// about 250 ms later than expected under high load, so a larger share
-    /// admits requests that are late (MEASUREMENTS.md).
+    /// wait before an engine begins with it. Under high load engines begin
+    /// up to 250 ms later than expected, so a larger share admits requests
+    /// that are late.
     double admitted_wait = 0.3;
     /// When a caller that was turned away may come back: soon enough to be
     /// served within common target latencies of 600 to 1000 ms.
