Serve what was written twice by one piece of code

- header_collector puts header fields together for request_reader and response_reader, which each did so with the same limit on their bytes.
- kernel::half_jitter replaces the same random pause in table_follower and agent_links.
- endpoint_chooser compares its offers after they are made, and no longer copies an offer for each idle endpoint of every request.
- request_story keeps a request's lines by time in place of sorting and scanning them for each question.

No change of behaviour.

--- a/packages/enginelink/internal/agent_links.cpp
+++ b/packages/enginelink/internal/agent_links.cpp
@@ -3,6 +3,7 @@
 #include "enginelink/i_engine_listener.hpp"
 #include "enginelink/i_row_source.hpp"
 #include "enginelink/link_options.hpp"
+#include "kernel/half_jitter.hpp"
 #include "kernel/i_random_source.hpp"
 #include "kernel/types/result.hpp"
 #include "wire/connection_options.hpp"
@@ -200,10 +201,7 @@
         if (it->dropped)
             return;
         it->pause = std::clamp(it->pause * 2, first_retry, longest_retry);
-        auto const half = it->pause.count() / 2;
-        it->timer.expires_after(milliseconds(
-            half + static_cast<std::int64_t>(
-                       random_.next() % static_cast<std::uint64_t>(half + 1))));
+        it->timer.expires_after(kernel::half_jitter(it->pause, random_));
         it->timer.async_wait(
             [weak = weak_from_this(), it](std::error_code ec)
             {
--- a/packages/enginelink/tests/links_test.cpp
+++ b/packages/enginelink/tests/links_test.cpp
@@ -5,14 +5,13 @@
 #include "enginelink/state_publisher.hpp"
 #include "kernel/seeded_random_source.hpp"
 #include "kernel/system_clock.hpp"
+#include "kernel/tests/support/run_on.hpp"
 #include "kernel/thread_pool.hpp"
 
-#include <asio/post.hpp>
 #include <catch2/catch.hpp>
 
 #include <atomic>
 #include <functional>
-#include <future>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -144,14 +143,7 @@
 
     void run(std::function<void()> work)
     {
-        std::promise<void> done;
-        asio::post(pool.context(0),
-                   [&]
-                   {
-                       work();
-                       done.set_value();
-                   });
-        done.get_future().wait();
+        kernel::tests::run_on(pool.context(0), std::move(work));
     }
 
     kernel::system_clock clock;
@@ -181,14 +173,7 @@
 
     void run(std::function<void()> work)
     {
-        std::promise<void> done;
-        asio::post(pool.context(0),
-                   [&]
-                   {
-                       work();
-                       done.set_value();
-                   });
-        done.get_future().wait();
+        kernel::tests::run_on(pool.context(0), std::move(work));
     }
 
     void connect(std::uint16_t port)
--- a/packages/explain/internal/request_story.cpp
+++ b/packages/explain/internal/request_story.cpp
@@ -61,18 +61,15 @@
 void request_story::add(log_record record)
 {
     if (record.value("id") == id_)
-        own_.push_back(std::move(record));
+    {
+        auto const later =
+            std::upper_bound(own_.begin(), own_.end(), record, earlier);
+        own_.insert(later, std::move(record));
+    }
     else if (!is_routine(record.event))
         others_.push_back(std::move(record));
 }
 
-std::vector<log_record> request_story::own_lines() const
-{
-    auto res = own_;
-    std::stable_sort(res.begin(), res.end(), earlier);
-    return res;
-}
-
 std::set<std::string> request_story::endpoints() const
 {
     std::set<std::string> res;
@@ -87,10 +84,8 @@
 bool request_story::is_related(log_record const& it,
                                std::set<std::string> const& endpoints) const
 {
-    auto const [first, last] =
-        std::minmax_element(own_.begin(), own_.end(), earlier);
-    if (it.time < first->time - context_before ||
-        it.time > last->time + context_after)
+    if (it.time < own_.front().time - context_before ||
+        it.time > own_.back().time + context_after)
         return false;
     if (endpoints.contains(it.value("endpoint")))
         return true;
@@ -114,13 +109,10 @@
 
 log_record const* request_story::last_of(std::string const& event) const
 {
-    log_record const* res = nullptr;
-    for (auto const& it : own_)
-    {
-        if (it.event == event && (res == nullptr || it.time >= res->time))
-            res = &it;
-    }
-    return res;
+    auto const found =
+        std::find_if(own_.rbegin(), own_.rend(),
+                     [&](log_record const& it) { return it.event == event; });
+    return found == own_.rend() ? nullptr : &*found;
 }
 
 /// The last line of the request with this event; one without fields if that
@@ -151,7 +143,7 @@
 {
     if (own_.empty())
         return explain_absence();
-    auto const last = own_lines().back();
+    auto const& last = own_.back();
     if (last.event == "caller_gone")
         return {"caller_gone",
                 fmt::format("the caller closed its connection after {} ms",
@@ -274,9 +266,8 @@
 verdict request_story::explain_answer(log_record const& last) const
 {
     auto const took = number(last, "took_ms");
-    auto const own = own_lines();
     auto const attempts =
-        std::count_if(own.begin(), own.end(),
+        std::count_if(own_.begin(), own_.end(),
                       [](log_record const& it) { return it.event == "sent"; });
     if (attempts > 1)
         return {"repeated",
--- a/packages/explain/request_story.hpp
+++ b/packages/explain/request_story.hpp
@@ -29,7 +29,6 @@
     verdict explain() const;
 
 private:
-    std::vector<log_record> own_lines() const;
     std::set<std::string> endpoints() const;
     bool is_related(log_record const& it,
                     std::set<std::string> const& endpoints) const;
@@ -44,6 +43,7 @@
     std::string trouble_at(std::string const& endpoint) const;
 
     std::string id_;
+    /// By time.
     std::vector<log_record> own_;
     std::vector<log_record> others_;
 };
--- a/packages/follower/internal/table_follower.cpp
+++ b/packages/follower/internal/table_follower.cpp
@@ -1,7 +1,7 @@
 #include "follower/table_follower.hpp"
 
 #include "follower/i_table_listener.hpp"
-#include "kernel/i_random_source.hpp"
+#include "kernel/half_jitter.hpp"
 
 #include <algorithm>
 #include <set>
@@ -154,13 +154,7 @@
         listener_.on_contact(false, why.message);
     pause_ =
         std::clamp(pause_ * 2, options_.first_pause, options_.longest_pause);
-    // Full jitter above the half keeps processes that lost the store together
-    // from coming back together.
-    auto const half = pause_.count() / 2;
-    auto const wait = std::chrono::milliseconds(
-        half + static_cast<std::int64_t>(random_.next() %
-                                         static_cast<std::uint64_t>(half + 1)));
-    timer_.expires_after(wait);
+    timer_.expires_after(kernel::half_jitter(pause_, random_));
     timer_.async_wait(
         [self = shared_from_this()](std::error_code ec)
         {
--- a/packages/gateway/endpoint_chooser.hpp
+++ b/packages/gateway/endpoint_chooser.hpp
@@ -39,6 +39,8 @@
 
     using record_set = std::vector<endpoint_record const*>;
 
+    static offer* cheapest(std::vector<offer>& offers,
+                           std::chrono::milliseconds longest_wait);
     record_set sample(search const& context) const;
     bool is_candidate(endpoint_record const& it, record_set const& sampled,
                       search& context) const;
--- a/packages/gateway/http/request_reader.hpp
+++ b/packages/gateway/http/request_reader.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEWARD_GATEWAY_HTTP_REQUEST_READER_HPP
 #define ENDIVEWARD_GATEWAY_HTTP_REQUEST_READER_HPP
 
+#include "gateway/http/header_collector.hpp"
 #include "gateway/http/http_request.hpp"
 #include "gateway/http/message_limits.hpp"
 
@@ -36,7 +37,7 @@
     int failure_status() const { return failure_status_; }
     /// Whether a byte of the next request has arrived.
     bool started() const { return started_; }
-    bool headers_complete() const { return headers_complete_; }
+    bool headers_complete() const { return fields_.finished(); }
     bool is_http_1_0() const
     {
         return parser_.http_major == 1 && parser_.http_minor == 0;
@@ -57,22 +58,16 @@
     static request_reader& self(http_parser* parser);
 
     void reset();
-    bool count_header_bytes(std::size_t n);
-    void flush_field();
     int fail(int status);
 
     message_limits limits_;
     http_parser parser_{};
     http_parser_settings settings_{};
     http_request request_;
-    std::string field_;
-    std::string value_;
-    std::size_t header_bytes_ = 0;
+    header_collector fields_;
     read_state state_ = read_state::partial;
     int failure_status_ = 0;
     bool started_ = false;
-    bool headers_complete_ = false;
-    bool in_value_ = false;
     bool wants_continue_ = false;
 };
 
--- a/packages/gateway/http/response_reader.hpp
+++ b/packages/gateway/http/response_reader.hpp
@@ -1,13 +1,13 @@
 #ifndef ENDIVEWARD_GATEWAY_HTTP_RESPONSE_READER_HPP
 #define ENDIVEWARD_GATEWAY_HTTP_RESPONSE_READER_HPP
 
+#include "gateway/http/header_collector.hpp"
 #include "gateway/http/message_limits.hpp"
 #include "gateway/http/response_head.hpp"
 
 #include <http_parser.h>
 
 #include <cstddef>
-#include <string>
 #include <string_view>
 
 namespace endiveward::gateway
@@ -43,20 +43,14 @@
     static int on_complete(http_parser* parser);
     static response_reader& self(http_parser* parser);
 
-    void flush_field();
     void execute(char const* at, std::size_t n, std::size_t& taken);
 
-    std::size_t max_header_bytes_;
     http_parser parser_{};
     http_parser_settings settings_{};
     response_head head_;
-    std::string field_;
-    std::string value_;
+    header_collector fields_;
     i_response_sink* sink_ = nullptr;
-    std::size_t header_bytes_ = 0;
     bool head_request_ = false;
-    bool in_value_ = false;
-    bool headers_complete_ = false;
     bool informational_ = false;
     bool started_ = false;
     bool complete_ = false;
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -143,30 +143,42 @@
     context.tokens_per_request =
         (pending + settings_.usual_prompt_tokens) / (unanswered + 1);
     auto const sampled = sample(context);
-    std::optional<offer> best;
-    std::optional<offer> idle;
+    std::vector<offer> offers;
     for (auto const& it : endpoints)
     {
         if (!is_candidate(*it, sampled, context))
             continue;
-        auto made = offer_of(it, context);
-        if (!made)
-            continue;
-        if (made->choice.wait <= idle_wait &&
-            (!idle || made->cost < idle->cost))
-            idle = made;
-        if (!best || made->cost < best->cost)
-            best = std::move(made);
+        if (auto made = offer_of(it, context))
+            offers.push_back(std::move(*made));
     }
-    if (!best)
+    auto* best = cheapest(offers, std::chrono::milliseconds::max());
+    if (best == nullptr)
         return std::nullopt;
-    if (best->choice.wait > wanted.admitted_wait && idle)
-        best = std::move(idle);
+    if (best->choice.wait > wanted.admitted_wait)
+    {
+        if (auto* const idle = cheapest(offers, idle_wait))
+            best = idle;
+    }
     if (wanted.prompt)
         best->choice.levels = view_of(best->choice.version, context).levels;
     return std::move(best->choice);
 }
 
+/// The offer of least cost among those with at most this wait, or null.
+endpoint_chooser::offer*
+endpoint_chooser::cheapest(std::vector<offer>& offers,
+                           std::chrono::milliseconds longest_wait)
+{
+    offer* res = nullptr;
+    for (auto& it : offers)
+    {
+        if (it.choice.wait <= longest_wait &&
+            (res == nullptr || it.cost < res->cost))
+            res = &it;
+    }
+    return res;
+}
+
 /// Some endpoints that can take the request, drawn by its id. The load of an
 /// endpoint is known with a delay; if all processes took the least loaded one
 /// of many, they would overload it together.
--- a/packages/gateway/internal/request_reader.cpp
+++ b/packages/gateway/internal/request_reader.cpp
@@ -16,6 +16,7 @@
 
 request_reader::request_reader(message_limits limits)
     : limits_(limits)
+    , fields_(limits.header_bytes)
 {
     http_parser_settings_init(&settings_);
     settings_.on_url = on_url;
@@ -32,14 +33,10 @@
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
     request_ = {};
-    field_.clear();
-    value_.clear();
-    header_bytes_ = 0;
+    fields_.reset();
     state_ = read_state::partial;
     failure_status_ = 0;
     started_ = false;
-    headers_complete_ = false;
-    in_value_ = false;
     wants_continue_ = false;
 }
 
@@ -74,12 +71,6 @@
     return *static_cast<request_reader*>(parser->data);
 }
 
-bool request_reader::count_header_bytes(std::size_t n)
-{
-    header_bytes_ += n;
-    return header_bytes_ <= limits_.header_bytes;
-}
-
 int request_reader::fail(int status)
 {
     state_ = read_state::failed;
@@ -87,19 +78,10 @@
     return -1;
 }
 
-void request_reader::flush_field()
-{
-    if (field_.empty())
-        return;
-    request_.headers.add(std::move(field_), std::string(trimmed(value_)));
-    field_.clear();
-    value_.clear();
-}
-
 int request_reader::on_url(http_parser* parser, char const* at, std::size_t n)
 {
     auto& me = self(parser);
-    if (!me.count_header_bytes(n))
+    if (!me.fields_.count(n))
         return me.fail(status_headers_too_large);
     me.request_.target.append(at, n);
     return 0;
@@ -108,37 +90,21 @@
 int request_reader::on_field(http_parser* parser, char const* at, std::size_t n)
 {
     auto& me = self(parser);
-    // Trailer fields after a chunked body are not passed on.
-    if (me.headers_complete_)
-        return 0;
-    if (!me.count_header_bytes(n))
-        return me.fail(status_headers_too_large);
-    if (me.in_value_)
-        me.flush_field();
-    me.in_value_ = false;
-    me.field_.append(at, n);
-    return 0;
+    return me.fields_.add_name({at, n}) ? 0 : me.fail(status_headers_too_large);
 }
 
 int request_reader::on_value(http_parser* parser, char const* at, std::size_t n)
 {
     auto& me = self(parser);
-    // Trailer fields after a chunked body are not passed on.
-    if (me.headers_complete_)
-        return 0;
-    if (!me.count_header_bytes(n))
-        return me.fail(status_headers_too_large);
-    me.in_value_ = true;
-    me.value_.append(at, n);
-    return 0;
+    return me.fields_.add_value({at, n}) ? 0
+                                         : me.fail(status_headers_too_large);
 }
 
 int request_reader::on_headers(http_parser* parser)
 {
     auto& me = self(parser);
-    me.flush_field();
-    me.headers_complete_ = true;
     auto& request = me.request_;
+    request.headers = me.fields_.finish();
     request.method = http_method_str(static_cast<http_method>(parser->method));
     request.keep_alive = http_should_keep_alive(parser) != 0;
     if (parser->method == HTTP_CONNECT)
--- a/packages/gateway/internal/response_reader.cpp
+++ b/packages/gateway/internal/response_reader.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 response_reader::response_reader(std::size_t max_header_bytes)
-    : max_header_bytes_(max_header_bytes)
+    : fields_(max_header_bytes)
 {
     http_parser_settings_init(&settings_);
     settings_.on_header_field = on_field;
@@ -40,12 +40,8 @@
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
     head_ = {};
-    field_.clear();
-    value_.clear();
-    header_bytes_ = 0;
+    fields_.reset();
     head_request_ = head_request;
-    in_value_ = false;
-    headers_complete_ = false;
     informational_ = false;
     started_ = false;
     complete_ = false;
@@ -99,50 +95,22 @@
     return *static_cast<response_reader*>(parser->data);
 }
 
-void response_reader::flush_field()
-{
-    if (field_.empty())
-        return;
-    head_.headers.add(std::move(field_), std::string(trimmed(value_)));
-    field_.clear();
-    value_.clear();
-}
-
 int response_reader::on_field(http_parser* parser, char const* at,
                               std::size_t n)
 {
-    auto& me = self(parser);
-    if (me.headers_complete_)
-        return 0;
-    me.header_bytes_ += n;
-    if (me.header_bytes_ > me.max_header_bytes_)
-        return -1;
-    if (me.in_value_)
-        me.flush_field();
-    me.in_value_ = false;
-    me.field_.append(at, n);
-    return 0;
+    return self(parser).fields_.add_name({at, n}) ? 0 : -1;
 }
 
 int response_reader::on_value(http_parser* parser, char const* at,
                               std::size_t n)
 {
-    auto& me = self(parser);
-    if (me.headers_complete_)
-        return 0;
-    me.header_bytes_ += n;
-    if (me.header_bytes_ > me.max_header_bytes_)
-        return -1;
-    me.in_value_ = true;
-    me.value_.append(at, n);
-    return 0;
+    return self(parser).fields_.add_value({at, n}) ? 0 : -1;
 }
 
 int response_reader::on_headers(http_parser* parser)
 {
     auto& me = self(parser);
-    me.flush_field();
-    me.headers_complete_ = true;
+    me.head_.headers = me.fields_.finish();
     me.head_.status = static_cast<int>(parser->status_code);
     if (me.head_.status < first_final_status)
     {
--- a/packages/gateway/tests/support/test_gateway.hpp
+++ b/packages/gateway/tests/support/test_gateway.hpp
@@ -5,13 +5,12 @@
 #include "gateway/routing_table.hpp"
 #include "gateway/tests/support/test_names.hpp"
 #include "kernel/system_clock.hpp"
+#include "kernel/tests/support/run_on.hpp"
 #include "kernel/thread_pool.hpp"
 #include "observe/decision_log.hpp"
 
-#include <asio/post.hpp>
 #include <prometheus/registry.h>
 
-#include <future>
 #include <string>
 #include <vector>
 
@@ -101,14 +100,7 @@
     template <typename F>
     void run(F work)
     {
-        std::promise<void> done;
-        asio::post(pool_.context(0),
-                   [&]
-                   {
-                       work();
-                       done.set_value();
-                   });
-        done.get_future().wait();
+        kernel::tests::run_on(pool_.context(0), std::move(work));
     }
 
     gateway& get() { return gateway_; }
