enginelink: Lower the pace of reports with the number of routers

Each agent sent cache changes to each router up to 15 times a second and the load 4 times. Weights, reloading and reachability are still reported immediately.

--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -61,9 +61,10 @@
     , store_(pool_.context(0), clock_, settings_.store)
     , engine_(pool_.context(0), clock_, settings_.engine.value())
     , cache_(pool_.context(0), clock_, settings_.engine.value())
-    , cache_follower_(pool_.context(0), cache_, gateway::part_key,
-                      [this](bool reset, std::vector<wire::cached_part> parts)
-                      { publisher_.publish_cache(reset, std::move(parts)); })
+    , cache_follower_(
+          pool_.context(0), cache_, gateway::part_key,
+          [this](bool reset, std::vector<wire::cached_part> const& parts)
+          { publisher_.publish_cache(reset, parts); })
     , publisher_(pool_, clock_, std::move(key),
                  std::make_shared<enginelink::link_identity>(
                      wire::process_role::agent, settings_.name, settings_.zone,
--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -2,51 +2,40 @@
 
 #include "enginelink/i_row_source.hpp"
 #include "enginelink/link_options.hpp"
+#include "enginelink/report_scheduler.hpp"
+#include "kernel/thread_pool.hpp"
 #include "wire/acceptor.hpp"
 #include "wire/connection_options.hpp"
 #include "wire/i_connection.hpp"
 #include "wire/i_connection_observer.hpp"
 
-#include <algorithm>
+#include <asio/steady_timer.hpp>
 
-namespace endiveward::enginelink
-{
-
-namespace
-{
-
-constexpr std::chrono::milliseconds min_load_interval{250};
+#include <memory>
+#include <utility>
 
-bool equal_except_load(wire::engine_state a, wire::engine_state const& b)
+namespace endiveward::enginelink
 {
-    a.running = b.running;
-    a.waiting = b.waiting;
-    a.unanswered = b.unanswered;
-    a.routers = b.routers;
-    a.memory_used = b.memory_used;
-    return a == b;
-}
 
-} // namespace
-
-class state_publisher::observer : public wire::i_connection_observer
+class state_publisher::observer : public wire::i_connection_observer,
+                                  public std::enable_shared_from_this<observer>
 {
 public:
-    observer(kernel::i_clock const& clock, i_row_source& rows)
+    observer(asio::io_context& context, kernel::i_clock const& clock,
+             i_row_source& rows)
         : clock_(clock)
         , rows_(rows)
+        , timer_(context)
+        , scheduler_(report_options{})
     {
     }
 
     void on_open(std::shared_ptr<wire::i_connection> const& conn) override
     {
         routers_.push_back(conn);
-        conn->send(state_);
-        wire::cache_change all;
-        all.reset = true;
-        for (auto const& [key, tokens] : parts_)
-            all.parts.push_back({key, tokens});
-        conn->send(all);
+        scheduler_.set_routers(routers_.size());
+        conn->send(scheduler_.state());
+        conn->send(scheduler_.cache());
     }
 
     void on_message(std::shared_ptr<wire::i_connection> const& conn,
@@ -62,40 +51,28 @@
                    kernel::error const&) override
     {
         std::erase(routers_, conn);
+        scheduler_.set_routers(routers_.size());
     }
 
     void publish(wire::engine_state state)
     {
         state.routers = static_cast<std::uint32_t>(routers_.size());
-        auto const now = clock_.now();
-        auto const only_load_differs = equal_except_load(state, state_);
-        if (state == state_ ||
-            (only_load_differs && now - last_sent_at_ < min_load_interval))
-            return;
-        state_ = state;
-        last_sent_at_ = now;
-        send(state);
+        scheduler_.on_state(state);
+        report_if_due();
     }
 
-    void publish_cache(bool reset, std::vector<wire::cached_part> parts)
+    void publish_cache(bool reset, std::vector<wire::cached_part> const& parts)
     {
-        if (reset)
-            parts_.clear();
-        for (auto const& it : parts)
-        {
-            if (it.tokens == 0)
-                parts_.erase(it.key);
-            else
-                parts_[it.key] = it.tokens;
-        }
-        if (reset || !parts.empty())
-            send(wire::cache_change{reset, std::move(parts)});
+        scheduler_.on_cache(reset, parts);
+        report_if_due();
     }
 
     void request_rows() { send(wire::table_request{rows_.version()}); }
 
     void close()
     {
+        closed_ = true;
+        timer_.cancel();
         for (auto const& it : routers_)
             it->close();
     }
@@ -103,6 +80,33 @@
     std::size_t routers() const { return routers_.size(); }
 
 private:
+    void report_if_due()
+    {
+        auto const due = scheduler_.due_at();
+        if (!due || closed_)
+            return;
+        auto const now = clock_.now();
+        if (*due > now)
+            return report_at(*due);
+        auto const batch = scheduler_.take(now);
+        if (batch.state)
+            send(*batch.state);
+        if (batch.cache)
+            send(*batch.cache);
+    }
+
+    void report_at(kernel::steady_time at)
+    {
+        timer_.expires_at(at);
+        timer_.async_wait(
+            [weak = weak_from_this()](std::error_code ec)
+            {
+                auto const self = weak.lock();
+                if (!ec && self != nullptr)
+                    self->report_if_due();
+            });
+    }
+
     void send(wire::message const& msg)
     {
         for (auto const& it : routers_)
@@ -111,17 +115,17 @@
 
     kernel::i_clock const& clock_;
     i_row_source& rows_;
+    asio::steady_timer timer_;
+    report_scheduler scheduler_;
     std::vector<std::shared_ptr<wire::i_connection>> routers_;
-    wire::engine_state state_;
-    kernel::steady_time last_sent_at_{};
-    std::unordered_map<std::uint64_t, std::uint32_t> parts_;
+    bool closed_ = false;
 };
 
 state_publisher::state_publisher(
     kernel::thread_pool& pool, kernel::i_clock const& clock,
     wire::cluster_key key,
     std::shared_ptr<wire::i_local_identity const> identity, i_row_source& rows)
-    : observer_(std::make_shared<observer>(clock, rows))
+    : observer_(std::make_shared<observer>(pool.context(0), clock, rows))
     , acceptor_(std::make_unique<wire::acceptor>(
           pool,
           make_link_options(std::move(key), std::move(identity), observer_)))
@@ -142,9 +146,9 @@
 }
 
 void state_publisher::publish_cache(bool reset,
-                                    std::vector<wire::cached_part> parts)
+                                    std::vector<wire::cached_part> const& parts)
 {
-    observer_->publish_cache(reset, std::move(parts));
+    observer_->publish_cache(reset, parts);
 }
 
 void state_publisher::request_rows()
--- a/packages/enginelink/state_publisher.hpp
+++ b/packages/enginelink/state_publisher.hpp
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace endiveward::kernel
@@ -44,10 +43,12 @@
 
     kernel::result<std::uint16_t> listen(std::string const& address,
                                          std::uint16_t port);
-    /// Publishes the state if it has changed: weights and reloading
-    /// immediately, load changes at most a few times a second.
+    /// Publishes the state if it has changed: weights, reloading and
+    /// reachability immediately, load with the next report.
     void publish(wire::engine_state const& state);
-    void publish_cache(bool reset, std::vector<wire::cached_part> parts);
+    /// Publishes changes of the cache with the next report. The time between
+    /// reports grows with the number of connected routers.
+    void publish_cache(bool reset, std::vector<wire::cached_part> const& parts);
     /// Requests rows newer than the local ones from all connected routers.
     void request_rows();
     /// Closes all links, which the routers notice immediately.
