gateway: Judge from agents' reports whether an engine is stalled

A router of a large fleet often has a single request at an engine that is busy with those of other routers. After 900 ms without output for itself it counted the engine as stalled, sent the request to a second engine, which read its prompt again, and no longer fetched prefixes from the first.

Agents now report a counter that changes whenever the engine has made output for any request, and a router counts only the time without such a change. An engine that its agent cannot reach is stalled at once.

--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -91,8 +91,9 @@
 
     /// Whether requests may be sent to the endpoint.
     bool available(kernel::steady_time now) const;
-    /// Whether requests are waiting for a response and no byte has arrived
-    /// within the stall limit.
+    /// Whether requests are waiting for a response, and the endpoint has sent
+    /// no output to any process within the stall limit, as far as known, or its
+    /// agent cannot reach it.
     bool stalled(kernel::steady_time now) const;
     /// Fraction of recent requests that failed, from 0 to 1.
     double failure_rate(kernel::steady_time now) const;
@@ -132,6 +133,8 @@
     kernel::steady_time results_updated_at_{};
     std::uint64_t external_memory_ = 0;
     std::uint32_t external_unanswered_ = 0;
+    /// The last value of `engine_state::progress`.
+    std::uint64_t progress_ = 0;
     bool replaced_ = false;
     bool linked_ = false;
     bool reloading_ = false;
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace endiveward::gateway
 {
@@ -14,6 +15,8 @@
 /// An engine that processes a long prompt still sends output of other requests
 /// within this time, since one prefill chunk takes about 80 ms.
 constexpr milliseconds stall_limit{900};
+/// Added to the stall limit at most while the agent's next report is awaited.
+constexpr milliseconds max_report_delay{400};
 constexpr milliseconds initial_backoff{400};
 constexpr milliseconds max_backoff{3000};
 /// Half-life of a load report.
@@ -116,6 +119,8 @@
     }
     unreachable_ = state.unreachable;
     linked_ = true;
+    if (std::exchange(progress_, state.progress) != state.progress)
+        last_bytes_ = now;
     reloading_ = state.reloading;
     cache_.set_has_reports(true);
     for (auto const& it : state.weights)
@@ -209,8 +214,17 @@
 
 bool endpoint_record::stalled(kernel::steady_time now) const
 {
-    return unanswered_ > 0 &&
-           now - std::max(waiting_since_, last_bytes_) > stall_limit;
+    if (unanswered_ == 0)
+        return false;
+    if (unreachable_or_restarted())
+        return true;
+    // In a large deployment a router often has a single request at an engine,
+    // which may be busy with those of other routers. Their output is known up
+    // to the agent's last report.
+    auto known_until = now;
+    if (linked_ && load_)
+        known_until = std::clamp(load_->at, now - max_report_delay, now);
+    return known_until - std::max(waiting_since_, last_bytes_) > stall_limit;
 }
 
 double endpoint_record::external_unanswered(kernel::steady_time now) const
--- a/packages/weights/types/engine_report.hpp
+++ b/packages/weights/types/engine_report.hpp
@@ -26,6 +26,8 @@
     std::uint32_t waiting = 0;
     /// Requests, queued or running, without output so far.
     std::uint32_t unanswered = 0;
+    /// Events of the streams in progress, all together.
+    std::uint64_t stream_events = 0;
     /// KV cache memory in tokens that cannot be reclaimed.
     std::uint64_t memory_used = 0;
     /// Total KV cache memory in tokens.
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -395,7 +395,7 @@
     return fbs::Createengine_stateDirect(
         fbb, msg.endpoint_incarnation, &weights, msg.reloading, msg.running,
         msg.waiting, msg.memory_used, msg.memory_total, msg.unanswered,
-        msg.routers, msg.unreachable);
+        msg.routers, msg.unreachable, msg.progress);
 }
 
 engine_state get(fbs::engine_state const& in)
@@ -410,6 +410,7 @@
     out.unanswered = in.unanswered();
     out.routers = in.routers();
     out.unreachable = in.unreachable();
+    out.progress = in.progress();
     if (in.weights() == nullptr)
         return out;
     for (auto const* it : *in.weights())
--- a/packages/wire/types/engine_state.hpp
+++ b/packages/wire/types/engine_state.hpp
@@ -15,6 +15,7 @@
 {
     /// Differs after a restart of the engine.
     kernel::incarnation endpoint_incarnation = 0;
+    /// Empty if they are the same as in the last message.
     std::vector<model_weights> weights;
     /// The engine takes, or is about to take, new weights; requests should go
     /// elsewhere.
@@ -30,6 +31,8 @@
     std::uint32_t routers = 0;
     /// The engine does not answer its agent.
     bool unreachable = false;
+    /// Changes whenever the engine has sent output of any request.
+    std::uint64_t progress = 0;
 
     bool operator==(engine_state const&) const = default;
 };
