gateway: Save only prompts that are mostly shared

A save to the KV cache store transfers and stores the whole prompt, also the part that only this request uses. Prompts are now saved if their own part is at most half as long as the shared one.

The test of fetch and save had a prompt that is mostly its own; it now has one that is saved, and a new test covers both sides of the limit.

--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -39,6 +39,13 @@
     return levels.size() > 1 ? levels[levels.size() - 2] : levels.back();
 }
 
+/// Whether a prompt is saved to the KV cache store. The whole prompt is
+/// transferred and stored, although only its shared prefix is used again.
+bool worth_saving(std::uint32_t shared_tokens, std::uint32_t total_tokens)
+{
+    return total_tokens - shared_tokens <= shared_tokens / 2;
+}
+
 bool contains(std::vector<kernel::endpoint_id> const& list,
               kernel::endpoint_id const& id)
 {
@@ -378,7 +385,8 @@
             // Another process may have caused the prefix to be saved there; a
             // miss costs only a millisecond.
             choice.kv.source = *lookup.store;
-            choice.kv.target = *lookup.store;
+            if (worth_saving(shared, total))
+                choice.kv.target = *lookup.store;
         }
         // Requests that share an uncached prefix are directed to its home, so
         // that it is computed only once.
--- a/packages/gateway/tests/endpoint_chooser_test.cpp
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -187,6 +187,8 @@
     std::vector<std::string> const stores{"10.0.0.1:1", "10.0.0.2:1",
                                           "10.0.0.3:1"};
     requirements.kv_stores = stores;
+    requirements.prompt->parts.back().tokens = 2000;
+    requirements.prompt->prompt_tokens = 7500;
     auto const choice = fixture.choose(requirements);
     CHECK_FALSE(choice->kv.source.empty());
     CHECK(choice->kv.source == choice->kv.target);
@@ -194,6 +196,24 @@
     CHECK(fixture.choose(requirements)->kv.target == choice->kv.target);
 }
 
+// Load pattern: 200 prompts a second of 11,500 tokens, of which 5,500 are
+// shared. Saves transfer whole prompts; they took 1870 GB of the 1990 GB that
+// the links of six stores carry in a day, and evicted the shared prefixes.
+TEST_CASE("a prompt that is mostly its own is fetched but not saved")
+{
+    chooser_fixture fixture(3);
+    auto requirements = chooser_fixture::make_requirements("f", 1);
+    std::vector<std::string> const stores{"10.0.0.1:1"};
+    requirements.kv_stores = stores;
+    auto const own = GENERATE(table<std::uint32_t, bool>(
+        {{2750, true}, {2751, false}, {6000, false}}));
+    requirements.prompt->parts.back().tokens = std::get<0>(own);
+    requirements.prompt->prompt_tokens = 5500 + std::get<0>(own);
+    auto const choice = fixture.choose(requirements);
+    CHECK(choice->kv.source == stores[0]);
+    CHECK(choice->kv.target.empty() != std::get<1>(own));
+}
+
 // Load pattern: the home of a prefix is busy beyond the admission limit while
 // other endpoints are idle. Refusing the request would waste free capacity.
 TEST_CASE("an idle endpoint is preferred to one with too long a wait")
