enginelink, follower: Let routers tell agents of new weights, pace reports

A router now sends the row that names weights to all connected agents. While at least three routers are connected and none has asked for rows lately, an agent asks the store only every 20 s; otherwise it follows the table as before. The list of endpoints is kept for 60 s. Routers wait half of the drain time between two calls for changes of the endpoints (1 to 2 s), and 20 s for an answer; when the short poll of the operators' table notices that the store was silent, the other poll is restarted.

All changes go into one report, and weights only if they have changed.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -14,6 +14,7 @@
 #include <asio/post.hpp>
 #include <prometheus/registry.h>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -42,6 +43,13 @@
 constexpr milliseconds ask_interval{500};
 /// Operators change the configuration seldom, and it must be in force soon.
 constexpr milliseconds operators_pause{200};
+/// Delay between a change of the endpoints and the next call for changes: half
+/// of the time within which a draining endpoint must not be used any more, so
+/// that the changes of many endpoints arrive with one call.
+constexpr milliseconds min_endpoints_delay{1000};
+constexpr milliseconds max_endpoints_delay{2000};
+/// Each call for changes has a cost, and a fleet of routers makes many.
+constexpr milliseconds endpoints_poll_time{20000};
 
 } // namespace
 
@@ -144,6 +152,13 @@
         options.table = table;
         if (table == std::string_view(platform::operators_table))
             options.coalescing_delay = operators_pause;
+        else
+        {
+            options.coalescing_delay =
+                std::clamp(settings_.endpoint_drain_time / 2,
+                           min_endpoints_delay, max_endpoints_delay);
+            options.long_poll_time = endpoints_poll_time;
+        }
         auto res = std::make_shared<follower::table_follower>(
             control_, store_, random_, listener, options);
         res->start();
@@ -180,8 +195,11 @@
 }
 
 void gateway_process::on_target(weights::model_target const& target,
+                                storage::table_row const& row,
                                 kernel::steady_time named)
 {
+    // Agents do not follow the table themselves while routers are connected.
+    links_->send_row({row.key, row.value, row.version});
     asio::post(traffic_.context(0),
                [this, target, named] { gateway_->apply(target, named); });
 }
@@ -206,6 +224,15 @@
                [this, endpoint] { gateway_->on_link_lost(endpoint); });
 }
 
+/// A store that falls silent is noticed by the short polls of the operators'
+/// table. The connection of the other poll may be silent as well.
+void gateway_process::restart_endpoints_poll()
+{
+    auto const reachable = operators_->reachable();
+    if (std::exchange(store_reachable_, reachable) != reachable)
+        endpoints_->restart_poll();
+}
+
 void gateway_process::ask_agents()
 {
     auto const now = clock_.now();
@@ -275,6 +302,7 @@
             if (ec)
                 return;
             observe::flush_logging();
+            restart_endpoints_poll();
             ask_agents();
             reload_if_changed();
             if (drain_.draining())
--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -74,6 +74,7 @@
     void on_endpoints(
         std::vector<gateway::endpoint_entry> const& endpoints) override;
     void on_target(weights::model_target const& target,
+                   storage::table_row const& row,
                    kernel::steady_time named) override;
 
     void on_engine_state(kernel::endpoint_id const& endpoint,
@@ -89,6 +90,7 @@
     void perform(router::drain_sequence::step next);
     void tick();
     /// Asks agents for what the store does not tell.
+    void restart_endpoints_poll();
     void ask_agents();
     void reload();
     /// The settings file may change without a signal.
@@ -122,6 +124,8 @@
     std::atomic<std::size_t> connections_{0};
     kernel::steady_time stop_at_{};
     kernel::steady_time asked_at_{};
+    /// Whether the store answered the last calls for the operators' table.
+    bool store_reachable_ = false;
     kernel::steady_time looked_at_{};
     std::filesystem::file_time_type file_time_{};
     int exit_code_ = 0;
--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -14,6 +14,7 @@
 
 #include <csignal>
 #include <future>
+#include <utility>
 
 namespace endiveward::app
 {
@@ -39,6 +40,14 @@
 /// The store answers as soon as something changes; a longer wait only delays
 /// the notice of a store that has fallen silent.
 constexpr milliseconds store_wait{8000};
+/// With this many connected routers, the agent learns of new weights from them:
+/// each sends the row as soon as the store has told it.
+constexpr std::size_t min_informing_routers = 3;
+/// After a request of a router that the store rejects, the agent follows the
+/// table itself for this time, so that it has the newest rows for it.
+constexpr milliseconds row_request_retention{10000};
+/// Time for which the list of endpoints serves for further versions.
+constexpr std::chrono::seconds endpoints_retention{60};
 
 weights::weight_updater_options
 weight_updater_options(gateway::process_settings const& settings)
@@ -154,12 +163,16 @@
 }
 
 void weights_process::on_target(weights::model_target const& target,
+                                storage::table_row const& row,
                                 kernel::steady_time named)
 {
     named_[target.model] = {target.version, named};
-    log_.write("weights_named", "model={} version={}", target.model.str(),
-               target.version);
-    read_endpoints();
+    log_.write("weights_named", "model={} version={} row_version={}",
+               target.model.str(), target.version, row.version);
+    if (clock_.now() - endpoints_read_at_ < endpoints_retention)
+        plan_turns();
+    else
+        read_endpoints();
     ask();
 }
 
@@ -169,32 +182,33 @@
         platform::endpoints_table, endpoints_timeout,
         [this](storage::i_row_feed::batch_result res)
         {
-            std::vector<gateway::endpoint_entry> entries;
             if (auto const* batch = std::get_if<storage::row_batch>(&res))
             {
+                endpoint_list_.clear();
+                endpoints_read_at_ = clock_.now();
                 for (auto const& it : batch->rows)
                 {
                     auto decoded =
                         decoder_.decode_endpoint_row(it.key, it.value);
                     if (kernel::ok(decoded))
-                        entries.push_back(kernel::value(std::move(decoded)));
+                        endpoint_list_.push_back(
+                            kernel::value(std::move(decoded)));
                 }
             }
             else
                 log_.write("store_unavailable", "table=endpoints {}",
                            std::get<storage::feed_error>(res).message);
-            plan_turns(entries);
+            plan_turns();
         });
 }
 
-void weights_process::plan_turns(
-    std::vector<gateway::endpoint_entry> const& endpoints)
+void weights_process::plan_turns()
 {
     for (auto const& [model, it] : named_)
     {
         std::vector<kernel::endpoint_id> ids;
         kernel::endpoint_id own;
-        for (auto const& entry : endpoints)
+        for (auto const& entry : endpoint_list_)
         {
             if (!entry.models.contains(model))
                 continue;
@@ -220,6 +234,7 @@
     auto pause = poll_current;
     if (updater_.has_outdated_model())
         pause = updater_.reloading(now) ? poll_reloading : poll_behind;
+    operators_->set_mode(follow_mode(now));
     if (!operators_->reachable() && now - asked_routers_at_ > ask_interval)
     {
         asked_routers_at_ = now;
@@ -234,6 +249,16 @@
         });
 }
 
+follower::follow_mode
+weights_process::follow_mode(kernel::steady_time now) const
+{
+    auto const requested = publisher_.last_row_request();
+    auto const lately = requested && now - *requested < row_request_retention;
+    return lately || publisher_.routers() < min_informing_routers
+               ? follower::follow_mode::long_poll
+               : follower::follow_mode::periodic;
+}
+
 void weights_process::ask()
 {
     if (asking_)
@@ -266,6 +291,10 @@
     state.running = report.running;
     state.waiting = report.waiting;
     state.unanswered = report.unanswered;
+    if (std::exchange(stream_events_, report.stream_events) !=
+        report.stream_events)
+        ++progress_;
+    state.progress = progress_;
     state.memory_used = report.memory_used;
     state.memory_total = report.memory_total;
     last_state_ = state;
--- a/apps/endiveward_agent/weights_process.hpp
+++ b/apps/endiveward_agent/weights_process.hpp
@@ -5,6 +5,7 @@
 #include "enginelink/state_publisher.hpp"
 #include "follower/i_cluster_observer.hpp"
 #include "follower/row_exchange.hpp"
+#include "follower/types/follower_options.hpp"
 #include "gateway/types/process_settings.hpp"
 #include "kernel/secure_random_source.hpp"
 #include "kernel/system_clock.hpp"
@@ -55,11 +56,13 @@
     void on_endpoints(
         std::vector<gateway::endpoint_entry> const& endpoints) override;
     void on_target(weights::model_target const& target,
+                   storage::table_row const& row,
                    kernel::steady_time named) override;
 
     /// Reads the list of endpoints, which decides the engine's turn.
     void read_endpoints();
-    void plan_turns(std::vector<gateway::endpoint_entry> const& endpoints);
+    void plan_turns();
+    follower::follow_mode follow_mode(kernel::steady_time now) const;
     void poll();
     void publish(weights::engine_report const& report);
     void publish_unreachable();
@@ -88,8 +91,14 @@
     std::unique_ptr<follower::cluster_view> view_;
     std::shared_ptr<follower::table_follower> operators_;
     std::map<kernel::model_id, named_version> named_;
+    std::vector<gateway::endpoint_entry> endpoint_list_;
+    kernel::steady_time endpoints_read_at_{};
     kernel::steady_time asked_routers_at_{};
     wire::engine_state last_state_;
+    /// Events of the streams in progress at the last report.
+    std::uint64_t stream_events_ = 0;
+    /// Number of reports in which the engine had made output.
+    std::uint64_t progress_ = 0;
     int failed_reports_ = 0;
     bool asking_ = false;
 };
--- a/packages/enginelink/agent_links.hpp
+++ b/packages/enginelink/agent_links.hpp
@@ -3,6 +3,7 @@
 
 #include "kernel/types/identifiers.hpp"
 #include "wire/types/cluster_key.hpp"
+#include "wire/types/table_row.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -57,6 +58,8 @@
     void update(std::vector<agent_address> const& agents);
     /// Requests rows newer than the local ones from a few random agents.
     void request_rows();
+    /// Sends a row of the operators' table to all connected agents.
+    void send_row(wire::table_row const& row);
     /// Closes all links.
     void close();
     std::size_t connected() const;
--- a/packages/enginelink/internal/agent_links.cpp
+++ b/packages/enginelink/internal/agent_links.cpp
@@ -95,6 +95,16 @@
         }
     }
 
+    void send_row(wire::table_row const& row)
+    {
+        wire::table_rows const msg{{row}};
+        for (auto const& [id, it] : links_)
+        {
+            if (it->connection != nullptr)
+                it->connection->send(msg);
+        }
+    }
+
     void close()
     {
         auto const all = std::move(links_);
@@ -245,6 +255,11 @@
     impl_->request_rows();
 }
 
+void agent_links::send_row(wire::table_row const& row)
+{
+    impl_->send_row(row);
+}
+
 void agent_links::close()
 {
     impl_->close();
--- a/packages/enginelink/internal/report_scheduler.cpp
+++ b/packages/enginelink/internal/report_scheduler.cpp
@@ -16,6 +16,7 @@
     a.unanswered = b.unanswered;
     a.routers = b.routers;
     a.memory_used = b.memory_used;
+    a.progress = b.progress;
     return a == b;
 }
 
@@ -59,28 +60,29 @@
 {
     if (urgent())
         return kernel::steady_time{};
-    std::optional<kernel::steady_time> res;
+    auto const next = reported_at_ + interval(options_.min_interval);
     if (cache_reset_ || !changed_parts_.empty())
-        res = reported_at_ + interval(options_.min_interval);
+        return next;
     if (state_changed())
-    {
-        auto const at =
-            load_reported_at_ + interval(options_.min_load_interval);
-        res = res ? std::min(*res, at) : at;
-    }
-    return res;
+        return std::max(next, load_reported_at_ +
+                                  interval(options_.min_load_interval));
+    return std::nullopt;
 }
 
 report_batch report_scheduler::take(kernel::steady_time now)
 {
     report_batch res;
-    // Each report goes to all routers, so that it also holds changes that would
-    // be due a little later.
+    // Each report goes to all routers, so that it also holds a load that would
+    // be due before the next one.
     auto const load_due =
-        now >= load_reported_at_ + interval(options_.min_load_interval);
+        now + interval(options_.min_interval) >
+        load_reported_at_ + interval(options_.min_load_interval);
     if (urgent() || (state_changed() && load_due))
     {
         res.state = state_;
+        // Weights seldom change, and reports are sent to all routers.
+        if (state_.weights == reported_state_.weights)
+            res.state->weights.clear();
         reported_state_ = state_;
         load_reported_at_ = now;
     }
--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -42,7 +42,10 @@
                     wire::message msg) override
     {
         if (auto const* request = std::get_if<wire::table_request>(&msg))
+        {
+            last_row_request_ = clock_.now();
             conn->send(wire::table_rows{rows_.rows_after(request->after)});
+        }
         else if (auto const* response = std::get_if<wire::table_rows>(&msg))
             rows_.merge(response->rows);
     }
@@ -78,6 +81,10 @@
     }
 
     std::size_t routers() const { return routers_.size(); }
+    std::optional<kernel::steady_time> last_row_request() const
+    {
+        return last_row_request_;
+    }
 
 private:
     void report_if_due()
@@ -118,6 +125,7 @@
     asio::steady_timer timer_;
     report_scheduler scheduler_;
     std::vector<std::shared_ptr<wire::i_connection>> routers_;
+    std::optional<kernel::steady_time> last_row_request_;
     bool closed_ = false;
 };
 
@@ -162,6 +170,11 @@
     observer_->close();
 }
 
+std::optional<kernel::steady_time> state_publisher::last_row_request() const
+{
+    return observer_->last_row_request();
+}
+
 std::size_t state_publisher::routers() const
 {
     return observer_->routers();
--- a/packages/enginelink/state_publisher.hpp
+++ b/packages/enginelink/state_publisher.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,8 @@
     /// Closes all links, which the routers notice immediately.
     void close();
     std::size_t routers() const;
+    /// Time of the last request of a router for rows; none if there was none.
+    std::optional<kernel::steady_time> last_row_request() const;
 
 private:
     class observer;
--- a/packages/enginelink/tests/links_test.cpp
+++ b/packages/enginelink/tests/links_test.cpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace endiveward::enginelink
@@ -251,6 +252,28 @@
     CHECK(a.rows.size() == 2);
 }
 
+// Guards against agents that miss new weights, since they do not follow the
+// table while routers are connected.
+TEST_CASE("a row that a router sends reaches the agent")
+{
+    test_agent a;
+    test_router r;
+    r.connect(a.port);
+    REQUIRE(wait_until([&] { return r.listener.states > 0; }));
+    r.run([&] { r.links.send_row({"version", "2", 9}); });
+    CHECK(wait_until([&] { return a.rows.version() == 9; }));
+    std::optional<kernel::steady_time> requested;
+    a.run([&] { requested = a.publisher.last_row_request(); });
+    CHECK_FALSE(requested);
+    r.run([&] { r.links.request_rows(); });
+    CHECK(wait_until(
+        [&]
+        {
+            a.run([&] { requested = a.publisher.last_row_request(); });
+            return requested.has_value();
+        }));
+}
+
 TEST_CASE("a lost link is reported")
 {
     test_router r;
--- a/packages/follower/i_cluster_observer.hpp
+++ b/packages/follower/i_cluster_observer.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/types/endpoint_entry.hpp"
 #include "kernel/i_clock.hpp"
+#include "storage/types/table_row.hpp"
 #include "weights/types/model_target.hpp"
 
 #include <memory>
@@ -27,7 +28,9 @@
     on_configuration(std::shared_ptr<gateway::routing_table const> table) = 0;
     virtual void
     on_endpoints(std::vector<gateway::endpoint_entry> const& endpoints) = 0;
+    /// `row` is the row of the operators' table that names the target.
     virtual void on_target(weights::model_target const& target,
+                           storage::table_row const& row,
                            kernel::steady_time received_at) = 0;
 };
 
--- a/packages/follower/internal/cluster_view.cpp
+++ b/packages/follower/internal/cluster_view.cpp
@@ -134,7 +134,7 @@
                 if (target.version <= known)
                     return;
                 known = target.version;
-                observer_.on_target(target, clock_.now());
+                observer_.on_target(target, row, clock_.now());
             },
             [](unrelated_row) {}},
         kernel::value(decoded));
--- a/packages/follower/internal/table_follower.cpp
+++ b/packages/follower/internal/table_follower.cpp
@@ -48,15 +48,56 @@
                    });
 }
 
+void table_follower::set_mode(follow_mode mode)
+{
+    if (std::exchange(mode_, mode) == mode)
+        return;
+    if (mode == follow_mode::long_poll && std::exchange(in_period_, false))
+    {
+        timer_.cancel();
+        wait_for_changes();
+    }
+}
+
+void table_follower::next_call()
+{
+    if (mode_ == follow_mode::long_poll)
+        return wait_for_changes();
+    in_period_ = true;
+    timer_.expires_after(options_.period);
+    timer_.async_wait(
+        [self = shared_from_this()](std::error_code ec)
+        {
+            if (ec || self->stopped_ || !std::exchange(self->in_period_, false))
+                return;
+            self->request_changes(std::chrono::milliseconds(0));
+        });
+}
+
 void table_follower::wait_for_changes()
 {
-    feed_.wait_for_changes(options_.table, version_, options_.long_poll_time,
-                           options_.long_poll_time + options_.response_timeout,
-                           [self = shared_from_this()](auto res)
-                           {
-                               if (!self->stopped_)
-                                   self->on_changes(std::move(res));
-                           });
+    request_changes(options_.long_poll_time);
+}
+
+void table_follower::request_changes(std::chrono::milliseconds wait)
+{
+    auto const number = ++call_number_;
+    call_pending_ = true;
+    feed_.wait_for_changes(
+        options_.table, version_, wait, wait + options_.response_timeout,
+        [self = shared_from_this(), number](auto res)
+        {
+            if (self->stopped_ || number != self->call_number_)
+                return;
+            self->call_pending_ = false;
+            self->on_changes(std::move(res));
+        });
+}
+
+void table_follower::restart_poll()
+{
+    if (call_pending_)
+        wait_for_changes();
 }
 
 void table_follower::on_full_read(storage::i_row_feed::batch_result res)
@@ -67,7 +108,7 @@
     auto& batch = std::get<row_batch>(res);
     // A stale answer may lack rows that are already known.
     if (batch.version < version_)
-        return wait_for_changes();
+        return next_call();
     std::set<std::string> present;
     for (auto const& it : batch.rows)
         present.insert(it.key);
@@ -79,7 +120,7 @@
     needs_full_read_ = false;
     version_ = batch.version;
     listener_.on_rows(merge_rows(std::move(batch.rows)), version_);
-    wait_for_changes();
+    next_call();
 }
 
 void table_follower::on_changes(storage::i_row_feed::batch_result res)
@@ -91,14 +132,14 @@
     version_ = std::max(version_, batch.version);
     auto const changed = merge_rows(std::move(batch.rows));
     if (changed.empty())
-        return wait_for_changes();
+        return next_call();
     listener_.on_rows(changed, version_);
     timer_.expires_after(options_.coalescing_delay);
     timer_.async_wait(
         [self = shared_from_this()](std::error_code ec)
         {
             if (!ec && !self->stopped_)
-                self->wait_for_changes();
+                self->next_call();
         });
 }
 
--- a/packages/follower/table_follower.hpp
+++ b/packages/follower/table_follower.hpp
@@ -35,6 +35,11 @@
 
     void start();
     void stop();
+    /// Calls again immediately instead of waiting for the answer to the current
+    /// long poll, whose connection may have fallen silent.
+    void restart_poll();
+    /// A long poll that has begun is completed in either mode.
+    void set_mode(follow_mode mode);
     /// Merges rows that another process has read. Rows that are not newer than
     /// `version()` are ignored.
     void merge(std::vector<storage::table_row> const& rows);
@@ -49,7 +54,9 @@
 
 private:
     void read_all();
+    void next_call();
     void wait_for_changes();
+    void request_changes(std::chrono::milliseconds wait);
     void on_full_read(storage::i_row_feed::batch_result res);
     void on_changes(storage::i_row_feed::batch_result res);
     void on_error(storage::feed_error const& error);
@@ -68,6 +75,13 @@
     bool reachable_ = false;
     bool needs_full_read_ = true;
     bool stopped_ = false;
+    follow_mode mode_ = follow_mode::long_poll;
+    /// The next call is made when the period has passed.
+    bool in_period_ = false;
+    /// Number of the current call for changes; answers to earlier ones are
+    /// ignored.
+    std::uint64_t call_number_ = 0;
+    bool call_pending_ = false;
 };
 
 } // namespace endiveward::follower
--- a/packages/follower/types/follower_options.hpp
+++ b/packages/follower/types/follower_options.hpp
@@ -7,6 +7,16 @@
 namespace endiveward::follower
 {
 
+/// How a `table_follower` learns of changes.
+enum class follow_mode
+{
+    /// The store answers a call as soon as something changes.
+    long_poll,
+    /// The store is asked from time to time. For processes that usually learn
+    /// of changes from others; calls of a large fleet are costly.
+    periodic
+};
+
 /// Options of a `table_follower`.
 struct follower_options
 {
@@ -25,6 +35,8 @@
     /// `max_backoff`.
     std::chrono::milliseconds initial_backoff{100};
     std::chrono::milliseconds max_backoff{1000};
+    /// Time between two calls in `follow_mode::periodic`.
+    std::chrono::milliseconds period{20000};
 };
 
 } // namespace endiveward::follower
