--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -41,8 +41,6 @@
 /// The store answers as soon as something changes; a longer wait only delays
 /// the notice of a store that has fallen silent.
 constexpr milliseconds store_wait{8000};
-/// Time for which the list of endpoints serves for further versions.
-constexpr std::chrono::seconds endpoints_retention{60};
 
 weights::weight_updater_options
 weight_updater_options(gateway::process_settings const& settings)
@@ -164,7 +162,7 @@
     named_[target.model] = {target.version, named};
     log_.write("weights_named", "model={} version={} row_version={}",
                target.model.str(), target.version, row.version);
-    if (clock_.now() - endpoints_read_at_ < endpoints_retention)
+    if (endpoint_list_.usable(*settings_.engine, clock_.now()))
         plan_turns();
     else
         read_endpoints();
@@ -179,16 +177,15 @@
         {
             if (auto const* batch = std::get_if<storage::row_batch>(&res))
             {
-                endpoint_list_.clear();
-                endpoints_read_at_ = clock_.now();
+                std::vector<gateway::endpoint_entry> entries;
                 for (auto const& it : batch->rows)
                 {
                     auto decoded =
                         decoder_.decode_endpoint_row(it.key, it.value);
                     if (kernel::ok(decoded))
-                        endpoint_list_.push_back(
-                            kernel::value(std::move(decoded)));
+                        entries.push_back(kernel::value(std::move(decoded)));
                 }
+                endpoint_list_.set(std::move(entries), clock_.now());
             }
             else
                 log_.write("store_unavailable", "table=endpoints {}",
@@ -202,16 +199,13 @@
     for (auto const& [model, it] : named_)
     {
         std::vector<kernel::endpoint_id> ids;
-        kernel::endpoint_id own;
-        for (auto const& entry : endpoint_list_)
+        for (auto const& entry : endpoint_list_.entries())
         {
-            if (!entry.models.contains(model))
-                continue;
-            ids.push_back(entry.id);
-            if (entry.host == settings_.engine->host &&
-                entry.port == settings_.engine->port)
-                own = entry.id;
+            if (entry.models.contains(model))
+                ids.push_back(entry.id);
         }
+        auto const* const listed = endpoint_list_.at(*settings_.engine);
+        auto const own = listed != nullptr ? listed->id : kernel::endpoint_id();
         weights::rollout_plan const plan(ids, it.version, {});
         auto const turn = plan.start_delay_of(own).value_or(milliseconds(0));
         updater_.set_target(model, it.version, it.at, it.at + turn);
--- a/apps/endiveward_agent/weights_process.hpp
+++ b/apps/endiveward_agent/weights_process.hpp
@@ -3,6 +3,7 @@
 
 #include "enginelink/cache_follower.hpp"
 #include "enginelink/state_publisher.hpp"
+#include "follower/endpoint_snapshot.hpp"
 #include "follower/i_cluster_observer.hpp"
 #include "follower/row_exchange.hpp"
 #include "follower/types/follower_options.hpp"
@@ -92,8 +93,7 @@
     std::shared_ptr<follower::table_follower> operators_;
     std::map<kernel::model_id, named_version> named_;
     follower::follow_mode follow_mode_ = follower::follow_mode::long_poll;
-    std::vector<gateway::endpoint_entry> endpoint_list_;
-    kernel::steady_time endpoints_read_at_{};
+    follower::endpoint_snapshot endpoint_list_;
     kernel::steady_time asked_routers_at_{};
     wire::engine_state last_state_;
     /// Events of the streams in progress at the last report.
