gateway: Keep the weights that an agent has reported

Agents report weights only when they change. The entry that a restarted engine wrote at its start may arrive later and name older weights, which then stayed until an engine refused a request. Found by reading, with a test.

--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace endiveward::gateway
 {
@@ -133,6 +134,8 @@
     kernel::steady_time results_updated_at_{};
     std::uint64_t external_memory_ = 0;
     std::uint32_t external_unanswered_ = 0;
+    /// The agent reports weights only when they have changed.
+    std::vector<wire::model_weights> reported_weights_;
     /// The last value of `engine_state::progress`.
     std::uint64_t progress_ = 0;
     bool replaced_ = false;
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -58,6 +58,11 @@
         failures_ = 0;
         results_ = 0;
         entry_ = std::move(entry);
+        if (linked_ && latest_incarnation_ == entry_.incarnation)
+        {
+            for (auto const& it : reported_weights_)
+                entry_.models[it.model] = it.version;
+        }
         return;
     }
     // Responses may have reported newer versions than the entry.
@@ -123,6 +128,8 @@
         last_bytes_ = now;
     reloading_ = state.reloading;
     cache_.set_has_reports(true);
+    if (!state.weights.empty())
+        reported_weights_ = state.weights;
     for (auto const& it : state.weights)
         set_version(it.model, it.version);
     load_ = load_sample{state.running, state.waiting, entry_.slots, now,
--- a/packages/gateway/tests/endpoint_record_test.cpp
+++ b/packages/gateway/tests/endpoint_record_test.cpp
@@ -82,4 +82,28 @@
     }
 }
 
+// Guards against requests for an old version: an engine restarts and loads new
+// weights, which its agent reports once, before the router reads the entry that
+// the engine wrote at its start.
+TEST_CASE("reported weights replace those of an older entry")
+{
+    kernel::model_id const model("m");
+    auto record = make_record();
+    record.on_state(state_with(1), at(0));
+    auto state = state_with(2);
+    state.endpoint_incarnation = 2;
+    state.weights = {{model, 5}};
+    record.on_state(state, at(100));
+    endpoint_entry entry;
+    entry.id = kernel::endpoint_id("e");
+    entry.incarnation = 2;
+    entry.models = {{model, 4}};
+    record.update(entry);
+    CHECK(record.version_of(model) == 5);
+    // A further restart, which no agent has reported yet.
+    entry.incarnation = 3;
+    record.update(entry);
+    CHECK(record.version_of(model) == 4);
+}
+
 } // namespace endiveward::gateway
