--- a/packages/enginelink/types/report_options.hpp
+++ b/packages/enginelink/types/report_options.hpp
@@ -17,7 +17,7 @@
     /// Added time between reports per connected router. A router receives the
     /// reports of all engines, so that without it the number of messages would
     /// grow with the square of the fleet: 2900 a second at each of 103 routers
-    /// with 180 engines, more than a core of 0.09 processes.
+    /// with 180 engines, which took most of the routers' processor time.
     std::chrono::milliseconds interval_per_router{2};
     /// Routers weight a load report by half after 500 ms, so that less frequent
     /// reports would have little effect.
