enginelink, gateway: Repair state that a lost or shortened message leaves

A row that names weights was sent once. Routers now send the rows again on each new connection.

Reports without weights no longer corrected a version that a router had assumed after a refusal, so that the router avoided the engine until its next load. Each report now restores the version that was reported last.

The link of a message is looked up by its connection instead of among all links.

--- a/packages/enginelink/agent_links.hpp
+++ b/packages/enginelink/agent_links.hpp
@@ -58,7 +58,8 @@
     void update(std::vector<agent_address> const& agents);
     /// Requests rows newer than the local ones from a few random agents.
     void request_rows();
-    /// Sends a row of the operators' table to all connected agents.
+    /// Sends a row of the operators' table to all connected agents, and to each
+    /// that connects later.
     void send_row(wire::table_row const& row);
     /// Closes all links.
     void close();
--- a/packages/enginelink/internal/agent_links.cpp
+++ b/packages/enginelink/internal/agent_links.cpp
@@ -16,6 +16,8 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
+#include <unordered_map>
 
 namespace endiveward::enginelink
 {
@@ -97,6 +99,7 @@
 
     void send_row(wire::table_row const& row)
     {
+        sent_rows_[row.key] = row;
         wire::table_rows const msg{{row}};
         for (auto const& [id, it] : links_)
         {
@@ -145,6 +148,7 @@
         auto const owner = find_link(conn);
         if (owner == nullptr)
             return;
+        by_connection_.erase(conn.get());
         owner->connection = nullptr;
         listener_.on_link_lost(owner->address.endpoint);
         retry(owner);
@@ -169,12 +173,8 @@
     std::shared_ptr<link>
     find_link(std::shared_ptr<wire::i_connection> const& conn) const
     {
-        for (auto const& [id, it] : links_)
-        {
-            if (it->connection == conn)
-                return it;
-        }
-        return nullptr;
+        auto const found = by_connection_.find(conn.get());
+        return found == by_connection_.end() ? nullptr : found->second;
     }
 
     void close_link(link& it)
@@ -183,6 +183,7 @@
         it.timer.cancel();
         if (it.connection == nullptr)
             return;
+        by_connection_.erase(it.connection.get());
         it.connection->close();
         it.connection = nullptr;
     }
@@ -202,11 +203,23 @@
                 auto conn = kernel::value(std::move(res));
                 if (it->closed)
                     return conn->close();
+                self->by_connection_[conn.get()] = it;
                 it->connection = std::move(conn);
                 it->retry_delay = milliseconds(0);
+                self->send_known_rows(*it->connection);
             });
     }
 
+    /// Rows that were sent on an earlier connection may have been lost with it.
+    void send_known_rows(wire::i_connection& conn) const
+    {
+        wire::table_rows msg;
+        for (auto const& [key, row] : sent_rows_)
+            msg.rows.push_back(row);
+        if (!msg.rows.empty())
+            conn.send(msg);
+    }
+
     void retry(std::shared_ptr<link> const& it)
     {
         if (it->closed)
@@ -229,6 +242,12 @@
     i_row_source& rows_;
     std::unique_ptr<wire::connector> connector_;
     std::map<kernel::endpoint_id, std::shared_ptr<link>> links_;
+    /// Open links. Each message needs its link, and a router of a large fleet
+    /// receives hundreds a second.
+    std::unordered_map<wire::i_connection const*, std::shared_ptr<link>>
+        by_connection_;
+    /// The latest version of each row.
+    std::map<std::string, wire::table_row> sent_rows_;
 };
 
 agent_links::agent_links(asio::io_context& context,
--- a/packages/enginelink/tests/links_test.cpp
+++ b/packages/enginelink/tests/links_test.cpp
@@ -274,6 +274,20 @@
         }));
 }
 
+// Guards against an agent that misses new weights for the period of its own
+// calls: its connections are reset at the moment at which the weights are
+// named, and are back before it notices that it has no routers.
+TEST_CASE("a row that was sent while the link was down follows on connecting")
+{
+    test_agent a;
+    test_router r;
+    r.run([&] { r.links.send_row({"version", "2", 9}); });
+    r.run([&] { r.links.send_row({"version", "3", 11}); });
+    r.connect(a.port);
+    CHECK(wait_until([&] { return a.rows.version() == 11; }));
+    CHECK(a.rows.size() == 1);
+}
+
 TEST_CASE("a lost link is reported")
 {
     test_router r;
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -130,7 +130,7 @@
     cache_.set_has_reports(true);
     if (!state.weights.empty())
         reported_weights_ = state.weights;
-    for (auto const& it : state.weights)
+    for (auto const& it : reported_weights_)
         set_version(it.model, it.version);
     load_ = load_sample{state.running, state.waiting, entry_.slots, now,
                         in_flight_};
--- a/packages/gateway/tests/endpoint_record_test.cpp
+++ b/packages/gateway/tests/endpoint_record_test.cpp
@@ -106,4 +106,19 @@
     CHECK(record.version_of(model) == 4);
 }
 
+// Guards against an engine that a router cannot use until its next load: after
+// a refusal without an explanation the router assumes the target version, and
+// agents report weights only when they have changed.
+TEST_CASE("each report corrects an assumed version")
+{
+    kernel::model_id const model("m");
+    auto record = make_record();
+    auto state = state_with(1);
+    state.weights = {{model, 4}};
+    record.on_state(state, at(0));
+    record.set_version(model, 5);
+    record.on_state(state_with(2), at(250));
+    CHECK(record.version_of(model) == 4);
+}
+
 } // namespace endiveward::gateway
