gateway, agent: Log how a requested version relates to the named one

The logs could not tell whether a router sent a request to an engine whose weights it counted as expired, nor when an engine came back with older weights. `sent` has the field `weights`; the agent writes `engine_weights` when the versions that its engine reports change.

--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -265,6 +265,7 @@
             if (kernel::ok(res))
             {
                 updater_.on_report(kernel::value(res));
+                log_changed_weights(kernel::value(res));
                 order_if_due();
                 publish(kernel::value(res));
             }
@@ -272,6 +273,23 @@
         });
 }
 
+void weights_process::log_changed_weights(weights::engine_report const& report)
+{
+    if (report.models == logged_models_)
+        return;
+    logged_models_ = report.models;
+    for (auto const& [model, version] : report.models)
+    {
+        auto const found = named_.find(model);
+        log_.write("engine_weights",
+                   "model={} version={} named_version={} busy={} "
+                   "orders_accepted={}",
+                   model.str(), version,
+                   found == named_.end() ? 0 : found->second.version,
+                   report.busy, report.orders_accepted);
+    }
+}
+
 void weights_process::publish(weights::engine_report const& report)
 {
     wire::engine_state state;
--- a/apps/endiveward_agent/weights_process.hpp
+++ b/apps/endiveward_agent/weights_process.hpp
@@ -65,6 +65,7 @@
     void plan_turns();
     void update_follow_mode(kernel::steady_time now);
     void poll();
+    void log_changed_weights(weights::engine_report const& report);
     void publish(weights::engine_report const& report);
     void publish_unreachable();
     void start();
@@ -96,6 +97,7 @@
     follower::endpoint_snapshot endpoint_list_;
     kernel::steady_time asked_routers_at_{};
     wire::engine_state last_state_;
+    std::map<kernel::model_id, weights::weight_version> logged_models_;
     /// Events of the streams in progress at the last report.
     std::uint64_t stream_events_ = 0;
     /// Number of reports in which the engine had made output.
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -273,6 +273,7 @@
             res.cost += ms(settings_.reloading_cost).count();
         if (status == weights_status::outdated)
             res.cost += ms(settings_.outdated_weights_cost).count();
+        res.choice.weights = status;
         res.choice.version =
             context.weights.version_to_request(*it, model, now);
         add_prompt_costs(res, context);
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -271,13 +271,13 @@
     services_.metrics.on_attempt();
     services_.log.write_routine(
         "sent",
-        "id={} route={} endpoint={} zone={} attempt={} version={} "
+        "id={} route={} endpoint={} zone={} attempt={} version={} weights={} "
         "prefix={:x} shared={} known={} uncached={} source={} expect_ms={} "
         "in_flight={} left_ms={}",
         id_, route_->name, entry.id.str(), entry.zone.str(),
         runs_ + refusals_ + failed_connects_, requested_version_,
-        choice.shared.key, choice.shared.tokens, choice.reusable_tokens,
-        footprint_.uncached_tokens, choice.kv.source,
+        to_text(choice.weights), choice.shared.key, choice.shared.tokens,
+        choice.reusable_tokens, footprint_.uncached_tokens, choice.kv.source,
         expected_first_byte_.count(), endpoint_->in_flight(),
         time_left().count());
     upstream_->send(pool_->peer(),
--- a/packages/gateway/internal/weights_view.cpp
+++ b/packages/gateway/internal/weights_view.cpp
@@ -20,6 +20,24 @@
 
 } // namespace
 
+std::string_view to_text(weights_status status)
+{
+    switch (status)
+    {
+    case weights_status::current:
+        return "current";
+    case weights_status::expected_current:
+        return "expected_current";
+    case weights_status::reloading:
+        return "reloading";
+    case weights_status::outdated:
+        return "outdated";
+    case weights_status::expired:
+        return "expired";
+    }
+    return "unknown";
+}
+
 weights_view::weights_view(weights::rollout_options options,
                            milliseconds version_deadline)
     : options_(options)
--- a/packages/gateway/types/placement_choice.hpp
+++ b/packages/gateway/types/placement_choice.hpp
@@ -4,6 +4,7 @@
 #include "gateway/endpoint_record.hpp"
 #include "gateway/prefix_cache_estimate.hpp"
 #include "gateway/types/kv_route.hpp"
+#include "gateway/types/weights_status.hpp"
 #include "weights/types/weight_version.hpp"
 
 #include <chrono>
@@ -21,6 +22,8 @@
     request_footprint footprint;
     /// Zero if the request names no model.
     weights::weight_version version = 0;
+    /// How that version relates to the target version of the model.
+    weights_status weights = weights_status::current;
     std::string cache_salt;
     kv_route kv;
     /// The prefix levels of the prompt under the cache salt.
--- a/packages/gateway/weights_view.hpp
+++ b/packages/gateway/weights_view.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEWARD_GATEWAY_WEIGHTS_VIEW_HPP
 #define ENDIVEWARD_GATEWAY_WEIGHTS_VIEW_HPP
 
+#include "gateway/types/weights_status.hpp"
 #include "kernel/i_clock.hpp"
 #include "kernel/types/identifiers.hpp"
 #include "weights/rollout_plan.hpp"
@@ -16,22 +17,6 @@
 
 class endpoint_record;
 
-/// How an endpoint's version of a model relates to the target version.
-enum class weights_status
-{
-    /// It serves the target version, or there is no target.
-    current,
-    /// Its scheduled reload is over, so it should serve the target version by
-    /// now.
-    expected_current,
-    /// It is reloading and refuses requests.
-    reloading,
-    /// It serves an older version until its reload.
-    outdated,
-    /// It serves an older version on which requests must no longer start.
-    expired
-};
-
 /// Tracks which model version each endpoint is expected to serve during the
 /// rollout of a new target version.
 class weights_view
