--- a/packages/gateway/tests/endpoint_chooser_test.cpp
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -255,4 +255,31 @@
     CHECK(fixture.choose(requirements)->wait > requirements.max_wait);
 }
 
+// Guards against requests that start on weights which were replaced too long
+// ago: an expired version was only more expensive, and was chosen when the
+// other engines were loading new weights or did not answer.
+TEST_CASE("no request is sent to an engine whose weights have expired")
+{
+    auto const reloading = GENERATE(false, true);
+    CAPTURE(reloading);
+    chooser_fixture fixture(2);
+    fixture.weights.set_target(
+        {model, 2}, {kernel::endpoint_id("e0"), kernel::endpoint_id("e1")},
+        start - std::chrono::seconds(9));
+    wire::engine_state state;
+    state.endpoint_incarnation = 1;
+    state.weights = {{model, 1}};
+    state.reloading = reloading;
+    fixture.records[0]->on_state(state, start);
+    auto const requirements = chooser_fixture::make_requirements("file1", 1);
+    CHECK_FALSE(fixture.choose(requirements));
+    // The other engine has loaded the version that was named.
+    state.weights = {{model, 2}};
+    fixture.records[1]->on_state(state, start);
+    auto const choice = fixture.choose(requirements);
+    REQUIRE(choice);
+    CHECK(choice->endpoint == fixture.records[1]);
+    CHECK(choice->version == 2);
+}
+
 } // namespace endiveward::gateway
--- a/packages/weights/tests/weight_updater_test.cpp
+++ b/packages/weights/tests/weight_updater_test.cpp
@@ -126,4 +126,24 @@
     CHECK_FALSE(updater.has_outdated_model());
 }
 
+// Guards against an engine that crashes and comes back with older weights after
+// a further version was named: its load waited for its turn in the newest
+// rollout although the deadline of the missed version was near.
+TEST_CASE("a replaced engine with older weights keeps the missed deadline")
+{
+    weight_updater updater(options());
+    updater.on_report(report(2, 1));
+    updater.set_target(model, 3, start, start);
+    updater.on_report(report(3, 2));
+    auto const next_named = start + std::chrono::seconds(6);
+    updater.set_target(model, 4, next_named,
+                       next_named + std::chrono::seconds(4));
+    auto replaced = report(2, 0);
+    replaced.incarnation = 2;
+    updater.on_report(replaced);
+    auto const order = updater.next_order(next_named);
+    REQUIRE(order);
+    CHECK(order->version == 4);
+}
+
 } // namespace endiveward::weights
