weights: Derive a load's deadline from the oldest version that the engine lacks

Cause: the time since which an engine is outdated was noted when a version was named, from the last report. If a current engine is then replaced by one with older weights, or the last report was that of a crashed engine, the time of the missed version was lost, and the load waited for its turn in the newest rollout.

The updater keeps the announcement time of each version and derives the deadline from the version that the engine reports now.

--- a/packages/weights/internal/weight_updater.cpp
+++ b/packages/weights/internal/weight_updater.cpp
@@ -18,11 +18,8 @@
     auto& entry = targets_[model];
     if (version < entry.version)
         return;
-    auto const was_outdated =
-        entry.version != 0 && is_outdated(model, entry.version);
-    if (!was_outdated)
-        entry.outdated_since = announced_at;
     entry.version = version;
+    entry.announcement_times.emplace(version, announced_at);
     entry.scheduled_start = scheduled_start;
 }
 
@@ -53,10 +50,10 @@
         return std::nullopt;
     for (auto const& [model, entry] : targets_)
     {
-        if (!is_outdated(model, entry.version) || now < due_at(entry))
+        if (!is_outdated(model, entry.version) || now < due_at(model, entry))
             continue;
         auto const idle = report_->running + report_->waiting == 0;
-        if (!idle && now < due_at(entry) + options_.drain_timeout)
+        if (!idle && now < due_at(model, entry) + options_.drain_timeout)
             continue;
         load_order res;
         res.model = model;
@@ -86,7 +83,7 @@
                        [&](auto const& it)
                        {
                            return is_outdated(it.first, it.second.version) &&
-                                  now >= due_at(it.second);
+                                  now >= due_at(it.first, it.second);
                        });
 }
 
@@ -99,10 +96,15 @@
     return found != report_->models.end() && found->second < version;
 }
 
-kernel::steady_time weight_updater::due_at(target const& entry) const
+// The engine may be replaced by one with older weights at any time, so the
+// oldest version that it lacks follows from its last report.
+kernel::steady_time weight_updater::due_at(kernel::model_id const& model,
+                                           target const& entry) const
 {
+    auto const loaded = report_->models.at(model);
+    auto const missed = entry.announcement_times.upper_bound(loaded);
     return std::min(entry.scheduled_start,
-                    entry.outdated_since + options_.max_start_delay);
+                    missed->second + options_.max_start_delay);
 }
 
 } // namespace endiveward::weights
--- a/packages/weights/weight_updater.hpp
+++ b/packages/weights/weight_updater.hpp
@@ -60,15 +60,14 @@
     {
         weight_version version = 0;
         kernel::steady_time scheduled_start{};
-        /// Announcement time of the oldest version that the engine has not
-        /// loaded.
-        kernel::steady_time outdated_since{};
+        std::map<weight_version, kernel::steady_time> announcement_times;
     };
 
     /// Whether the engine serves the model in an older version.
     bool is_outdated(kernel::model_id const& model,
                      weight_version version) const;
-    kernel::steady_time due_at(target const& entry) const;
+    kernel::steady_time due_at(kernel::model_id const& model,
+                               target const& entry) const;
 
     weight_updater_options options_;
     std::map<kernel::model_id, target> targets_;
