gateway: Never ask an engine for expired weights

Cause: a limit was treated as a cost. weights_view marked the version as expired 7.5 s after the announcement, but endpoint_chooser only added the cost of an engine that is reloading, so that an expired engine was chosen when the others had crashed, were loading or were full. While the agent reported a load as due, the version did not count as expired at all, although the engine starts requests on its old version until it accepts the order.

Expiry now takes precedence over reloading, and an endpoint that would be asked for an expired version is neither sampled nor a candidate. Without a connected agent the target version is asked for, as before, which an outdated engine refuses without running the request.

--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -214,6 +214,7 @@
     {
         auto const& id = it->entry().id;
         if (it->available(context.now) && !it->reloading() &&
+            may_start_at(*it, context) &&
             !contains(context.requirements.excluded, id))
             ranked.emplace_back(
                 rendezvous_rank(id.str(), context.requirements.seed), it.get());
@@ -228,6 +229,18 @@
     return res;
 }
 
+/// Whether the version that the endpoint would be asked for is recent enough.
+bool endpoint_chooser::may_start_at(endpoint_record const& it,
+                                    selection_context const& context)
+{
+    if (!context.requirements.prompt)
+        return true;
+    auto const& model = context.requirements.prompt->model;
+    auto const version =
+        context.weights.version_to_request(it, model, context.now);
+    return context.weights.may_start(model, version, context.now);
+}
+
 /// An endpoint outside the sample is a candidate if it has cached the shared
 /// prefix or is the prefix's home.
 bool endpoint_chooser::is_candidate(endpoint_record const& it,
@@ -255,7 +268,8 @@
 {
     auto const& requirements = context.requirements;
     auto const now = context.now;
-    if (!it->available(now) || contains(requirements.excluded, it->entry().id))
+    if (!it->available(now) || !may_start_at(*it, context) ||
+        contains(requirements.excluded, it->entry().id))
         return std::nullopt;
     candidate res;
     res.choice.endpoint = it;
@@ -268,6 +282,8 @@
     {
         auto const& model = requirements.prompt->model;
         auto const status = context.weights.status(*it, model, now);
+        // An expired endpoint without a connected agent is asked for the
+        // target version, which it refuses unless it has loaded it.
         if (status == weights_status::reloading ||
             status == weights_status::expired)
             res.cost += ms(settings_.reloading_cost).count();
--- a/packages/gateway/internal/weights_view.cpp
+++ b/packages/gateway/internal/weights_view.cpp
@@ -94,10 +94,12 @@
                                     : weights_status::current;
     if (endpoint.linked())
     {
-        if (endpoint.reloading())
-            return weights_status::reloading;
-        return expired(current, version, now) ? weights_status::expired
-                                              : weights_status::outdated;
+        // An engine that is due to load still starts requests on its old
+        // version until it has accepted the order.
+        if (expired(current, version, now))
+            return weights_status::expired;
+        return endpoint.reloading() ? weights_status::reloading
+                                    : weights_status::outdated;
     }
     auto const start_delay = current.plan->start_delay_of(endpoint.entry().id);
     // An endpoint that is not in the plan was started after the announcement.
@@ -114,6 +116,14 @@
                                           : weights_status::outdated;
 }
 
+bool weights_view::may_start(kernel::model_id const& model,
+                             weights::weight_version version,
+                             kernel::steady_time now) const
+{
+    auto const found = rollouts_.find(model);
+    return found == rollouts_.end() || !expired(found->second, version, now);
+}
+
 weights::weight_version
 weights_view::version_to_request(endpoint_record const& endpoint,
                                  kernel::model_id const& model,
--- a/packages/gateway/types/placement_settings.hpp
+++ b/packages/gateway/types/placement_settings.hpp
@@ -47,7 +47,7 @@
     /// failure rate, and of a stalled endpoint.
     std::chrono::milliseconds failure_cost{1500};
     /// Cost of an endpoint that is expected to refuse requests because it loads
-    /// new weights or must not use its old ones any more.
+    /// new weights or has not loaded the requested ones.
     std::chrono::milliseconds reloading_cost{2000};
     /// Cost of an endpoint with a model version older than the target version.
     std::chrono::milliseconds outdated_weights_cost{60};
--- a/packages/gateway/weights_view.hpp
+++ b/packages/gateway/weights_view.hpp
@@ -36,6 +36,11 @@
     weights_status status(endpoint_record const& endpoint,
                           kernel::model_id const& model,
                           kernel::steady_time now) const;
+    /// Whether a request sent now may start on this version: it is not older
+    /// than one that was named too long ago.
+    bool may_start(kernel::model_id const& model,
+                   weights::weight_version version,
+                   kernel::steady_time now) const;
     /// Returns the model version that a request sent now should expect of the
     /// endpoint.
     weights::weight_version version_to_request(endpoint_record const& endpoint,
