kernel, storage, wire: Name a point in the store's history by era and version

The platform's store may come back from a copy and give versions out again. Rows, batches, requests for rows and the messages between routers and agents now carry a store_position, which is compared by era first. The era is not read from the store yet and is 0 everywhere, so nothing behaves differently; the new fields of the messages are 0 if a process of an earlier version sends them.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -188,7 +188,7 @@
                                 kernel::steady_time named)
 {
     // Agents do not follow the table themselves while routers are connected.
-    links_->send_row({row.key, row.value, row.version});
+    links_->send_row({row.key, row.value, row.position});
     asio::post(traffic_.context(0),
                [this, target, named] { gateway_->apply(target, named); });
 }
--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -161,7 +161,7 @@
 {
     named_[target.model] = {target.version, named};
     log_.write("weights_named", "model={} version={} row_version={}",
-               target.model.str(), target.version, row.version);
+               target.model.str(), target.version, row.position.version);
     if (endpoint_list_.usable(*settings_.engine, clock_.now()))
         plan_turns();
     else
--- a/packages/enginelink/i_row_source.hpp
+++ b/packages/enginelink/i_row_source.hpp
@@ -1,9 +1,9 @@
 #ifndef ENDIVEWARD_ENGINELINK_I_ROW_SOURCE_HPP
 #define ENDIVEWARD_ENGINELINK_I_ROW_SOURCE_HPP
 
+#include "kernel/types/store_position.hpp"
 #include "wire/types/table_row.hpp"
 
-#include <cstdint>
 #include <vector>
 
 namespace endiveward::enginelink
@@ -18,10 +18,10 @@
     virtual ~i_row_source() = default;
 
     virtual std::vector<wire::table_row>
-    rows_after(std::uint64_t version) const = 0;
+    rows_after(kernel::store_position const& after) const = 0;
     virtual void merge(std::vector<wire::table_row> const& rows) = 0;
-    /// The newest store version that this process has seen.
-    virtual std::uint64_t version() const = 0;
+    /// Position of the newest row that this process knows.
+    virtual kernel::store_position position() const = 0;
 };
 
 } // namespace endiveward::enginelink
--- a/packages/enginelink/internal/agent_links.cpp
+++ b/packages/enginelink/internal/agent_links.cpp
@@ -92,7 +92,8 @@
         {
             auto const index =
                 static_cast<std::size_t>(random_.next() % open.size());
-            open[index]->connection->send(wire::table_request{rows_.version()});
+            open[index]->connection->send(
+                wire::table_request{rows_.position()});
             open.erase(open.begin() + static_cast<std::ptrdiff_t>(index));
         }
     }
--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -70,7 +70,7 @@
         report_if_due();
     }
 
-    void request_rows() { send(wire::table_request{rows_.version()}); }
+    void request_rows() { send(wire::table_request{rows_.position()}); }
 
     void close()
     {
--- a/packages/enginelink/tests/links_test.cpp
+++ b/packages/enginelink/tests/links_test.cpp
@@ -25,13 +25,14 @@
 
 struct fake_row_source : i_row_source
 {
-    std::vector<wire::table_row> rows_after(std::uint64_t after) const override
+    std::vector<wire::table_row>
+    rows_after(kernel::store_position const& after) const override
     {
         std::lock_guard const lock(mutex);
         std::vector<wire::table_row> res;
         for (auto const& it : rows)
         {
-            if (it.version > after)
+            if (it.position > after)
                 res.push_back(it);
         }
         return res;
@@ -43,10 +44,10 @@
         rows.insert(rows.end(), more.begin(), more.end());
     }
 
-    std::uint64_t version() const override
+    kernel::store_position position() const override
     {
         std::lock_guard const lock(mutex);
-        return rows.empty() ? 0 : rows.back().version;
+        return rows.empty() ? kernel::store_position() : rows.back().position;
     }
 
     std::size_t size() const
@@ -239,15 +240,15 @@
 TEST_CASE("processes exchange rows of the operators' table")
 {
     test_agent a;
-    a.rows.merge({{"config", "new", 7}});
+    a.rows.merge({{"config", "new", {0, 7}}});
     test_router r;
     r.connect(a.port);
     REQUIRE(wait_until([&] { return r.listener.states > 0; }));
     r.run([&] { r.links.request_rows(); });
-    CHECK(wait_until([&] { return r.rows.version() == 7; }));
-    r.rows.merge({{"version", "2", 9}});
+    CHECK(wait_until([&] { return r.rows.position().version == 7; }));
+    r.rows.merge({{"version", "2", {0, 9}}});
     a.run([&] { a.publisher.request_rows(); });
-    CHECK(wait_until([&] { return a.rows.version() == 9; }));
+    CHECK(wait_until([&] { return a.rows.position().version == 9; }));
     // Only newer rows are sent.
     CHECK(a.rows.size() == 2);
 }
@@ -260,8 +261,8 @@
     test_router r;
     r.connect(a.port);
     REQUIRE(wait_until([&] { return r.listener.states > 0; }));
-    r.run([&] { r.links.send_row({"version", "2", 9}); });
-    CHECK(wait_until([&] { return a.rows.version() == 9; }));
+    r.run([&] { r.links.send_row({"version", "2", {0, 9}}); });
+    CHECK(wait_until([&] { return a.rows.position().version == 9; }));
     std::optional<kernel::steady_time> requested;
     a.run([&] { requested = a.publisher.last_row_request(); });
     CHECK_FALSE(requested);
@@ -281,10 +282,10 @@
 {
     test_agent a;
     test_router r;
-    r.run([&] { r.links.send_row({"version", "2", 9}); });
-    r.run([&] { r.links.send_row({"version", "3", 11}); });
+    r.run([&] { r.links.send_row({"version", "2", {0, 9}}); });
+    r.run([&] { r.links.send_row({"version", "3", {0, 11}}); });
     r.connect(a.port);
-    CHECK(wait_until([&] { return a.rows.version() == 11; }));
+    CHECK(wait_until([&] { return a.rows.position().version == 11; }));
     CHECK(a.rows.size() == 1);
 }
 
--- a/packages/follower/i_table_listener.hpp
+++ b/packages/follower/i_table_listener.hpp
@@ -1,9 +1,9 @@
 #ifndef ENDIVEWARD_FOLLOWER_I_TABLE_LISTENER_HPP
 #define ENDIVEWARD_FOLLOWER_I_TABLE_LISTENER_HPP
 
+#include "kernel/types/store_position.hpp"
 #include "storage/types/table_row.hpp"
 
-#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -17,9 +17,9 @@
     virtual ~i_table_listener() = default;
 
     /// Reports the rows that were added, changed or deleted since the last
-    /// call, and the version of the store up to which they are complete.
+    /// call, and the position of the store up to which they are complete.
     virtual void on_rows(std::vector<storage::table_row> const& changed,
-                         std::uint64_t version) = 0;
+                         kernel::store_position const& position) = 0;
     /// Reports that the store stopped or began to answer.
     virtual void on_reachability_change(bool reachable,
                                         std::string const& reason) = 0;
--- a/packages/follower/internal/cluster_view.cpp
+++ b/packages/follower/internal/cluster_view.cpp
@@ -30,7 +30,7 @@
     }
 
     void on_rows(std::vector<storage::table_row> const& changed,
-                 std::uint64_t) override
+                 kernel::store_position const&) override
     {
         for (auto const& it : changed)
         {
@@ -59,7 +59,7 @@
     }
 
     void on_rows(std::vector<storage::table_row> const& changed,
-                 std::uint64_t) override
+                 kernel::store_position const&) override
     {
         view_.on_endpoint_rows(changed);
     }
@@ -114,7 +114,8 @@
         log_.write("entry_ignored",
                    "table=operators key={} row_version={} "
                    "reason=\"{}\"",
-                   row.key, row.version, kernel::failure(decoded).message);
+                   row.key, row.position.version,
+                   kernel::failure(decoded).message);
         return;
     }
     std::visit(
@@ -160,7 +161,7 @@
             log_.write("endpoint_removed",
                        "endpoint={} row_version={} "
                        "held_back={}",
-                       it.key, it.version, in_grace_period);
+                       it.key, it.position.version, in_grace_period);
             continue;
         }
         auto decoded = decoder_.decode_endpoint_row(it.key, it.value);
@@ -171,7 +172,8 @@
                        "endpoint={} incarnation={} service={} address={}:{} "
                        "draining={} row_version={}",
                        it.key, entry.incarnation, entry.service.str(),
-                       entry.host, entry.port, entry.draining, it.version);
+                       entry.host, entry.port, entry.draining,
+                       it.position.version);
             entries_[it.key] = entry;
             continue;
         }
@@ -180,7 +182,8 @@
         log_.write("entry_ignored",
                    "table=endpoints key={} row_version={} "
                    "reason=\"{}\"",
-                   it.key, it.version, kernel::failure(decoded).message);
+                   it.key, it.position.version,
+                   kernel::failure(decoded).message);
     }
     endpoints_known_ = true;
     if (!expired_.empty())
--- a/packages/follower/internal/row_exchange.cpp
+++ b/packages/follower/internal/row_exchange.cpp
@@ -13,15 +13,15 @@
 }
 
 std::vector<wire::table_row>
-row_exchange::rows_after(std::uint64_t version) const
+row_exchange::rows_after(kernel::store_position const& after) const
 {
     std::vector<wire::table_row> res;
     if (follower_ == nullptr)
         return res;
     for (auto const& [key, it] : follower_->rows())
     {
-        if (it.version > version)
-            res.push_back({it.key, it.value, it.version});
+        if (it.position > after)
+            res.push_back({it.key, it.value, it.position});
     }
     return res;
 }
@@ -33,19 +33,19 @@
     std::vector<storage::table_row> converted;
     converted.reserve(rows.size());
     for (auto const& it : rows)
-        converted.push_back({it.key, it.value, it.version, false});
+        converted.push_back({it.key, it.value, it.position, false});
     follower_->merge(converted);
 }
 
-/// Version of the newest known row. The version of the store may be higher
+/// Position of the newest known row. That of the store may be higher
 /// because of changes in other tables.
-std::uint64_t row_exchange::version() const
+kernel::store_position row_exchange::position() const
 {
-    std::uint64_t res = 0;
+    kernel::store_position res;
     if (follower_ == nullptr)
         return res;
     for (auto const& [key, it] : follower_->rows())
-        res = std::max(res, it.version);
+        res = std::max(res, it.position);
     return res;
 }
 
--- a/packages/follower/internal/table_follower.cpp
+++ b/packages/follower/internal/table_follower.cpp
@@ -81,7 +81,7 @@
 
 void table_follower::request_changes(std::chrono::milliseconds wait)
 {
-    feed_.wait_for_changes(options_.table, version_, wait,
+    feed_.wait_for_changes(options_.table, position_, wait,
                            wait + options_.response_timeout,
                            [self = shared_from_this()](auto res)
                            {
@@ -97,19 +97,19 @@
     on_success();
     auto& batch = std::get<row_batch>(res);
     // A stale answer may lack rows that are already known.
-    if (batch.version < version_)
+    if (batch.position < position_)
         return next_call();
     std::set<std::string> present;
     for (auto const& it : batch.rows)
         present.insert(it.key);
     for (auto const& [key, it] : rows_)
     {
-        if (!present.contains(key) && it.version <= batch.version)
-            batch.rows.push_back({key, {}, batch.version, true});
+        if (!present.contains(key) && it.position <= batch.position)
+            batch.rows.push_back({key, {}, batch.position, true});
     }
     needs_full_read_ = false;
-    version_ = batch.version;
-    listener_.on_rows(merge_rows(std::move(batch.rows)), version_);
+    position_ = batch.position;
+    listener_.on_rows(merge_rows(std::move(batch.rows)), position_);
     next_call();
 }
 
@@ -119,11 +119,11 @@
         return on_error(*error);
     on_success();
     auto& batch = std::get<row_batch>(res);
-    version_ = std::max(version_, batch.version);
+    position_ = std::max(position_, batch.position);
     auto const changed = merge_rows(std::move(batch.rows));
     if (changed.empty())
         return next_call();
-    listener_.on_rows(changed, version_);
+    listener_.on_rows(changed, position_);
     timer_.expires_after(options_.coalescing_delay);
     timer_.async_wait(
         [self = shared_from_this()](std::error_code ec)
@@ -140,22 +140,22 @@
     std::vector<table_row> newer;
     for (auto const& it : rows)
     {
-        if (it.version > version_)
+        if (it.position > position_)
             newer.push_back(it);
     }
     auto const changed = merge_rows(std::move(newer));
     if (!changed.empty())
-        listener_.on_rows(changed, version_);
+        listener_.on_rows(changed, position_);
 }
 
-/// Keeps the newest version of each row and returns the rows that changed.
+/// Keeps the newest state of each row and returns the rows that changed.
 std::vector<table_row> table_follower::merge_rows(std::vector<table_row> rows)
 {
     std::vector<table_row> changed;
     for (auto& it : rows)
     {
         auto const found = rows_.find(it.key);
-        if (found != rows_.end() && found->second.version >= it.version)
+        if (found != rows_.end() && found->second.position >= it.position)
             continue;
         if (found == rows_.end() && it.deleted)
             continue;
--- a/packages/follower/row_exchange.hpp
+++ b/packages/follower/row_exchange.hpp
@@ -17,9 +17,9 @@
     void set_follower(std::shared_ptr<table_follower> follower);
 
     std::vector<wire::table_row>
-    rows_after(std::uint64_t version) const override;
+    rows_after(kernel::store_position const& after) const override;
     void merge(std::vector<wire::table_row> const& rows) override;
-    std::uint64_t version() const override;
+    kernel::store_position position() const override;
 
 private:
     std::shared_ptr<table_follower> follower_;
--- a/packages/follower/table_follower.hpp
+++ b/packages/follower/table_follower.hpp
@@ -3,11 +3,11 @@
 
 #include "follower/types/follower_options.hpp"
 #include "kernel/i_clock.hpp"
+#include "kernel/types/store_position.hpp"
 #include "storage/i_row_feed.hpp"
 
 #include <asio/steady_timer.hpp>
 
-#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -38,7 +38,7 @@
     /// A long poll that has begun is completed in either mode.
     void set_mode(follow_mode mode);
     /// Merges rows that another process has read. Rows that are not newer than
-    /// `version()` are ignored.
+    /// `position()` are ignored.
     void merge(std::vector<storage::table_row> const& rows);
 
     std::map<std::string, storage::table_row> const& rows() const
@@ -46,7 +46,7 @@
         return rows_;
     }
     /// Zero until the table has been read.
-    std::uint64_t version() const { return version_; }
+    kernel::store_position const& position() const { return position_; }
     bool reachable() const { return reachable_; }
 
 private:
@@ -67,7 +67,7 @@
     follower_options options_;
     asio::steady_timer timer_;
     std::map<std::string, storage::table_row> rows_;
-    std::uint64_t version_ = 0;
+    kernel::store_position position_;
     std::chrono::milliseconds backoff_{0};
     bool reachable_ = false;
     bool needs_full_read_ = true;
--- a/packages/follower/tests/cluster_view_test.cpp
+++ b/packages/follower/tests/cluster_view_test.cpp
@@ -97,11 +97,14 @@
 TEST_CASE("versions never decrease")
 {
     fixture f;
-    f.view.operator_rows_listener().on_rows({{"config", "c5", 1, false}}, 1);
-    f.view.operator_rows_listener().on_rows({{"config", "c4", 2, false}}, 2);
-    f.view.operator_rows_listener().on_rows({{"config", "c9", 3, false}}, 3);
+    f.view.operator_rows_listener().on_rows({{"config", "c5", {0, 1}, false}},
+                                            {0, 1});
+    f.view.operator_rows_listener().on_rows({{"config", "c4", {0, 2}, false}},
+                                            {0, 2});
+    f.view.operator_rows_listener().on_rows({{"config", "c9", {0, 3}, false}},
+                                            {0, 3});
     f.view.operator_rows_listener().on_rows(
-        {{"w", "t2", 4, false}, {"w", "t1", 5, false}}, 5);
+        {{"w", "t2", {0, 4}, false}, {"w", "t1", {0, 5}, false}}, {0, 5});
     CHECK(f.observer.versions == std::vector<kernel::config_version>{5, 9});
     CHECK(f.observer.targets == std::vector<weights::weight_version>{2});
     CHECK(f.view.config_version() == 9);
@@ -111,17 +114,20 @@
 TEST_CASE("an endpoint with an unreadable entry is dropped and the others stay")
 {
     fixture f;
-    f.view.endpoint_rows_listener().on_rows({{"a", "ready", 1, false},
-                                             {"b", "\xff", 2, false},
-                                             {"c", "draining", 3, false}},
-                                            3);
+    f.view.endpoint_rows_listener().on_rows({{"a", "ready", {0, 1}, false},
+                                             {"b", "\xff", {0, 2}, false},
+                                             {"c", "draining", {0, 3}, false}},
+                                            {0, 3});
     CHECK(f.observer.last.size() == 2);
-    f.view.endpoint_rows_listener().on_rows({{"a", "bad", 4, false}}, 4);
+    f.view.endpoint_rows_listener().on_rows({{"a", "bad", {0, 4}, false}},
+                                            {0, 4});
     REQUIRE(f.observer.last.size() == 1);
     CHECK(f.observer.last[0].id.str() == "c");
-    f.view.operator_rows_listener().on_rows({{"config", "?", 5, false}}, 5);
+    f.view.operator_rows_listener().on_rows({{"config", "?", {0, 5}, false}},
+                                            {0, 5});
     CHECK_FALSE(f.view.complete());
-    f.view.operator_rows_listener().on_rows({{"config", "c1", 6, false}}, 6);
+    f.view.operator_rows_listener().on_rows({{"config", "c1", {0, 6}, false}},
+                                            {0, 6});
     CHECK(f.view.complete());
 }
 
@@ -132,19 +138,21 @@
     fixture f;
     f.clock.advance(std::chrono::seconds(100));
     f.view.endpoint_rows_listener().on_rows(
-        {{"a", "ready", 1, false}, {"b", "draining", 2, false}}, 2);
+        {{"a", "ready", {0, 1}, false}, {"b", "draining", {0, 2}, false}},
+        {0, 2});
     f.view.endpoint_rows_listener().on_reachability_change(false, "timeout");
     f.clock.advance(std::chrono::seconds(10));
     f.view.endpoint_rows_listener().on_reachability_change(true, "");
     f.view.endpoint_rows_listener().on_rows(
-        {{"a", "", 3, true}, {"b", "", 4, true}}, 4);
+        {{"a", "", {0, 3}, true}, {"b", "", {0, 4}, true}}, {0, 4});
     // An endpoint that was already draining is removed immediately.
     REQUIRE(f.observer.last.size() == 1);
     CHECK(f.observer.last[0].id.str() == "a");
-    f.view.endpoint_rows_listener().on_rows({{"a", "ready", 5, false}}, 5);
+    f.view.endpoint_rows_listener().on_rows({{"a", "ready", {0, 5}, false}},
+                                            {0, 5});
     CHECK(f.observer.last.size() == 1);
     f.clock.advance(std::chrono::seconds(5));
-    f.view.endpoint_rows_listener().on_rows({{"a", "", 6, true}}, 6);
+    f.view.endpoint_rows_listener().on_rows({{"a", "", {0, 6}, true}}, {0, 6});
     CHECK(f.observer.last.empty());
 }
 
--- a/packages/follower/tests/table_follower_test.cpp
+++ b/packages/follower/tests/table_follower_test.cpp
@@ -28,12 +28,13 @@
         answer(full_reads, on_done);
     }
 
-    void wait_for_changes(std::string const&, std::uint64_t after,
+    void wait_for_changes(std::string const&,
+                          kernel::store_position const& after,
                           std::chrono::milliseconds wait,
                           std::chrono::milliseconds,
                           batch_handler on_done) override
     {
-        waited_after.push_back(after);
+        waited_after.push_back(after.version);
         waits.push_back(wait);
         answer(changes, on_done);
     }
@@ -57,7 +58,8 @@
 
 struct recording_listener : i_table_listener
 {
-    void on_rows(std::vector<table_row> const& changed, std::uint64_t) override
+    void on_rows(std::vector<table_row> const& changed,
+                 kernel::store_position const&) override
     {
         rows.insert(rows.end(), changed.begin(), changed.end());
     }
@@ -105,8 +107,9 @@
 TEST_CASE("a table is read once and then its changes")
 {
     fixture f;
-    f.feed.full_reads = {row_batch{{{"a", "1", 3, false}}, 5}};
-    f.feed.changes = {row_batch{{{"b", "2", 7, false}}, 8}, row_batch{{}, 9}};
+    f.feed.full_reads = {row_batch{{{"a", "1", {0, 3}, false}}, {0, 5}}};
+    f.feed.changes = {row_batch{{{"b", "2", {0, 7}, false}}, {0, 8}},
+                      row_batch{{}, {0, 9}}};
     f.start();
     CHECK(f.feed.full_read_count == 1);
     CHECK(f.feed.waited_after == std::vector<std::uint64_t>{5, 8, 9});
@@ -120,13 +123,15 @@
 {
     fixture f;
     f.feed.full_reads = {
-        row_batch{{{"a", "1", 3, false}, {"b", "2", 4, false}}, 5},
-        row_batch{{{"b", "2", 4, false}, {"c", "3", 8, false}}, 9}};
+        row_batch{{{"a", "1", {0, 3}, false}, {"b", "2", {0, 4}, false}},
+                  {0, 5}},
+        row_batch{{{"b", "2", {0, 4}, false}, {"c", "3", {0, 8}, false}},
+                  {0, 9}}};
     f.feed.changes = {
         feed_error{feed_error::reason::history_lost, "status=410"}};
     f.start();
     REQUIRE(f.listener.rows.size() == 4);
-    CHECK(f.listener.rows[2] == table_row{"c", "3", 8, false});
+    CHECK(f.listener.rows[2] == table_row{"c", "3", {0, 8}, false});
     CHECK(f.listener.rows[3].key == "a");
     CHECK(f.listener.rows[3].deleted);
     CHECK(f.follower->rows().size() == 2);
@@ -137,9 +142,9 @@
     fixture f;
     f.feed.full_reads = {feed_error{feed_error::reason::unreachable, "timeout"},
                          feed_error{feed_error::reason::refused, "status=503"},
-                         row_batch{{{"a", "1", 3, false}}, 5}};
+                         row_batch{{{"a", "1", {0, 3}, false}}, {0, 5}}};
     f.feed.changes = {feed_error{feed_error::reason::refused, "status=503"},
-                      row_batch{{}, 6}};
+                      row_batch{{}, {0, 6}}};
     f.start();
     CHECK(f.feed.full_read_count == 3);
     CHECK(f.follower->rows().size() == 1);
@@ -150,12 +155,13 @@
 TEST_CASE("rows of other processes are merged only if they are newer")
 {
     fixture f;
-    f.feed.full_reads = {row_batch{{{"a", "1", 3, false}}, 5}};
+    f.feed.full_reads = {row_batch{{{"a", "1", {0, 3}, false}}, {0, 5}}};
     f.start();
     f.listener.rows.clear();
-    f.follower->merge({{"a", "old", 2, false}, {"gone", "x", 4, false}});
+    f.follower->merge(
+        {{"a", "old", {0, 2}, false}, {"gone", "x", {0, 4}, false}});
     CHECK(f.listener.rows.empty());
-    f.follower->merge({{"a", "new", 6, false}});
+    f.follower->merge({{"a", "new", {0, 6}, false}});
     REQUIRE(f.listener.rows.size() == 1);
     CHECK(f.follower->rows().at("a").value == "new");
 }
@@ -165,8 +171,9 @@
 TEST_CASE("a periodic follower asks without waiting for changes")
 {
     fixture f;
-    f.feed.full_reads = {row_batch{{{"a", "1", 3, false}}, 5}};
-    f.feed.changes = {row_batch{{{"b", "2", 7, false}}, 8}, row_batch{{}, 9}};
+    f.feed.full_reads = {row_batch{{{"a", "1", {0, 3}, false}}, {0, 5}}};
+    f.feed.changes = {row_batch{{{"b", "2", {0, 7}, false}}, {0, 8}},
+                      row_batch{{}, {0, 9}}};
     f.follower->set_mode(follow_mode::periodic);
     auto const begin = std::chrono::steady_clock::now();
     f.start();
@@ -183,7 +190,7 @@
 TEST_CASE("a follower that returns to long polls calls immediately")
 {
     fixture f;
-    f.feed.full_reads = {row_batch{{{"a", "1", 3, false}}, 5}};
+    f.feed.full_reads = {row_batch{{{"a", "1", {0, 3}, false}}, {0, 5}}};
     f.follower->set_mode(follow_mode::periodic);
     f.follower->start();
     f.context.poll();
@@ -198,17 +205,17 @@
 TEST_CASE("processes exchange the rows that the other lacks")
 {
     fixture f;
-    f.feed.full_reads = {
-        row_batch{{{"a", "1", 3, false}, {"b", "2", 4, false}}, 9}};
+    f.feed.full_reads = {row_batch{
+        {{"a", "1", {0, 3}, false}, {"b", "2", {0, 4}, false}}, {0, 9}}};
     f.start();
     row_exchange exchange;
-    CHECK(exchange.rows_after(0).empty());
+    CHECK(exchange.rows_after({0, 0}).empty());
     exchange.set_follower(f.follower);
-    CHECK(exchange.version() == 4);
-    REQUIRE(exchange.rows_after(3).size() == 1);
-    CHECK(exchange.rows_after(3)[0].key == "b");
-    exchange.merge({{"c", "3", 12}});
-    CHECK(exchange.version() == 12);
+    CHECK(exchange.position().version == 4);
+    REQUIRE(exchange.rows_after({0, 3}).size() == 1);
+    CHECK(exchange.rows_after({0, 3})[0].key == "b");
+    exchange.merge({{"c", "3", {0, 12}}});
+    CHECK(exchange.position().version == 12);
 }
 
 } // namespace endiveward::follower
--- a/packages/storage/i_row_feed.hpp
+++ b/packages/storage/i_row_feed.hpp
@@ -1,11 +1,11 @@
 #ifndef ENDIVEWARD_STORAGE_I_ROW_FEED_HPP
 #define ENDIVEWARD_STORAGE_I_ROW_FEED_HPP
 
+#include "kernel/types/store_position.hpp"
 #include "storage/types/feed_error.hpp"
 #include "storage/types/row_batch.hpp"
 
 #include <chrono>
-#include <cstdint>
 #include <functional>
 #include <string>
 #include <variant>
@@ -27,9 +27,10 @@
     virtual void read_all(std::string const& table,
                           std::chrono::milliseconds timeout,
                           batch_handler on_done) = 0;
-    /// Rows that changed after a version, as soon as there is one; an empty
+    /// Rows that changed after a position, as soon as there is one; an empty
     /// batch if there is none within `wait`.
-    virtual void wait_for_changes(std::string const& table, std::uint64_t after,
+    virtual void wait_for_changes(std::string const& table,
+                                  kernel::store_position const& after,
                                   std::chrono::milliseconds wait,
                                   std::chrono::milliseconds timeout,
                                   batch_handler on_done) = 0;
--- a/packages/storage/types/row_batch.hpp
+++ b/packages/storage/types/row_batch.hpp
@@ -1,19 +1,19 @@
 #ifndef ENDIVEWARD_STORAGE_TYPES_ROW_BATCH_HPP
 #define ENDIVEWARD_STORAGE_TYPES_ROW_BATCH_HPP
 
+#include "kernel/types/store_position.hpp"
 #include "storage/types/table_row.hpp"
 
-#include <cstdint>
 #include <vector>
 
 namespace endiveward::storage
 {
 
-/// Rows of a table as of one version of the store.
+/// Rows of a table as of one point in the history of the store.
 struct row_batch
 {
     std::vector<table_row> rows;
-    std::uint64_t version = 0;
+    kernel::store_position position;
 };
 
 } // namespace endiveward::storage
--- a/packages/storage/types/table_row.hpp
+++ b/packages/storage/types/table_row.hpp
@@ -1,7 +1,8 @@
 #ifndef ENDIVEWARD_STORAGE_TYPES_TABLE_ROW_HPP
 #define ENDIVEWARD_STORAGE_TYPES_TABLE_ROW_HPP
 
-#include <cstdint>
+#include "kernel/types/store_position.hpp"
+
 #include <string>
 
 namespace endiveward::storage
@@ -12,8 +13,8 @@
 {
     std::string key;
     std::string value;
-    /// Grows with each change of any row of the store.
-    std::uint64_t version = 0;
+    /// Of the row's last change.
+    kernel::store_position position;
     bool deleted = false;
 
     bool operator==(table_row const&) const = default;
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -442,12 +442,12 @@
 
 offset<fbs::table_request> put(builder& fbb, table_request const& msg)
 {
-    return fbs::Createtable_request(fbb, msg.after);
+    return fbs::Createtable_request(fbb, msg.after.version, msg.after.era);
 }
 
 table_request get(fbs::table_request const& in)
 {
-    return {in.after()};
+    return {{in.era(), in.after()}};
 }
 
 offset<fbs::table_rows> put(builder& fbb, table_rows const& msg)
@@ -458,7 +458,8 @@
     {
         auto const value = put_bytes(fbb, it.value);
         auto const key = fbb.CreateString(it.key);
-        rows.push_back(fbs::Createtable_row(fbb, key, value, it.version));
+        rows.push_back(fbs::Createtable_row(
+            fbb, key, value, it.position.version, it.position.era));
     }
     return fbs::Createtable_rowsDirect(fbb, &rows);
 }
@@ -470,8 +471,9 @@
         return out;
     out.rows.reserve(in.rows()->size());
     for (auto const* it : *in.rows())
-        out.rows.push_back(
-            {text(it->key()), bytes_of(it->value()), it->version()});
+        out.rows.push_back({text(it->key()),
+                            bytes_of(it->value()),
+                            {it->era(), it->version()}});
     return out;
 }
 
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -78,8 +78,8 @@
         engine_state{
             1, {{kernel::model_id("m"), 2}}, true, 3, 4, 5, 6, 7, 8, true, 9},
         cache_change{true, {{7, 8}, {9, 0}}},
-        table_request{10},
-        table_rows{{{"k", std::string("x\0y", 3), 11}}}};
+        table_request{{3, 10}},
+        table_rows{{{"k", std::string("x\0y", 3), {3, 11}}}}};
 }
 
 } // namespace
--- a/packages/wire/types/table_request.hpp
+++ b/packages/wire/types/table_request.hpp
@@ -1,15 +1,15 @@
 #ifndef ENDIVEWARD_WIRE_TYPES_TABLE_REQUEST_HPP
 #define ENDIVEWARD_WIRE_TYPES_TABLE_REQUEST_HPP
 
-#include <cstdint>
+#include "kernel/types/store_position.hpp"
 
 namespace endiveward::wire
 {
 
-/// Asks for the rows of the operators' table that are newer than a version.
+/// Asks for the rows of the operators' table that changed after a position.
 struct table_request
 {
-    std::uint64_t after = 0;
+    kernel::store_position after;
 
     bool operator==(table_request const&) const = default;
 };
--- a/packages/wire/types/table_row.hpp
+++ b/packages/wire/types/table_row.hpp
@@ -1,7 +1,8 @@
 #ifndef ENDIVEWARD_WIRE_TYPES_TABLE_ROW_HPP
 #define ENDIVEWARD_WIRE_TYPES_TABLE_ROW_HPP
 
-#include <cstdint>
+#include "kernel/types/store_position.hpp"
+
 #include <string>
 
 namespace endiveward::wire
@@ -12,7 +13,7 @@
 {
     std::string key;
     std::string value;
-    std::uint64_t version = 0;
+    kernel::store_position position;
 
     bool operator==(table_row const&) const = default;
 };
