follower, gateway: Failing tests for requests that still start on expired weights

A restarted process counts the deadline of older weights from its own start, and the limit is compared with the time of sending instead of the start of the request. Both fail on; no code is changed.

--- a/packages/follower/tests/cluster_view_test.cpp
+++ b/packages/follower/tests/cluster_view_test.cpp
@@ -2,6 +2,7 @@
 #include "follower/i_cluster_observer.hpp"
 #include "follower/i_entry_decoder.hpp"
 #include "gateway/routing_table.hpp"
+#include "gateway/weights_view.hpp"
 #include "kernel/manual_clock.hpp"
 #include "observe/decision_log.hpp"
 
@@ -64,14 +65,17 @@
     }
 
     void on_target(weights::model_target const& target,
-                   storage::table_row const&, kernel::steady_time) override
+                   storage::table_row const&,
+                   kernel::steady_time received_at) override
     {
         targets.push_back(target.version);
+        named_at.push_back(received_at);
     }
 
     std::vector<kernel::config_version> versions;
     std::vector<gateway::endpoint_entry> last;
     std::vector<weights::weight_version> targets;
+    std::vector<kernel::steady_time> named_at;
 };
 
 struct fixture
@@ -156,4 +160,34 @@
     CHECK(f.observer.last.empty());
 }
 
+// Guards against requests that start on weights which were replaced too long
+// ago: a process that has just started reads a version that was named at an
+// unknown time before, possibly after others that it never sees, and counted
+// the deadline from its own start.
+TEST_CASE("a restart does not renew the deadline of older weights")
+{
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+    kernel::model_id const model("m");
+    gateway::weights_view weights({}, seconds(10));
+    fixture f;
+    // Version 3 was named 6 s before this process read the table for the first
+    // time.
+    f.clock.advance(seconds(100));
+    f.view.operator_rows_listener().on_rows({{"w", "t3", {0, 9}, false}},
+                                            {0, 9});
+    REQUIRE(f.observer.named_at.size() == 1);
+    weights.set_target({model, 3}, {}, f.observer.named_at[0]);
+    f.clock.advance(milliseconds(4500));
+    CHECK_FALSE(weights.may_start(model, 2, f.clock.now()));
+    CHECK(weights.may_start(model, 3, f.clock.now()));
+
+    // A version that is named later has the full time.
+    f.view.operator_rows_listener().on_rows({{"w", "t4", {0, 12}, false}},
+                                            {0, 12});
+    REQUIRE(f.observer.named_at.size() == 2);
+    weights.set_target({model, 4}, {}, f.observer.named_at[1]);
+    CHECK(weights.may_start(model, 3, f.clock.now() + seconds(1)));
+}
+
 } // namespace endiveward::follower
--- a/packages/gateway/tests/endpoint_chooser_test.cpp
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -282,4 +282,27 @@
     CHECK(choice->version == 2);
 }
 
+// Guards against requests that start on weights which were replaced too long
+// ago: the limit was compared with the time of sending, but a request starts
+// only after its wait in the engine's queue.
+TEST_CASE("no request is sent that would start on expired weights")
+{
+    chooser_fixture fixture(1);
+    fixture.weights.set_target({model, 2}, {kernel::endpoint_id("e0")},
+                               start - milliseconds(7400));
+    auto requirements = chooser_fixture::make_requirements("file1", 1);
+    requirements.max_wait = milliseconds(9000);
+    // Without a queue, the request starts in time.
+    REQUIRE(fixture.choose(requirements));
+    CHECK(fixture.choose(requirements)->version == 1);
+    CHECK(fixture.choose(requirements)->wait < milliseconds(100));
+    // With this one, it starts 11 s after version 2 was named.
+    for (int n = 0; n < 15; ++n)
+        fixture.records[0]->on_sent({11500, 11800}, start);
+    auto const choice = fixture.choose(requirements);
+    auto const wait = choice ? choice->wait : milliseconds(0);
+    CAPTURE(wait.count());
+    CHECK_FALSE(choice);
+}
+
 } // namespace endiveward::gateway
