follower, weights: A restart does not renew the deadline of older weights

The time of the announcement was the time at which this process read the row.

A version that is in the table when a process reads it first comes without a time. Routers count it as named half of the deadline ago, the time within which agents order the load; agents schedule it from their own start, so that engines do not all load at once. The limit (may_start) and the cost (status) are derived from the deadline as fractions: with fixed margins every older version had expired at once where the deadline is below 2.5 s. An agent notes the deadline of a version before it has read the list of endpoints; if another version was named meanwhile, the first one was lost.

'a restart does not renew the deadline of older weights' failed before (may start 10.5 s after the naming).

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -185,12 +185,12 @@
 
 void gateway_process::on_target(weights::model_target const& target,
                                 storage::table_row const& row,
-                                kernel::steady_time named)
+                                std::optional<kernel::steady_time> announced_at)
 {
     // Agents do not follow the table themselves while routers are connected.
     links_->send_row({row.key, row.value, row.position});
-    asio::post(traffic_.context(0),
-               [this, target, named] { gateway_->apply(target, named); });
+    asio::post(traffic_.context(0), [this, target, announced_at]
+               { gateway_->apply(target, announced_at); });
 }
 
 void gateway_process::on_engine_state(kernel::endpoint_id const& endpoint,
--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -77,7 +77,7 @@
         std::vector<gateway::endpoint_entry> const& endpoints) override;
     void on_target(weights::model_target const& target,
                    storage::table_row const& row,
-                   kernel::steady_time named) override;
+                   std::optional<kernel::steady_time> announced_at) override;
 
     void on_engine_state(kernel::endpoint_id const& endpoint,
                          wire::engine_state const& state) override;
--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -42,12 +42,19 @@
 /// the notice of a store that has fallen silent.
 constexpr milliseconds store_wait{8000};
 
+/// Leaves the other half of the time for draining, loading and orders that are
+/// not answered.
+milliseconds max_start_delay(gateway::process_settings const& settings)
+{
+    return settings.version_deadline / 2;
+}
+
 weights::weight_updater_options
 weight_updater_options(gateway::process_settings const& settings)
 {
     weights::weight_updater_options res;
     res.holder = settings.name.str();
-    res.max_start_delay = settings.version_deadline / 2;
+    res.max_start_delay = max_start_delay(settings);
     return res;
 }
 
@@ -157,9 +164,14 @@
 
 void weights_process::on_target(weights::model_target const& target,
                                 storage::table_row const& row,
-                                kernel::steady_time named)
+                                std::optional<kernel::steady_time> announced_at)
 {
-    named_[target.model] = {target.version, named};
+    auto const announced = announced_at.value_or(clock_.now());
+    named_[target.model] = {target.version, announced};
+    // The deadline of this version holds even if a newer one is named before
+    // the list of endpoints has been read.
+    updater_.set_target(target.model, target.version, announced,
+                        announced + max_start_delay(settings_));
     log_.write("weights_named", "model={} version={} row_version={}",
                target.model.str(), target.version, row.position.version);
     if (endpoint_list_.usable(*settings_.engine, clock_.now()))
--- a/apps/endiveward_agent/weights_process.hpp
+++ b/apps/endiveward_agent/weights_process.hpp
@@ -58,7 +58,7 @@
         std::vector<gateway::endpoint_entry> const& endpoints) override;
     void on_target(weights::model_target const& target,
                    storage::table_row const& row,
-                   kernel::steady_time named) override;
+                   std::optional<kernel::steady_time> announced_at) override;
 
     /// Reads the list of endpoints, which decides the engine's turn.
     void read_endpoints();
--- a/packages/follower/cluster_view.hpp
+++ b/packages/follower/cluster_view.hpp
@@ -72,6 +72,8 @@
     /// registered again.
     std::vector<std::string> expired_;
     std::optional<kernel::steady_time> reachable_since_;
+    /// Whether the operators' table has been read once.
+    bool operator_rows_known_ = false;
     bool endpoints_known_ = false;
 };
 
--- a/packages/follower/i_cluster_observer.hpp
+++ b/packages/follower/i_cluster_observer.hpp
@@ -7,6 +7,7 @@
 #include "weights/types/model_target.hpp"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace endiveward::gateway
@@ -28,10 +29,11 @@
     on_configuration(std::shared_ptr<gateway::routing_table const> table) = 0;
     virtual void
     on_endpoints(std::vector<gateway::endpoint_entry> const& endpoints) = 0;
-    /// `row` is the row of the operators' table that names the target.
+    /// `row` is the row of the operators' table that names the target. No time
+    /// is given if it was named before this process had read the table.
     virtual void on_target(weights::model_target const& target,
                            storage::table_row const& row,
-                           kernel::steady_time received_at) = 0;
+                           std::optional<kernel::steady_time> announced_at) = 0;
 };
 
 } // namespace endiveward::follower
--- a/packages/follower/internal/cluster_view.cpp
+++ b/packages/follower/internal/cluster_view.cpp
@@ -30,13 +30,17 @@
     }
 
     void on_rows(std::vector<storage::table_row> const& changed,
-                 kernel::store_position const&) override
+                 kernel::store_position const& position) override
     {
         for (auto const& it : changed)
         {
             if (!it.deleted)
                 view_.on_operator_row(it);
         }
+        // Rows that another process has passed on come without a position
+        // until the table has been read.
+        if (position != kernel::store_position())
+            view_.operator_rows_known_ = true;
     }
 
     void on_reachability_change(bool reachable,
@@ -135,7 +139,10 @@
                 if (target.version <= known)
                     return;
                 known = target.version;
-                observer_.on_target(target, row, clock_.now());
+                observer_.on_target(target, row,
+                                    operator_rows_known_
+                                        ? std::optional(clock_.now())
+                                        : std::nullopt);
             },
             [](unrelated_row) {}},
         kernel::value(decoded));
--- a/packages/follower/tests/cluster_view_test.cpp
+++ b/packages/follower/tests/cluster_view_test.cpp
@@ -66,16 +66,16 @@
 
     void on_target(weights::model_target const& target,
                    storage::table_row const&,
-                   kernel::steady_time received_at) override
+                   std::optional<kernel::steady_time> announced_at) override
     {
         targets.push_back(target.version);
-        named_at.push_back(received_at);
+        announcements.push_back(announced_at);
     }
 
     std::vector<kernel::config_version> versions;
     std::vector<gateway::endpoint_entry> last;
     std::vector<weights::weight_version> targets;
-    std::vector<kernel::steady_time> named_at;
+    std::vector<std::optional<kernel::steady_time>> announcements;
 };
 
 struct fixture
@@ -176,8 +176,9 @@
     f.clock.advance(seconds(100));
     f.view.operator_rows_listener().on_rows({{"w", "t3", {0, 9}, false}},
                                             {0, 9});
-    REQUIRE(f.observer.named_at.size() == 1);
-    weights.set_target({model, 3}, {}, f.observer.named_at[0]);
+    REQUIRE(f.observer.announcements.size() == 1);
+    weights.set_target({model, 3}, {}, f.observer.announcements[0],
+                       f.clock.now());
     f.clock.advance(milliseconds(4500));
     CHECK_FALSE(weights.may_start(model, 2, f.clock.now()));
     CHECK(weights.may_start(model, 3, f.clock.now()));
@@ -185,8 +186,9 @@
     // A version that is named later has the full time.
     f.view.operator_rows_listener().on_rows({{"w", "t4", {0, 12}, false}},
                                             {0, 12});
-    REQUIRE(f.observer.named_at.size() == 2);
-    weights.set_target({model, 4}, {}, f.observer.named_at[1]);
+    REQUIRE(f.observer.announcements.size() == 2);
+    weights.set_target({model, 4}, {}, f.observer.announcements[1],
+                       f.clock.now());
     CHECK(weights.may_start(model, 3, f.clock.now() + seconds(1)));
 }
 
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -17,6 +17,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,7 +51,7 @@
     /// Sets a model's target version. The reloads of the endpoints are
     /// scheduled relative to `announced_at`.
     void apply(weights::model_target const& target,
-               kernel::steady_time announced_at);
+               std::optional<kernel::steady_time> announced_at);
     /// Reports of the agents on the endpoints' VMs.
     void on_engine_state(kernel::endpoint_id const& endpoint,
                          wire::engine_state const& state);
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -94,12 +94,12 @@
 }
 
 void gateway::apply(weights::model_target const& target,
-                    kernel::steady_time announced_at)
+                    std::optional<kernel::steady_time> announced_at)
 {
     auto ids = endpoints_->ids_with_model(target.model);
     log_.write("weights_named", "model={} version={} endpoints={}",
                target.model.str(), target.version, ids.size());
-    weights_->set_target(target, std::move(ids), announced_at);
+    weights_->set_target(target, std::move(ids), announced_at, clock_.now());
 }
 
 void gateway::on_engine_state(kernel::endpoint_id const& endpoint,
--- a/packages/gateway/internal/weights_view.cpp
+++ b/packages/gateway/internal/weights_view.cpp
@@ -10,10 +10,13 @@
 
 using std::chrono::milliseconds;
 
-/// Subtracted from the deadline, since a request may wait at the endpoint
-/// before it runs, and since this process learns of a new target version with a
-/// delay.
-constexpr milliseconds deadline_margin{2500};
+/// An old version counts as expired, and its endpoint as expensive, in the last
+/// quarter of the time that requests may start on it.
+constexpr int expiry_divisor = 4;
+/// No request is sent that is expected to start in the last seventh of the
+/// time, since this process learns of a new version with a delay and the
+/// expected wait is an estimate.
+constexpr int start_margin_divisor = 7;
 /// An endpoint counts as reloading this long before its scheduled reload, since
 /// a request that is sent just before would still be refused.
 constexpr milliseconds reload_lead{60};
@@ -52,14 +55,17 @@
 
 void weights_view::set_target(weights::model_target const& target,
                               std::vector<kernel::endpoint_id> endpoints,
-                              kernel::steady_time announced_at)
+                              std::optional<kernel::steady_time> announced_at,
+                              kernel::steady_time now)
 {
     auto& current = rollouts_[target.model];
     if (target.version <= current.version)
         return;
     current.version = target.version;
-    current.announced_at = announced_at;
-    current.announcement_times.emplace(target.version, announced_at);
+    // Agents order each load within half of the deadline, so a version that
+    // engines still lack was probably named less than that long ago.
+    current.announced_at = announced_at.value_or(now - deadline_ / 2);
+    current.announcement_times.emplace(target.version, current.announced_at);
     current.plan = std::make_shared<weights::rollout_plan const>(
         std::move(endpoints), target.version, options_);
 }
@@ -71,13 +77,22 @@
     return found == rollouts_.end() ? 0 : found->second.version;
 }
 
+std::optional<kernel::steady_time>
+weights_view::deadline_of(rollout const& current,
+                          weights::weight_version version) const
+{
+    auto const newer = current.announcement_times.upper_bound(version);
+    if (newer == current.announcement_times.end())
+        return std::nullopt;
+    return newer->second + deadline_;
+}
+
 bool weights_view::expired(rollout const& current,
                            weights::weight_version version,
                            kernel::steady_time now) const
 {
-    auto const newer = current.announcement_times.upper_bound(version);
-    return newer != current.announcement_times.end() &&
-           now - newer->second > deadline_ - deadline_margin;
+    auto const deadline = deadline_of(current, version);
+    return deadline && now > *deadline - deadline_ / expiry_divisor;
 }
 
 weights_status weights_view::status(endpoint_record const& endpoint,
@@ -118,10 +133,13 @@
 
 bool weights_view::may_start(kernel::model_id const& model,
                              weights::weight_version version,
-                             kernel::steady_time now) const
+                             kernel::steady_time start) const
 {
     auto const found = rollouts_.find(model);
-    return found == rollouts_.end() || !expired(found->second, version, now);
+    if (found == rollouts_.end())
+        return true;
+    auto const deadline = deadline_of(found->second, version);
+    return !deadline || start <= *deadline - deadline_ / start_margin_divisor;
 }
 
 weights::weight_version
--- a/packages/gateway/tests/endpoint_chooser_test.cpp
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -265,7 +265,7 @@
     chooser_fixture fixture(2);
     fixture.weights.set_target(
         {model, 2}, {kernel::endpoint_id("e0"), kernel::endpoint_id("e1")},
-        start - std::chrono::seconds(9));
+        start - std::chrono::seconds(9), start);
     wire::engine_state state;
     state.endpoint_incarnation = 1;
     state.weights = {{model, 1}};
@@ -289,7 +289,7 @@
 {
     chooser_fixture fixture(1);
     fixture.weights.set_target({model, 2}, {kernel::endpoint_id("e0")},
-                               start - milliseconds(7400));
+                               start - milliseconds(7400), start);
     auto requirements = chooser_fixture::make_requirements("file1", 1);
     requirements.max_wait = milliseconds(9000);
     // Without a queue, the request starts in time.
--- a/packages/gateway/tests/weights_view_test.cpp
+++ b/packages/gateway/tests/weights_view_test.cpp
@@ -27,7 +27,7 @@
 weights_view make_view()
 {
     weights_view res({}, seconds(10));
-    res.set_target({model, 2}, {kernel::endpoint_id("e")}, start);
+    res.set_target({model, 2}, {kernel::endpoint_id("e")}, start, start);
     return res;
 }
 
--- a/packages/gateway/weights_view.hpp
+++ b/packages/gateway/weights_view.hpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace endiveward::gateway
@@ -26,21 +27,23 @@
                  std::chrono::milliseconds version_deadline);
 
     void set_deadline(std::chrono::milliseconds version_deadline);
-    /// Sets the target version, announced at `announced_at`. `endpoints` are
-    /// those that serve the model.
+    /// Sets the target version. `endpoints` are those that serve the model. No
+    /// `announced_at` means that the version was named before this process
+    /// started.
     void set_target(weights::model_target const& target,
                     std::vector<kernel::endpoint_id> endpoints,
-                    kernel::steady_time announced_at);
+                    std::optional<kernel::steady_time> announced_at,
+                    kernel::steady_time now);
     weights::weight_version target_of(kernel::model_id const& model) const;
 
     weights_status status(endpoint_record const& endpoint,
                           kernel::model_id const& model,
                           kernel::steady_time now) const;
-    /// Whether a request sent now may start on this version: it is not older
-    /// than one that was named too long ago.
+    /// Whether a request that is expected to start at `start` may do so on this
+    /// version: the deadline of the next newer one is not reached by then.
     bool may_start(kernel::model_id const& model,
                    weights::weight_version version,
-                   kernel::steady_time now) const;
+                   kernel::steady_time start) const;
     /// Returns the model version that a request sent now should expect of the
     /// endpoint.
     weights::weight_version version_to_request(endpoint_record const& endpoint,
@@ -59,6 +62,10 @@
             announcement_times;
     };
 
+    /// When requests must no longer start on this version; none if no newer
+    /// one was named.
+    std::optional<kernel::steady_time>
+    deadline_of(rollout const& current, weights::weight_version version) const;
     bool expired(rollout const& current, weights::weight_version version,
                  kernel::steady_time now) const;
 
