gateway: Compare the weights' deadline with the expected start of a request

Retries and resumed streams have no limit of their wait that would have helped.

The limit is compared with the expected start. If no sampled endpoint may be used, all others are evaluated; a sample could consist of engines with expired weights only.

--- a/packages/gateway/endpoint_chooser.hpp
+++ b/packages/gateway/endpoint_chooser.hpp
@@ -44,8 +44,8 @@
     static candidate* cheapest(std::vector<candidate>& candidates,
                                std::chrono::milliseconds max_wait);
     record_set sample(selection_context const& context) const;
-    static bool may_start_at(endpoint_record const& it,
-                             selection_context const& context);
+    std::vector<candidate> make_candidates(record_set const& sampled,
+                                           selection_context& context) const;
     bool is_candidate(endpoint_record const& it, record_set const& sampled,
                       selection_context& context) const;
     std::optional<candidate>
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -164,15 +164,10 @@
     }
     context.tokens_per_request =
         (pending + settings_.default_prompt_tokens) / (unanswered + 1);
-    auto const sampled = sample(context);
-    std::vector<candidate> candidates;
-    for (auto const& it : endpoints)
-    {
-        if (!is_candidate(*it, sampled, context))
-            continue;
-        if (auto evaluated = make_candidate(it, context))
-            candidates.push_back(std::move(*evaluated));
-    }
+    auto candidates = make_candidates(sample(context), context);
+    // The weights of all sampled endpoints may have expired.
+    if (candidates.empty())
+        candidates = make_candidates({}, context);
     auto* best = cheapest(candidates, std::chrono::milliseconds::max());
     if (best == nullptr)
         return std::nullopt;
@@ -187,6 +182,22 @@
     return std::move(best->choice);
 }
 
+/// Evaluates the endpoints that a sample leaves, or all of them if it is empty.
+std::vector<endpoint_chooser::candidate>
+endpoint_chooser::make_candidates(record_set const& sampled,
+                                  selection_context& context) const
+{
+    std::vector<candidate> res;
+    for (auto const& it : context.endpoints)
+    {
+        if (!is_candidate(*it, sampled, context))
+            continue;
+        if (auto evaluated = make_candidate(it, context))
+            res.push_back(std::move(*evaluated));
+    }
+    return res;
+}
+
 /// Returns the cheapest candidate whose wait does not exceed `max_wait`,
 /// or null.
 endpoint_chooser::candidate*
@@ -214,7 +225,6 @@
     {
         auto const& id = it->entry().id;
         if (it->available(context.now) && !it->reloading() &&
-            may_start_at(*it, context) &&
             !contains(context.requirements.excluded, id))
             ranked.emplace_back(
                 rendezvous_rank(id.str(), context.requirements.seed), it.get());
@@ -229,18 +239,6 @@
     return res;
 }
 
-/// Whether the version that the endpoint would be asked for is recent enough.
-bool endpoint_chooser::may_start_at(endpoint_record const& it,
-                                    selection_context const& context)
-{
-    if (!context.requirements.prompt)
-        return true;
-    auto const& model = context.requirements.prompt->model;
-    auto const version =
-        context.weights.version_to_request(it, model, context.now);
-    return context.weights.may_start(model, version, context.now);
-}
-
 /// An endpoint outside the sample is a candidate if it has cached the shared
 /// prefix or is the prefix's home.
 bool endpoint_chooser::is_candidate(endpoint_record const& it,
@@ -268,8 +266,7 @@
 {
     auto const& requirements = context.requirements;
     auto const now = context.now;
-    if (!it->available(now) || !may_start_at(*it, context) ||
-        contains(requirements.excluded, it->entry().id))
+    if (!it->available(now) || contains(requirements.excluded, it->entry().id))
         return std::nullopt;
     candidate res;
     res.choice.endpoint = it;
@@ -292,6 +289,9 @@
         res.choice.weights = status;
         res.choice.version =
             context.weights.version_to_request(*it, model, now);
+        if (!context.weights.may_start(model, res.choice.version,
+                                       now + res.choice.wait))
+            return std::nullopt;
         add_prompt_costs(res, context);
     }
     if (it->entry().zone != own_zone_)
--- a/packages/gateway/tests/endpoint_chooser_test.cpp
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -305,4 +305,24 @@
     CHECK_FALSE(choice);
 }
 
+// Guards against refusing requests although an engine could take them: the
+// sample of endpoints held only engines whose weights had expired.
+TEST_CASE("the only engine with usable weights is found")
+{
+    chooser_fixture fixture(40);
+    fixture.weights.set_target({model, 2}, {}, start - std::chrono::seconds(9),
+                               start);
+    wire::engine_state state;
+    state.endpoint_incarnation = 1;
+    state.weights = {{model, 2}};
+    fixture.records[17]->on_state(state, start);
+    for (std::uint64_t n = 0; n < 20; ++n)
+    {
+        auto const choice =
+            fixture.choose(chooser_fixture::make_requirements("file", n));
+        REQUIRE(choice);
+        CHECK(choice->endpoint == fixture.records[17]);
+    }
+}
+
 } // namespace endiveward::gateway
