gateway: Forget the weights reported on a lost connection

The first report on a new connection may lack weights; those of the lost one were then applied over a newer version that a response had named, and an engine with current weights was avoided. The test failed before (2 instead of 3).

--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -152,6 +152,7 @@
 void endpoint_record::on_link_lost()
 {
     linked_ = false;
+    reported_weights_.clear();
     reloading_ = false;
     unreachable_ = false;
     cache_.clear();
--- a/packages/gateway/tests/weights_view_test.cpp
+++ b/packages/gateway/tests/weights_view_test.cpp
@@ -121,4 +121,17 @@
     CHECK(record.available(start));
 }
 
+// Guards against a version that an agent reported before its connection was
+// lost: the first report on the next one may lack weights, and the version that
+// the engine's response has named since was replaced by the older one.
+TEST_CASE("weights reported on a lost connection are forgotten")
+{
+    auto record = make_record(1);
+    record.on_state({7, {{model, 2}}}, start);
+    record.on_link_lost();
+    record.set_version(model, 3);
+    record.on_state({7, {}}, start);
+    CHECK(record.version_of(model) == 3);
+}
+
 } // namespace endiveward::gateway
