storage: Let a handler destroy the HTTP client

Requests run on a thread of the client, and a handler that holds the last reference to its client destroys it there, whose destructor then joined its own thread.

The thread now keeps what it works on. The destructor stops it and waits for it only from another thread.

--- a/packages/storage/http_client.hpp
+++ b/packages/storage/http_client.hpp
@@ -45,7 +45,8 @@
     static constexpr std::size_t max_response_bytes = 64U << 20U;
 
     http_client();
-    /// Pending requests end with an error.
+    /// Pending requests end with an error. May run on the client's thread, from
+    /// within a handler.
     ~http_client();
     http_client(http_client const&) = delete;
     http_client& operator=(http_client const&) = delete;
@@ -58,7 +59,7 @@
 
 private:
     class impl;
-    std::unique_ptr<impl> impl_;
+    std::shared_ptr<impl> impl_;
 };
 
 /// Percent-encodes a query value.
--- a/packages/storage/internal/http_client.cpp
+++ b/packages/storage/internal/http_client.cpp
@@ -119,7 +119,7 @@
 
 } // namespace
 
-class http_client::impl
+class http_client::impl : public std::enable_shared_from_this<impl>
 {
 public:
     impl()
@@ -128,15 +128,26 @@
         multi_ = curl_multi_init();
         curl_multi_setopt(multi_, CURLMOPT_MAX_TOTAL_CONNECTIONS,
                           max_connections);
-        thread_ = std::thread([this] { run(); });
     }
 
-    ~impl()
+    ~impl() { curl_multi_cleanup(multi_); }
+
+    void start()
+    {
+        thread_ = std::thread([self = shared_from_this()] { self->run(); });
+    }
+
+    /// A handler may hold the last reference to the client, which is then
+    /// destroyed on the client's own thread. The thread cannot wait for itself;
+    /// it ends after the handler and keeps this object until then.
+    void stop()
     {
         stop_ = true;
         curl_multi_wakeup(multi_);
-        thread_.join();
-        curl_multi_cleanup(multi_);
+        if (thread_.get_id() == std::this_thread::get_id())
+            thread_.detach();
+        else
+            thread_.join();
     }
 
     impl(impl const&) = delete;
@@ -222,11 +233,15 @@
 };
 
 http_client::http_client()
-    : impl_(std::make_unique<impl>())
+    : impl_(std::make_shared<impl>())
 {
+    impl_->start();
 }
 
-http_client::~http_client() = default;
+http_client::~http_client()
+{
+    impl_->stop();
+}
 
 void http_client::send(http_request request, handler on_done)
 {
--- a/packages/storage/tests/http_clients_test.cpp
+++ b/packages/storage/tests/http_clients_test.cpp
@@ -9,6 +9,7 @@
 
 #include <future>
 #include <memory>
+#include <thread>
 
 using namespace endiveward;
 using storage::tests::scripted_server;
@@ -255,3 +256,24 @@
     CHECK(vms[0].leaving);
     CHECK(vms[1].role == storage::vm_role::other);
 }
+
+// Guards against the end of the process with "Resource deadlock avoided": a
+// handler held the last reference to the client, whose thread then waited for
+// itself. `endiveward config show` ended that way now and then.
+TEST_CASE("a client may be destroyed by its last handler", "[http_client]")
+{
+    auto client = std::make_shared<storage::http_client>();
+    std::weak_ptr<storage::http_client> const alive = client;
+    std::promise<void> released;
+    storage::http_request request;
+    request.url = refused_url();
+    client->send(std::move(request),
+                 [client, wait = released.get_future().share()](
+                     kernel::result<storage::http_response> const&)
+                 { wait.wait(); });
+    client.reset();
+    released.set_value();
+    for (auto n = 0; n < 3000 && !alive.expired(); ++n)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    CHECK(alive.expired());
+}
