gateway: Use an endpoint that announces its exit for no further request

An endpoint that is going to exit says so in its answers, before or without a row in the store. The gateway did not read the field, passed it on to callers and sent further requests, retries and resumed streams there.

The announcement is now a state of the endpoint's record. It ends only with a newer incarnation: entries of an earlier incarnation are ignored, and the records of removed endpoints are kept, so that an entry that returns from a copy of the store does not end it. It is attributed to the endpoint that has answered, which may be another one at the same address, and ignored if that one has restarted since the request was sent. Only the value 1 has this meaning; other values than 0 are logged.

--- a/packages/gateway/endpoint_directory.hpp
+++ b/packages/gateway/endpoint_directory.hpp
@@ -4,6 +4,7 @@
 #include "gateway/endpoint_record.hpp"
 #include "gateway/upstream_pool.hpp"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -43,9 +44,14 @@
         std::shared_ptr<upstream_pool> pool;
     };
 
+    void remember(std::shared_ptr<endpoint_record> record);
+    std::shared_ptr<endpoint_record> make_record(endpoint_entry const& entry);
+
     pool_factory make_pool_;
     std::unordered_map<kernel::endpoint_id, registration> records_;
     std::unordered_map<kernel::service_id, record_list> by_service_;
+    /// Endpoints that are no longer listed, oldest first.
+    std::deque<std::shared_ptr<endpoint_record>> removed_;
     record_list const empty_list_;
 };
 
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -81,6 +81,14 @@
     {
         return now < outdated_until_;
     }
+    /// An answer of the endpoint said that it is going to exit.
+    void on_leaving() { leaving_ = true; }
+    /// Whether the endpoint is going to exit, as stated by one of its answers
+    /// to this process. Ends only with a newer incarnation.
+    bool leaving() const { return leaving_; }
+    /// Changes when the endpoint has restarted, so that late answers of an
+    /// earlier incarnation can be told apart.
+    std::uint64_t generation() const { return generation_; }
     /// The address now belongs to another endpoint.
     void mark_replaced() { replaced_ = true; }
 
@@ -143,6 +151,8 @@
     std::vector<wire::model_weights> reported_weights_;
     /// The last value of `engine_state::progress`.
     std::uint64_t progress_ = 0;
+    std::uint64_t generation_ = 0;
+    bool leaving_ = false;
     bool replaced_ = false;
     bool linked_ = false;
     bool reloading_ = false;
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -82,6 +82,9 @@
     void send(placement_choice choice);
     void update_endpoint(response_head const& head);
     void update_endpoint_version(response_head const& head);
+    void note_leaving(response_head const& head);
+    std::shared_ptr<endpoint_record>
+    answering_endpoint(response_head const& head) const;
     bool is_refusal(response_head const& head) const;
     bool is_valid_response(response_head const& head) const;
     void forward_events();
@@ -128,6 +131,8 @@
     std::shared_ptr<upstream_pool> pool_;
     std::shared_ptr<upstream_connection> upstream_;
     request_footprint footprint_;
+    /// The endpoint's generation when the request was sent.
+    std::uint64_t sent_generation_ = 0;
     weights::weight_version requested_version_ = 0;
     kernel::steady_time sent_at_{};
     kernel::steady_time last_event_at_{};
--- a/packages/gateway/internal/endpoint_directory.cpp
+++ b/packages/gateway/internal/endpoint_directory.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+/// Enough for the restarts of a large fleet within the time for which an
+/// endpoint that has left still serves.
+constexpr std::size_t max_removed = 1024;
+
 asio::ip::tcp::endpoint address_of(endpoint_entry const& entry)
 {
     std::error_code ec;
@@ -38,15 +42,17 @@
     for (auto& it : entries)
     {
         listed.insert(it.id);
-        auto const peer = address_of(it);
         auto& registered = records_[it.id];
         if (registered.record == nullptr)
-            registered.record = std::make_shared<endpoint_record>(it);
+            registered.record = make_record(it);
         else
             registered.record->update(it);
+        // The record ignores an entry of an earlier incarnation.
+        auto const& entry = registered.record->entry();
+        auto const peer = address_of(entry);
         if (registered.pool == nullptr || registered.pool->peer() != peer)
             registered.pool = make_pool_(peer);
-        by_service_[it.service].push_back(registered.record);
+        by_service_[entry.service].push_back(registered.record);
     }
     std::erase_if(records_,
                   [&](auto const& it)
@@ -54,10 +60,36 @@
                       if (listed.contains(it.first))
                           return false;
                       it.second.pool->close_idle();
+                      remember(it.second.record);
                       return true;
                   });
 }
 
+/// Keeps the record of a removed endpoint. Its entry may return, for example
+/// from a store that was restored from a copy, and requests in progress may
+/// still learn that it is leaving.
+void endpoint_directory::remember(std::shared_ptr<endpoint_record> record)
+{
+    record->on_link_lost();
+    removed_.push_back(std::move(record));
+    if (removed_.size() > max_removed)
+        removed_.pop_front();
+}
+
+std::shared_ptr<endpoint_record>
+endpoint_directory::make_record(endpoint_entry const& entry)
+{
+    auto const found = std::find_if(removed_.begin(), removed_.end(),
+                                    [&](auto const& it)
+                                    { return it->entry().id == entry.id; });
+    if (found == removed_.end())
+        return std::make_shared<endpoint_record>(entry);
+    auto res = *found;
+    removed_.erase(found);
+    res->update(entry);
+    return res;
+}
+
 endpoint_directory::record_list const&
 endpoint_directory::of_service(kernel::service_id const& id) const
 {
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -44,8 +44,18 @@
 
 void endpoint_record::update(endpoint_entry entry)
 {
-    if (entry.incarnation != entry_.incarnation || entry.host != entry_.host ||
-        entry.port != entry_.port)
+    // An older entry may arrive late, or from a store that was restored from a
+    // copy. Zero means that the incarnation is not known.
+    if (entry.incarnation != 0 && entry.incarnation < entry_.incarnation)
+        return;
+    auto const restarted = entry.incarnation > entry_.incarnation;
+    entry.incarnation = std::max(entry.incarnation, entry_.incarnation);
+    if (restarted)
+    {
+        ++generation_;
+        leaving_ = false;
+    }
+    if (restarted || entry.host != entry_.host || entry.port != entry_.port)
     {
         // With a connected agent, its reports of the new incarnation may have
         // arrived already and are kept.
@@ -215,14 +225,14 @@
 
 bool endpoint_record::available(kernel::steady_time now) const
 {
-    return !replaced_ && !unreachable_or_restarted() && !entry_.draining &&
-           now >= avoided_until_;
+    return !replaced_ && !leaving_ && !unreachable_or_restarted() &&
+           !entry_.draining && now >= avoided_until_;
 }
 
 std::optional<kernel::steady_time>
 endpoint_record::unusable_until(kernel::steady_time now) const
 {
-    if (replaced_ || entry_.draining)
+    if (replaced_ || leaving_ || entry_.draining)
         return kernel::steady_time::max();
     if (now < avoided_until_)
         return avoided_until_;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange.hpp"
 
+#include "availability/leaving_notice_reader.hpp"
 #include "gateway/attempt_timeouts.hpp"
 #include "gateway/endpoint_chooser.hpp"
 #include "gateway/endpoint_directory.hpp"
@@ -257,6 +258,7 @@
                                     choice.footprint.uncached_tokens);
     }
     footprint_ = choice.footprint;
+    sent_generation_ = endpoint_->generation();
     requested_version_ = choice.version;
     expected_first_byte_ = choice.time_to_first_byte;
     response_started_ = false;
@@ -338,6 +340,42 @@
         }
     }
     update_endpoint_version(head);
+    note_leaving(head);
+}
+
+void exchange::note_leaving(response_head const& head)
+{
+    auto const* const text = head.headers.find(services_.names.leaving);
+    auto const notice = availability::read_leaving_notice(text);
+    if (notice == availability::leaving_notice::none)
+        return;
+    auto const answering = answering_endpoint(head);
+    if (answering == nullptr)
+        return;
+    auto const& endpoint = answering->entry().id.str();
+    if (notice == availability::leaving_notice::unreadable)
+        return services_.log.write("endpoint_field_ignored",
+                                   "endpoint={} field={} value=\"{}\"",
+                                   endpoint, services_.names.leaving, *text);
+    if (answering->leaving())
+        return;
+    answering->on_leaving();
+    services_.metrics.on_leaving("answer");
+    services_.log.write("endpoint_leaving",
+                        "endpoint={} source=answer status={} until=restart",
+                        endpoint, head.status);
+}
+
+/// Returns the endpoint that has sent the answer, or null if it is unknown or
+/// has restarted since. At the address of an endpoint that has exited another
+/// one may answer.
+std::shared_ptr<endpoint_record>
+exchange::answering_endpoint(response_head const& head) const
+{
+    auto const* const id = head.headers.find(services_.names.endpoint);
+    if (id != nullptr && *id != endpoint_->entry().id.str())
+        return services_.endpoints.find(kernel::endpoint_id(*id));
+    return endpoint_->generation() == sent_generation_ ? endpoint_ : nullptr;
 }
 
 void exchange::update_endpoint_version(response_head const& head)
@@ -775,6 +813,7 @@
             continue;
         if (equal_names(it.name, services_.names.load) ||
             equal_names(it.name, services_.names.endpoint) ||
+            equal_names(it.name, services_.names.leaving) ||
             equal_names(it.name, "Retry-After"))
             continue;
         res.add(it.name, it.value);
--- a/packages/gateway/internal/gateway_metrics.cpp
+++ b/packages/gateway/internal/gateway_metrics.cpp
@@ -38,6 +38,8 @@
                          "Requests by how they ended"))
     , retries_(counters(registry, "endiveward_gateway_repeats_total",
                         "Requests sent to another endpoint, by reason"))
+    , leaving_(counters(registry, "endiveward_gateway_leaving_endpoints_total",
+                        "Endpoints that announced their exit, by source"))
     , attempts_(counters(registry, "endiveward_gateway_attempts_total",
                          "Requests sent to endpoints")
                     .Add({}))
@@ -73,6 +75,11 @@
     retries_.Add({{"reason", reason}}).Increment();
 }
 
+void gateway_metrics::on_leaving(std::string const& source)
+{
+    leaving_.Add({{"source", source}}).Increment();
+}
+
 void gateway_metrics::on_prompt(std::uint32_t tokens,
                                 std::uint32_t expected_uncached)
 {
--- a/packages/gateway/tests/endpoint_record_test.cpp
+++ b/packages/gateway/tests/endpoint_record_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace endiveward::gateway
 {
 
@@ -121,6 +123,63 @@
     CHECK(record.version_of(model) == 4);
 }
 
+// Guards against requests to an endpoint that has announced its exit, because
+// an entry or a report that was made earlier calls it ready.
+TEST_CASE("only a newer incarnation ends that an endpoint is leaving")
+{
+    auto const incarnation = GENERATE(kernel::incarnation(0), 5);
+    endpoint_entry entry;
+    entry.id = kernel::endpoint_id("e");
+    entry.incarnation = incarnation;
+    endpoint_record record(entry);
+    auto state = state_with(1);
+    state.endpoint_incarnation = incarnation;
+    record.on_state(state, at(0));
+    record.on_leaving();
+    CHECK_FALSE(record.available(at(0)));
+    CHECK(record.unusable_until(at(0)) == kernel::steady_time::max());
+    SECTION("an entry of the same incarnation")
+    {
+        record.update(entry);
+        CHECK(record.leaving());
+    }
+    SECTION("an entry of the same incarnation with another address")
+    {
+        entry.host = "10.0.0.2";
+        record.update(entry);
+        CHECK(record.leaving());
+    }
+    SECTION("entries of an earlier and of an unknown incarnation")
+    {
+        for (auto n : {kernel::incarnation(0), kernel::incarnation(4)})
+        {
+            entry.incarnation = std::min(n, incarnation);
+            record.update(entry);
+            CHECK(record.leaving());
+        }
+        entry.incarnation = incarnation;
+        record.update(entry);
+        CHECK(record.leaving());
+    }
+    SECTION("a report that does not say so, and a lost link")
+    {
+        record.on_state(state, at(10));
+        CHECK_FALSE(record.available(at(10)));
+        record.on_link_lost();
+        CHECK_FALSE(record.available(at(20)));
+    }
+    SECTION("an entry of a newer incarnation")
+    {
+        auto const generation = record.generation();
+        entry.incarnation = incarnation + 1;
+        record.on_link_lost();
+        record.update(entry);
+        CHECK_FALSE(record.leaving());
+        CHECK(record.available(at(10)));
+        CHECK(record.generation() != generation);
+    }
+}
+
 // Guards against callers that are kept waiting for an endpoint that is known
 // not to become usable in time.
 TEST_CASE("an endpoint tells until when it cannot be used")
--- a/packages/gateway/tests/gateway_test.cpp
+++ b/packages/gateway/tests/gateway_test.cpp
@@ -5,7 +5,10 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <memory>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace endiveward::gateway
 {
@@ -502,4 +505,174 @@
     CHECK(endpoint.requests() == 1);
 }
 
+// Guards against requests to an endpoint that is about to exit, which the store
+// still calls ready, and against answers that are lost with it.
+TEST_CASE("an endpoint that announces its exit completes its requests and gets "
+          "no further ones")
+{
+    scripted_endpoint leaving(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.wait(milliseconds(100));
+            conn.answer(request, 200, "ok", "X-Leaving: 1\r\n");
+            return true;
+        });
+    scripted_endpoint serving(answer_ok);
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({leaving.port()});
+    std::vector<std::unique_ptr<test_caller>> callers;
+    for (int n = 0; n < 8; ++n)
+    {
+        callers.push_back(std::make_unique<test_caller>(gate.port()));
+        callers.back()->send(get_request("/once/", "id" + std::to_string(n)));
+    }
+    for (auto const& it : callers)
+    {
+        auto const text = it->read_until("\r\n\r\nok");
+        CHECK(text.starts_with("HTTP/1.1 200"));
+        CHECK_FALSE(contains(text, "X-Leaving"));
+    }
+    CHECK(leaving.requests() == 8);
+    gate.set_endpoints({leaving.port(), serving.port()});
+    for (int n = 0; n < 20; ++n)
+    {
+        auto const* const path = n % 2 == 0 ? "/once/" : "/safe/";
+        test_caller caller(gate.port());
+        caller.send(get_request(path, "next" + std::to_string(n)));
+        CHECK(caller.read_until("\r\n\r\nok").starts_with("HTTP/1.1 200"));
+    }
+    CHECK(leaving.requests() == 8);
+    // The entry is removed and returns.
+    gate.set_endpoints({});
+    gate.set_endpoints({leaving.port()});
+    test_caller caller(gate.port());
+    caller.send(get_request("/once/", "last"));
+    CHECK(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    CHECK(leaving.requests() == 8);
+}
+
+// Guards against kinds of answers in which the announcement is overlooked.
+TEST_CASE("an endpoint announces its exit in any answer")
+{
+    std::string const head =
+        GENERATE("200 OK\r\nX-Signature: s\r\n", "200 OK\r\n", "404 X\r\n",
+                 "421 X\r\nX-Not-Run: 1\r\nX-Endpoint: e0\r\n",
+                 "503 X\r\nX-Not-Run: 1\r\n", "503 X\r\n", "500 X\r\n",
+                 "429 X\r\nX-Not-Run: 1\r\n");
+    CAPTURE(head);
+    auto const* const path = GENERATE("/once/", "/safe/", "/stream/");
+    scripted_endpoint leaving(
+        [&head](http_request const& request, scripted_connection& conn)
+        {
+            conn.send("HTTP/1.1 " + head + "X-Leaving: 1\r\nX-Id: " +
+                      std::string(request.headers.value_or("X-Id", "")) +
+                      "\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({leaving.port()});
+    for (int n = 0; n < 2; ++n)
+    {
+        test_caller caller(gate.port());
+        caller.send(get_request(path, "id" + std::to_string(n)));
+        CHECK_FALSE(contains(caller.read_until("\r\n\r\n"), "X-Leaving"));
+    }
+    std::this_thread::sleep_for(milliseconds(200));
+    CHECK(leaving.requests() == 1);
+}
+
+TEST_CASE("another value of the field does not say that an endpoint leaves")
+{
+    auto const* const value = GENERATE("0", "2", "true", "");
+    scripted_endpoint endpoint(
+        [value](http_request const& request, scripted_connection& conn)
+        {
+            conn.answer(request, 200, "ok",
+                        std::string("X-Leaving: ") + value + "\r\n");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({endpoint.port()});
+    for (int n = 0; n < 2; ++n)
+    {
+        test_caller caller(gate.port());
+        caller.send(get_request("/once/", "id" + std::to_string(n)));
+        CHECK(caller.read_until("\r\n\r\nok").starts_with("HTTP/1.1 200"));
+    }
+}
+
+// Guards against an endpoint that is taken out of use because another one has
+// its former address.
+TEST_CASE("an exit is attributed to the endpoint that has answered")
+{
+    scripted_endpoint other(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.answer(request, 421, "",
+                        "X-Not-Run: 1\r\nX-Endpoint: e1\r\nX-Leaving: "
+                        "1\r\n");
+            return true;
+        });
+    scripted_endpoint named(answer_ok);
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({other.port()});
+    gate.set_endpoints({other.port(), named.port()});
+    for (int n = 0; n < 20 && other.requests() == 0; ++n)
+    {
+        test_caller caller(gate.port());
+        caller.send(get_request("/once/", "id" + std::to_string(n)));
+        caller.read_until("\r\n\r\n");
+    }
+    REQUIRE(other.requests() == 1);
+    auto const before = named.requests();
+    test_caller caller(gate.port());
+    caller.send(get_request("/once/", "next"));
+    CHECK(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    CHECK(named.requests() == before);
+}
+
+// Guards against retries and resumed streams at an endpoint that is leaving.
+TEST_CASE("a retry and a resumed stream do not go to an endpoint that is "
+          "leaving")
+{
+    auto const* const path = GENERATE("/safe/", "/resume/");
+    scripted_endpoint leaving(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.answer(request, 200, "ok", "X-Leaving: 1\r\n");
+            return true;
+        });
+    scripted_endpoint failing(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            if (request.target.starts_with("/resume/"))
+            {
+                conn.begin_stream(request);
+                conn.event(1);
+                conn.wait(milliseconds(50));
+            }
+            conn.reset();
+            return false;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({leaving.port()});
+    test_caller first(gate.port());
+    first.send(get_request("/once/", "id0"));
+    first.read_until("\r\n\r\nok");
+    gate.set_endpoints({leaving.port(), failing.port()});
+    test_caller caller(gate.port());
+    caller.send(get_request(path, "id1"));
+    if (std::string(path) == "/safe/")
+        CHECK(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 502"));
+    else
+        CHECK_FALSE(contains(caller.read_all(), "\r\n0\r\n"));
+    CHECK(failing.requests() == 1);
+    CHECK(leaving.requests() == 1);
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/types/header_field_names.hpp
+++ b/packages/gateway/types/header_field_names.hpp
@@ -42,6 +42,8 @@
     /// Numbers of running requests, waiting requests and slots,
     /// comma-separated.
     std::string load;
+    /// `1` if the endpoint is going to exit.
+    std::string leaving;
     /// The model version that produced the response.
     std::string weight_version;
     /// Fields that are removed from callers' requests.
