agent, enginelink, wire, gateway: Report at once that an engine announces its exit

Each router learned by an own request that an engine leaves, although the agent beside it sees the same field in the answers to its reports, orders and cache events, several times a second.

The agent now adds it to its state message, which is sent at once, not with the next paced report; no call is added. Old peers send false. The state at the agent ends with a report that was requested after the announcement and does not repeat it. A router follows the agent's reports, but a report cannot end what an answer to the router itself has said.

--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -76,6 +76,9 @@
     , view_(std::make_unique<follower::cluster_view>(pool_.context(0), clock_,
                                                      decoder_, *this, log_))
 {
+    auto const on_leaving = [this] { on_engine_leaving(); };
+    engine_.set_leaving_handler(on_leaving);
+    cache_.set_leaving_handler(on_leaving);
 }
 
 weights_process::~weights_process() = default;
@@ -255,6 +258,7 @@
     if (asking_)
         return;
     asking_ = true;
+    leaving_.on_report_requested();
     engine_.read_report(
         [this](kernel::result<weights::engine_report> res)
         {
@@ -264,6 +268,8 @@
                 publish_unreachable();
             if (kernel::ok(res))
             {
+                if (leaving_.on_report())
+                    log_.write("engine_stays", "reason=restarted");
                 updater_.on_report(kernel::value(res));
                 log_changed_weights(kernel::value(res));
                 order_if_due();
@@ -306,6 +312,8 @@
     state.progress = progress_;
     state.memory_used = report.memory_used;
     state.memory_total = report.memory_total;
+    state.leaving = leaving_.leaving();
+    published_ = true;
     last_state_ = state;
     publisher_.publish(state);
 }
@@ -317,6 +325,20 @@
     publisher_.publish(last_state_);
 }
 
+/// Tells the routers before they send requests that would be the first to learn
+/// of it.
+void weights_process::on_engine_leaving()
+{
+    if (!leaving_.on_announced())
+        return;
+    log_.write("engine_leaving", "routers={}", publisher_.routers());
+    // Without an earlier report, the next one carries it.
+    if (!published_)
+        return;
+    last_state_.leaving = true;
+    publisher_.publish(last_state_);
+}
+
 void weights_process::order_if_due()
 {
     auto const order = updater_.next_order(clock_.now());
--- a/apps/endiveward_agent/weights_process.hpp
+++ b/apps/endiveward_agent/weights_process.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEWARD_AGENT_APP_WEIGHTS_PROCESS_HPP
 #define ENDIVEWARD_AGENT_APP_WEIGHTS_PROCESS_HPP
 
+#include "availability/leaving_tracker.hpp"
 #include "enginelink/cache_follower.hpp"
 #include "enginelink/state_publisher.hpp"
 #include "follower/endpoint_snapshot.hpp"
@@ -68,6 +69,7 @@
     void log_changed_weights(weights::engine_report const& report);
     void publish(weights::engine_report const& report);
     void publish_unreachable();
+    void on_engine_leaving();
     void start();
     void close_links();
     void flush();
@@ -97,6 +99,9 @@
     follower::endpoint_snapshot endpoint_list_;
     kernel::steady_time asked_routers_at_{};
     wire::engine_state last_state_;
+    availability::leaving_tracker leaving_;
+    /// Whether a report of the engine has been published.
+    bool published_ = false;
     std::map<kernel::model_id, weights::weight_version> logged_models_;
     /// Events of the streams in progress at the last report.
     std::uint64_t stream_events_ = 0;
--- a/packages/enginelink/report_scheduler.hpp
+++ b/packages/enginelink/report_scheduler.hpp
@@ -27,7 +27,7 @@
     void on_cache(bool reset, std::vector<wire::cached_part> const& parts);
 
     /// Time of the next report; none if nothing has changed. A change of the
-    /// weights, of reloading or of reachability is due immediately.
+    /// weights, of reloading, leaving or reachability is due immediately.
     std::optional<kernel::steady_time> due_at() const;
     /// Returns the changes since the last report.
     report_batch take(kernel::steady_time now);
--- a/packages/enginelink/state_publisher.hpp
+++ b/packages/enginelink/state_publisher.hpp
@@ -44,8 +44,8 @@
 
     kernel::result<std::uint16_t> listen(std::string const& address,
                                          std::uint16_t port);
-    /// Publishes the state if it has changed: weights, reloading and
-    /// reachability immediately, load with the next report.
+    /// Publishes the state if it has changed: weights, reloading, leaving
+    /// and reachability immediately, load with the next report.
     void publish(wire::engine_state const& state);
     /// Publishes changes of the cache with the next report. The time between
     /// reports grows with the number of connected routers.
--- a/packages/enginelink/tests/report_scheduler_test.cpp
+++ b/packages/enginelink/tests/report_scheduler_test.cpp
@@ -99,7 +99,7 @@
 
 // Guards against requests sent to an engine that refuses them while it loads
 // new weights.
-TEST_CASE("reloading, weights and reachability are due immediately")
+TEST_CASE("reloading, weights, leaving and reachability are due immediately")
 {
     report_scheduler scheduler(report_options{});
     scheduler.set_routers(400);
@@ -115,6 +115,11 @@
         changed = state_of(2);
         changed.weights[0].version = 4;
     }
+    SECTION("leaving")
+    {
+        changed = state_of(2);
+        changed.leaving = true;
+    }
     SECTION("unreachable")
     {
         changed = state_of(2);
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -83,9 +83,9 @@
     }
     /// An answer of the endpoint said that it is going to exit.
     void on_leaving() { leaving_ = true; }
-    /// Whether the endpoint is going to exit, as stated by one of its answers
-    /// to this process. Ends only with a newer incarnation.
-    bool leaving() const { return leaving_; }
+    /// Whether the endpoint is going to exit, as announced to this process,
+    /// which only a newer incarnation ends, or to its agent.
+    bool leaving() const { return leaving_ || reported_leaving_; }
     /// Changes when the endpoint has restarted, so that late answers of an
     /// earlier incarnation can be told apart.
     std::uint64_t generation() const { return generation_; }
@@ -153,6 +153,8 @@
     std::uint64_t progress_ = 0;
     std::uint64_t generation_ = 0;
     bool leaving_ = false;
+    /// The last value of `engine_state::leaving`.
+    bool reported_leaving_ = false;
     bool replaced_ = false;
     bool linked_ = false;
     bool reloading_ = false;
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -54,6 +54,9 @@
     {
         ++generation_;
         leaving_ = false;
+        // A connected agent may have reported on the new incarnation already.
+        reported_leaving_ = reported_leaving_ && linked_ &&
+                            latest_incarnation_ == entry.incarnation;
     }
     if (restarted || entry.host != entry_.host || entry.port != entry_.port)
     {
@@ -137,6 +140,9 @@
     if (std::exchange(progress_, state.progress) != state.progress)
         last_bytes_ = now;
     reloading_ = state.reloading;
+    // Kept when the link is lost. It follows the reports, since after a restart
+    // under another id the agent may first repeat its last state.
+    reported_leaving_ = state.leaving;
     cache_.set_has_reports(true);
     if (!state.weights.empty())
         reported_weights_ = state.weights;
@@ -225,14 +231,14 @@
 
 bool endpoint_record::available(kernel::steady_time now) const
 {
-    return !replaced_ && !leaving_ && !unreachable_or_restarted() &&
+    return !replaced_ && !leaving() && !unreachable_or_restarted() &&
            !entry_.draining && now >= avoided_until_;
 }
 
 std::optional<kernel::steady_time>
 endpoint_record::unusable_until(kernel::steady_time now) const
 {
-    if (replaced_ || leaving_ || entry_.draining)
+    if (replaced_ || leaving() || entry_.draining)
         return kernel::steady_time::max();
     if (now < avoided_until_)
         return avoided_until_;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -357,9 +357,11 @@
         return services_.log.write("endpoint_field_ignored",
                                    "endpoint={} field={} value=\"{}\"",
                                    endpoint, services_.names.leaving, *text);
-    if (answering->leaving())
-        return;
+    // An agent may have reported it before, which a later report can end.
+    auto const known = answering->leaving();
     answering->on_leaving();
+    if (known)
+        return;
     services_.metrics.on_leaving("answer");
     services_.log.write("endpoint_leaving",
                         "endpoint={} source=answer status={} until=restart",
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -109,8 +109,15 @@
     if (found == nullptr)
         return;
     auto const was_reloading = found->reloading();
+    auto const was_leaving = found->leaving();
     found->on_state(state, clock_.now());
     update_process_count(state.routers);
+    if (!was_leaving && found->leaving())
+    {
+        metrics_->on_leaving("agent");
+        log_.write("endpoint_leaving", "endpoint={} source=agent until=restart",
+                   endpoint.str());
+    }
     if (was_reloading != found->reloading())
         log_.write("engine_state", "endpoint={} reloading={} running={}",
                    endpoint.str(), state.reloading, state.running);
--- a/packages/gateway/tests/endpoint_record_test.cpp
+++ b/packages/gateway/tests/endpoint_record_test.cpp
@@ -180,6 +180,44 @@
     }
 }
 
+// Guards against a misstep of each router: the agent learns first that its
+// engine leaves.
+TEST_CASE("an endpoint whose agent reports that it leaves is not used")
+{
+    auto record = make_record();
+    auto state = state_with(1);
+    state.leaving = true;
+    record.on_state(state, at(0));
+    CHECK_FALSE(record.available(at(0)));
+    CHECK(record.unusable_until(at(0)) == kernel::steady_time::max());
+    SECTION("the link is lost")
+    {
+        record.on_link_lost();
+        CHECK_FALSE(record.available(at(10)));
+    }
+    SECTION("a late report of an earlier incarnation")
+    {
+        auto entry = record.entry();
+        entry.incarnation = 2;
+        record.update(entry);
+        CHECK(record.available(at(10)));
+        record.on_state(state, at(20));
+        CHECK(record.available(at(20)));
+    }
+    SECTION("the new incarnation is reported before its entry")
+    {
+        state.endpoint_incarnation = 2;
+        record.on_state(state, at(10));
+        auto entry = record.entry();
+        entry.incarnation = 2;
+        record.update(entry);
+        CHECK_FALSE(record.available(at(20)));
+        state.leaving = false;
+        record.on_state(state, at(30));
+        CHECK(record.available(at(30)));
+    }
+}
+
 // Guards against callers that are kept waiting for an endpoint that is known
 // not to become usable in time.
 TEST_CASE("an endpoint tells until when it cannot be used")
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -395,7 +395,7 @@
     return fbs::Createengine_stateDirect(
         fbb, msg.endpoint_incarnation, &weights, msg.reloading, msg.running,
         msg.waiting, msg.memory_used, msg.memory_total, msg.unanswered,
-        msg.routers, msg.unreachable, msg.progress);
+        msg.routers, msg.unreachable, msg.progress, msg.leaving);
 }
 
 engine_state get(fbs::engine_state const& in)
@@ -411,6 +411,7 @@
     out.routers = in.routers();
     out.unreachable = in.unreachable();
     out.progress = in.progress();
+    out.leaving = in.leaving();
     if (in.weights() == nullptr)
         return out;
     for (auto const* it : *in.weights())
--- a/packages/wire/types/engine_state.hpp
+++ b/packages/wire/types/engine_state.hpp
@@ -33,6 +33,8 @@
     bool unreachable = false;
     /// Changes whenever the engine has sent output of any request.
     std::uint64_t progress = 0;
+    /// The engine has announced its exit.
+    bool leaving = false;
 
     bool operator==(engine_state const&) const = default;
 };
