gateway: Send an endpoint no requests for the time of its Retry-After

An endpoint that refuses a request with 503 may ask the router for a pause with Retry-After. The gateway did not read the value: after a Retry-After of 0.8 s the next request arrived 152 ms later, and 8 ms later if the 503 did not prove that the request has not run.

The pause is a state of the endpoint's record, decided by endpoint_pause without input and output, from the moment at which the head of the answer is read, also if the 503 does not prove that the request has not run. It holds for every kind of request, including those that wait for a new connection, which are placed again (upstream_failure::withdrawn). KV cache may still be fetched from the endpoint: transfers need no slot of it. A restart ends the pause; 503 without Retry-After keeps the short one.

Values: seconds with or without a fraction, rounded up; an HTTP date less the answer's own Date; zero and past dates are no pause; at most ten minutes; others are logged and dropped.

Load pattern: an engine whose queue is full refuses the requests of 103 routers at the same moment. Without a spread all 103 may send again within one interval of 50 ms, each without a limit; now at most 26 do, over a quarter of the time asked for, with one request without a response at first and one more every 100 ms for a second.

With the pause ignored by available(), no spread, no limit and no check before sending, 6 tests of gateway and 2 of availability fail. All pass now.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -14,6 +14,7 @@
 
 #include <asio/post.hpp>
 #include <prometheus/registry.h>
+#include <xxhash.h>
 
 #include <csignal>
 #include <utility>
@@ -357,6 +358,8 @@
     res.retry_budget_ratio = settings_.retry_budget_ratio;
     res.retry_budget_extra = settings_.retry_budget_extra;
     res.version_deadline = settings_.version_deadline;
+    auto const& name = settings_.name.str();
+    res.seed = XXH3_64bits(name.data(), name.size());
     return res;
 }
 
--- a/packages/gateway/endpoint_directory.hpp
+++ b/packages/gateway/endpoint_directory.hpp
@@ -4,6 +4,7 @@
 #include "gateway/endpoint_record.hpp"
 #include "gateway/upstream_pool.hpp"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -22,7 +23,8 @@
     using pool_factory = std::function<std::shared_ptr<upstream_pool>(
         asio::ip::tcp::endpoint const&)>;
 
-    explicit endpoint_directory(pool_factory make_pool);
+    /// `seed` should differ between processes.
+    explicit endpoint_directory(pool_factory make_pool, std::uint64_t seed = 0);
 
     /// Replaces the whole list. Endpoints that are no longer listed get no new
     /// requests; requests in progress continue.
@@ -48,6 +50,7 @@
     std::shared_ptr<endpoint_record> make_record(endpoint_entry const& entry);
 
     pool_factory make_pool_;
+    std::uint64_t seed_;
     std::unordered_map<kernel::endpoint_id, registration> records_;
     std::unordered_map<kernel::service_id, record_list> by_service_;
     /// Endpoints that are no longer listed, oldest first.
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEWARD_GATEWAY_ENDPOINT_RECORD_HPP
 #define ENDIVEWARD_GATEWAY_ENDPOINT_RECORD_HPP
 
+#include "availability/endpoint_pause.hpp"
 #include "gateway/prefix_cache_estimate.hpp"
 #include "gateway/types/endpoint_entry.hpp"
 #include "gateway/types/load_sample.hpp"
@@ -31,7 +32,8 @@
 class endpoint_record
 {
 public:
-    explicit endpoint_record(endpoint_entry entry);
+    /// `seed` should differ between processes and endpoints.
+    explicit endpoint_record(endpoint_entry entry, std::uint64_t seed = 0);
 
     endpoint_entry const& entry() const { return entry_; }
     /// Replaces the entry by a newer one. A restart of the endpoint resets the
@@ -81,6 +83,16 @@
     {
         return now < outdated_until_;
     }
+    /// The endpoint asked this process for no requests for `requested`. Returns
+    /// true if no such pause was in force.
+    bool on_pause(kernel::steady_time now, std::chrono::milliseconds requested)
+    {
+        return pause_.begin(now, requested);
+    }
+    bool paused(kernel::steady_time now) const
+    {
+        return pause_.paused_until(now).has_value();
+    }
     /// An answer of the endpoint said that it is going to exit.
     void on_leaving() { leaving_ = true; }
     /// Whether the endpoint is going to exit, as announced to this process,
@@ -100,6 +112,15 @@
 
     /// Whether requests may be sent to the endpoint.
     bool available(kernel::steady_time now) const;
+    /// Whether other engines may fetch KV cache from the endpoint. A pause is
+    /// for requests only.
+    bool can_serve_cache(kernel::steady_time now) const;
+    /// Whether a request that waits for its connection must not be sent any
+    /// more.
+    bool refuses_requests(kernel::steady_time now) const
+    {
+        return replaced_ || leaving() || paused(now);
+    }
     /// When requests may be sent to the endpoint again: no value if they may be
     /// sent now or the end is unknown but near; `steady_time::max()` if never
     /// in this incarnation.
@@ -140,6 +161,7 @@
     kernel::steady_time last_bytes_{};
     kernel::steady_time waiting_since_{};
     kernel::steady_time avoided_until_{};
+    availability::endpoint_pause pause_;
     kernel::steady_time outdated_until_{};
     std::chrono::milliseconds backoff_{0};
     double failures_ = 0;
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -70,6 +70,7 @@
         ended
     };
 
+    bool may_send() const override;
     void on_head(response_head const& head) override;
     void on_body(std::string_view bytes) override;
     void on_end() override;
@@ -83,6 +84,7 @@
     void update_endpoint(response_head const& head);
     void update_endpoint_version(response_head const& head);
     void note_leaving(response_head const& head);
+    void note_pause(response_head const& head);
     std::shared_ptr<endpoint_record>
     answering_endpoint(response_head const& head) const;
     bool is_refusal(response_head const& head) const;
--- a/packages/gateway/gateway_metrics.hpp
+++ b/packages/gateway/gateway_metrics.hpp
@@ -33,12 +33,14 @@
     void on_retry(std::string const& reason);
     /// `source` tells who reported that an endpoint is leaving.
     void on_leaving(std::string const& source);
+    void on_pause() { pauses_.Increment(); }
     void on_prompt(std::uint32_t tokens, std::uint32_t expected_uncached);
 
 private:
     prometheus::Family<prometheus::Counter>& requests_;
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Counter>& leaving_;
+    prometheus::Counter& pauses_;
     prometheus::Counter& attempts_;
     prometheus::Counter& prompt_tokens_;
     prometheus::Counter& uncached_tokens_;
--- a/packages/gateway/http/i_upstream_observer.hpp
+++ b/packages/gateway/http/i_upstream_observer.hpp
@@ -17,6 +17,9 @@
 public:
     virtual ~i_upstream_observer() = default;
 
+    /// Whether the request is to be sent, asked once its new connection is
+    /// established.
+    virtual bool may_send() const { return true; }
     virtual void on_head(response_head const& head) = 0;
     virtual void on_body(std::string_view bytes) = 0;
     virtual void on_end() = 0;
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -343,13 +343,13 @@
             continue;
         // A fetch from a source that does not respond costs some hundred
         // milliseconds.
-        if (!it->available(context.now) || it->stalled(context.now))
+        if (!it->can_serve_cache(context.now) || it->stalled(context.now))
             continue;
         auto const cached_tokens =
             it->cache().cached_tokens(lookup.levels, context.now);
         if (cached_tokens >= min_fetch_tokens)
             lookup.holders.push_back({it.get(), cached_tokens});
-        if (it->reloading())
+        if (it->reloading() || !it->available(context.now))
             continue;
         auto const rank = rendezvous_rank(it->entry().id.str(), shared.key);
         if (lookup.home == nullptr || rank > best)
--- a/packages/gateway/internal/endpoint_directory.cpp
+++ b/packages/gateway/internal/endpoint_directory.cpp
@@ -1,6 +1,7 @@
 #include "gateway/endpoint_directory.hpp"
 
 #include <asio/ip/address.hpp>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <unordered_set>
@@ -25,8 +26,10 @@
 
 } // namespace
 
-endpoint_directory::endpoint_directory(pool_factory make_pool)
+endpoint_directory::endpoint_directory(pool_factory make_pool,
+                                       std::uint64_t seed)
     : make_pool_(std::move(make_pool))
+    , seed_(seed)
 {
 }
 
@@ -83,7 +86,11 @@
                                     [&](auto const& it)
                                     { return it->entry().id == entry.id; });
     if (found == removed_.end())
-        return std::make_shared<endpoint_record>(entry);
+    {
+        auto const& id = entry.id.str();
+        return std::make_shared<endpoint_record>(
+            entry, XXH3_64bits_withSeed(id.data(), id.size(), seed_));
+    }
     auto res = *found;
     removed_.erase(found);
     res->update(entry);
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -37,8 +37,9 @@
 
 } // namespace
 
-endpoint_record::endpoint_record(endpoint_entry entry)
+endpoint_record::endpoint_record(endpoint_entry entry, std::uint64_t seed)
     : entry_(std::move(entry))
+    , pause_(availability::pause_settings(), seed)
 {
 }
 
@@ -53,6 +54,7 @@
     if (restarted)
     {
         ++generation_;
+        pause_.reset();
         leaving_ = false;
         // A connected agent may have reported on the new incarnation already.
         reported_leaving_ = reported_leaving_ && linked_ &&
@@ -230,6 +232,11 @@
 }
 
 bool endpoint_record::available(kernel::steady_time now) const
+{
+    return can_serve_cache(now) && pause_.allows(now, unanswered_);
+}
+
+bool endpoint_record::can_serve_cache(kernel::steady_time now) const
 {
     return !replaced_ && !leaving() && !unreachable_or_restarted() &&
            !entry_.draining && now >= avoided_until_;
@@ -240,8 +247,11 @@
 {
     if (replaced_ || leaving() || entry_.draining)
         return kernel::steady_time::max();
-    if (now < avoided_until_)
-        return avoided_until_;
+    auto const paused_until = pause_.paused_until(now);
+    auto const until =
+        std::max(avoided_until_, paused_until.value_or(avoided_until_));
+    if (now < until)
+        return until;
     return std::nullopt;
 }
 
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/exchange.hpp"
 
 #include "availability/leaving_notice_reader.hpp"
+#include "availability/retry_after_reader.hpp"
 #include "gateway/attempt_timeouts.hpp"
 #include "gateway/endpoint_chooser.hpp"
 #include "gateway/endpoint_directory.hpp"
@@ -16,6 +17,7 @@
 #include "gateway/upstream_pool.hpp"
 #include "gateway/weights_view.hpp"
 #include "kernel/parse_number.hpp"
+#include "kernel/types/result.hpp"
 #include "observe/decision_log.hpp"
 
 #include <fmt/format.h>
@@ -23,6 +25,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace endiveward::gateway
 {
@@ -77,6 +80,7 @@
 /// A longer response is forwarded while it arrives.
 constexpr std::size_t max_collected_bytes = 256U << 10U;
 constexpr int lowest_priority = 9;
+constexpr char const* retry_after_field = "Retry-After";
 
 } // namespace
 
@@ -288,6 +292,13 @@
     arm(next_check());
 }
 
+/// The endpoint may have asked for no requests, in an answer to another one,
+/// while the connection was established.
+bool exchange::may_send() const
+{
+    return !endpoint_->refuses_requests(services_.clock.now());
+}
+
 void exchange::on_head(response_head const& head)
 {
     auto const keep = shared_from_this();
@@ -341,6 +352,7 @@
     }
     update_endpoint_version(head);
     note_leaving(head);
+    note_pause(head);
 }
 
 void exchange::note_leaving(response_head const& head)
@@ -368,6 +380,44 @@
                         endpoint, head.status);
 }
 
+void exchange::note_pause(response_head const& head)
+{
+    if (head.status != status_unavailable)
+        return;
+    auto const* const text = head.headers.find(retry_after_field);
+    auto const value =
+        availability::read_retry_after(text, head.headers.find("Date"));
+    auto const answering = answering_endpoint(head);
+    if (text == nullptr || answering == nullptr)
+        return;
+    auto const& endpoint = answering->entry().id.str();
+    std::visit(
+        kernel::overloaded{
+            [](availability::no_pause) {},
+            [&](availability::unreadable_pause)
+            {
+                services_.log.write("endpoint_field_ignored",
+                                    "endpoint={} field={} value=\"{}\"",
+                                    endpoint, retry_after_field, *text);
+            },
+            [&](availability::requested_pause const& pause)
+            {
+                auto const now = services_.clock.now();
+                if (!answering->on_pause(now, pause.time) && !pause.limited)
+                    return;
+                services_.metrics.on_pause();
+                auto const until = answering->unusable_until(now).value_or(now);
+                services_.log.write(
+                    "endpoint_paused",
+                    "endpoint={} source=answer requested_ms={} limited={} "
+                    "until_ms={}",
+                    endpoint, pause.time.count(), pause.limited,
+                    std::chrono::duration_cast<milliseconds>(until - now)
+                        .count());
+            }},
+        value);
+}
+
 /// Returns the endpoint that has sent the answer, or null if it is unknown or
 /// has restarted since. At the address of an endpoint that has exited another
 /// one may answer.
@@ -520,6 +570,11 @@
     auto const keep = shared_from_this();
     auto const now = services_.clock.now();
     release_upstream(false);
+    if (failure == upstream_failure::withdrawn)
+    {
+        --runs_;
+        return attempt();
+    }
     if (failure == upstream_failure::truncated ||
         failure == upstream_failure::not_http)
         endpoint_->on_error(now);
@@ -562,7 +617,7 @@
                 requirements_.prompt->model,
                 services_.weights.target_of(requirements_.prompt->model));
     }
-    else
+    else if (!endpoint_->paused(now))
         endpoint_->on_refusal(now, refusal_pause);
     services_.log.write(
         "refused_by_endpoint",
@@ -676,7 +731,7 @@
         headers.add(services_.names.request_id, id_);
     if (retry_after)
         headers.add(
-            "Retry-After",
+            retry_after_field,
             fmt::format("{:.3f}",
                         std::chrono::duration<double>(*retry_after).count()));
     headers.add("Content-Type", "text/plain");
@@ -816,7 +871,7 @@
         if (equal_names(it.name, services_.names.load) ||
             equal_names(it.name, services_.names.endpoint) ||
             equal_names(it.name, services_.names.leaving) ||
-            equal_names(it.name, "Retry-After"))
+            equal_names(it.name, retry_after_field))
             continue;
         res.add(it.name, it.value);
     }
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -58,7 +58,8 @@
         [this, options](asio::ip::tcp::endpoint const& peer) {
             return std::make_shared<upstream_pool>(context_, clock_, options,
                                                    peer);
-        });
+        },
+        settings_.seed);
     services_ = std::make_unique<exchange_services>(
         exchange_services{context_, clock_, names_, *endpoints_, *chooser_,
                           overload_, *weights_, *budgets_, *metrics_, log_});
--- a/packages/gateway/internal/gateway_metrics.cpp
+++ b/packages/gateway/internal/gateway_metrics.cpp
@@ -40,6 +40,9 @@
                         "Requests sent to another endpoint, by reason"))
     , leaving_(counters(registry, "endiveward_gateway_leaving_endpoints_total",
                         "Endpoints that announced their exit, by source"))
+    , pauses_(counters(registry, "endiveward_gateway_endpoint_pauses_total",
+                       "Pauses that endpoints asked for with Retry-After")
+                  .Add({}))
     , attempts_(counters(registry, "endiveward_gateway_attempts_total",
                          "Requests sent to endpoints")
                     .Add({}))
--- a/packages/gateway/internal/upstream_connection.cpp
+++ b/packages/gateway/internal/upstream_connection.cpp
@@ -51,6 +51,8 @@
     {
     case upstream_failure::not_connected:
         return "not_connected";
+    case upstream_failure::withdrawn:
+        return "withdrawn";
     case upstream_failure::no_answer:
         return "no_answer";
     case upstream_failure::not_http:
@@ -119,6 +121,8 @@
 {
     connected_ = true;
     timer_.cancel();
+    if (observer_ != nullptr && !observer_->may_send())
+        return fail(upstream_failure::withdrawn);
     set_socket_options();
     write();
     read();
--- a/packages/gateway/tests/endpoint_chooser_test.cpp
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -121,6 +121,36 @@
     CHECK(other->reusable_tokens == 11500);
 }
 
+// Guards against requests of a session at its home while the home has asked for
+// none, and against a prefix that is computed again although the engine still
+// serves fetches.
+TEST_CASE(
+    "the home of a prefix gets no requests while it pauses but serves the "
+    "prefix")
+{
+    chooser_fixture fixture(12);
+    auto const requirements = chooser_fixture::make_requirements("hot", 1);
+    auto const home = fixture.choose(requirements)->endpoint;
+    auto const salt = make_cache_salt("", model, 1);
+    for (auto const& it : prefix_levels(*requirements.prompt, salt))
+        home->cache().report(it.key, it.part_tokens);
+    home->on_pause(start, milliseconds(1000));
+    for (std::uint64_t n = 0; n < 20; ++n)
+    {
+        auto const other =
+            fixture.choose(chooser_fixture::make_requirements("hot", n));
+        REQUIRE(other);
+        CHECK(other->endpoint != home);
+        CHECK(other->kv.source ==
+              "127.0.0.1:" + std::to_string(home->entry().port));
+    }
+    home->on_leaving();
+    auto const other = fixture.choose(requirements);
+    REQUIRE(other);
+    // The engine may exit before a fetch has ended.
+    CHECK(other->kv.source.empty());
+}
+
 // Load pattern: many routers act on the same outdated load reports. If each
 // chose the least loaded endpoint of all, they would overload it together.
 TEST_CASE("the least loaded endpoint does not take all requests")
--- a/packages/gateway/tests/endpoint_directory_test.cpp
+++ b/packages/gateway/tests/endpoint_directory_test.cpp
@@ -5,7 +5,10 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <chrono>
+#include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace endiveward::gateway
@@ -28,15 +31,21 @@
 
 struct directory_fixture
 {
+    explicit directory_fixture(std::uint64_t seed = 0)
+        : directory(
+              [this](asio::ip::tcp::endpoint const& peer)
+              {
+                  return std::make_shared<upstream_pool>(
+                      context, clock,
+                      std::make_shared<upstream_options const>(), peer);
+              },
+              seed)
+    {
+    }
+
     asio::io_context context;
     kernel::manual_clock clock;
-    endpoint_directory directory{
-        [this](asio::ip::tcp::endpoint const& peer)
-        {
-            return std::make_shared<upstream_pool>(
-                context, clock, std::make_shared<upstream_options const>(),
-                peer);
-        }};
+    endpoint_directory directory;
 
     std::shared_ptr<endpoint_record> find(std::string const& id) const
     {
@@ -84,6 +93,34 @@
     CHECK_FALSE(f.find("f")->leaving());
 }
 
+// Guards against an early end of a pause, as above.
+TEST_CASE("an endpoint that is listed again is still paused")
+{
+    directory_fixture f;
+    f.directory.update({make_entry("e", 3)});
+    f.find("e")->on_pause(f.clock.now(), std::chrono::seconds(2));
+    f.directory.update({});
+    f.directory.update({make_entry("e", 3), make_entry("other")});
+    CHECK(f.find("e")->paused(f.clock.now()));
+    CHECK_FALSE(f.find("other")->paused(f.clock.now()));
+    f.directory.update({make_entry("e", 4)});
+    CHECK_FALSE(f.find("e")->paused(f.clock.now()));
+}
+
+// Guards against processes that return to an endpoint together.
+TEST_CASE("pauses end at different times in different processes")
+{
+    std::set<kernel::steady_time> ends;
+    for (std::uint64_t seed = 0; seed < 50; ++seed)
+    {
+        directory_fixture f(seed);
+        f.directory.update({make_entry("e")});
+        f.find("e")->on_pause(f.clock.now(), std::chrono::seconds(2));
+        ends.insert(f.find("e")->unusable_until(f.clock.now()).value());
+    }
+    CHECK(ends.size() >= 40);
+}
+
 // Guards against a process whose memory grows with each restart of an endpoint.
 TEST_CASE("removed endpoints are remembered in a limited number")
 {
--- a/packages/gateway/tests/endpoint_record_test.cpp
+++ b/packages/gateway/tests/endpoint_record_test.cpp
@@ -218,6 +218,53 @@
     }
 }
 
+// Guards against requests to an endpoint that asked this process for none.
+TEST_CASE("an endpoint gets no requests for the time that it asked for")
+{
+    auto record = make_record();
+    record.on_refusal(at(0), milliseconds(150));
+    CHECK(record.on_pause(at(0), milliseconds(2000)));
+    CHECK(record.paused(at(0)));
+    CHECK(record.refuses_requests(at(0)));
+    CHECK_FALSE(record.available(at(1999)));
+    auto const until = record.unusable_until(at(0));
+    REQUIRE(until);
+    CHECK(*until >= at(2000));
+    CHECK(*until <= at(2500));
+    CHECK_FALSE(record.available(*until - milliseconds(1)));
+    CHECK_FALSE(record.unusable_until(*until));
+    SECTION("its prefixes may be fetched in the meantime")
+    {
+        CHECK(record.can_serve_cache(at(200)));
+    }
+    SECTION("neither an entry, a report nor a lost link ends the pause")
+    {
+        record.update(record.entry());
+        record.on_state(state_with(1), at(10));
+        CHECK_FALSE(record.available(at(1999)));
+        record.on_link_lost();
+        CHECK_FALSE(record.available(at(1999)));
+    }
+    SECTION("a restart ends the pause")
+    {
+        auto entry = record.entry();
+        entry.incarnation = 2;
+        record.update(entry);
+        CHECK(record.available(at(10)));
+        CHECK_FALSE(record.unusable_until(at(10)));
+    }
+    SECTION("its requests return gradually")
+    {
+        CHECK(record.available(*until));
+        record.on_sent({}, *until);
+        CHECK_FALSE(record.available(*until));
+        // The end is not known: it depends on the response.
+        CHECK_FALSE(record.unusable_until(*until));
+        record.on_response_started({}, *until + milliseconds(20));
+        CHECK(record.available(*until + milliseconds(20)));
+    }
+}
+
 // Guards against callers that are kept waiting for an endpoint that is known
 // not to become usable in time.
 TEST_CASE("an endpoint tells until when it cannot be used")
--- a/packages/gateway/tests/gateway_test.cpp
+++ b/packages/gateway/tests/gateway_test.cpp
@@ -1,11 +1,18 @@
+#include "gateway/http/i_upstream_observer.hpp"
+#include "gateway/http/upstream_connection.hpp"
 #include "gateway/tests/support/scripted_endpoint.hpp"
 #include "gateway/tests/support/test_caller.hpp"
 #include "gateway/tests/support/test_gateway.hpp"
+#include "gateway/upstream_pool.hpp"
+#include "kernel/system_clock.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -635,15 +642,22 @@
     CHECK(named.requests() == before);
 }
 
-// Guards against retries and resumed streams at an endpoint that is leaving.
-TEST_CASE("a retry and a resumed stream do not go to an endpoint that is "
-          "leaving")
+// Guards against retries and resumed streams at an endpoint that has asked for
+// no requests.
+TEST_CASE(
+    "a retry and a resumed stream do not go to an endpoint that leaves or "
+    "pauses")
 {
     auto const* const path = GENERATE("/safe/", "/resume/");
-    scripted_endpoint leaving(
-        [](http_request const& request, scripted_connection& conn)
+    auto const leaves = GENERATE(true, false);
+    scripted_endpoint refusing(
+        [leaves](http_request const& request, scripted_connection& conn)
         {
-            conn.answer(request, 200, "ok", "X-Leaving: 1\r\n");
+            if (leaves)
+                conn.answer(request, 200, "ok", "X-Leaving: 1\r\n");
+            else
+                conn.answer(request, 503, "",
+                            "X-Not-Run: 1\r\nRetry-After: 20\r\n");
             return true;
         });
     scripted_endpoint failing(
@@ -660,11 +674,11 @@
         });
     test_gateway gate;
     gate.apply();
-    gate.set_endpoints({leaving.port()});
+    gate.set_endpoints({refusing.port()});
     test_caller first(gate.port());
     first.send(get_request("/once/", "id0"));
-    first.read_until("\r\n\r\nok");
-    gate.set_endpoints({leaving.port(), failing.port()});
+    first.read_until("\r\n\r\n");
+    gate.set_endpoints({refusing.port(), failing.port()});
     test_caller caller(gate.port());
     caller.send(get_request(path, "id1"));
     if (std::string(path) == "/safe/")
@@ -672,7 +686,129 @@
     else
         CHECK_FALSE(contains(caller.read_all(), "\r\n0\r\n"));
     CHECK(failing.requests() == 1);
-    CHECK(leaving.requests() == 1);
+    CHECK(refusing.requests() == 1);
+}
+
+// Guards against requests to an endpoint that asked for none, in a refusal or
+// in a 503 that does not prove that the request has not run.
+TEST_CASE("an endpoint gets no request for the time of its Retry-After")
+{
+    using clock = std::chrono::steady_clock;
+    auto const* const proof = GENERATE("X-Not-Run: 1\r\n", "");
+    std::mutex mutex;
+    std::vector<clock::time_point> arrivals;
+    scripted_endpoint pausing(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            std::size_t n = 0;
+            {
+                std::lock_guard const lock(mutex);
+                arrivals.push_back(clock::now());
+                n = arrivals.size();
+            }
+            if (n == 1)
+                conn.answer(request, 503, "",
+                            std::string(proof) + "Retry-After: 0.8\r\n");
+            else
+                conn.answer(request, 200, "ok");
+            return true;
+        });
+    scripted_endpoint serving(answer_ok);
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({pausing.port()});
+    test_caller first(gate.port());
+    first.send(get_request("/once/", "id0"));
+    CHECK_FALSE(contains(first.read_until("\r\n\r\n"), "Retry-After: 0.8"));
+    gate.set_endpoints({pausing.port(), serving.port()});
+    for (int n = 0; n < 30; ++n)
+    {
+        auto const* const path = n % 2 == 0 ? "/once/" : "/safe/";
+        test_caller caller(gate.port());
+        caller.send(get_request(path, "next" + std::to_string(n)));
+        CHECK(caller.read_until("\r\n\r\nok").starts_with("HTTP/1.1 200"));
+    }
+    gate.set_endpoints({pausing.port()});
+    bool served = false;
+    auto const end = clock::now() + std::chrono::seconds(20);
+    for (int n = 0; !served && clock::now() < end; ++n)
+    {
+        test_caller caller(gate.port());
+        caller.send(get_request("/once/", "last" + std::to_string(n)));
+        auto const text = caller.read_until("\r\n\r\n");
+        served = text.starts_with("HTTP/1.1 200");
+        if (!served)
+            CHECK(text.starts_with("HTTP/1.1 503"));
+    }
+    CHECK(served);
+    std::lock_guard const lock(mutex);
+    REQUIRE(arrivals.size() >= 2);
+    CHECK(arrivals[1] - arrivals[0] >= milliseconds(800));
+}
+
+// Guards against a long pause for an endpoint that asked for none.
+TEST_CASE("a refusal without a readable Retry-After pauses shortly")
+{
+    std::string const field =
+        GENERATE("", "Retry-After: 0\r\n", "Retry-After: soon\r\n",
+                 "Retry-After: -5\r\n");
+    std::atomic<int> refusals{0};
+    scripted_endpoint endpoint(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            if (refusals++ == 0)
+                conn.answer(request, 503, "", "X-Not-Run: 1\r\n" + field);
+            else
+                conn.answer(request, 200, "ok");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({endpoint.port()});
+    test_caller first(gate.port());
+    first.send(get_request("/once/", "id1"));
+    CHECK(first.read_until("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    std::this_thread::sleep_for(milliseconds(160));
+    test_caller second(gate.port());
+    second.send(get_request("/once/", "id2"));
+    CHECK(second.read_until("\r\n\r\nok").starts_with("HTTP/1.1 200"));
+}
+
+// Guards against requests that were queued for a connection before the endpoint
+// asked for none.
+TEST_CASE("a request that waits for its connection is not sent to an endpoint "
+          "that refuses requests")
+{
+    struct observer : i_upstream_observer
+    {
+        bool may_send() const override { return wanted; }
+        void on_head(response_head const&) override {}
+        void on_body(std::string_view) override {}
+        void on_end() override { ended = true; }
+        void on_failure(upstream_failure it) override { failure = it; }
+
+        bool wanted = true;
+        bool ended = false;
+        std::optional<upstream_failure> failure;
+    };
+    scripted_endpoint endpoint(answer_ok);
+    asio::io_context context;
+    kernel::system_clock clock;
+    upstream_pool pool(context, clock,
+                       std::make_shared<upstream_options const>(),
+                       {asio::ip::make_address("127.0.0.1"), endpoint.port()});
+    observer it;
+    it.wanted = GENERATE(true, false);
+    auto const conn = pool.acquire(std::chrono::seconds(1));
+    conn->send(pool.peer(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", {}, false, it);
+    auto const end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!it.ended && !it.failure && std::chrono::steady_clock::now() < end)
+        context.run_one_for(milliseconds(100));
+    CHECK(it.ended == it.wanted);
+    if (!it.wanted)
+        CHECK(it.failure == upstream_failure::withdrawn);
+    CHECK(endpoint.requests() == (it.wanted ? 1 : 0));
 }
 
 } // namespace endiveward::gateway
--- a/packages/gateway/types/gateway_settings.hpp
+++ b/packages/gateway/types/gateway_settings.hpp
@@ -29,6 +29,9 @@
     placement_settings placement;
     overload_settings overload;
     std::size_t max_caller_connections = 2000;
+    /// Should differ between processes, so that they do not return to an
+    /// endpoint at the same time after a pause.
+    std::uint64_t seed = 0;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/types/upstream_failure.hpp
+++ b/packages/gateway/types/upstream_failure.hpp
@@ -11,6 +11,9 @@
 {
     /// The connection failed; the endpoint has not received the request.
     not_connected,
+    /// The request was not sent, since it was no longer wanted when the
+    /// connection was established.
+    withdrawn,
     /// The connection ended before any byte of a response.
     no_answer,
     /// The received bytes are not an HTTP response.
