--- a/packages/explain/internal/request_story.cpp
+++ b/packages/explain/internal/request_story.cpp
@@ -41,6 +41,13 @@
     return std::find(events.begin(), events.end(), event) != events.end();
 }
 
+/// Whether a refusal has this reason because no endpoint could be used.
+bool is_without_endpoint(std::string const& reason)
+{
+    return reason == "no_endpoint" || reason == "no_service" ||
+           reason.starts_with("endpoints_");
+}
+
 std::int64_t number(log_record const& it, std::string const& field)
 {
     return kernel::parse_number<std::int64_t>(it.value(field)).value_or(0);
@@ -84,6 +91,8 @@
 bool request_story::is_related(log_record const& it,
                                std::set<std::string> const& endpoints) const
 {
+    if (refused_without_endpoint() && excludes_endpoint(it))
+        return true;
     if (it.time < own_.front().time - context_before ||
         it.time > own_.back().time + context_after)
         return false;
@@ -195,13 +204,95 @@
     if (reason == "stopping")
         return {"stopping", "the process was being stopped",
                 "none; callers come back to another process"};
-    if (reason == "no_endpoint" || reason == "no_service")
-        return {"no_endpoint", "no endpoint of the service could be used",
-                "look for `endpoint_removed`, `connect_failed` and `failed` in "
-                "the seconds before"};
+    if (is_without_endpoint(reason))
+        return explain_no_endpoint(reason);
     return explain_failure(reason);
 }
 
+verdict request_story::explain_no_endpoint(std::string const& reason) const
+{
+    auto const paused = excluded_endpoints("endpoint_paused");
+    auto const leaving = excluded_endpoints("endpoint_leaving");
+    if (!paused.empty())
+        return {"endpoints_paused",
+                fmt::format("no endpoint of the service could be used; paused "
+                            "at this router with Retry-After: {}{}{}",
+                            paused,
+                            leaving.empty() ? "" : "; leaving: ", leaving),
+                "endpoints ask for a pause when they are full: compare "
+                "`requested_ms` of `endpoint_paused` with the load and the "
+                "number of endpoints"};
+    if (!leaving.empty())
+        return {"endpoints_leaving",
+                fmt::format("no endpoint of the service could be used; "
+                            "leaving: {}",
+                            leaving),
+                "look for `endpoint_entry` of their replacements, and whether "
+                "the store was in contact"};
+    return {
+        "no_endpoint",
+        fmt::format("no endpoint of the service could be used ({})", reason),
+        "look for `endpoint_removed`, `connect_failed` and `failed` in "
+        "the seconds before"};
+}
+
+/// Whether the request was refused because no endpoint could take it.
+bool request_story::refused_without_endpoint() const
+{
+    if (own_.empty())
+        return false;
+    auto const& last = own_.back();
+    return last.event == "gave_up" && last.value("status") == "503" &&
+           is_without_endpoint(last.value("reason"));
+}
+
+/// Whether the line of the request's router excluded an endpoint until the end
+/// of the request. An endpoint that is leaving is excluded until its entry is
+/// removed.
+bool request_story::excludes_endpoint(log_record const& it) const
+{
+    auto const& last = own_.back();
+    if (it.process != last.process || it.time > last.time)
+        return false;
+    if (it.event == "endpoint_paused")
+        return it.time + milliseconds(number(it, "until_ms")) >= last.time;
+    if (it.event != "endpoint_leaving")
+        return false;
+    return std::none_of(others_.begin(), others_.end(),
+                        [&](log_record const& other)
+                        {
+                            return other.event == "endpoint_removed" &&
+                                   other.process == it.process &&
+                                   other.value("endpoint") ==
+                                       it.value("endpoint") &&
+                                   other.time >= it.time &&
+                                   other.time <= last.time;
+                        });
+}
+
+/// Names the endpoints that such lines excluded; of a pause, also how long it
+/// still lasted.
+std::string request_story::excluded_endpoints(std::string const& event) const
+{
+    std::map<std::string, std::string> texts;
+    for (auto const& it : others_)
+    {
+        if (it.event != event || !excludes_endpoint(it))
+            continue;
+        auto const name = it.value("endpoint");
+        texts[name] = name;
+        if (event != "endpoint_paused")
+            continue;
+        auto const until = it.time + milliseconds(number(it, "until_ms"));
+        texts[name] = fmt::format("{} (for another {} ms)", name,
+                                  (until - own_.back().time).count());
+    }
+    std::string res;
+    for (auto const& [name, text] : texts)
+        res += fmt::format("{}{}", res.empty() ? "" : ", ", text);
+    return res;
+}
+
 verdict request_story::explain_overload() const
 {
     auto const why = last_or_empty("overloaded");
--- a/packages/explain/request_story.hpp
+++ b/packages/explain/request_story.hpp
@@ -35,6 +35,10 @@
     verdict explain_refusal(log_record const& last) const;
     verdict explain_overload() const;
     verdict explain_endpoint_refusal() const;
+    verdict explain_no_endpoint(std::string const& reason) const;
+    bool refused_without_endpoint() const;
+    bool excludes_endpoint(log_record const& it) const;
+    std::string excluded_endpoints(std::string const& event) const;
     verdict explain_failure(std::string const& reason) const;
     verdict explain_answer(log_record const& last) const;
     verdict explain_absence() const;
--- a/packages/explain/tests/request_story_test.cpp
+++ b/packages/explain/tests/request_story_test.cpp
@@ -146,6 +146,46 @@
     CHECK(story.explain().code == "endpoint_replaced");
 }
 
+// Guards against a refusal without a cause: the router had excluded the
+// endpoints long before the request.
+TEST_CASE("a refusal names the endpoints that pause or leave")
+{
+    auto const* const reason =
+        GENERATE("no_endpoint", "endpoints_paused", "endpoints_leaving");
+    auto const gave_up =
+        fmt::format("event=gave_up id=q1 status=503 reason={}", reason);
+    auto const paused = [](std::string const& endpoint, int ms)
+    {
+        return fmt::format("event=endpoint_paused endpoint={} source=answer "
+                           "requested_ms={} until_ms={}",
+                           endpoint, ms, ms);
+    };
+    std::string const leaving =
+        "event=endpoint_leaving endpoint=e2 source=agent until=restart";
+    auto const both = story_of({{"r1",
+                                 {{1000, paused("e1", 30000)},
+                                  {2000, paused("e5", 17999)},
+                                  {3000, leaving},
+                                  {20000, gave_up}}},
+                                {"r2", {{3000, paused("e3", 30000)}}}});
+    CHECK(both.explain().code == "endpoints_paused");
+    CHECK(both.explain().cause.find("e1 (for another 11000 ms)") !=
+          std::string::npos);
+    CHECK(both.explain().cause.find("leaving: e2") != std::string::npos);
+    CHECK(both.explain().cause.find("e3") == std::string::npos);
+    CHECK(both.explain().cause.find("e5") == std::string::npos);
+    CHECK(both.lines().size() == 3);
+    auto const only_leaving =
+        story_of({{"r1", {{3000, leaving}, {20000, gave_up}}}});
+    CHECK(only_leaving.explain().code == "endpoints_leaving");
+    auto const removed =
+        story_of({{"r1",
+                   {{3000, leaving},
+                    {4000, "event=endpoint_removed endpoint=e2"},
+                    {20000, gave_up}}}});
+    CHECK(removed.explain().code == "no_endpoint");
+}
+
 TEST_CASE("an answer after a repeat is told from one that was slow")
 {
     auto const repeated =
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -573,6 +573,8 @@
     if (failure == upstream_failure::withdrawn)
     {
         --runs_;
+        services_.log.write("withdrawn", "id={} endpoint={} waited_ms={}", id_,
+                            endpoint_->entry().id.str(), since_sent().count());
         return attempt();
     }
     if (failure == upstream_failure::truncated ||
