gateway: Keep an endpoint draining when an older entry calls it ready

A store that is restored from a copy gives out the entry from before the endpoint began to drain, and the gateway sent it requests again. Draining now ends only with a newer incarnation, also across a removal of the entry. Entries of an earlier incarnation, which are ignored, are logged.

Without it `an endpoint that drains is not ready again` fails, with and without incarnations in the entries.

--- a/packages/gateway/endpoint_directory.hpp
+++ b/packages/gateway/endpoint_directory.hpp
@@ -27,8 +27,10 @@
     explicit endpoint_directory(pool_factory make_pool, std::uint64_t seed = 0);
 
     /// Replaces the whole list. Endpoints that are no longer listed get no new
-    /// requests; requests in progress continue.
-    void update(std::vector<endpoint_entry> entries);
+    /// requests; requests in progress continue. Returns the endpoints whose
+    /// entry is of an earlier incarnation and therefore ignored.
+    std::vector<kernel::endpoint_id>
+    update(std::vector<endpoint_entry> entries);
     /// Returns the endpoint with this id, or null.
     std::shared_ptr<endpoint_record> find(kernel::endpoint_id const& id) const;
     record_list const& of_service(kernel::service_id const& id) const;
@@ -47,7 +49,10 @@
     };
 
     void remember(std::shared_ptr<endpoint_record> record);
-    std::shared_ptr<endpoint_record> make_record(endpoint_entry const& entry);
+    std::shared_ptr<endpoint_record>
+    take_removed(kernel::endpoint_id const& id);
+    std::shared_ptr<endpoint_record>
+    make_record(endpoint_entry const& entry) const;
 
     pool_factory make_pool_;
     std::uint64_t seed_;
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -37,8 +37,9 @@
 
     endpoint_entry const& entry() const { return entry_; }
     /// Replaces the entry by a newer one. A restart of the endpoint resets the
-    /// estimates.
-    void update(endpoint_entry entry);
+    /// estimates. Returns false if the entry is of an earlier incarnation and
+    /// therefore ignored.
+    bool update(endpoint_entry entry);
 
     void on_sent(request_footprint const& footprint, kernel::steady_time now);
     /// The first byte of a response arrived.
--- a/packages/gateway/internal/endpoint_directory.cpp
+++ b/packages/gateway/internal/endpoint_directory.cpp
@@ -33,8 +33,10 @@
 {
 }
 
-void endpoint_directory::update(std::vector<endpoint_entry> entries)
+std::vector<kernel::endpoint_id>
+endpoint_directory::update(std::vector<endpoint_entry> entries)
 {
+    std::vector<kernel::endpoint_id> ignored;
     std::unordered_set<kernel::endpoint_id> listed;
     by_service_.clear();
     // Sorted, so that the choice between equal endpoints does not depend on the
@@ -46,11 +48,12 @@
     {
         listed.insert(it.id);
         auto& registered = records_[it.id];
+        if (registered.record == nullptr)
+            registered.record = take_removed(it.id);
         if (registered.record == nullptr)
             registered.record = make_record(it);
-        else
-            registered.record->update(it);
-        // The record ignores an entry of an earlier incarnation.
+        else if (!registered.record->update(it))
+            ignored.push_back(it.id);
         auto const& entry = registered.record->entry();
         auto const peer = address_of(entry);
         if (registered.pool == nullptr || registered.pool->peer() != peer)
@@ -66,6 +69,7 @@
                       remember(it.second.record);
                       return true;
                   });
+    return ignored;
 }
 
 /// Keeps the record of a removed endpoint. Its entry may return, for example
@@ -79,24 +83,28 @@
         removed_.pop_front();
 }
 
+/// Takes the record out of the removed ones; null if there is none.
 std::shared_ptr<endpoint_record>
-endpoint_directory::make_record(endpoint_entry const& entry)
+endpoint_directory::take_removed(kernel::endpoint_id const& id)
 {
-    auto const found = std::find_if(removed_.begin(), removed_.end(),
-                                    [&](auto const& it)
-                                    { return it->entry().id == entry.id; });
+    auto const found =
+        std::find_if(removed_.begin(), removed_.end(),
+                     [&](auto const& it) { return it->entry().id == id; });
     if (found == removed_.end())
-    {
-        auto const& id = entry.id.str();
-        return std::make_shared<endpoint_record>(
-            entry, XXH3_64bits_withSeed(id.data(), id.size(), seed_));
-    }
+        return nullptr;
     auto res = *found;
     removed_.erase(found);
-    res->update(entry);
     return res;
 }
 
+std::shared_ptr<endpoint_record>
+endpoint_directory::make_record(endpoint_entry const& entry) const
+{
+    auto const& id = entry.id.str();
+    return std::make_shared<endpoint_record>(
+        entry, XXH3_64bits_withSeed(id.data(), id.size(), seed_));
+}
+
 endpoint_directory::record_list const&
 endpoint_directory::of_service(kernel::service_id const& id) const
 {
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -43,12 +43,12 @@
 {
 }
 
-void endpoint_record::update(endpoint_entry entry)
+bool endpoint_record::update(endpoint_entry entry)
 {
     // An older entry may arrive late, or from a store that was restored from a
     // copy. Zero means that the incarnation is not known.
     if (entry.incarnation != 0 && entry.incarnation < entry_.incarnation)
-        return;
+        return false;
     auto const restarted = entry.incarnation > entry_.incarnation;
     entry.incarnation = std::max(entry.incarnation, entry_.incarnation);
     if (restarted)
@@ -60,6 +60,12 @@
         reported_leaving_ = reported_leaving_ && linked_ &&
                             latest_incarnation_ == entry.incarnation;
     }
+    else
+    {
+        // An endpoint that drains exits. An entry that calls it ready again is
+        // older, from a store that was restored from a copy.
+        entry.draining = entry.draining || entry_.draining;
+    }
     if (restarted || entry.host != entry_.host || entry.port != entry_.port)
     {
         // With a connected agent, its reports of the new incarnation may have
@@ -78,7 +84,7 @@
             for (auto const& it : reported_weights_)
                 entry_.models[it.model] = it.version;
         }
-        return;
+        return true;
     }
     // Responses may have reported newer versions than the entry.
     for (auto const& [model, version] : entry_.models)
@@ -90,6 +96,7 @@
             cache_.clear();
     }
     entry_ = std::move(entry);
+    return true;
 }
 
 void endpoint_record::on_sent(request_footprint const& footprint,
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -90,7 +90,9 @@
 
 void gateway::apply(std::vector<endpoint_entry> endpoints)
 {
-    endpoints_->update(std::move(endpoints));
+    for (auto const& it : endpoints_->update(std::move(endpoints)))
+        log_.write("entry_ignored", "endpoint={} reason=earlier_incarnation",
+                   it.str());
     update_limits();
 }
 
--- a/packages/gateway/tests/endpoint_directory_test.cpp
+++ b/packages/gateway/tests/endpoint_directory_test.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace endiveward::gateway
 {
@@ -76,12 +77,31 @@
     f.directory.update({make_entry("e", 3)});
     CHECK(f.find("e")->leaving());
     f.directory.update({});
-    f.directory.update({make_entry("e", 2)});
+    CHECK(f.directory.update({make_entry("e", 2)}) ==
+          std::vector{kernel::endpoint_id("e")});
     CHECK(f.find("e")->leaving());
-    f.directory.update({make_entry("e", 4)});
+    CHECK(f.directory.update({make_entry("e", 4)}).empty());
     CHECK_FALSE(f.find("e")->leaving());
 }
 
+// Guards against requests to a draining endpoint after its entry has gone back
+// to the state before, as a store that was restored from a copy gives it out.
+TEST_CASE("an endpoint that drains is not ready again")
+{
+    auto const incarnation = GENERATE(kernel::incarnation(0), 3);
+    directory_fixture f;
+    auto draining = make_entry("e", incarnation);
+    draining.draining = true;
+    f.directory.update({draining});
+    f.directory.update({make_entry("e", incarnation)});
+    CHECK_FALSE(f.find("e")->available(f.clock.now()));
+    f.directory.update({});
+    f.directory.update({make_entry("e", incarnation)});
+    CHECK_FALSE(f.find("e")->available(f.clock.now()));
+    f.directory.update({make_entry("e", incarnation + 1)});
+    CHECK(f.find("e")->available(f.clock.now()));
+}
+
 // On some installations entries have no incarnation and a restarted endpoint
 // registers under another id.
 TEST_CASE("an endpoint with another id at the same address is not leaving")
