--- a/packages/gateway/tests/gateway_test.cpp
+++ b/packages/gateway/tests/gateway_test.cpp
@@ -611,6 +611,44 @@
     }
 }
 
+// Guards against a report that takes back what the endpoint has told this
+// gateway itself: agents learn of a restart under another id only later.
+TEST_CASE("a report announces an exit but does not take back an answer")
+{
+    scripted_endpoint endpoint(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.answer(request, 200, "ok", "X-Leaving: 1\r\n");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({endpoint.port()});
+    auto const report = [&](bool leaving)
+    {
+        wire::engine_state state;
+        state.leaving = leaving;
+        gate.run(
+            [&]
+            { gate.get().on_engine_state(kernel::endpoint_id("e0"), state); });
+    };
+    auto const request = [&](std::string const& id)
+    {
+        test_caller caller(gate.port());
+        caller.send(get_request("/once/", id));
+        return caller.read_until("\r\n\r\n").substr(0, 12);
+    };
+    report(true);
+    CHECK(request("id1") == "HTTP/1.1 503");
+    CHECK(endpoint.requests() == 0);
+    report(false);
+    CHECK(request("id2") == "HTTP/1.1 200");
+    report(true);
+    report(false);
+    CHECK(request("id3") == "HTTP/1.1 503");
+    CHECK(endpoint.requests() == 1);
+}
+
 // Guards against an endpoint that is taken out of use because another one has
 // its former address.
 TEST_CASE("an exit is attributed to the endpoint that has answered")
