--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -1,5 +1,7 @@
 #include "gateway/exchange.hpp"
 
+#include "availability/leaving_notice_reader.hpp"
+#include "availability/retry_after_reader.hpp"
 #include "gateway/attempt_timeouts.hpp"
 #include "gateway/endpoint_chooser.hpp"
 #include "gateway/endpoint_directory.hpp"
@@ -15,6 +17,7 @@
 #include "gateway/upstream_pool.hpp"
 #include "gateway/weights_view.hpp"
 #include "kernel/parse_number.hpp"
+#include "kernel/types/result.hpp"
 #include "observe/decision_log.hpp"
 
 #include <fmt/format.h>
@@ -22,6 +25,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace endiveward::gateway
 {
@@ -76,6 +80,7 @@
 /// A longer response is forwarded while it arrives.
 constexpr std::size_t max_collected_bytes = 256U << 10U;
 constexpr int lowest_priority = 9;
+constexpr char const* retry_after_field = "Retry-After";
 
 } // namespace
 
@@ -257,6 +262,7 @@
                                     choice.footprint.uncached_tokens);
     }
     footprint_ = choice.footprint;
+    sent_generation_ = endpoint_->generation();
     requested_version_ = choice.version;
     expected_first_byte_ = choice.time_to_first_byte;
     response_started_ = false;
@@ -286,6 +292,13 @@
     arm(next_check());
 }
 
+/// The endpoint may have asked for no requests, in an answer to another one,
+/// while the connection was established.
+bool exchange::may_send() const
+{
+    return !endpoint_->refuses_requests(services_.clock.now());
+}
+
 void exchange::on_head(response_head const& head)
 {
     auto const keep = shared_from_this();
@@ -338,6 +351,83 @@
         }
     }
     update_endpoint_version(head);
+    note_leaving(head);
+    note_pause(head);
+}
+
+void exchange::note_leaving(response_head const& head)
+{
+    auto const* const text = head.headers.find(services_.names.leaving);
+    auto const notice = availability::read_leaving_notice(text);
+    if (notice == availability::leaving_notice::none)
+        return;
+    auto const answering = answering_endpoint(head);
+    if (answering == nullptr)
+        return;
+    auto const& endpoint = answering->entry().id.str();
+    if (notice == availability::leaving_notice::unreadable)
+        return services_.log.write("endpoint_field_ignored",
+                                   "endpoint={} field={} value=\"{}\"",
+                                   endpoint, services_.names.leaving, *text);
+    // An agent may have reported it before, which a later report can end.
+    auto const known = answering->leaving();
+    answering->on_leaving();
+    if (known)
+        return;
+    services_.metrics.on_leaving("answer");
+    services_.log.write("endpoint_leaving",
+                        "endpoint={} source=answer status={} until=restart",
+                        endpoint, head.status);
+}
+
+void exchange::note_pause(response_head const& head)
+{
+    if (head.status != status_unavailable)
+        return;
+    auto const* const text = head.headers.find(retry_after_field);
+    auto const value =
+        availability::read_retry_after(text, head.headers.find("Date"));
+    auto const answering = answering_endpoint(head);
+    if (text == nullptr || answering == nullptr)
+        return;
+    auto const& endpoint = answering->entry().id.str();
+    std::visit(
+        kernel::overloaded{
+            [](availability::no_pause) {},
+            [&](availability::unreadable_pause)
+            {
+                services_.log.write("endpoint_field_ignored",
+                                    "endpoint={} field={} value=\"{}\"",
+                                    endpoint, retry_after_field, *text);
+            },
+            [&](availability::requested_pause const& pause)
+            {
+                auto const now = services_.clock.now();
+                if (!answering->on_pause(now, pause.time) && !pause.limited)
+                    return;
+                services_.metrics.on_pause();
+                auto const until = answering->unusable_until(now).value_or(now);
+                services_.log.write(
+                    "endpoint_paused",
+                    "endpoint={} source=answer requested_ms={} limited={} "
+                    "until_ms={}",
+                    endpoint, pause.time.count(), pause.limited,
+                    std::chrono::duration_cast<milliseconds>(until - now)
+                        .count());
+            }},
+        value);
+}
+
+/// Returns the endpoint that has sent the answer, or null if it is unknown or
+/// has restarted since. At the address of an endpoint that has exited another
+/// one may answer.
+std::shared_ptr<endpoint_record>
+exchange::answering_endpoint(response_head const& head) const
+{
+    auto const* const id = head.headers.find(services_.names.endpoint);
+    if (id != nullptr && *id != endpoint_->entry().id.str())
+        return services_.endpoints.find(kernel::endpoint_id(*id));
+    return endpoint_->generation() == sent_generation_ ? endpoint_ : nullptr;
 }
 
 void exchange::update_endpoint_version(response_head const& head)
@@ -480,6 +570,13 @@
     auto const keep = shared_from_this();
     auto const now = services_.clock.now();
     release_upstream(false);
+    if (failure == upstream_failure::withdrawn)
+    {
+        --runs_;
+        services_.log.write("withdrawn", "id={} endpoint={} waited_ms={}", id_,
+                            endpoint_->entry().id.str(), since_sent().count());
+        return attempt();
+    }
     if (failure == upstream_failure::truncated ||
         failure == upstream_failure::not_http)
         endpoint_->on_error(now);
@@ -522,7 +619,7 @@
                 requirements_.prompt->model,
                 services_.weights.target_of(requirements_.prompt->model));
     }
-    else
+    else if (!endpoint_->paused(now))
         endpoint_->on_refusal(now, refusal_pause);
     services_.log.write(
         "refused_by_endpoint",
@@ -636,7 +733,7 @@
         headers.add(services_.names.request_id, id_);
     if (retry_after)
         headers.add(
-            "Retry-After",
+            retry_after_field,
             fmt::format("{:.3f}",
                         std::chrono::duration<double>(*retry_after).count()));
     headers.add("Content-Type", "text/plain");
@@ -775,7 +872,8 @@
             continue;
         if (equal_names(it.name, services_.names.load) ||
             equal_names(it.name, services_.names.endpoint) ||
-            equal_names(it.name, "Retry-After"))
+            equal_names(it.name, services_.names.leaving) ||
+            equal_names(it.name, retry_after_field))
             continue;
         res.add(it.name, it.value);
     }
