platform, storage: Read the era of the store from every answer

The store may be restored from a copy and then gives versions out again; its answers name the era. The adapter ignored the header, so that the era of every position was 0.

Rows, batches and errors carry the era of their answer, also answers with 410, 429, 503, 500 and those without a readable body. A header that is missing, empty, not a number, negative or beyond 64 bits counts as no era, and the answer carries the reason.

--- a/packages/storage/types/feed_error.hpp
+++ b/packages/storage/types/feed_error.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEWARD_STORAGE_TYPES_FEED_ERROR_HPP
 #define ENDIVEWARD_STORAGE_TYPES_FEED_ERROR_HPP
 
+#include <cstdint>
 #include <string>
 
 namespace endiveward::storage
@@ -23,6 +24,11 @@
 
     reason why = reason::unreachable;
     std::string message;
+    /// Era of the store that the answer names; 0 if it names none.
+    std::uint64_t era = 0;
+    /// Why an answer names no era; empty if it names one or if there was no
+    /// answer.
+    std::string era_reason = {};
 };
 
 } // namespace endiveward::storage
--- a/packages/storage/types/row_batch.hpp
+++ b/packages/storage/types/row_batch.hpp
@@ -4,6 +4,7 @@
 #include "kernel/types/store_position.hpp"
 #include "storage/types/table_row.hpp"
 
+#include <string>
 #include <vector>
 
 namespace endiveward::storage
@@ -13,7 +14,10 @@
 struct row_batch
 {
     std::vector<table_row> rows;
+    /// Its era is 0 if the answer names none.
     kernel::store_position position;
+    /// Why the answer names no era; empty if it names one.
+    std::string era_reason = {};
 };
 
 } // namespace endiveward::storage
