follower: Follow the store over a restore from a copy

After a restore the versions of the store go back and are given out again. The follower dropped every batch below its own version, so that it ignored all changes until the numbers had caught up, and then mixed rows of two histories.

Positions are compared by era first. Any answer of a newer era, errors included, or another process that names one makes the follower read the table again, after a random delay of up to 1 s; the known rows stay until then and are replaced by the full read. Answers of an older era change nothing, also those of calls that were open over the restore. Answers without an era count as of the era of their call. What is odd about eras is logged once for each era.

cluster_view compares operators' rows by their own versions, as before, over eras. For endpoints restored_entries holds what this process knows to be newer than the copy: draining, removed and restarted ones for 10 s, missing ones for the grace period of 2.4 s. A row that changes after the full read counts at once.

The decoder of cluster_view_test moved to tests/support and reads an incarnation; no check of an existing test changed.

--- a/packages/follower/cluster_view.hpp
+++ b/packages/follower/cluster_view.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEWARD_FOLLOWER_CLUSTER_VIEW_HPP
 
 #include "follower/i_table_listener.hpp"
+#include "follower/restored_entries.hpp"
 #include "gateway/types/endpoint_entry.hpp"
 #include "kernel/i_clock.hpp"
 #include "kernel/types/identifiers.hpp"
@@ -46,13 +47,28 @@
     /// Whether a configuration and the list of endpoints are known.
     bool complete() const;
     std::vector<gateway::endpoint_entry> endpoint_list() const;
+    /// The operators' rows with the newest content. After the store was
+    /// restored from a copy, the table may lack them for some time.
+    std::vector<storage::table_row> operator_rows_in_force() const;
+    /// Ends the holds after a restore that are over. Runs by a timer, too.
+    void release_held_entries();
 
 private:
     class operators_listener;
     class endpoints_listener;
 
+    struct named_target
+    {
+        weights::weight_version version = 0;
+        storage::table_row row;
+    };
+
     void on_operator_row(storage::table_row const& row);
     void on_endpoint_rows(std::vector<storage::table_row> const& rows);
+    void on_restored_endpoints(std::vector<storage::table_row> const& rows,
+                               kernel::store_position const& position);
+    void plan_release();
+    void log_era(char const* table, era_notice const& notice);
     void on_endpoints_reachability_change(bool reachable,
                                           std::string const& reason);
     void remove_expired();
@@ -66,13 +82,16 @@
     std::unique_ptr<endpoints_listener> endpoints_;
     asio::steady_timer expiry_timer_;
     kernel::config_version config_version_ = 0;
-    std::map<kernel::model_id, weights::weight_version> targets_;
+    storage::table_row config_row_;
+    std::map<kernel::model_id, named_target> targets_;
     std::map<std::string, gateway::endpoint_entry> entries_;
     /// Keys of entries that expired while the store was unreachable and may be
     /// registered again.
     std::vector<std::string> expired_;
     std::optional<kernel::steady_time> reachable_since_;
     bool endpoints_known_ = false;
+    restored_entries restored_;
+    asio::steady_timer release_timer_;
 };
 
 } // namespace endiveward::follower
--- a/packages/follower/internal/cluster_view.cpp
+++ b/packages/follower/internal/cluster_view.cpp
@@ -2,6 +2,7 @@
 
 #include "follower/i_cluster_observer.hpp"
 #include "follower/i_entry_decoder.hpp"
+#include "follower/internal/reregistration_grace.hpp"
 #include "gateway/routing_table.hpp"
 #include "observe/decision_log.hpp"
 
@@ -13,11 +14,12 @@
 namespace
 {
 
-/// Grace period for entries that expired during an outage of the store. The
-/// platform guarantees that the entry of a live endpoint that reaches the store
-/// is back within about 2 s of the store's return; one still missing after that
-/// is gone.
-constexpr std::chrono::milliseconds reregistration_grace{2400};
+/// The same content may be written again, after the store was restored.
+void keep_newer(storage::table_row& known, storage::table_row const& row)
+{
+    if (row.position > known.position)
+        known = row;
+}
 
 } // namespace
 
@@ -39,6 +41,22 @@
         }
     }
 
+    // The operator's own versions rise over a restore, so that the content
+    // decides as it does for changes.
+    void on_restored_rows(std::vector<storage::table_row> const& rows,
+                          kernel::store_position const& position) override
+    {
+        view_.log_.write("store_restored",
+                         "table=operators era={} row_version={} rows={}",
+                         position.era, position.version, rows.size());
+        on_rows(rows, position);
+    }
+
+    void on_era_notice(era_notice const& notice) override
+    {
+        view_.log_era("operators", notice);
+    }
+
     void on_reachability_change(bool reachable,
                                 std::string const& reason) override
     {
@@ -64,6 +82,17 @@
         view_.on_endpoint_rows(changed);
     }
 
+    void on_restored_rows(std::vector<storage::table_row> const& rows,
+                          kernel::store_position const& position) override
+    {
+        view_.on_restored_endpoints(rows, position);
+    }
+
+    void on_era_notice(era_notice const& notice) override
+    {
+        view_.log_era("endpoints", notice);
+    }
+
     void on_reachability_change(bool reachable,
                                 std::string const& reason) override
     {
@@ -86,6 +115,8 @@
     , operators_(std::make_unique<operators_listener>(*this))
     , endpoints_(std::make_unique<endpoints_listener>(*this))
     , expiry_timer_(context)
+    , restored_(clock)
+    , release_timer_(context)
 {
 }
 
@@ -106,6 +137,38 @@
     return config_version_ != 0 && endpoints_known_;
 }
 
+void cluster_view::log_era(char const* table, era_notice const& notice)
+{
+    switch (notice.what)
+    {
+    case era_notice::kind::newer:
+        // Eras rise by one; more than that is a restore that was missed or an
+        // answer that is wrong.
+        log_.write("store_era", "table={} known={} named={} skipped={}", table,
+                   notice.known, notice.named,
+                   notice.known != 0 ? notice.named - notice.known - 1 : 0);
+        break;
+    case era_notice::kind::older:
+        log_.write("store_answer_outdated", "table={} known={} named={}", table,
+                   notice.known, notice.named);
+        break;
+    case era_notice::kind::unnamed:
+        log_.write("store_era_unnamed", "table={} known={} reason=\"{}\"",
+                   table, notice.known, notice.reason);
+        break;
+    }
+}
+
+std::vector<storage::table_row> cluster_view::operator_rows_in_force() const
+{
+    std::vector<storage::table_row> res;
+    if (config_version_ != 0)
+        res.push_back(config_row_);
+    for (auto const& [model, it] : targets_)
+        res.push_back(it.row);
+    return res;
+}
+
 void cluster_view::on_operator_row(storage::table_row const& row)
 {
     auto decoded = decoder_.decode_operator_row(row.key, row.value);
@@ -122,9 +185,12 @@
         kernel::overloaded{
             [&](gateway::routing_config& config)
             {
-                if (config.version <= config_version_)
+                if (config.version == config_version_)
+                    return keep_newer(config_row_, row);
+                if (config.version < config_version_)
                     return;
                 config_version_ = config.version;
+                config_row_ = row;
                 observer_.on_configuration(
                     std::make_shared<gateway::routing_table const>(
                         std::move(config)));
@@ -132,9 +198,11 @@
             [&](weights::model_target const& target)
             {
                 auto& known = targets_[target.model];
-                if (target.version <= known)
+                if (target.version == known.version)
+                    return keep_newer(known.row, row);
+                if (target.version < known.version)
                     return;
-                known = target.version;
+                known = {target.version, row};
                 observer_.on_target(target, row, clock_.now());
             },
             [](unrelated_row) {}},
@@ -152,6 +220,8 @@
         if (it.deleted)
         {
             auto const found = entries_.find(it.key);
+            restored_.on_removed(
+                it.key, found == entries_.end() ? nullptr : &found->second);
             if (found == entries_.end())
                 continue;
             if (in_grace_period && !found->second.draining)
@@ -164,6 +234,7 @@
                        it.key, it.position.version, in_grace_period);
             continue;
         }
+        restored_.on_changed(it.key);
         auto decoded = decoder_.decode_endpoint_row(it.key, it.value);
         if (kernel::ok(decoded))
         {
@@ -199,6 +270,68 @@
     publish_endpoints();
 }
 
+/// The first full read of a new era. An entry of the copy may be older than
+/// what this process knows; later changes are not.
+void cluster_view::on_restored_endpoints(
+    std::vector<storage::table_row> const& rows,
+    kernel::store_position const& position)
+{
+    restored_entries::entry_map copy;
+    for (auto const& it : rows)
+    {
+        auto decoded = decoder_.decode_endpoint_row(it.key, it.value);
+        if (kernel::ok(decoded))
+        {
+            copy[it.key] = kernel::value(std::move(decoded));
+            continue;
+        }
+        // An endpoint with an unreadable entry must not be used.
+        entries_.erase(it.key);
+        log_.write("entry_ignored",
+                   "table=endpoints key={} row_version={} "
+                   "reason=\"{}\"",
+                   it.key, it.position.version,
+                   kernel::failure(decoded).message);
+    }
+    expired_.clear();
+    auto res = restored_.on_restored(entries_, copy);
+    log_.write("store_restored",
+               "table=endpoints era={} row_version={} rows={} entries={} "
+               "held_draining={} held_removed={} held_missing={}",
+               position.era, position.version, rows.size(), res.entries.size(),
+               res.held_draining, res.held_removed, res.held_missing);
+    entries_ = std::move(res.entries);
+    endpoints_known_ = true;
+    plan_release();
+    publish_endpoints();
+}
+
+void cluster_view::plan_release()
+{
+    auto const due = restored_.next_release();
+    if (!due)
+        return;
+    release_timer_.expires_after(*due - clock_.now());
+    release_timer_.async_wait(
+        [this](std::error_code ec)
+        {
+            if (!ec)
+                release_held_entries();
+        });
+}
+
+void cluster_view::release_held_entries()
+{
+    auto const released = restored_.release(entries_);
+    plan_release();
+    if (released == 0)
+        return;
+    log_.write("held_entries_released",
+               "table=endpoints released={} entries={}", released,
+               entries_.size());
+    publish_endpoints();
+}
+
 void cluster_view::on_endpoints_reachability_change(bool reachable,
                                                     std::string const& reason)
 {
--- a/packages/follower/tests/cluster_view_test.cpp
+++ b/packages/follower/tests/cluster_view_test.cpp
@@ -1,6 +1,6 @@
 #include "follower/cluster_view.hpp"
 #include "follower/i_cluster_observer.hpp"
-#include "follower/i_entry_decoder.hpp"
+#include "follower/tests/support/versioned_decoder.hpp"
 #include "gateway/routing_table.hpp"
 #include "kernel/manual_clock.hpp"
 #include "observe/decision_log.hpp"
@@ -8,47 +8,15 @@
 #include <asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <string>
+
 namespace endiveward::follower
 {
 
 namespace
 {
 
-/// Decodes `c5` as a configuration of version 5 and `t7` as weights of version
-/// 7. The row of an endpoint is `ready` or `draining`; others are invalid.
-struct test_decoder : i_entry_decoder
-{
-    kernel::result<operator_entry>
-    decode_operator_row(std::string const&,
-                        std::string const& value) const override
-    {
-        if (value.starts_with("c"))
-        {
-            gateway::routing_config res;
-            res.version = std::stoul(value.substr(1));
-            return operator_entry(res);
-        }
-        if (value.starts_with("t"))
-            return operator_entry(weights::model_target{
-                kernel::model_id("m"), std::stoul(value.substr(1))});
-        return kernel::error{
-            kernel::error_kind::protocol_violation, "bad", {}, {}};
-    }
-
-    kernel::result<gateway::endpoint_entry>
-    decode_endpoint_row(std::string const& key,
-                        std::string const& value) const override
-    {
-        if (value != "ready" && value != "draining")
-            return kernel::error{
-                kernel::error_kind::protocol_violation, "bad", {}, {}};
-        gateway::endpoint_entry res;
-        res.id = kernel::endpoint_id(key);
-        res.draining = value == "draining";
-        return res;
-    }
-};
-
 struct recording_observer : i_cluster_observer
 {
     void on_configuration(
@@ -85,7 +53,7 @@
     asio::io_context context;
     kernel::manual_clock clock;
     observe::decision_log log;
-    test_decoder decoder;
+    tests::versioned_decoder decoder;
     recording_observer observer;
     cluster_view view;
 };
@@ -156,4 +124,110 @@
     CHECK(f.observer.last.empty());
 }
 
+// Guards against a revoked key or older weights that are in force again because
+// the store was restored from a copy.
+TEST_CASE("operators' versions decide over eras of the store")
+{
+    fixture f;
+    auto& listener = f.view.operator_rows_listener();
+    listener.on_rows(
+        {{"config", "c9", {1, 30}, false}, {"w", "t4", {1, 31}, false}},
+        {1, 31});
+    listener.on_restored_rows(
+        {{"config", "c7", {2, 5}, false}, {"w", "t3", {2, 6}, false}}, {2, 6});
+    CHECK(f.view.config_version() == 9);
+    CHECK(f.observer.targets == std::vector<weights::weight_version>{4});
+    // Other processes still get the rows that the store lacks.
+    auto const lost = f.view.operator_rows_in_force();
+    REQUIRE(lost.size() == 2);
+    CHECK(lost[0] == storage::table_row{"config", "c9", {1, 30}, false});
+    CHECK(lost[1] == storage::table_row{"w", "t4", {1, 31}, false});
+    // The operator writes the last version again, then a new one.
+    listener.on_rows({{"config", "c9", {2, 8}, false}}, {2, 8});
+    CHECK(f.view.operator_rows_in_force()[0].position ==
+          kernel::store_position{2, 8});
+    listener.on_rows(
+        {{"config", "c11", {2, 9}, false}, {"w", "t5", {2, 10}, false}},
+        {2, 10});
+    CHECK(f.observer.versions == std::vector<kernel::config_version>{9, 11});
+    CHECK(f.observer.targets == std::vector<weights::weight_version>{4, 5});
+    // A row of the earlier era that another process knows.
+    listener.on_rows({{"config", "c10", {1, 90}, false}}, {2, 10});
+    CHECK(f.view.config_version() == 11);
+    listener.on_rows({{"config", "c12", {1, 95}, false}}, {2, 10});
+    CHECK(f.view.config_version() == 12);
+}
+
+namespace
+{
+
+std::map<std::string, bool> draining_by_id(recording_observer const& observer)
+{
+    std::map<std::string, bool> res;
+    for (auto const& it : observer.last)
+        res[it.id.str()] = it.draining;
+    return res;
+}
+
+} // namespace
+
+// Guards against requests to endpoints that the copy brings back, and against
+// endpoints that are dropped because the copy lacks them.
+TEST_CASE("a restored list of endpoints does not undo what is known")
+{
+    using draining_map = std::map<std::string, bool>;
+    fixture f;
+    f.clock.advance(std::chrono::seconds(100));
+    auto& listener = f.view.endpoint_rows_listener();
+    listener.on_rows({{"drained", "draining/1", {1, 30}, false},
+                      {"removed", "ready/1", {1, 31}, false},
+                      {"missing", "ready/1", {1, 32}, false},
+                      {"restarted", "ready/1", {1, 33}, false},
+                      {"same", "ready/1", {1, 34}, false}},
+                     {1, 40});
+    listener.on_rows({{"removed", "", {1, 41}, true}}, {1, 41});
+    std::vector<storage::table_row> const copy = {
+        {"drained", "ready/1", {2, 3}, false},
+        {"removed", "ready/1", {2, 4}, false},
+        {"restarted", "ready/2", {2, 5}, false},
+        {"same", "ready/1", {2, 6}, false}};
+    listener.on_restored_rows(copy, {2, 20});
+    CHECK(draining_by_id(f.observer) == draining_map{{"drained", true},
+                                                     {"missing", false},
+                                                     {"restarted", false},
+                                                     {"same", false}});
+    // What is written after the read counts at once, also if it looks like the
+    // row of the copy.
+    listener.on_rows({{"removed", "ready/1", {2, 21}, false},
+                      {"drained", "ready/1", {2, 22}, false}},
+                     {2, 22});
+    CHECK(draining_by_id(f.observer) == draining_map{{"drained", false},
+                                                     {"missing", false},
+                                                     {"removed", false},
+                                                     {"restarted", false},
+                                                     {"same", false}});
+    f.clock.advance(std::chrono::seconds(3));
+    f.view.release_held_entries();
+    CHECK_FALSE(draining_by_id(f.observer).contains("missing"));
+    // A second restore.
+    listener.on_restored_rows(copy, {3, 20});
+    f.clock.advance(std::chrono::seconds(11));
+    f.view.release_held_entries();
+    CHECK(draining_by_id(f.observer) == draining_map{{"drained", false},
+                                                     {"removed", false},
+                                                     {"restarted", false},
+                                                     {"same", false}});
+}
+
+// Guards against an endpoint with an unreadable row that stays in use.
+TEST_CASE("an unreadable row of the copy drops its endpoint")
+{
+    fixture f;
+    f.view.endpoint_rows_listener().on_rows({{"a", "ready/1", {1, 3}, false}},
+                                            {1, 3});
+    f.view.endpoint_rows_listener().on_restored_rows(
+        {{"a", "bad", {2, 1}, false}}, {2, 1});
+    CHECK(f.observer.last.empty());
+}
+
 } // namespace endiveward::follower
--- a/packages/follower/types/follower_options.hpp
+++ b/packages/follower/types/follower_options.hpp
@@ -35,6 +35,11 @@
     /// `max_backoff`.
     std::chrono::milliseconds initial_backoff{100};
     std::chrono::milliseconds max_backoff{1000};
+    /// A table is read again at a random moment within this time after the
+    /// first answer of a new era, since hundreds of processes receive one at
+    /// the same moment. Not above the longest pause between two calls for
+    /// changes, so that changes of the new era are known no later than others.
+    std::chrono::milliseconds restored_read_spread{1000};
     /// Time between two calls in `follow_mode::periodic`.
     std::chrono::milliseconds period{20000};
 };
