enginelink, follower: Exchange rows over a restore of the store

A process that starts while the operators have not written again yet knows only the copy, although others have read newer rows before.

A request tells the receiver the era of its sender, so that it reads its table again.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -156,6 +156,7 @@
     operators_ =
         follow(platform::operators_table, view_->operator_rows_listener());
     row_exchange_.set_follower(operators_);
+    row_exchange_.set_view(*view_);
     endpoints_ =
         follow(platform::endpoints_table, view_->endpoint_rows_listener());
 }
--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -128,6 +128,7 @@
         pool_.context(0), store_, random_, view_->operator_rows_listener(),
         options);
     row_exchange_.set_follower(operators_);
+    row_exchange_.set_view(*view_);
     operators_->start();
     cache_follower_.start();
     flush();
--- a/packages/enginelink/i_row_source.hpp
+++ b/packages/enginelink/i_row_source.hpp
@@ -4,6 +4,7 @@
 #include "kernel/types/store_position.hpp"
 #include "wire/types/table_row.hpp"
 
+#include <cstdint>
 #include <vector>
 
 namespace endiveward::enginelink
@@ -22,6 +23,9 @@
     virtual void merge(std::vector<wire::table_row> const& rows) = 0;
     /// Position of the newest row that this process knows.
     virtual kernel::store_position position() const = 0;
+    /// Another process has named this era of the store. If it is newer, the
+    /// table is read again.
+    virtual void on_named_era(std::uint64_t era) = 0;
 };
 
 } // namespace endiveward::enginelink
--- a/packages/enginelink/internal/agent_links.cpp
+++ b/packages/enginelink/internal/agent_links.cpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace endiveward::enginelink
 {
@@ -138,7 +139,11 @@
         else if (auto const* change = std::get_if<wire::cache_change>(&msg))
             listener_.on_cache_change(id, *change);
         else if (auto const* request = std::get_if<wire::table_request>(&msg))
+        {
             conn->send(wire::table_rows{rows_.rows_after(request->after)});
+            rows_.on_named_era(request->after.era);
+            request_lost_rows(*conn, request->after.era);
+        }
         else if (auto const* response = std::get_if<wire::table_rows>(&msg))
             rows_.merge(response->rows);
     }
@@ -189,6 +194,21 @@
         it.connection = nullptr;
     }
 
+    /// An agent that still has an older era may know rows that the copy lacks
+    /// from which the store was restored.
+    void request_lost_rows(wire::i_connection& conn, std::uint64_t agent_era)
+    {
+        auto const position = rows_.position();
+        if (agent_era >= position.era)
+            return;
+        if (std::exchange(lost_rows_era_, position.era) != position.era)
+            lost_row_requests_ = 0;
+        if (lost_row_requests_ >= row_request_fanout)
+            return;
+        ++lost_row_requests_;
+        conn.send(wire::table_request{position});
+    }
+
     void connect(std::shared_ptr<link> const& it)
     {
         connector_->connect(
@@ -247,8 +267,12 @@
     /// receives hundreds a second.
     std::unordered_map<wire::i_connection const*, std::shared_ptr<link>>
         by_connection_;
-    /// The latest version of each row.
+    /// The row of each key that was sent last. Its content is the newest; its
+    /// position may be lower than before if the store was restored.
     std::map<std::string, wire::table_row> sent_rows_;
+    /// Requests for rows that the store lost before this era.
+    std::uint64_t lost_rows_era_ = 0;
+    std::size_t lost_row_requests_ = 0;
 };
 
 agent_links::agent_links(asio::io_context& context,
--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -36,6 +36,14 @@
         scheduler_.set_routers(routers_.size());
         conn->send(scheduler_.state());
         conn->send(scheduler_.cache());
+        // The router may have started after the store was restored from a copy
+        // that lacks what this process has read before. The position tells it
+        // whether to ask; rows that are known to be missing are sent at once.
+        auto const position = rows_.position();
+        auto missing = rows_.rows_after(position);
+        if (!missing.empty())
+            conn->send(wire::table_rows{std::move(missing)});
+        conn->send(wire::table_request{position});
     }
 
     void on_message(std::shared_ptr<wire::i_connection> const& conn,
@@ -45,6 +53,7 @@
         {
             last_row_request_ = clock_.now();
             conn->send(wire::table_rows{rows_.rows_after(request->after)});
+            rows_.on_named_era(request->after.era);
         }
         else if (auto const* response = std::get_if<wire::table_rows>(&msg))
             rows_.merge(response->rows);
--- a/packages/enginelink/tests/links_test.cpp
+++ b/packages/enginelink/tests/links_test.cpp
@@ -10,6 +10,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -50,6 +51,18 @@
         return rows.empty() ? kernel::store_position() : rows.back().position;
     }
 
+    void on_named_era(std::uint64_t era) override
+    {
+        std::lock_guard const lock(mutex);
+        named_era = std::max(named_era, era);
+    }
+
+    std::uint64_t newest_named_era() const
+    {
+        std::lock_guard const lock(mutex);
+        return named_era;
+    }
+
     std::size_t size() const
     {
         std::lock_guard const lock(mutex);
@@ -58,6 +71,7 @@
 
     mutable std::mutex mutex;
     std::vector<wire::table_row> rows;
+    std::uint64_t named_era = 0;
 };
 
 struct recording_listener : i_engine_listener
@@ -289,6 +303,83 @@
     CHECK(a.rows.size() == 1);
 }
 
+// Guards against a process that follows an old era of the store although others
+// already know of the restore.
+TEST_CASE("a request for rows tells the other process the era of the store")
+{
+    test_agent a;
+    a.rows.merge({{"config", "old", {1, 70}}});
+    test_router r;
+    r.rows.merge({{"config", "new", {2, 7}}});
+    r.connect(a.port);
+    REQUIRE(wait_until([&] { return r.listener.states > 0; }));
+    r.run([&] { r.links.request_rows(); });
+    CHECK(wait_until([&] { return a.rows.newest_named_era() == 2; }));
+    a.run([&] { a.publisher.request_rows(); });
+    CHECK(wait_until([&] { return a.rows.position().era == 2; }));
+    CHECK(r.rows.newest_named_era() == 1);
+    // No row of the old era was sent for the request from the new one.
+    CHECK(r.rows.size() == 1);
+}
+
+// Guards against a router that starts after a restore and uses a configuration
+// that is older than what the agents have read before.
+TEST_CASE("a router asks an agent of an older era for what the store lost")
+{
+    test_agent a;
+    a.rows.merge({{"config", "newest", {1, 70}}});
+    test_router r;
+    r.rows.merge({{"config", "copy", {2, 7}}});
+    r.connect(a.port);
+    std::optional<kernel::steady_time> requested;
+    CHECK(wait_until(
+        [&]
+        {
+            a.run([&] { requested = a.publisher.last_row_request(); });
+            return requested.has_value();
+        }));
+    CHECK(wait_until([&] { return a.rows.newest_named_era() == 2; }));
+}
+
+// Guards against calls of agents to the store that a router causes which only
+// connects.
+TEST_CASE("a router does not ask an agent of the same era on connecting")
+{
+    test_agent a;
+    a.rows.merge({{"config", "1", {2, 8}}});
+    test_router r;
+    r.rows.merge({{"config", "1", {2, 7}}});
+    r.connect(a.port);
+    REQUIRE(wait_until(
+        [&] {
+            return a.rows.newest_named_era() == 0 &&
+                   r.rows.newest_named_era() == 2;
+        }));
+    // A further message in each direction, so that a request would be there.
+    a.run([&] { a.publisher.publish(make_state(true)); });
+    r.run([&] { r.links.send_row({"last", "1", {2, 9}}); });
+    REQUIRE(wait_until([&] { return a.rows.position().version == 9; }));
+    std::optional<kernel::steady_time> requested;
+    a.run([&] { requested = a.publisher.last_row_request(); });
+    CHECK_FALSE(requested);
+}
+
+// Guards against an agent that gets the row of the era before the restore
+// because its version is greater.
+TEST_CASE("the row sent last counts, also if the store was restored")
+{
+    test_agent a;
+    test_router r;
+    r.run([&] { r.links.send_row({"version", "3", {1, 90}}); });
+    r.run([&] { r.links.send_row({"version", "4", {2, 11}}); });
+    r.connect(a.port);
+    CHECK(wait_until(
+        [&] {
+            return a.rows.position() == kernel::store_position{2, 11};
+        }));
+    CHECK(a.rows.size() == 1);
+}
+
 TEST_CASE("a lost link is reported")
 {
     test_router r;
