--- a/packages/kernel/types/store_position.hpp
+++ b/packages/kernel/types/store_position.hpp
@@ -17,6 +17,7 @@
     /// Grows with each change of any row.
     std::uint64_t version = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(store_position const&) const = default;
 };
 
