--- a/packages/follower/cluster_view.hpp
+++ b/packages/follower/cluster_view.hpp
@@ -50,7 +50,8 @@
     /// The operators' rows with the newest content. After the store was
     /// restored from a copy, the table may lack them for some time.
     std::vector<storage::table_row> operator_rows_in_force() const;
-    /// Ends the holds after a restore that are over. Runs by a timer, too.
+    /// Ends the holds after an outage or a restore that are over. Runs by
+    /// timers, too.
     void release_held_entries();
 
 private:
@@ -63,7 +64,7 @@
         storage::table_row row;
     };
 
-    void on_operator_row(storage::table_row const& row);
+    void on_operator_row(storage::table_row const& row, std::uint64_t era);
     void on_endpoint_rows(std::vector<storage::table_row> const& rows);
     void on_restored_endpoints(std::vector<storage::table_row> const& rows,
                                kernel::store_position const& position);
@@ -89,6 +90,8 @@
     /// registered again.
     std::vector<std::string> expired_;
     std::optional<kernel::steady_time> reachable_since_;
+    /// Whether the operators' table has been read once.
+    bool operator_rows_known_ = false;
     bool endpoints_known_ = false;
     restored_entries restored_;
     asio::steady_timer release_timer_;
--- a/packages/follower/internal/cluster_view.cpp
+++ b/packages/follower/internal/cluster_view.cpp
@@ -32,13 +32,17 @@
     }
 
     void on_rows(std::vector<storage::table_row> const& changed,
-                 kernel::store_position const&) override
+                 kernel::store_position const& position) override
     {
         for (auto const& it : changed)
         {
             if (!it.deleted)
-                view_.on_operator_row(it);
+                view_.on_operator_row(it, position.era);
         }
+        // Rows that another process has passed on come without a position
+        // until the table has been read.
+        if (position != kernel::store_position())
+            view_.operator_rows_known_ = true;
     }
 
     // The operator's own versions rise over a restore, so that the content
@@ -169,7 +173,8 @@
     return res;
 }
 
-void cluster_view::on_operator_row(storage::table_row const& row)
+void cluster_view::on_operator_row(storage::table_row const& row,
+                                   std::uint64_t era)
 {
     auto decoded = decoder_.decode_operator_row(row.key, row.value);
     if (!kernel::ok(decoded))
@@ -203,7 +208,12 @@
                 if (target.version < known.version)
                     return;
                 known = {target.version, row};
-                observer_.on_target(target, row, clock_.now());
+                // A row of an earlier era was written some time before.
+                auto const named_now =
+                    operator_rows_known_ && row.position.era >= era;
+                observer_.on_target(target, row,
+                                    named_now ? std::optional(clock_.now())
+                                              : std::nullopt);
             },
             [](unrelated_row) {}},
         kernel::value(decoded));
@@ -259,7 +269,8 @@
     endpoints_known_ = true;
     if (!expired_.empty())
     {
-        expiry_timer_.expires_at(*reachable_since_ + reregistration_grace);
+        expiry_timer_.expires_after(*reachable_since_ + reregistration_grace -
+                                    clock_.now());
         expiry_timer_.async_wait(
             [this](std::error_code ec)
             {
@@ -322,6 +333,9 @@
 
 void cluster_view::release_held_entries()
 {
+    if (!expired_.empty() &&
+        clock_.now() >= *reachable_since_ + reregistration_grace)
+        remove_expired();
     auto const released = restored_.release(entries_);
     plan_release();
     if (released == 0)
--- a/packages/follower/tests/row_exchange_test.cpp
+++ b/packages/follower/tests/row_exchange_test.cpp
@@ -11,6 +11,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <optional>
 
 namespace endiveward::follower
 {
@@ -49,7 +50,7 @@
     }
     void on_endpoints(std::vector<gateway::endpoint_entry> const&) override {}
     void on_target(weights::model_target const& target, table_row const&,
-                   kernel::steady_time) override
+                   std::optional<kernel::steady_time>) override
     {
         targets[target.model] = target.version;
     }
