--- a/packages/follower/cluster_view.hpp
+++ b/packages/follower/cluster_view.hpp
@@ -72,6 +72,7 @@
     void log_era(char const* table, era_notice const& notice);
     void on_endpoints_reachability_change(bool reachable,
                                           std::string const& reason);
+    void plan_expiry();
     void remove_expired();
     void publish_endpoints();
 
@@ -86,9 +87,9 @@
     storage::table_row config_row_;
     std::map<kernel::model_id, named_target> targets_;
     std::map<std::string, gateway::endpoint_entry> entries_;
-    /// Keys of entries that expired while the store was unreachable and may be
-    /// registered again.
-    std::vector<std::string> expired_;
+    /// Entries that expired while the store was unreachable and may be
+    /// registered again, with the ends of their grace periods.
+    std::map<std::string, kernel::steady_time> expired_;
     std::optional<kernel::steady_time> reachable_since_;
     /// Whether the operators' table has been read once.
     bool operator_rows_known_ = false;
--- a/packages/follower/internal/cluster_view.cpp
+++ b/packages/follower/internal/cluster_view.cpp
@@ -226,7 +226,7 @@
         reachable_since_ && now - *reachable_since_ < reregistration_grace;
     for (auto const& it : rows)
     {
-        std::erase(expired_, it.key);
+        expired_.erase(it.key);
         if (it.deleted)
         {
             auto const found = entries_.find(it.key);
@@ -234,14 +234,15 @@
                 it.key, found == entries_.end() ? nullptr : &found->second);
             if (found == entries_.end())
                 continue;
-            if (in_grace_period && !found->second.draining)
-                expired_.push_back(it.key);
+            auto const held = in_grace_period && !found->second.draining;
+            if (held)
+                expired_[it.key] = *reachable_since_ + reregistration_grace;
             else
                 entries_.erase(found);
             log_.write("endpoint_removed",
                        "endpoint={} row_version={} "
                        "held_back={}",
-                       it.key, it.position.version, in_grace_period);
+                       it.key, it.position.version, held);
             continue;
         }
         restored_.on_changed(it.key);
@@ -267,20 +268,26 @@
                    kernel::failure(decoded).message);
     }
     endpoints_known_ = true;
-    if (!expired_.empty())
-    {
-        expiry_timer_.expires_after(*reachable_since_ + reregistration_grace -
-                                    clock_.now());
-        expiry_timer_.async_wait(
-            [this](std::error_code ec)
-            {
-                if (!ec)
-                    remove_expired();
-            });
-    }
+    plan_expiry();
     publish_endpoints();
 }
 
+void cluster_view::plan_expiry()
+{
+    if (expired_.empty())
+        return;
+    auto const first = std::min_element(expired_.begin(), expired_.end(),
+                                        [](auto const& a, auto const& b)
+                                        { return a.second < b.second; });
+    expiry_timer_.expires_after(first->second - clock_.now());
+    expiry_timer_.async_wait(
+        [this](std::error_code ec)
+        {
+            if (!ec)
+                remove_expired();
+        });
+}
+
 /// The first full read of a new era. An entry of the copy may be older than
 /// what this process knows; later changes are not.
 void cluster_view::on_restored_endpoints(
@@ -333,9 +340,7 @@
 
 void cluster_view::release_held_entries()
 {
-    if (!expired_.empty() &&
-        clock_.now() >= *reachable_since_ + reregistration_grace)
-        remove_expired();
+    remove_expired();
     auto const released = restored_.release(entries_);
     plan_release();
     if (released == 0)
@@ -357,10 +362,18 @@
 
 void cluster_view::remove_expired()
 {
-    for (auto const& it : expired_)
-        entries_.erase(it);
-    expired_.clear();
-    publish_endpoints();
+    auto const now = clock_.now();
+    auto const removed = std::erase_if(expired_,
+                                       [&](auto const& it)
+                                       {
+                                           if (it.second > now)
+                                               return false;
+                                           entries_.erase(it.first);
+                                           return true;
+                                       });
+    plan_expiry();
+    if (removed > 0)
+        publish_endpoints();
 }
 
 void cluster_view::publish_endpoints()
--- a/packages/follower/tests/cluster_view_test.cpp
+++ b/packages/follower/tests/cluster_view_test.cpp
@@ -271,4 +271,28 @@
     CHECK(weights.may_start(model, 3, f.clock.now() + seconds(1)));
 }
 
+// Guards against requests to an endpoint that has left: each short loss of
+// contact with the store renewed the grace period of entries held back before.
+TEST_CASE("a grace period is not renewed by a further loss of contact")
+{
+    using std::chrono::milliseconds;
+    fixture f;
+    f.clock.advance(std::chrono::seconds(100));
+    auto& rows = f.view.endpoint_rows_listener();
+    rows.on_rows({{"a", "ready", {0, 1}, false}}, {0, 1});
+    rows.on_reachability_change(false, "timeout");
+    rows.on_reachability_change(true, "");
+    f.clock.advance(milliseconds(100));
+    rows.on_rows({{"a", "", {0, 3}, true}}, {0, 3});
+    REQUIRE(f.observer.last.size() == 1);
+    f.clock.advance(milliseconds(2200));
+    rows.on_reachability_change(false, "status=429");
+    rows.on_reachability_change(true, "");
+    rows.on_rows({{"b", "ready", {0, 5}, false}}, {0, 5});
+    f.clock.advance(milliseconds(1200));
+    f.view.release_held_entries();
+    REQUIRE(f.observer.last.size() == 1);
+    CHECK(f.observer.last[0].id.str() == "b");
+}
+
 } // namespace endiveward::follower
