gateway: Test an endpoint that announces its exit under load

Six callers send requests one after the other while one of two endpoints begins to announce its exit. The order of events, not a time, decides the verdict.

The test of the kinds of answers does not wait after its last request any more: a request that was answered is sent nowhere else.

--- a/packages/gateway/tests/gateway_test.cpp
+++ b/packages/gateway/tests/gateway_test.cpp
@@ -586,10 +586,70 @@
         caller.send(get_request(path, "id" + std::to_string(n)));
         CHECK_FALSE(contains(caller.read_until("\r\n\r\n"), "X-Leaving"));
     }
-    std::this_thread::sleep_for(milliseconds(200));
     CHECK(leaving.requests() == 1);
 }
 
+// Load pattern: six callers send one request after the other when one of two
+// endpoints begins to announce its exit. What they send after one of them has
+// received the first such answer must not reach it.
+TEST_CASE("an endpoint that announces its exit under load gets no further "
+          "request")
+{
+    std::atomic<int> taken{0};
+    scripted_endpoint leaving(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            auto const announces = ++taken > 10;
+            conn.answer(request, 200, announces ? "bye!!" : "ok!!",
+                        announces ? "X-Leaving: 1\r\n" : "");
+            return true;
+        });
+    scripted_endpoint serving(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.answer(request, 200, "ok!!");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({leaving.port(), serving.port()});
+    constexpr int callers = 6;
+    constexpr int requests = 60;
+    std::atomic<bool> announced{false};
+    std::atomic<int> served{0};
+    std::vector<std::thread> threads;
+    threads.reserve(callers);
+    for (int k = 0; k < callers; ++k)
+        threads.emplace_back(
+            [&, k]
+            {
+                test_caller caller(gate.port());
+                for (int n = 0; n < requests; ++n)
+                {
+                    auto const id =
+                        std::string(announced ? "after" : "before") +
+                        std::to_string(k) + "-" + std::to_string(n);
+                    auto const* const path = n % 2 == 0 ? "/once/" : "/safe/";
+                    caller.clear();
+                    caller.send(get_request(path, id));
+                    auto const text = caller.read_until("!!");
+                    if (text.starts_with("HTTP/1.1 200"))
+                        ++served;
+                    if (contains(text, "bye!!"))
+                        announced = true;
+                }
+            });
+    for (auto& it : threads)
+        it.join();
+    CHECK(served == callers * requests);
+    CHECK(announced);
+    int late = 0;
+    for (auto const& it : leaving.seen())
+        late +=
+            std::string(it.headers.value_or("X-Id", "")).starts_with("after");
+    CHECK(late == 0);
+}
+
 TEST_CASE("another value of the field does not say that an endpoint leaves")
 {
     auto const* const value = GENERATE("0", "2", "true", "");
