--- a/packages/follower/tests/table_follower_test.cpp
+++ b/packages/follower/tests/table_follower_test.cpp
@@ -4,6 +4,7 @@
 #include "kernel/seeded_random_source.hpp"
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 #include <deque>
@@ -489,11 +490,18 @@
 {
     late_fixture f;
     f.start({}, {1, 5});
-    // Its next call is due now, and the timer's handler is queued.
+    // Both timers have expired when the context runs: the handler of the
+    // follower's is queued when that of the other one runs.
+    asio::steady_timer other(f.context);
+    other.expires_at(asio::steady_timer::time_point());
+    other.async_wait(
+        [&](std::error_code)
+        {
+            f.follower->on_named_era(2);
+            f.follower->on_named_era(3);
+        });
     f.feed.polls.at(0)(
         feed_error{feed_error::reason::refused, "status=503", 1, {}});
-    f.follower->on_named_era(2);
-    f.follower->on_named_era(3);
     f.run();
     f.run();
     CHECK(f.feed.polls.size() == 1);
