--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -11,6 +11,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <limits>
 #include <memory>
 #include <utility>
--- a/packages/follower/tests/table_follower_test.cpp
+++ b/packages/follower/tests/table_follower_test.cpp
@@ -4,6 +4,7 @@
 #include "kernel/seeded_random_source.hpp"
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 #include <deque>
@@ -339,6 +340,24 @@
     CHECK(f.listener.notices[0].named == 4);
 }
 
+// Guards against a process that starts later because a store that refuses its
+// first call names an era.
+TEST_CASE("the first era that is named delays no start")
+{
+    late_fixture f;
+    f.options.restored_read_spread = std::chrono::hours(1);
+    f.follower = std::make_shared<table_follower>(f.context, f.feed, f.random,
+                                                  f.listener, f.options);
+    f.follower->start();
+    f.feed.full_reads.at(0)(
+        feed_error{feed_error::reason::refused, "status=503", 3, {}});
+    f.run();
+    REQUIRE(f.feed.full_reads.size() == 2);
+    f.feed.full_reads.at(1)(row_batch{{{"a", "1", {3, 2}, false}}, {3, 5}, {}});
+    CHECK(f.follower->rows().size() == 1);
+    CHECK(f.listener.notices.empty());
+}
+
 // Guards against answers of calls that were open over the restore.
 TEST_CASE("a late answer of an older era changes nothing")
 {
@@ -489,11 +508,18 @@
 {
     late_fixture f;
     f.start({}, {1, 5});
-    // Its next call is due now, and the timer's handler is queued.
+    // Both timers have expired when the context runs: the handler of the
+    // follower's is queued when that of the other one runs.
+    asio::steady_timer other(f.context);
+    other.expires_at(asio::steady_timer::time_point());
+    other.async_wait(
+        [&](std::error_code)
+        {
+            f.follower->on_named_era(2);
+            f.follower->on_named_era(3);
+        });
     f.feed.polls.at(0)(
         feed_error{feed_error::reason::refused, "status=503", 1, {}});
-    f.follower->on_named_era(2);
-    f.follower->on_named_era(3);
     f.run();
     f.run();
     CHECK(f.feed.polls.size() == 1);
