gateway: Tell until when an endpoint cannot be used

A request that no endpoint can take waits for an eighth of the target latency although the router may know that none becomes usable in that time. The record now tells the end of a pause, or that there is none for a draining or replaced endpoint, so that such a request can be refused at once.

--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -92,6 +92,11 @@
 
     /// Whether requests may be sent to the endpoint.
     bool available(kernel::steady_time now) const;
+    /// When requests may be sent to the endpoint again: no value if they may be
+    /// sent now or the end is unknown but near; `steady_time::max()` if never
+    /// in this incarnation.
+    std::optional<kernel::steady_time>
+    unusable_until(kernel::steady_time now) const;
     /// Whether requests are waiting for a response, and the endpoint has sent
     /// no output to any process within the stall limit, as far as known, or its
     /// agent cannot reach it.
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -219,6 +219,16 @@
            now >= avoided_until_;
 }
 
+std::optional<kernel::steady_time>
+endpoint_record::unusable_until(kernel::steady_time now) const
+{
+    if (replaced_ || entry_.draining)
+        return kernel::steady_time::max();
+    if (now < avoided_until_)
+        return avoided_until_;
+    return std::nullopt;
+}
+
 bool endpoint_record::stalled(kernel::steady_time now) const
 {
     if (unanswered_ == 0)
--- a/packages/gateway/tests/endpoint_record_test.cpp
+++ b/packages/gateway/tests/endpoint_record_test.cpp
@@ -121,4 +121,33 @@
     CHECK(record.version_of(model) == 4);
 }
 
+// Guards against callers that are kept waiting for an endpoint that is known
+// not to become usable in time.
+TEST_CASE("an endpoint tells until when it cannot be used")
+{
+    auto record = make_record();
+    CHECK_FALSE(record.unusable_until(at(0)));
+    record.on_refusal(at(0), milliseconds(150));
+    CHECK(record.unusable_until(at(100)) == at(150));
+    CHECK_FALSE(record.unusable_until(at(150)));
+    // The agent may reach its engine again at any time.
+    auto state = state_with(1);
+    state.unreachable = true;
+    record.on_state(state, at(200));
+    CHECK_FALSE(record.available(at(200)));
+    CHECK_FALSE(record.unusable_until(at(200)));
+    SECTION("it is draining")
+    {
+        auto entry = record.entry();
+        entry.draining = true;
+        record.update(entry);
+        CHECK(record.unusable_until(at(200)) == kernel::steady_time::max());
+    }
+    SECTION("its address belongs to another endpoint")
+    {
+        record.mark_replaced();
+        CHECK(record.unusable_until(at(200)) == kernel::steady_time::max());
+    }
+}
+
 } // namespace endiveward::gateway
