gateway: Reject at once what no endpoint can serve in time

Cause: a request that no endpoint could take waited for an eighth of its target latency whatever the reason, and was refused with a constant Retry-After. That is in vain if no endpoint is listed, if all leave or pause for longer, or if all have already failed or refused the request. The constant brought callers back before the end of an outage, all of them together, and those with little time never, since callers accept at most a third of the time that they have left.

Change: unavailability_policy decides from the outage of each endpoint (endpoint_outages) whether the request waits, and when its caller may return. It does no I/O and takes an i_clock. Ends that are near but unknown are waited for as before. In the same look through the waiting places of an exchange: - a request that finds no free connection tries the next endpoint at once instead of after a pause, and an endpoint without a free connection is tried again while the request waits; - a response in progress is not given up for a retry that no other endpoint can take, and an endpoint's own error is returned if there is none.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -21,6 +21,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace endiveward::gateway
 {
@@ -31,6 +32,7 @@
 class upstream_connection;
 class upstream_pool;
 struct exchange_services;
+struct unserved_request;
 
 /// Serves one request: chooses an endpoint, forwards the request, handles
 /// failures and retries, and sends the caller exactly one response.
@@ -90,11 +92,14 @@
     void handle_refusal();
     void handle_failure(std::string_view reason);
     void handle_unavailable();
+    unserved_request describe_unserved() const;
     bool prepare_retry(std::string_view reason);
+    bool has_alternative() const;
     void resume_stream(std::string_view reason);
     void answer_collected();
     void release_upstream(bool ended);
-    void give_up(std::string_view reason);
+    void give_up(std::string_view reason,
+                 std::optional<std::chrono::milliseconds> retry_after = {});
     void refuse(std::chrono::milliseconds retry_after, std::string_view reason);
     void
     answer_locally(int status, std::string_view reason,
@@ -121,6 +126,8 @@
     endpoint_requirements requirements_;
     kernel::steady_time arrived_{};
     kernel::steady_time expires_{};
+    /// When the caller stops trying. The route may allow less time.
+    kernel::steady_time caller_expires_{};
     asio::steady_timer timer_;
 
     progress progress_ = progress::choosing;
@@ -144,9 +151,11 @@
     unsigned runs_ = 0;
     unsigned refusals_ = 0;
     unsigned failed_connects_ = 0;
-    /// Set while no endpoint is available: the time at which the request is
-    /// refused.
-    std::optional<kernel::steady_time> refuse_at_;
+    /// Set while no endpoint is available.
+    std::optional<kernel::steady_time> waiting_since_;
+    /// Endpoints in `requirements_.excluded` to which this process has as many
+    /// connections as it may open.
+    std::vector<kernel::endpoint_id> without_connection_;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/exchange_services.hpp
+++ b/packages/gateway/exchange_services.hpp
@@ -30,6 +30,7 @@
 class overload_policy;
 class retry_budgets;
 class routing_table;
+class unavailability_policy;
 class weights_view;
 
 /// The objects that an exchange uses. All belong to the traffic thread.
@@ -41,6 +42,7 @@
     endpoint_directory& endpoints;
     endpoint_chooser const& chooser;
     overload_policy const& overload;
+    unavailability_policy const& unavailability;
     weights_view const& weights;
     retry_budgets& budgets;
     gateway_metrics& metrics;
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "gateway/types/endpoint_entry.hpp"
 #include "gateway/types/gateway_settings.hpp"
 #include "gateway/types/header_field_names.hpp"
+#include "gateway/unavailability_policy.hpp"
 #include "kernel/i_clock.hpp"
 #include "weights/types/model_target.hpp"
 #include "wire/types/cache_change.hpp"
@@ -90,6 +91,7 @@
     std::shared_ptr<endpoint_directory> endpoints_;
     std::unique_ptr<endpoint_chooser> chooser_;
     overload_policy overload_;
+    unavailability_policy unavailability_;
     std::unique_ptr<weights_view> weights_;
     std::unique_ptr<retry_budgets> budgets_;
     std::unique_ptr<exchange_services> services_;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -3,6 +3,7 @@
 #include "gateway/attempt_timeouts.hpp"
 #include "gateway/endpoint_chooser.hpp"
 #include "gateway/endpoint_directory.hpp"
+#include "gateway/endpoint_outages.hpp"
 #include "gateway/exchange_services.hpp"
 #include "gateway/gateway_metrics.hpp"
 #include "gateway/http/upstream_connection.hpp"
@@ -12,9 +13,12 @@
 #include "gateway/request_fields.hpp"
 #include "gateway/retry_budgets.hpp"
 #include "gateway/routing_table.hpp"
+#include "gateway/types/unserved_request.hpp"
+#include "gateway/unavailability_policy.hpp"
 #include "gateway/upstream_pool.hpp"
 #include "gateway/weights_view.hpp"
 #include "kernel/parse_number.hpp"
+#include "kernel/types/result.hpp"
 #include "observe/decision_log.hpp"
 
 #include <fmt/format.h>
@@ -48,13 +52,12 @@
 constexpr milliseconds expiry_slack{40};
 /// With less time than this left, no endpoint can answer.
 constexpr milliseconds min_time_left{5};
+/// Longer deadlines of callers are shortened, since the sum of a time and any
+/// number may overflow.
+constexpr milliseconds max_deadline = std::chrono::hours(24);
 /// A request is refused after more refusals or failed connections than these.
 constexpr unsigned max_refusals = 2;
 constexpr unsigned max_failed_connects = 3;
-/// While no endpoint is available, a request waits for the target latency
-/// divided by `wait_divisor`, checking `wait_steps` times in between.
-constexpr int wait_divisor = 8;
-constexpr int wait_steps = 4;
 constexpr milliseconds recheck_interval{200};
 /// The peer may be closing a connection that was idle for longer than this.
 /// Requests that cannot be retried then use a new connection.
@@ -68,7 +71,7 @@
 constexpr milliseconds retry_no_configuration{400};
 /// Another process can take the request immediately.
 constexpr milliseconds retry_stopping{50};
-constexpr milliseconds retry_no_endpoint{350};
+constexpr milliseconds retry_not_served{350};
 constexpr milliseconds retry_refused{250};
 /// Reading from the endpoint is suspended while more than this is queued for a
 /// slow caller.
@@ -146,7 +149,7 @@
     auto const* const chosen = service_for(*route_, id_);
     if (chosen == nullptr || table_->find_service(*chosen) == nullptr)
     {
-        refuse(retry_no_endpoint, "no_service");
+        refuse(retry_not_served, "no_service");
         return false;
     }
     requirements_.service = *chosen;
@@ -156,12 +159,17 @@
 void exchange::prepare_requirements()
 {
     auto limit = route_->timeout;
+    auto caller_limit = limit;
     auto const deadline = kernel::parse_number<std::int64_t>(
         request_.headers.value_or(services_.names.deadline, ""));
     if (deadline && *deadline >= 0)
-        limit = limit.count() > 0 ? std::min(limit, milliseconds(*deadline))
-                                  : milliseconds(*deadline);
+    {
+        caller_limit = milliseconds(std::min(*deadline, max_deadline.count()));
+        limit =
+            limit.count() > 0 ? std::min(limit, caller_limit) : caller_limit;
+    }
     expires_ = arrived_ + limit;
+    caller_expires_ = arrived_ + caller_limit;
     requirements_.seed = XXH3_64bits(id_.data(), id_.size());
     if (route_->has_prompt || is_stream(route_->kind))
         requirements_.prompt = parse_prompt(request_.headers, services_.names);
@@ -185,7 +193,6 @@
         requirements_, services_.weights, services_.clock.now());
     if (!choice)
         return handle_unavailable();
-    refuse_at_.reset();
     if (refuse_if_overloaded(*choice))
         return;
     send(std::move(*choice));
@@ -201,24 +208,53 @@
         "overloaded", "id={} endpoint={} wait_ms={} limit_ms={} target_ms={}",
         id_, choice.endpoint->entry().id.str(), choice.wait.count(),
         requirements_.max_wait.count(), route_->target_latency.count());
-    refuse(services_.overload.retry_after(), "overloaded");
+    refuse(
+        std::min(services_.overload.retry_after(),
+                 services_.unavailability.max_retry_after(describe_unserved())),
+        "overloaded");
     return true;
 }
 
-/// Waits a short time for an available endpoint, then refuses the request.
+/// Waits a short time for an available endpoint, or ends the request.
 void exchange::handle_unavailable()
 {
     auto const now = services_.clock.now();
     progress_ = progress::choosing;
     if (head_forwarded_)
         return give_up("no_endpoint");
-    if (!refuse_at_)
-        refuse_at_ = now + route_->target_latency / wait_divisor;
-    auto const step = std::max<milliseconds>(
-        route_->target_latency / (wait_divisor * wait_steps), min_time_left);
-    if (now + step > *refuse_at_)
-        return give_up("no_endpoint");
-    arm(now + step);
+    if (!waiting_since_)
+        waiting_since_ = now;
+    // A connection may become free before the next check.
+    std::erase_if(requirements_.excluded,
+                  [this](auto const& id)
+                  {
+                      return std::find(without_connection_.begin(),
+                                       without_connection_.end(),
+                                       id) != without_connection_.end();
+                  });
+    without_connection_.clear();
+    auto const decision = services_.unavailability.decide(
+        find_outages(services_.endpoints.of_service(requirements_.service),
+                     requirements_, services_.weights, now),
+        describe_unserved());
+    std::visit(kernel::overloaded{[this](wait_for_endpoint const& it)
+                                  { arm(it.until); },
+                                  [this](reject_request const& it)
+                                  { give_up(it.reason, it.retry_after); }},
+               decision);
+}
+
+unserved_request exchange::describe_unserved() const
+{
+    unserved_request res;
+    res.seed = requirements_.seed;
+    res.target_latency = route_->target_latency;
+    res.max_wait =
+        services_.overload.max_wait(route_->target_latency, time_left());
+    res.waiting_since = waiting_since_.value_or(services_.clock.now());
+    res.expires = expires_;
+    res.caller_expires = caller_expires_;
+    return res;
 }
 
 void exchange::send(placement_choice choice)
@@ -233,8 +269,10 @@
     if (upstream_ == nullptr)
     {
         requirements_.excluded.push_back(entry.id);
-        return handle_unavailable();
+        without_connection_.push_back(entry.id);
+        return attempt();
     }
+    waiting_since_.reset();
     forward_fields fields;
     fields.endpoint = entry.id;
     if (workspace_ != nullptr)
@@ -457,7 +495,8 @@
     if (status >= status_server_error)
     {
         endpoint_->on_error(now);
-        if (prepare_retry(fmt::format("status_{}", status)))
+        if (has_alternative() &&
+            prepare_retry(fmt::format("status_{}", status)))
             return attempt();
     }
     else
@@ -575,6 +614,20 @@
     return true;
 }
 
+/// Whether another endpoint can take the request now and is expected to respond
+/// in time. Without one, a response that has arrived or may still arrive is
+/// kept.
+bool exchange::has_alternative() const
+{
+    auto requirements = requirements_;
+    requirements.excluded.push_back(endpoint_->entry().id);
+    auto const choice = services_.chooser.choose(
+        services_.endpoints.of_service(requirements.service),
+        *table_->find_service(requirements.service), requirements,
+        services_.weights, services_.clock.now());
+    return choice && choice->time_to_first_byte < time_left();
+}
+
 /// Resumes the stream at another endpoint after the last forwarded event.
 void exchange::resume_stream(std::string_view reason)
 {
@@ -598,7 +651,8 @@
 }
 
 /// Ends the request without a response of an endpoint.
-void exchange::give_up(std::string_view reason)
+void exchange::give_up(std::string_view reason,
+                       std::optional<milliseconds> retry_after)
 {
     if (head_forwarded_)
     {
@@ -610,7 +664,9 @@
         return;
     }
     if (runs_ == 0)
-        return refuse(refusals_ > 0 ? retry_refused : retry_no_endpoint,
+        return refuse(retry_after.value_or(services_.unavailability.retry_after(
+                          describe_unserved(),
+                          refusals_ > 0 ? retry_refused : retry_not_served)),
                       reason);
     answer_locally(time_left() < min_time_left ? status_gateway_timeout
                                                : status_bad_gateway,
@@ -722,9 +778,11 @@
 
 void exchange::on_stall()
 {
+    auto const now = services_.clock.now();
+    if (!has_alternative())
+        return arm(now + recheck_interval);
     if (!prepare_retry("silent"))
         return arm(expires_ + expiry_slack);
-    auto const now = services_.clock.now();
     services_.log.write("silent", "id={} endpoint={} waited_ms={} passed={}",
                         id_, endpoint_->entry().id.str(), since_sent().count(),
                         head_forwarded_);
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -46,6 +46,7 @@
     , chooser_(std::make_unique<endpoint_chooser>(settings_.placement,
                                                   settings_.zone))
     , overload_(settings_.overload)
+    , unavailability_(clock)
     , weights_(std::make_unique<weights_view>(settings_.rollout,
                                               settings_.version_deadline))
     , budgets_(std::make_unique<retry_budgets>(0, 0))
@@ -61,7 +62,7 @@
         });
     services_ = std::make_unique<exchange_services>(
         exchange_services{context_, clock_, names_, *endpoints_, *chooser_,
-                          overload_, *weights_, *budgets_, *metrics_, log_});
+                          overload_, unavailability_, *weights_, *budgets_, *metrics_, log_});
     update_limits();
 }
 
--- a/packages/gateway/tests/gateway_test.cpp
+++ b/packages/gateway/tests/gateway_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <thread>
 
@@ -502,4 +503,152 @@
     CHECK(endpoint.requests() == 1);
 }
 
+// With this target latency a request that waits for an endpoint does so until
+// its own time ends.
+constexpr std::chrono::seconds long_target{80};
+
+// Load pattern: the service has no endpoint until a replacement is listed.
+// Guards against a request that is held until its time ends.
+TEST_CASE("a request is rejected at once while its service has no endpoint")
+{
+    test_gateway gate;
+    gate.apply(1, std::chrono::seconds(5), {}, long_target);
+    test_caller caller(gate.port());
+    caller.send(get_request("/once/", "id1"));
+    auto const text = caller.read_until("\r\n\r\n");
+    CHECK(text.starts_with("HTTP/1.1 503"));
+    CHECK(contains(caller.read_until("no_endpoint"), "no_endpoint"));
+    CHECK(contains(text, "Retry-After: 0."));
+}
+
+// Load pattern: the only endpoint is full. Guards against a request that waits
+// for an endpoint that it has already been refused by.
+TEST_CASE("a request is rejected at once when its only endpoint refused it")
+{
+    scripted_endpoint refusing(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.answer(request, 503, "", "X-Not-Run: 1\r\n");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply(1, std::chrono::seconds(5), {}, long_target);
+    gate.set_endpoints({refusing.port()});
+    test_caller caller(gate.port());
+    caller.send(get_request("/once/", "id1"));
+    CHECK(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    CHECK(contains(caller.read_until("endpoints_tried"), "endpoints_tried"));
+}
+
+// Guards against a delay that a caller with little time does not accept, so
+// that it never comes back.
+TEST_CASE("a caller with little time gets a short Retry-After")
+{
+    test_gateway gate;
+    gate.apply();
+    test_caller caller(gate.port());
+    caller.send("GET /once/ HTTP/1.1\r\nHost: h\r\nX-Id: id1\r\n"
+                "X-Time: 300\r\nX-Key: key1\r\n\r\n");
+    auto const text = caller.read_until("\r\n\r\n");
+    CHECK(text.starts_with("HTTP/1.1 503"));
+    CHECK(contains(text, "Retry-After: 0.0"));
+}
+
+// Load pattern: the router has as many connections to the preferred endpoint as
+// it may open. Guards against a request that waits although another endpoint
+// has a free connection.
+TEST_CASE("a request that finds no free connection goes to another endpoint")
+{
+    scripted_endpoint silent([](http_request const&, scripted_connection&)
+                             { return true; });
+    test_gateway gate;
+    // A request that waits looks for an endpoint again after its time has
+    // ended.
+    gate.apply(1, std::chrono::seconds(60), {}, 2 * long_target, 1);
+    gate.set_endpoints({silent.port()});
+    test_caller first(gate.port());
+    first.send("GET /once/ HTTP/1.1\r\nHost: h\r\nX-Id: id1\r\n"
+               "X-Time: 60000\r\nX-Key: key1\r\n\r\n");
+    while (silent.requests() == 0)
+        std::this_thread::sleep_for(milliseconds(5));
+    scripted_endpoint serving(answer_ok);
+    // The endpoint in another zone costs more than one with one request.
+    gate.set_endpoints({silent.port(), serving.port()}, {"", "far"});
+    for (int n = 0; n < 8; ++n)
+    {
+        test_caller caller(gate.port());
+        caller.send(get_request("/once/", "next" + std::to_string(n)));
+        CHECK(caller.read_until("\r\n\r\nok").starts_with("HTTP/1.1 200"));
+    }
+    CHECK(silent.requests() == 1);
+}
+
+// Guards against a request that is rejected for good by the limit on
+// connections, although one becomes free while it waits.
+TEST_CASE("a request gets a connection that becomes free while it waits")
+{
+    std::atomic<bool> released = false;
+    scripted_endpoint endpoint(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            while (!released)
+                conn.wait(milliseconds(5));
+            conn.answer(request, 200, "ok");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply(1, std::chrono::seconds(5), {}, long_target, 1);
+    gate.set_endpoints({endpoint.port()});
+    test_caller first(gate.port());
+    first.send(get_request("/once/", "id1"));
+    while (endpoint.requests() == 0)
+        std::this_thread::sleep_for(milliseconds(5));
+    test_caller second(gate.port());
+    second.send(get_request("/once/", "id2"));
+    std::this_thread::sleep_for(milliseconds(50));
+    released = true;
+    CHECK(second.read_until("\r\n\r\nok").starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a response in progress that is discarded for a retry that no
+// other endpoint can take.
+TEST_CASE("a slow response is awaited if there is no other endpoint")
+{
+    scripted_endpoint slow(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.wait(milliseconds(900));
+            conn.answer(request, 200, "ok");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({slow.port()});
+    test_caller caller(gate.port());
+    caller.send(get_request("/safe/", "id1"));
+    CHECK(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 200"));
+    CHECK(slow.requests() == 1);
+}
+
+// Guards against an endpoint's own response that is replaced by an error of the
+// gateway because a retry is not possible.
+TEST_CASE("an error of the only endpoint is returned unchanged")
+{
+    scripted_endpoint failing(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.answer(request, 500, "its error");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({failing.port()});
+    test_caller caller(gate.port());
+    caller.send(get_request("/safe/", "id1"));
+    auto const text = caller.read_until("its error");
+    CHECK(text.starts_with("HTTP/1.1 500"));
+    CHECK(contains(text, "X-Signature: sig\r\n"));
+    CHECK(contains(text, "its error"));
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/tests/support/test_gateway.hpp
+++ b/packages/gateway/tests/support/test_gateway.hpp
@@ -47,7 +47,10 @@
 
     void apply(kernel::config_version version = 1,
                std::chrono::milliseconds timeout = std::chrono::seconds(5),
-               std::optional<engine_properties> engine = {})
+               std::optional<engine_properties> engine = {},
+               std::chrono::milliseconds target_latency =
+                   std::chrono::milliseconds(400),
+               unsigned max_connections = 1000)
     {
         routing_config config;
         config.version = version;
@@ -59,7 +62,7 @@
             it.prefix = "/" + name + "/";
             it.kind = kind;
             it.timeout = timeout;
-            it.target_latency = std::chrono::milliseconds(400);
+            it.target_latency = target_latency;
             it.target_gap = std::chrono::milliseconds(400);
             it.max_attempts = is_retryable(kind) ? 2 : 1;
             it.shares = {{kernel::service_id("s"), 1}};
@@ -71,7 +74,7 @@
         add("resume", route_kind::resumable_stream);
         service s;
         s.id = kernel::service_id("s");
-        s.max_connections = 1000;
+        s.max_connections = max_connections;
         s.engine = engine;
         config.services = {s};
         config.workspaces = {{kernel::workspace_id("w1"), {"key1"}, {}, false},
@@ -80,8 +83,10 @@
             { gateway_.apply(std::make_shared<routing_table const>(config)); });
     }
 
-    /// Registers endpoints `e0`, `e1` and so on at these ports.
-    void set_endpoints(std::vector<std::uint16_t> const& ports)
+    /// Registers endpoints `e0`, `e1` and so on at these ports. The gateway's
+    /// own zone is empty.
+    void set_endpoints(std::vector<std::uint16_t> const& ports,
+                       std::vector<std::string> const& zones = {})
     {
         std::vector<endpoint_entry> entries;
         for (std::size_t n = 0; n < ports.size(); ++n)
@@ -92,6 +97,8 @@
             it.host = "127.0.0.1";
             it.port = ports[n];
             it.slots = 8;
+            if (n < zones.size() && !zones[n].empty())
+                it.zone = kernel::zone_id(zones[n]);
             entries.push_back(it);
         }
         run([&] { gateway_.apply(entries); });
