admission, agent: Refuse a queued call that can no longer run in time

Cause: the queue compares a call's expected wait with its time only when the call arrives. Urgent calls that arrive later, and running calls that take longer than expected, push it behind its deadline. It was then held until the deadline and ended with deadline_exceeded, too late for another endpoint.

Change: at each tick the agent ends calls whose expected wait exceeds the time left, as not run, with the kind and the Retry-After with which `submit` refuses them. The router may send such a call to another endpoint.

Without the change in the queue both new admission tests fail, without the one in call_executor the agent's (2 of 43 and 1 of 58 test cases); with it the tests of admission (43), agent (58) and router (83) pass.

--- a/packages/admission/admission_queue.hpp
+++ b/packages/admission/admission_queue.hpp
@@ -24,6 +24,7 @@
     submit(admission_request const& request) override;
     std::optional<std::uint64_t> take_next() override;
     std::vector<std::uint64_t> take_expired() override;
+    std::vector<queue_refusal> take_hopeless() override;
     bool withdraw(std::uint64_t id) override;
     void finish(std::uint64_t id,
                 std::chrono::milliseconds service_time) override;
@@ -50,6 +51,7 @@
     std::chrono::milliseconds
     expected_service(admission_request const& request) const;
     std::chrono::milliseconds wait_before(queue_key const& key) const;
+    std::chrono::milliseconds remaining_work() const;
     kernel::error overloaded(std::chrono::milliseconds wait,
                              std::chrono::milliseconds slack) const;
     void remove_queued(std::map<queue_key, admission_request>::iterator it);
--- a/packages/admission/i_admission_queue.hpp
+++ b/packages/admission/i_admission_queue.hpp
@@ -13,6 +13,7 @@
 {
 
 struct admission_request;
+struct queue_refusal;
 
 /// Admission control of an endpoint: decides which calls run, are queued or are
 /// refused. Not thread-safe. The caller chooses the ids, which must be unique
@@ -33,6 +34,9 @@
     virtual std::optional<std::uint64_t> take_next() = 0;
     /// Removes queued calls whose deadline has passed and returns their ids.
     virtual std::vector<std::uint64_t> take_expired() = 0;
+    /// Removes queued calls that are no longer expected to start before their
+    /// deadline and returns them with the reason and a time to come back.
+    virtual std::vector<queue_refusal> take_hopeless() = 0;
     /// Removes a queued call; returns false if it is not queued.
     virtual bool withdraw(std::uint64_t id) = 0;
     /// Frees the capacity of a running call that has ended. `service_time` is
--- a/packages/admission/internal/admission_queue.cpp
+++ b/packages/admission/internal/admission_queue.cpp
@@ -1,5 +1,7 @@
 #include "admission/admission_queue.hpp"
 
+#include "admission/types/queue_refusal.hpp"
+
 #include <algorithm>
 #include <limits>
 
@@ -119,6 +121,39 @@
     return expired;
 }
 
+// Load pattern: calls of higher priority arrive after a call has been queued,
+// or running calls take longer than expected. The limit is that of `submit`, so
+// that a call is not refused for an estimate with which it would be queued.
+std::vector<queue_refusal> admission_queue::take_hopeless()
+{
+    auto const now = clock_.now();
+    auto work = remaining_work();
+    std::size_t ahead = running_.size();
+    std::vector<queue_refusal> res;
+    for (auto it = queue_.begin(); it != queue_.end();)
+    {
+        auto const next = std::next(it);
+        auto const wait =
+            ahead < capacity_
+                ? milliseconds(0)
+                : work / static_cast<milliseconds::rep>(capacity_);
+        auto const slack =
+            duration_cast<milliseconds>(it->second.deadline - now);
+        if (slack > milliseconds(0) && wait > slack)
+        {
+            res.push_back({it->second.id, overloaded(wait, slack)});
+            remove_queued(it);
+        }
+        else
+        {
+            work += expected_service(it->second);
+            ++ahead;
+        }
+        it = next;
+    }
+    return res;
+}
+
 bool admission_queue::withdraw(std::uint64_t id)
 {
     auto const it = queue_keys_.find(id);
@@ -160,16 +195,23 @@
         static_cast<std::size_t>(std::distance(queue_.begin(), end));
     if (running_.size() + ahead < capacity_)
         return milliseconds(0);
-    milliseconds work{0};
+    auto work = remaining_work();
     for (auto it = queue_.begin(); it != end; ++it)
         work += expected_service(it->second);
+    return work / static_cast<milliseconds::rep>(capacity_);
+}
+
+/// Expected remaining service time of the running calls.
+milliseconds admission_queue::remaining_work() const
+{
+    milliseconds res{0};
     auto const now = clock_.now();
     for (auto const& [id, call] : running_)
     {
         auto const elapsed = duration_cast<milliseconds>(now - call.started);
-        work += std::max(call.expected - elapsed, milliseconds(0));
+        res += std::max(call.expected - elapsed, milliseconds(0));
     }
-    return work / static_cast<milliseconds::rep>(capacity_);
+    return res;
 }
 
 } // namespace endiveward::admission
--- a/packages/admission/tests/admission_queue_test.cpp
+++ b/packages/admission/tests/admission_queue_test.cpp
@@ -1,5 +1,7 @@
 #include "admission/admission_queue.hpp"
 
+#include "admission/types/queue_refusal.hpp"
+
 #include "kernel/manual_clock.hpp"
 
 #include <catch2/catch.hpp>
@@ -102,6 +104,48 @@
     CHECK(queue.queued() == 0);
 }
 
+// Load pattern: urgent calls arrive after one that was queued with just enough
+// time. Guards against a call that is kept until its deadline although it is
+// known that it will not run, so that no other endpoint can take it.
+TEST_CASE_METHOD(queue_fixture,
+                 "a queued call that can no longer run in time is refused")
+{
+    queue.set_capacity(1);
+    REQUIRE(kernel::ok(queue.submit(request(1, 1, seconds(60), seconds(10)))));
+    REQUIRE(queue.take_next() == 1);
+    REQUIRE(kernel::ok(queue.submit(request(2, 1, seconds(12), seconds(1)))));
+    REQUIRE(kernel::ok(queue.submit(request(3, 1, seconds(60), seconds(1)))));
+    CHECK(queue.take_hopeless().empty());
+    REQUIRE(kernel::ok(queue.submit(request(4, 0, seconds(20), seconds(5)))));
+    auto const refused = queue.take_hopeless();
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].id == 2);
+    CHECK(refused[0].reason.kind == kernel::error_kind::overloaded);
+    CHECK(refused[0].reason.run == kernel::run_state::not_run);
+    CHECK(refused[0].reason.retry_after == milliseconds(seconds(3)));
+    CHECK(queue.take_hopeless().empty());
+    CHECK(queue.queued() == 2);
+}
+
+// Load pattern: a running call takes longer than expected.
+TEST_CASE_METHOD(queue_fixture,
+                 "a call behind one that takes too long is refused in time")
+{
+    queue.set_capacity(1);
+    REQUIRE(kernel::ok(queue.submit(request(1, 1, seconds(60), seconds(1)))));
+    REQUIRE(queue.take_next() == 1);
+    REQUIRE(kernel::ok(queue.submit(request(2, 1, seconds(3), seconds(2)))));
+    REQUIRE(kernel::ok(queue.submit(request(3, 1, seconds(4), seconds(2)))));
+    CHECK(queue.take_hopeless().empty());
+    // The first call still runs, so the third cannot start within its time.
+    clock.advance(milliseconds(2500));
+    auto const refused = queue.take_hopeless();
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].id == 3);
+    clock.advance(milliseconds(500));
+    CHECK(queue.take_expired() == std::vector<std::uint64_t>{2});
+}
+
 // Guards against accepting new calls at an endpoint that is shutting down, and
 // against dropping its queued calls.
 TEST_CASE_METHOD(queue_fixture, "a draining queue refuses new calls only")
--- a/packages/agent/internal/call_executor.cpp
+++ b/packages/agent/internal/call_executor.cpp
@@ -4,6 +4,7 @@
 #include "admission/i_cache_index.hpp"
 #include "admission/i_idempotency_ledger.hpp"
 #include "admission/types/admission_request.hpp"
+#include "admission/types/queue_refusal.hpp"
 #include "agent/i_endpoint_client.hpp"
 #include "agent/internal/agent_metrics.hpp"
 #include "agent/internal/endpoint_request_builder.hpp"
@@ -493,6 +494,12 @@
         if (it != nullptr)
             expire(*it);
     }
+    // The router may still send the call to another endpoint.
+    for (auto& refused : dependencies_.queue->take_hopeless())
+    {
+        if (auto* const it = calls_.find(refused.id))
+            fail(*it, std::move(refused.reason));
+    }
     for (auto const id : calls_.ids())
     {
         auto* const it = calls_.find(id);
--- a/packages/agent/tests/call_executor_test.cpp
+++ b/packages/agent/tests/call_executor_test.cpp
@@ -355,6 +355,28 @@
     CHECK(agent.endpoint->started.size() == 1);
 }
 
+// Guards against a call that is held at this endpoint although the queue knows
+// that it will not run here.
+TEST_CASE("a queued call without prospects ends as not run")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.executor->on_invoke(agent.router, agent.make_invoke(2));
+    CHECK(agent.endpoint->started.size() == 1);
+    // The queue knows a call by the executor's own id.
+    agent.queue->hopeless = {
+        {agent.queue->first_waiting(),
+         {error_kind::overloaded, "busy", run_state::not_run, 300ms}}};
+    agent.advance(1ms);
+    auto const end = only_end(*agent.router);
+    CHECK(end.call_id == 2);
+    CHECK(end.failure->kind == error_kind::overloaded);
+    CHECK(end.failure->run == run_state::not_run);
+    CHECK(end.failure->retry_after == 300ms);
+    agent.endpoint->finish(0);
+    CHECK(agent.endpoint->started.size() == 1);
+}
+
 // Guards against reporting "not run" for a call that the engine has received.
 TEST_CASE("a running call whose deadline passes ends as unknown")
 {
--- a/packages/agent/tests/fakes.hpp
+++ b/packages/agent/tests/fakes.hpp
@@ -6,6 +6,7 @@
 #include "admission/i_idempotency_ledger.hpp"
 #include "admission/i_stream_buffer.hpp"
 #include "admission/types/admission_request.hpp"
+#include "admission/types/queue_refusal.hpp"
 #include "agent/i_endpoint_client.hpp"
 #include "agent/i_endpoint_observer.hpp"
 #include "agent/types/endpoint_result.hpp"
@@ -119,6 +120,16 @@
                       });
         return expired;
     }
+    std::vector<admission::queue_refusal> take_hopeless() override
+    {
+        auto const res = std::exchange(hopeless, {});
+        for (auto const& it : res)
+            withdraw(it.id);
+        return res;
+    }
+    /// Returned by the next call of `take_hopeless`.
+    std::vector<admission::queue_refusal> hopeless;
+    std::uint64_t first_waiting() const { return waiting_.at(0).id; }
     bool withdraw(std::uint64_t id) override
     {
         return std::erase_if(waiting_,
--- a/packages/gateway/tests/unavailability_policy_test.cpp
+++ b/packages/gateway/tests/unavailability_policy_test.cpp
@@ -317,8 +317,10 @@
                                   {it.paused(seconds(1))},
                                   {it.paused(seconds(9))}})
     {
+        constexpr int callers = 200;
         std::vector<milliseconds> returns;
-        for (int n = 0; n < 200; ++n)
+        returns.reserve(callers);
+        for (int n = 0; n < callers; ++n)
             returns.push_back(
                 it.reject_at_once(endpoints, it.arrive(random())).retry_after);
         CHECK(most_within(returns, milliseconds(20)) <= 60);
