stand_ins, storage: Restore of the table from an older copy

Cause: the platform's store may come back from a copy some seconds old; neither the stand-in nor the table's clients knew of it. Result: three new tests of the stand-in and one of the HTTP client pass.

admission: Leases that hold across a restore of the table

Change: the fencing number has the era in its high part; rows name the era they were written in; a row of an older era is taken over only after the lease duration, unless the lease is still valid here; a write that crosses a restore gives no lease.

--- a/packages/admission/table_lease.hpp
+++ b/packages/admission/table_lease.hpp
@@ -33,8 +33,9 @@
     std::chrono::milliseconds table_timeout{1000};
 };
 
-/// Lease stored in a row of the platform's table. Its epoch, which increases
-/// with each change of holder, is the fencing number.
+/// Lease stored in a row of the platform's table. Its fencing number consists
+/// of the table's era and, below it, of an epoch that increases with each
+/// change of holder.
 class table_lease : public i_order_lease
 {
     kernel::i_clock const& clock_;
@@ -56,13 +57,20 @@
         std::uint64_t version = 0;
         std::uint64_t epoch = 0;
         std::string holder;
+        /// Era in which the row's writer had read the row before.
+        std::uint64_t row_era = 0;
+        /// Era in which this version was observed.
+        std::uint64_t era = 0;
         /// When this version was first observed, or its write was sent.
         kernel::steady_time since;
     };
 
     void read();
-    void on_row(std::optional<storage::row> const& row);
+    void on_row(std::optional<storage::row> const& row, std::uint64_t era);
     bool may_write(observation const& current) const;
+    /// Whether the table has come back from a copy since the lease was last
+    /// written.
+    bool era_changed() const;
     void write(observation const& current);
     void on_written(kernel::result<storage::transaction_outcome> const& res,
                     observation const& written);
@@ -70,9 +78,10 @@
     table_lease_options const options_;
     bool request_in_flight_ = false;
     std::optional<observation> observed_;
-    /// Fencing number of the lease held until `valid_until_`; 0 if no lease was
-    /// acquired since the last `release`.
+    /// Epoch of the lease held until `valid_until_`; 0 if no lease was acquired
+    /// since the last `release`.
     std::uint64_t epoch_ = 0;
+    std::uint64_t held_era_ = 0;
     kernel::steady_time valid_until_;
     kernel::steady_time next_renewal_;
     std::shared_ptr<char> const lifetime_ = std::make_shared<char>();
--- a/packages/admission/tests/idempotency_ledger_property_test.cpp
+++ b/packages/admission/tests/idempotency_ledger_property_test.cpp
@@ -77,6 +77,8 @@
                     std::move(on_done));
     }
 
+    std::uint64_t era() const override { return table_.era(); }
+
 private:
     static void delete_released(storage::table_transaction& transaction)
     {
--- a/packages/admission/tests/table_lease_test.cpp
+++ b/packages/admission/tests/table_lease_test.cpp
@@ -113,4 +113,131 @@
     CHECK(second.fencing_number() == 2);
 }
 
+// The table comes back from a copy that lacks the last takeover of the lease.
+class restored_lease_fixture : public lease_fixture
+{
+public:
+    restored_lease_fixture()
+    {
+        table.name_eras();
+        first.tick();
+        first.release();
+        table.make_copy();
+    }
+
+    /// Runs both holders for that time; at most one may hold the lease.
+    void run_both_for(seconds duration)
+    {
+        for (seconds n{0}; n < duration; ++n)
+        {
+            clock.advance(seconds(1));
+            first.tick();
+            second.tick();
+            CHECK_FALSE((first.fencing_number() && second.fencing_number()));
+        }
+    }
+};
+
+// Guards against a fencing number that is given out again after a restore: an
+// engine would then carry out a late order of the former holder.
+TEST_CASE_METHOD(restored_lease_fixture,
+                 "fencing numbers of a new era are above all earlier ones")
+{
+    std::uint64_t highest = 0;
+    for (int n = 0; n < 5; ++n)
+    {
+        second.tick();
+        REQUIRE(second.fencing_number());
+        CHECK(*second.fencing_number() > highest);
+        highest = *second.fencing_number();
+        second.release();
+        first.tick();
+        REQUIRE(first.fencing_number());
+        CHECK(*first.fencing_number() > highest);
+        highest = *first.fencing_number();
+        first.release();
+    }
+    table.restore();
+    run_for(seconds(12), second);
+    REQUIRE(second.fencing_number());
+    CHECK(*second.fencing_number() > highest);
+}
+
+// Guards against a second holder beside one whose acquisition is not in the
+// copy.
+TEST_CASE_METHOD(restored_lease_fixture,
+                 "a lease lost with the copy is not given to another holder")
+{
+    second.tick();
+    REQUIRE(second.fencing_number());
+    table.restore();
+    for (int n = 0; n < 30; ++n)
+    {
+        run_for(seconds(1), first);
+        CHECK_FALSE((first.fencing_number() && second.fencing_number()));
+    }
+    CHECK(first.fencing_number());
+}
+
+// Guards against a holder that loses its lease by a restore although no other
+// process can have acquired it, and against orders with a number of the old
+// era once the new one is known.
+TEST_CASE_METHOD(restored_lease_fixture,
+                 "a holder renews its lease in the new era")
+{
+    second.tick();
+    auto const before = second.fencing_number();
+    table.restore();
+    table.read("other", seconds(1), [](auto const&) {});
+    CHECK_FALSE(second.fencing_number());
+    second.tick();
+    REQUIRE(second.fencing_number());
+    CHECK(*second.fencing_number() > *before);
+    run_both_for(seconds(30));
+    CHECK(second.fencing_number());
+}
+
+// Guards against a former holder that the copy still names and that takes the
+// lease back from its successor.
+TEST_CASE_METHOD(restored_lease_fixture,
+                 "a former holder named by the copy does not renew")
+{
+    first.tick();
+    table.make_copy();
+    first.release();
+    second.tick();
+    REQUIRE(second.fencing_number());
+    table.restore();
+    first.tick();
+    CHECK_FALSE(first.fencing_number());
+    run_both_for(seconds(30));
+    CHECK(second.fencing_number());
+}
+
+// Guards against a write based on a row of the old era that matches a version
+// given out again.
+TEST_CASE_METHOD(restored_lease_fixture,
+                 "a write that crosses a restore gives no lease")
+{
+    table.before_next_commit([this] { table.restore(); });
+    first.tick();
+    CHECK_FALSE(first.fencing_number());
+    run_both_for(seconds(30));
+    CHECK((first.fencing_number() || second.fencing_number()));
+}
+
+// Guards against two holders after a write of the old era that arrives late
+// replaces the row of the holder in the new era.
+TEST_CASE_METHOD(restored_lease_fixture,
+                 "a delayed write of the old era does not add a holder")
+{
+    table.push_fault(fault::delayed);
+    first.tick();
+    table.restore();
+    run_for(seconds(12), second);
+    REQUIRE(second.fencing_number());
+    table.deliver_delayed();
+    run_both_for(seconds(30));
+}
+
 } // namespace endiveward::admission
--- a/packages/agent/unavailable_table.hpp
+++ b/packages/agent/unavailable_table.hpp
@@ -19,6 +19,7 @@
     void scan(std::string prefix, std::string after, std::size_t limit,
               std::chrono::milliseconds timeout,
               handler<std::vector<storage::row>> on_done) override;
+    std::uint64_t era() const override { return 0; }
 };
 
 } // namespace endiveward::agent
--- a/packages/storage/http_client.hpp
+++ b/packages/storage/http_client.hpp
@@ -4,6 +4,7 @@
 #include "kernel/types/result.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -32,6 +33,8 @@
     int status = 0;
     std::string body;
     std::optional<std::chrono::seconds> retry_after;
+    /// Header `Table-Era` (docs/design.md, section 8.2).
+    std::optional<std::uint64_t> table_era;
 };
 
 /// HTTP requests on one thread that all users share. Redirects and proxies are
--- a/packages/storage/http_table.hpp
+++ b/packages/storage/http_table.hpp
@@ -3,6 +3,8 @@
 
 #include "storage/i_table.hpp"
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -10,6 +12,8 @@
 {
 
 class http_client;
+struct http_request;
+struct http_response;
 
 /// The platform's table over HTTP. Values must be UTF-8.
 class http_table : public i_table
@@ -25,10 +29,17 @@
     void scan(std::string prefix, std::string after, std::size_t limit,
               std::chrono::milliseconds timeout,
               handler<std::vector<row>> on_done) override;
+    std::uint64_t era() const override { return *era_; }
 
 private:
+    void send(http_request request,
+              std::function<void(kernel::result<http_response>)> on_done);
+
     std::shared_ptr<http_client> client_;
     std::string base_url_;
+    /// Shared with handlers, which may run after the table is destroyed.
+    std::shared_ptr<std::atomic<std::uint64_t>> const era_ =
+        std::make_shared<std::atomic<std::uint64_t>>(0);
 };
 
 } // namespace endiveward::storage
--- a/packages/storage/i_table.hpp
+++ b/packages/storage/i_table.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -39,6 +40,12 @@
     virtual void scan(std::string prefix, std::string after, std::size_t limit,
                       std::chrono::milliseconds timeout,
                       handler<std::vector<row>> on_done) = 0;
+    /// The newest era seen in an answer, 0 before the first one; thread-safe.
+    /// The era grows each time the table comes back from an older copy, which
+    /// loses committed transactions and gives out versions again. It is 1 until
+    /// then. When a handler runs, the era of its answer is included. If the era
+    /// is the same before a request and in its handler, the request ran in it.
+    virtual std::uint64_t era() const = 0;
 };
 
 } // namespace endiveward::storage
--- a/packages/storage/internal/http_client.cpp
+++ b/packages/storage/internal/http_client.cpp
@@ -1,5 +1,7 @@
 #include "storage/http_client.hpp"
 
+#include "kernel/parse_number.hpp"
+
 #include <curl/curl.h>
 #include <fmt/format.h>
 
@@ -103,6 +105,10 @@
     long status = 0;
     curl_easy_getinfo(it.easy, CURLINFO_RESPONSE_CODE, &status);
     it.response.status = static_cast<int>(status);
+    curl_header* era = nullptr;
+    if (curl_easy_header(it.easy, "Table-Era", 0, CURLH_HEADER, -1, &era) ==
+        CURLHE_OK)
+        it.response.table_era = kernel::parse_number<std::uint64_t>(era->value);
     curl_off_t retry_after = 0;
     curl_easy_getinfo(it.easy, CURLINFO_RETRY_AFTER, &retry_after);
     if (retry_after > 0)
--- a/packages/storage/internal/http_table.cpp
+++ b/packages/storage/internal/http_table.cpp
@@ -37,6 +37,14 @@
         .dump();
 }
 
+void raise_to(std::atomic<std::uint64_t>& era, std::uint64_t seen)
+{
+    auto current = era.load();
+    while (current < seen && !era.compare_exchange_weak(current, seen))
+    {
+    }
+}
+
 transaction_outcome parse_outcome(http_response const& response)
 {
     auto const value = json::parse(response.body);
@@ -59,6 +67,20 @@
 {
 }
 
+void http_table::send(
+    http_request request,
+    std::function<void(kernel::result<http_response>)> on_done)
+{
+    client_->send(std::move(request),
+                  [era = era_, on_done = std::move(on_done)](
+                      kernel::result<http_response> res)
+                  {
+                      if (kernel::ok(res) && kernel::value(res).table_era)
+                          raise_to(*era, *kernel::value(res).table_era);
+                      on_done(std::move(res));
+                  });
+}
+
 void http_table::commit(table_transaction transaction,
                         std::chrono::milliseconds timeout,
                         handler<transaction_outcome> on_done)
@@ -82,8 +104,8 @@
                           fmt::format("a value is not UTF-8: {}", ex.what()),
                           kernel::run_state::not_run, std::nullopt});
     }
-    client_->send(std::move(request), store_handler<transaction_outcome>(
-                                          {200, 409}, parse_outcome, on_done));
+    send(std::move(request), store_handler<transaction_outcome>(
+                                 {200, 409}, parse_outcome, on_done));
 }
 
 void http_table::read(std::string key, std::chrono::milliseconds timeout,
@@ -92,17 +114,16 @@
     http_request request;
     request.url = fmt::format("{}/v1/row?key={}", base_url_, url_encoded(key));
     request.timeout = timeout;
-    client_->send(std::move(request),
-                  store_handler<std::optional<row>>(
-                      {200, 404},
-                      [](http_response& it)
-                      {
-                          if (it.status == 404)
-                              return std::optional<row>();
-                          return std::optional<row>(
-                              parse_row(json::parse(it.body)));
-                      },
-                      std::move(on_done)));
+    send(std::move(request),
+         store_handler<std::optional<row>>(
+             {200, 404},
+             [](http_response& it)
+             {
+                 if (it.status == 404)
+                     return std::optional<row>();
+                 return std::optional<row>(parse_row(json::parse(it.body)));
+             },
+             std::move(on_done)));
 }
 
 void http_table::scan(std::string prefix, std::string after, std::size_t limit,
@@ -114,18 +135,17 @@
         fmt::format("{}/v1/rows?prefix={}&after={}&limit={}", base_url_,
                     url_encoded(prefix), url_encoded(after), limit);
     request.timeout = timeout;
-    client_->send(std::move(request),
-                  store_handler<std::vector<row>>(
-                      {200},
-                      [](http_response& it)
-                      {
-                          auto const body = json::parse(it.body);
-                          std::vector<row> res;
-                          for (auto const& value : body.at("rows"))
-                              res.push_back(parse_row(value));
-                          return res;
-                      },
-                      std::move(on_done)));
+    send(std::move(request), store_handler<std::vector<row>>(
+                                 {200},
+                                 [](http_response& it)
+                                 {
+                                     auto const body = json::parse(it.body);
+                                     std::vector<row> res;
+                                     for (auto const& value : body.at("rows"))
+                                         res.push_back(parse_row(value));
+                                     return res;
+                                 },
+                                 std::move(on_done)));
 }
 
 } // namespace endiveward::storage
--- a/packages/storage/tests/http_clients_test.cpp
+++ b/packages/storage/tests/http_clients_test.cpp
@@ -94,6 +94,25 @@
                             {"key":"b","value":null}]})"));
 }
 
+TEST_CASE("the newest era of all answers is kept", "[http_table]")
+{
+    // Guards against a restore of the table that its users cannot notice, and
+    // against a late answer that takes the era back.
+    clients it;
+    CHECK(it.table.era() == 0);
+    it.server.push_response(404, "", "Table-Era: 7\r\n");
+    it.server.push_response(503, "", "Table-Era: 8\r\n");
+    it.server.push_response(404, "", "Table-Era: 7\r\n");
+    it.server.push_response(404, "");
+    std::vector<std::uint64_t> eras;
+    for (int n = 0; n < 4; ++n)
+    {
+        it.read("k");
+        eras.push_back(it.table.era());
+    }
+    CHECK(eras == std::vector<std::uint64_t>{7, 8, 8, 8});
+}
+
 TEST_CASE("only refused connections and 503 are not run", "[http_table]")
 {
     // Guards against "not run" for a transaction that may have taken effect.
--- a/packages/storage/tests/support/fake_table.hpp
+++ b/packages/storage/tests/support/fake_table.hpp
@@ -56,6 +56,12 @@
         on_done(run_scan(prefix, after, limit));
     }
 
+    std::uint64_t era() const override
+    {
+        std::lock_guard const lock(mutex_);
+        return seen_era_;
+    }
+
     /// While unavailable, every method gives `store_unavailable`, `not_run`.
     void set_unavailable(bool unavailable)
     {
@@ -116,6 +122,28 @@
         return res;
     }
 
+    /// Keeps the rows as they are for `restore`.
+    void make_copy()
+    {
+        std::lock_guard const lock(mutex_);
+        copy_ = rows_;
+    }
+    /// Brings back the copy; the next answer names an era that is one higher.
+    void restore()
+    {
+        std::lock_guard const lock(mutex_);
+        rows_ = copy_;
+        history_.clear();
+        ++era_;
+    }
+    /// From now on answers name the era, as those of a table that is never
+    /// restored do not need to.
+    void name_eras()
+    {
+        std::lock_guard const lock(mutex_);
+        era_ = 1;
+    }
+
     std::map<std::string, row> rows() const
     {
         std::lock_guard const lock(mutex_);
@@ -185,6 +213,8 @@
         }
         if (unavailable_ || fault == commit_fault::not_run)
             return failed(kernel::run_state::not_run);
+        if (fault == commit_fault::none)
+            seen_era_ = era_;
         if (fault == commit_fault::delayed)
             delayed_.push_back(std::move(transaction));
         else if (fault != commit_fault::lost_before)
@@ -234,6 +264,7 @@
     std::map<std::string, row> const& visible_rows()
     {
         ++reads_;
+        seen_era_ = era_;
         if (stale_count_ == 0)
             return rows_;
         --stale_count_;
@@ -280,6 +311,10 @@
     std::deque<std::function<void()>> hooks_;
     std::vector<table_transaction> delayed_;
     std::vector<std::function<void()>> held_;
+    std::map<std::string, row> copy_;
+    /// 0: not named in answers.
+    std::uint64_t era_ = 0;
+    std::uint64_t seen_era_ = 0;
     bool holding_ = false;
     bool unavailable_ = false;
     std::size_t stale_count_ = 0;
--- a/stand_ins/platform/main.cpp
+++ b/stand_ins/platform/main.cpp
@@ -22,7 +22,14 @@
         ("load-time-ms", "Time to load weights, up to two at once", //
          cxxopts::value<std::int64_t>()->default_value("1000"))     //
         ("max-loads", "Weight loads at once, 0 for any",            //
-         cxxopts::value<std::size_t>()->default_value("0"));
+         cxxopts::value<std::size_t>()->default_value("0"))         //
+        ("restore-every-ms",
+         "Time between restores of table and objects from a copy, 0 for none",
+         cxxopts::value<std::int64_t>()->default_value("0"))    //
+        ("restore-copy-age-ms", "Age of that copy",             //
+         cxxopts::value<std::int64_t>()->default_value("3000")) //
+        ("restore-away-ms", "Time away before a restore",       //
+         cxxopts::value<std::int64_t>()->default_value("500"));
     return run_stand_in(
         options, argc, argv,
         [](cxxopts::ParseResult const& args)
@@ -30,6 +37,9 @@
             return std::make_unique<platform_service>(platform_options{
                 milliseconds(args["vm-lag-ms"].as<std::int64_t>()),
                 milliseconds(args["load-time-ms"].as<std::int64_t>()),
-                args["max-loads"].as<std::size_t>()});
+                args["max-loads"].as<std::size_t>(),
+                {milliseconds(args["restore-every-ms"].as<std::int64_t>()),
+                 milliseconds(args["restore-copy-age-ms"].as<std::int64_t>()),
+                 milliseconds(args["restore-away-ms"].as<std::int64_t>())}});
         });
 }
--- a/stand_ins/platform/platform_service.cpp
+++ b/stand_ins/platform/platform_service.cpp
@@ -1,6 +1,8 @@
 #include "platform/platform_service.hpp"
 
 #include <cstdlib>
+#include <functional>
+#include <optional>
 #include <thread>
 
 namespace endiveward::stand_ins
@@ -55,15 +57,72 @@
     return std::chrono::steady_clock::now();
 }
 
+/// Adds the table's era to an answer. It is read when the answer is sent, so
+/// that it is never older than the era in which the operation ran.
+class reply_with_era : public i_http_reply
+{
+public:
+    reply_with_era(i_http_reply& reply, std::function<std::uint64_t()> era)
+        : reply_(reply)
+        , era_(std::move(era))
+    {
+    }
+
+    void send(int status, std::string body, header_map headers) override
+    {
+        headers["Table-Era"] = std::to_string(era_());
+        reply_.send(status, std::move(body), std::move(headers));
+    }
+    void begin(int status, header_map headers) override
+    {
+        headers["Table-Era"] = std::to_string(era_());
+        reply_.begin(status, std::move(headers));
+    }
+    bool write(std::string chunk) override
+    {
+        return reply_.write(std::move(chunk));
+    }
+    void finish() override { reply_.finish(); }
+    void break_connection() override { reply_.break_connection(); }
+
+private:
+    i_http_reply& reply_;
+    std::function<std::uint64_t()> era_;
+};
+
 } // namespace
 
 platform_service::platform_service(platform_options const& options)
-    : vms_(options.vm_lag)
+    : drill_(options.restore, steady_now())
+    , vms_(options.vm_lag)
     , weights_(options.load_time, options.max_loads)
 {
 }
 
 void platform_service::handle(http_request const& req, i_http_reply& reply)
+{
+    reply_with_era with_era(reply, [this] { return era(); });
+    answer(req, with_era);
+}
+
+std::uint64_t platform_service::era()
+{
+    std::lock_guard const lock(mutex_);
+    advance_drill();
+    return drill_.era();
+}
+
+void platform_service::advance_drill()
+{
+    auto const copy_time = drill_.advance(steady_now());
+    if (!copy_time)
+        return;
+    table_.restore(*copy_time);
+    object_undo_.rewind(*copy_time);
+    ++counts_["restores"];
+}
+
+void platform_service::answer(http_request const& req, i_http_reply& reply)
 {
     if (req.path.rfind("/admin/", 0) == 0)
         return admin(req, reply);
@@ -91,7 +150,8 @@
         path == "/v1/transactions" || path.rfind("/v1/row", 0) == 0;
     if (is_table || path == "/v1/object")
         std::this_thread::sleep_for(milliseconds(slow_ms_));
-    bool const down = (is_table && table_down_) ||
+    bool const down = ((is_table || path == "/v1/object") && is_away()) ||
+                      (is_table && table_down_) ||
                       (path == "/v1/object" && objects_down_) ||
                       (path == "/v1/vms" && vms_down_);
     if (!down)
@@ -111,7 +171,9 @@
     bool lost = false;
     {
         std::lock_guard const lock(mutex_);
-        failed = table_.commit(read_conditions(body), read_writes(body));
+        advance_drill();
+        failed = table_.commit(read_conditions(body), read_writes(body),
+                               steady_now());
         ++counts_["transactions"];
         ++counts_[failed.empty() ? "commits" : "conflicts"];
         lost = failed.empty() && loses_answer();
@@ -123,6 +185,13 @@
     send_json(reply, 409, {{"committed", false}, {"failed_keys", failed}});
 }
 
+bool platform_service::is_away()
+{
+    std::lock_guard const lock(mutex_);
+    advance_drill();
+    return drill_.is_away();
+}
+
 bool platform_service::loses_answer()
 {
     if (answers_to_lose_ == 0)
@@ -161,7 +230,7 @@
     if (req.method == "PUT")
     {
         ++counts_["object_writes"];
-        objects_[key] = req.body;
+        write_object(key, req.body);
         return send_json(reply, 200, json::object());
     }
     ++counts_["object_reads"];
@@ -171,6 +240,23 @@
     reply.send(200, it->second, {{"Content-Type", "application/octet-stream"}});
 }
 
+void platform_service::write_object(std::string const& key,
+                                    std::string const& bytes)
+{
+    auto const it = objects_.find(key);
+    auto const before =
+        it == objects_.end() ? std::nullopt : std::optional(it->second);
+    object_undo_.record(steady_now(),
+                        [this, key, before]
+                        {
+                            if (before)
+                                objects_[key] = *before;
+                            else
+                                objects_.erase(key);
+                        });
+    objects_[key] = bytes;
+}
+
 void platform_service::vms(i_http_reply& reply)
 {
     std::lock_guard const lock(mutex_);
@@ -238,6 +324,10 @@
         vms_.set_lag(milliseconds(body.at("ms").get<std::int64_t>()));
     else if (what == "vm_put")
         vms_.put(body, steady_now());
+    else if (what == "restore")
+        drill_.start(milliseconds(body.at("copy_age_ms").get<std::int64_t>()),
+                     milliseconds(body.at("away_ms").get<std::int64_t>()),
+                     steady_now());
     else if (what == "vm_remove")
         vms_.remove(body.at("id"), steady_now());
     else
--- a/stand_ins/platform/table_store.cpp
+++ b/stand_ins/platform/table_store.cpp
@@ -5,7 +5,7 @@
 
 std::vector<std::string>
 table_store::commit(std::vector<condition> const& conditions,
-                    std::vector<write> const& writes)
+                    std::vector<write> const& writes, kernel::steady_time now)
 {
     std::vector<std::string> failed;
     for (auto const& it : conditions)
@@ -19,6 +19,16 @@
         return failed;
     for (auto const& it : writes)
     {
+        undo_.record(
+            now,
+            [this, key = it.key, before = read(it.key), count = writes_[it.key]]
+            {
+                writes_[key] = count;
+                if (before)
+                    rows_[key] = *before;
+                else
+                    rows_.erase(key);
+            });
         auto const version = ++writes_[it.key];
         if (it.value)
             rows_[it.key] = {it.key, *it.value, version};
--- a/stand_ins/platform/tests/platform_test.cpp
+++ b/stand_ins/platform/tests/platform_test.cpp
@@ -18,7 +18,7 @@
 /// A platform on a free port.
 struct running_platform
 {
-    platform_service service{{milliseconds(0), milliseconds(0), 0}};
+    platform_service service{{milliseconds(0), milliseconds(0), 0, {}}};
     http_server server{"127.0.0.1", 0, [this](auto& req, auto& reply) {
                            service.handle(req, reply);
                        }};
@@ -106,6 +106,75 @@
     CHECK(json::parse(rows.body)["rows"].size() == 1);
 }
 
+// Guards against a restore that keeps a write, a version or an object made
+// after the copy, or that loses one made before it.
+TEST_CASE("a restored table is that of the copy and gives out versions again")
+{
+    kernel::steady_time const start(std::chrono::hours(1));
+    table_store table;
+    table.commit({}, {{"a", "1"}, {"b", "1"}}, start);
+    table.commit({}, {{"a", "2"}, {"c", "1"}}, start + milliseconds(10));
+    table.commit({}, {{"a", std::nullopt}}, start + milliseconds(20));
+    table.restore(start + milliseconds(5));
+    CHECK(table.read("a")->value == "1");
+    CHECK(table.read("a")->version == 1);
+    CHECK(table.read("b")->version == 1);
+    CHECK_FALSE(table.read("c"));
+    table.commit({{"a", 1}}, {{"a", "other"}}, start + milliseconds(30));
+    CHECK(table.read("a")->version == 2);
+}
+
+// Guards against an era that stays the same or rises before the store is back,
+// and against a schedule that restores once only.
+TEST_CASE("each return from a copy raises the era by one")
+{
+    kernel::steady_time const start(std::chrono::hours(1));
+    restore_drill drill(
+        {milliseconds(1000), milliseconds(300), milliseconds(100)}, start);
+    CHECK_FALSE(drill.advance(start + milliseconds(999)));
+    CHECK_FALSE(drill.advance(start + milliseconds(1000)));
+    CHECK(drill.is_away());
+    CHECK(drill.era() == 1);
+    CHECK(drill.advance(start + milliseconds(1100)) ==
+          start + milliseconds(700));
+    CHECK_FALSE(drill.is_away());
+    CHECK(drill.era() == 2);
+    drill.start(milliseconds(0), milliseconds(0), start + milliseconds(1200));
+    CHECK(drill.advance(start + milliseconds(1200)));
+    CHECK(drill.era() == 3);
+    CHECK_FALSE(drill.advance(start + milliseconds(2000)));
+    CHECK(drill.is_away());
+}
+
+// Guards against answers without the era and against an absence during which
+// table or objects answer.
+TEST_CASE("a restore switch takes table and objects back and names the era")
+{
+    running_platform platform;
+    CHECK(platform.commit("k", 0, "1").headers.at("table-era") == "1");
+    http_call put;
+    put.method = "PUT";
+    put.url = platform.url("/v1/object?key=o");
+    put.body = "bytes";
+    CHECK(send(put).status == 200);
+    post(platform.url("/admin/restore"),
+         R"({"copy_age_ms":250000,"away_ms":60000})");
+    CHECK(platform.commit("k", 1, "2").status == 503);
+    CHECK(get(put.url).status == 503);
+    CHECK(get(platform.url("/v1/vms")).status == 200);
+
+    running_platform other;
+    CHECK(other.commit("k", 0, "1").status == 200);
+    put.url = other.url("/v1/object?key=o");
+    CHECK(send(put).status == 200);
+    post(other.url("/admin/restore"), R"({"copy_age_ms":250000,"away_ms":0})");
+    auto const row = get(other.url("/v1/row?key=k"));
+    CHECK(row.status == 404);
+    CHECK(row.headers.at("table-era") == "2");
+    CHECK(get(put.url).status == 404);
+    CHECK(other.commit("k", 0, "2").status == 200);
+}
+
 // Guards against objects that change on their way.
 TEST_CASE("an object keeps its bytes and weights can be throttled")
 {
