--- a/packages/admission/idempotency_ledger.hpp
+++ b/packages/admission/idempotency_ledger.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEWARD_ADMISSION_IDEMPOTENCY_LEDGER_HPP
 
 #include "admission/i_idempotency_ledger.hpp"
+#include "admission/internal/era_gate.hpp"
 #include "admission/internal/row_batcher.hpp"
 #include "admission/types/claim_record.hpp"
 #include "admission/types/idempotency_options.hpp"
@@ -75,6 +76,14 @@
         std::string attempt_id;
         std::string request_hash;
         std::optional<stored_answer> answer;
+        /// Version of the claim row, once it is written.
+        std::uint64_t row_version = 0;
+        /// Era for which the claim row is known to be written; while claiming,
+        /// the era known when the insert was sent.
+        std::uint64_t era = 0;
+        /// When the row was last written.
+        kernel::steady_time written_at;
+        bool rewrite_in_flight = false;
         /// The response to an insert was lost, so the row may exist or still
         /// appear.
         bool may_be_inserted = false;
@@ -88,6 +97,7 @@
         row_operation operation;
         /// Time of the first try.
         kernel::steady_time since;
+        std::uint64_t era = 0;
     };
 
     using entry_map = std::map<std::string, entry>;
@@ -111,6 +121,17 @@
     void write_outcome(claim const& held_claim, stored_answer const& answer);
     void write_later(row_operation const& operation);
     void write_pending(pending_write const& pending);
+    /// Whether an insert that has just been answered gives the claim.
+    bool is_settled(entry const& claimed) const;
+    void rewrite_lost_rows();
+    void rewrite_row(std::string const& row_key,
+                     storage::row_condition const& condition);
+    void read_for_rewrite(std::string const& row_key);
+    void
+    on_row_for_rewrite(std::string const& row_key,
+                       kernel::result<std::optional<storage::row>> const& res);
+    void retry_pending();
+    std::string encode_current(entry const& source) const;
     void add_finished(std::string const& row_key);
     row_operation make_insert(std::string const& row_key) const;
     std::string encode_entry(entry const& source, claim_state state,
@@ -119,6 +140,9 @@
 
     idempotency_options const options_;
     row_batcher batcher_;
+    era_gate gate_;
+    /// When a claim row was last written.
+    std::optional<kernel::steady_time> last_claim_;
     entry_map entries_;
     /// Row keys of finished calls, oldest first.
     std::deque<std::string> finished_keys_;
--- a/packages/admission/internal/claim_record.cpp
+++ b/packages/admission/internal/claim_record.cpp
@@ -48,11 +48,10 @@
 {
     auto const time =
         duration_cast<milliseconds>(record.written_at.time_since_epoch());
-    json row{{"attempt", record.attempt_id},
-             {"endpoint", record.endpoint.str()},
-             {"request", record.request_hash},
-             {"state", to_string(record.state)},
-             {"written_at_ms", time.count()}};
+    json row{
+        {"attempt", record.attempt_id},   {"endpoint", record.endpoint.str()},
+        {"request", record.request_hash}, {"state", to_string(record.state)},
+        {"written_at_ms", time.count()},  {"era", record.era}};
     if (record.answer)
         row["answer"] = {{"status", record.answer->http_status},
                          {"content_type", record.answer->content_type},
@@ -76,6 +75,7 @@
     record.answer = get_answer(row);
     record.written_at = kernel::wall_time(
         milliseconds(row.at("written_at_ms").get<std::int64_t>()));
+    record.era = row.value("era", std::uint64_t{0});
     return record;
 }
 catch (json::exception const&)
--- a/packages/admission/internal/idempotency_ledger.cpp
+++ b/packages/admission/internal/idempotency_ledger.cpp
@@ -25,6 +25,10 @@
 // deleted and inserted again, a repeated write could match the row of another
 // attempt.
 constexpr std::chrono::hours max_retry_age{1};
+// Rows written earlier are in every copy from which the table comes back.
+// Copies are some seconds old; the rest allows for the time until the restore
+// is noticed.
+constexpr std::chrono::minutes max_copy_age{1};
 
 kernel::error store_unavailable()
 {
@@ -35,6 +39,15 @@
             kernel::run_state::not_run, retry_after_store_failure};
 }
 
+kernel::error claims_incomplete(milliseconds remaining)
+{
+    return {kernel::error_kind::store_unavailable,
+            "the platform's table came back from a copy, and claims that it "
+            "lost are being written again; send the request again after "
+            "Retry-After",
+            kernel::run_state::not_run, remaining};
+}
+
 kernel::error key_reused()
 {
     return {kernel::error_kind::key_reused,
@@ -94,6 +107,7 @@
     , post_(std::move(post))
     , options_(std::move(options))
     , batcher_(table, post_, options_.table_timeout)
+    , gate_(clock, table, post_, options_.table_timeout)
 {
 }
 
@@ -112,9 +126,14 @@
     auto const it = entries_.find(row_key);
     if (it != entries_.end())
         return join(it->second, request_hash, std::move(first));
+    if (!gate_.is_open())
+        return post_(
+            [handler = std::move(first.on_done), remaining = gate_.remaining()]
+            { handler(claims_incomplete(remaining)); });
     entry fresh;
     fresh.attempt_id = make_attempt_id();
     fresh.request_hash = std::move(request_hash);
+    fresh.era = table_.era();
     fresh.waiters.push_back(std::move(first));
     entries_.emplace(row_key, std::move(fresh));
     insert_row(row_key);
@@ -166,6 +185,9 @@
 void idempotency_ledger::on_inserted(std::string const& row_key,
                                      row_outcome outcome)
 {
+    if (outcome == row_outcome::committed ||
+        outcome == row_outcome::condition_failed)
+        gate_.on_answer();
     switch (outcome)
     {
     case row_outcome::committed:
@@ -208,6 +230,7 @@
 {
     if (!kernel::ok(res))
         return fail_claim(row_key, store_unavailable());
+    gate_.on_answer();
     auto const& row = kernel::value(res);
     if (!row)
         return retry_insert(row_key);
@@ -256,12 +279,30 @@
                                std::uint64_t version)
 {
     auto& found = entries_.at(row_key);
+    if (!is_settled(found))
+    {
+        found.may_be_inserted = true;
+        return fail_claim(row_key, claims_incomplete(gate_.remaining()));
+    }
     found.state = entry_state::running;
+    found.row_version = version;
+    found.era = table_.era();
+    found.written_at = clock_.now();
+    last_claim_ = clock_.now();
     auto const owner = std::move(found.waiters.front());
     found.waiters.erase(found.waiters.begin());
     owner.on_done(claim_decision(claim{row_key, version, found.attempt_id}));
 }
 
+bool idempotency_ledger::is_settled(entry const& claimed) const
+{
+    // The insert may have replaced a row of another era, or may be lost with
+    // the old one, if the era changed while it was sent.
+    constexpr std::uint64_t first_era = 1;
+    return table_.era() <= first_era ||
+           (claimed.era == table_.era() && gate_.is_open());
+}
+
 void idempotency_ledger::fail_claim(std::string const& row_key,
                                     kernel::error reason)
 {
@@ -282,7 +323,11 @@
         return;
     if (answer == nullptr)
         return finish(held_claim.row_key, entry_state::unknown, std::nullopt);
-    write_outcome(held_claim, *answer);
+    it->second.written_at = clock_.now();
+    last_claim_ = clock_.now();
+    // Otherwise the row is written again with this outcome.
+    if (it->second.era == table_.era())
+        write_outcome(held_claim, *answer);
     std::optional<stored_answer> kept;
     if (answer->body.size() <= options_.max_answer_bytes)
         kept = *answer;
@@ -310,10 +355,10 @@
 {
     bool const keep = answer.body.size() <= options_.max_answer_bytes &&
                       is_valid_utf8(answer.body);
-    write_later({{held_claim.row_key, held_claim.row_version},
-                 {held_claim.row_key,
-                  encode_entry(entries_.at(held_claim.row_key),
-                               claim_state::done, keep ? &answer : nullptr)},
+    auto const& found = entries_.at(held_claim.row_key);
+    write_later({{held_claim.row_key, found.row_version},
+                 {held_claim.row_key, encode_entry(found, claim_state::done,
+                                                   keep ? &answer : nullptr)},
                  {}});
 }
 
@@ -327,10 +372,11 @@
     // start.
     if (abandoned_attempts_.size() < max_abandoned_attempts)
         abandoned_attempts_.insert(held_claim.attempt_id);
-    write_later({{held_claim.row_key, held_claim.row_version},
-                 {held_claim.row_key,
-                  encode_entry(found, claim_state::released, nullptr)},
-                 {}});
+    if (found.era == table_.era())
+        write_later({{held_claim.row_key, found.row_version},
+                     {held_claim.row_key,
+                      encode_entry(found, claim_state::released, nullptr)},
+                     {}});
     for (auto& it : found.waiters)
     {
         if (it.deadline > clock_.now())
@@ -342,7 +388,12 @@
 
 void idempotency_ledger::write_later(row_operation const& operation)
 {
-    write_pending({operation, clock_.now()});
+    pending_write const pending{operation, clock_.now(), table_.era()};
+    if (gate_.is_informed())
+        return write_pending(pending);
+    // The version may have been given out again in an era not seen yet.
+    if (pending_retries_.size() < max_pending_retries)
+        pending_retries_.push_back(pending);
 }
 
 void idempotency_ledger::write_pending(pending_write const& pending)
@@ -352,6 +403,9 @@
     auto attempt = pending.operation;
     attempt.on_done = [this, pending](row_outcome outcome)
     {
+        if (outcome == row_outcome::committed ||
+            outcome == row_outcome::condition_failed)
+            gate_.on_answer();
         bool const settled = outcome == row_outcome::committed ||
                              outcome == row_outcome::condition_failed;
         if (!settled && pending_retries_.size() < max_pending_retries)
@@ -361,16 +415,129 @@
 }
 
 void idempotency_ledger::tick()
+{
+    bool const watch =
+        !pending_retries_.empty() ||
+        (last_claim_ && clock_.now() - *last_claim_ < max_copy_age);
+    gate_.tick(watch);
+    rewrite_lost_rows();
+    // Until the gate has read its row, a restore may be unknown.
+    if (gate_.is_informed())
+        retry_pending();
+}
+
+void idempotency_ledger::rewrite_lost_rows()
+{
+    std::vector<std::string> lost;
+    for (auto const& [row_key, it] : entries_)
+    {
+        bool const may_be_lost = it.state != entry_state::claiming &&
+                                 it.era < table_.era() &&
+                                 clock_.now() - it.written_at < max_copy_age;
+        if (may_be_lost && !it.rewrite_in_flight)
+            lost.push_back(row_key);
+    }
+    for (auto const& it : lost)
+        rewrite_row(it, {it, 0});
+}
+
+void idempotency_ledger::rewrite_row(std::string const& row_key,
+                                     storage::row_condition const& condition)
+{
+    auto& found = entries_.at(row_key);
+    found.rewrite_in_flight = true;
+    row_operation rewrite;
+    rewrite.condition = condition;
+    rewrite.write = {row_key, encode_current(found)};
+    rewrite.on_done = [this, row_key, condition, state = found.state,
+                       era = table_.era()](row_outcome outcome)
+    {
+        auto const it = entries_.find(row_key);
+        if (it == entries_.end())
+            return;
+        if (outcome == row_outcome::condition_failed)
+            return read_for_rewrite(row_key);
+        it->second.rewrite_in_flight = false;
+        if (outcome != row_outcome::committed || table_.era() != era)
+            return;
+        gate_.on_answer();
+        it->second.row_version = condition.version + 1;
+        // An outcome recorded meanwhile is written by the next tick.
+        if (it->second.state == state)
+            it->second.era = era;
+    };
+    batcher_.enqueue(std::move(rewrite));
+}
+
+void idempotency_ledger::read_for_rewrite(std::string const& row_key)
+{
+    table_.read(row_key, options_.table_timeout,
+                [this, row_key, post = post_,
+                 alive = std::weak_ptr(lifetime_)](auto const& res)
+                {
+                    post(
+                        [this, row_key, alive, res]
+                        {
+                            if (!alive.expired())
+                                on_row_for_rewrite(row_key, res);
+                        });
+                });
+}
+
+void idempotency_ledger::on_row_for_rewrite(
+    std::string const& row_key,
+    kernel::result<std::optional<storage::row>> const& res)
+{
+    auto const it = entries_.find(row_key);
+    if (it == entries_.end())
+        return;
+    auto& found = it->second;
+    found.rewrite_in_flight = false;
+    // Without an answer or a row the next tick tries again.
+    if (!kernel::ok(res) || !kernel::value(res))
+        return;
+    gate_.on_answer();
+    auto const& row = *kernel::value(res);
+    auto const record = decode_claim_record(row.value);
+    bool const is_own = record && record->attempt_id == found.attempt_id;
+    bool const is_done = record && record->state == claim_state::done;
+    if (is_done || (is_own && found.state != entry_state::done))
+    {
+        found.row_version = row.version;
+        found.era = table_.era();
+        return;
+    }
+    // An attempt that made its claim in an older era was not granted after the
+    // restore, and was not running when this claim was granted.
+    if (is_own || (record && record->era < table_.era()))
+        return rewrite_row(row_key, {row_key, row.version});
+    // Another attempt was granted the claim before it could be written again;
+    // its row is left as it is.
+    found.era = table_.era();
+}
+
+void idempotency_ledger::retry_pending()
 {
     auto const retries = std::move(pending_retries_);
     pending_retries_.clear();
     for (auto const& it : retries)
     {
-        if (clock_.now() - it.since < max_retry_age)
+        // Versions of an older era may have been given out again. Outcomes
+        // are then written by `rewrite_lost_rows`.
+        if (clock_.now() - it.since < max_retry_age && it.era == table_.era())
             write_pending(it);
     }
 }
 
+std::string idempotency_ledger::encode_current(entry const& source) const
+{
+    if (source.state != entry_state::done)
+        return encode_entry(source, claim_state::started, nullptr);
+    bool const keep = source.answer && is_valid_utf8(source.answer->body);
+    return encode_entry(source, claim_state::done,
+                        keep ? &*source.answer : nullptr);
+}
+
 void idempotency_ledger::add_finished(std::string const& row_key)
 {
     finished_keys_.push_back(row_key);
@@ -392,6 +559,7 @@
     if (answer != nullptr)
         record.answer = *answer;
     record.written_at = clock_.wall_now();
+    record.era = table_.era();
     return encode(record);
 }
 
--- a/packages/admission/types/claim_record.hpp
+++ b/packages/admission/types/claim_record.hpp
@@ -44,6 +44,8 @@
     /// valid UTF-8.
     std::optional<stored_answer> answer;
     kernel::wall_time written_at;
+    /// The table's era known to the writer when it made the claim.
+    std::uint64_t era = 0;
 
     bool operator==(claim_record const&) const = default;
 };
