--- a/packages/admission/idempotency_ledger.hpp
+++ b/packages/admission/idempotency_ledger.hpp
@@ -128,7 +128,7 @@
                      storage::row_condition const& condition);
     void read_for_rewrite(std::string const& row_key);
     void
-    on_row_for_rewrite(std::string const& row_key,
+    on_row_for_rewrite(std::string const& row_key, std::uint64_t era,
                        kernel::result<std::optional<storage::row>> const& res);
     void retry_pending();
     std::string encode_current(entry const& source) const;
--- a/packages/admission/internal/idempotency_ledger.cpp
+++ b/packages/admission/internal/idempotency_ledger.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds retry_after_unknown_outcome{1000};
 // Version that the table assigns to a newly inserted row.
 constexpr std::uint64_t first_row_version = 1;
+// Era of a table that has never come back from a copy.
+constexpr std::uint64_t first_era = 1;
 constexpr std::size_t max_abandoned_attempts = 10'000;
 constexpr std::size_t max_pending_retries = 10'000;
 // Must be well below the retention period of claims: once a row has been
@@ -298,7 +300,6 @@
 {
     // The insert may have replaced a row of another era, or may be lost with
     // the old one, if the era changed while it was sent.
-    constexpr std::uint64_t first_era = 1;
     return table_.era() <= first_era ||
            (claimed.era == table_.era() && gate_.is_open());
 }
@@ -428,6 +429,8 @@
 
 void idempotency_ledger::rewrite_lost_rows()
 {
+    if (table_.era() <= first_era)
+        return;
     std::vector<std::string> lost;
     for (auto const& [row_key, it] : entries_)
     {
@@ -446,11 +449,13 @@
 {
     auto& found = entries_.at(row_key);
     found.rewrite_in_flight = true;
+    auto rewritten = found;
+    rewritten.era = table_.era();
     row_operation rewrite;
     rewrite.condition = condition;
-    rewrite.write = {row_key, encode_current(found)};
+    rewrite.write = {row_key, encode_current(rewritten)};
     rewrite.on_done = [this, row_key, condition, state = found.state,
-                       era = table_.era()](row_outcome outcome)
+                       era = rewritten.era](row_outcome outcome)
     {
         auto const it = entries_.find(row_key);
         if (it == entries_.end())
@@ -472,20 +477,20 @@
 void idempotency_ledger::read_for_rewrite(std::string const& row_key)
 {
     table_.read(row_key, options_.table_timeout,
-                [this, row_key, post = post_,
+                [this, row_key, era = table_.era(), post = post_,
                  alive = std::weak_ptr(lifetime_)](auto const& res)
                 {
                     post(
-                        [this, row_key, alive, res]
+                        [this, row_key, era, alive, res]
                         {
                             if (!alive.expired())
-                                on_row_for_rewrite(row_key, res);
+                                on_row_for_rewrite(row_key, era, res);
                         });
                 });
 }
 
 void idempotency_ledger::on_row_for_rewrite(
-    std::string const& row_key,
+    std::string const& row_key, std::uint64_t era,
     kernel::result<std::optional<storage::row>> const& res)
 {
     auto const it = entries_.find(row_key);
@@ -493,8 +498,9 @@
         return;
     auto& found = it->second;
     found.rewrite_in_flight = false;
-    // Without an answer or a row the next tick tries again.
-    if (!kernel::ok(res) || !kernel::value(res))
+    // Without an answer of a certain era, or without a row, the next tick tries
+    // again.
+    if (!kernel::ok(res) || !kernel::value(res) || table_.era() != era)
         return;
     gate_.on_answer();
     auto const& row = *kernel::value(res);
@@ -504,16 +510,16 @@
     if (is_done || (is_own && found.state != entry_state::done))
     {
         found.row_version = row.version;
-        found.era = table_.era();
+        found.era = era;
         return;
     }
     // An attempt that made its claim in an older era was not granted after the
     // restore, and was not running when this claim was granted.
-    if (is_own || (record && record->era < table_.era()))
+    if (is_own || (record && record->era < era))
         return rewrite_row(row_key, {row_key, row.version});
     // Another attempt was granted the claim before it could be written again;
     // its row is left as it is.
-    found.era = table_.era();
+    found.era = era;
 }
 
 void idempotency_ledger::retry_pending()
@@ -559,7 +565,8 @@
     if (answer != nullptr)
         record.answer = *answer;
     record.written_at = clock_.wall_now();
-    record.era = table_.era();
+    // For an insert, the era at its first try: only then it can be granted.
+    record.era = source.era;
     return encode(record);
 }
 
--- a/packages/admission/internal/table_lease.cpp
+++ b/packages/admission/internal/table_lease.cpp
@@ -68,8 +68,10 @@
         return;
     epoch_ = 0;
     next_renewal_ = clock_.now();
-    // In another era the same version can be that of another holder's row.
-    if (request_in_flight_ || !observed_ || observed_->era != table_.era())
+    // A successor's row stays as it is. In another era the same version can be
+    // that of another holder's row.
+    if (request_in_flight_ || !observed_ ||
+        observed_->holder != options_.holder || observed_->era != table_.era())
         return;
     // The result is ignored: if the write is lost, the lease expires.
     table_.commit({{{options_.row_key, observed_->version}},
--- a/packages/admission/tests/table_lease_test.cpp
+++ b/packages/admission/tests/table_lease_test.cpp
@@ -113,6 +113,20 @@
     CHECK(second.fencing_number() == 2);
 }
 
+// Guards against a former holder that releases the lease of its successor.
+TEST_CASE_METHOD(lease_fixture, "a former holder releases no other lease")
+{
+    first.tick();
+    second.tick();
+    run_for(seconds(11), second);
+    REQUIRE(second.fencing_number());
+    first.tick();
+    first.release();
+    table_lease third = make_lease(clock, table, "third");
+    third.tick();
+    CHECK_FALSE(third.fencing_number());
+}
+
 // The table comes back from a copy that lacks the last takeover of the lease.
 class restored_lease_fixture : public lease_fixture
 {
