--- a/packages/admission/internal/idempotency_ledger.cpp
+++ b/packages/admission/internal/idempotency_ledger.cpp
@@ -467,6 +467,9 @@
             return;
         gate_.on_answer();
         it->second.row_version = condition.version + 1;
+        // The next copy may lack this write too.
+        it->second.written_at = clock_.now();
+        last_claim_ = clock_.now();
         // An outcome recorded meanwhile is written by the next tick.
         if (it->second.state == state)
             it->second.era = era;
@@ -511,6 +514,8 @@
     {
         found.row_version = row.version;
         found.era = era;
+        found.written_at = clock_.now();
+        last_claim_ = clock_.now();
         return;
     }
     // An attempt that made its claim in an older era was not granted after the
--- a/packages/admission/tests/restored_claims_test.cpp
+++ b/packages/admission/tests/restored_claims_test.cpp
@@ -149,6 +149,24 @@
     CHECK(second->replay() == answer);
 }
 
+// Guards against a claim that is written again only once, although the next
+// copy lacks it as well.
+TEST_CASE_METHOD(restored_claims_fixture,
+                 "a claim lost in several restores is written again each time")
+{
+    auto const held = first->try_claim();
+    REQUIRE(held);
+    first->ledger.complete(*held, &answer);
+    first->run();
+    for (int n = 0; n < 4; ++n)
+    {
+        table.restore();
+        run_for(seconds(30));
+    }
+    run_for(long_enough);
+    CHECK(second->replay() == answer);
+}
+
 // Guards against a second run while the first one goes on, and against an
 // outcome that is written with a version of the old era.
 TEST_CASE_METHOD(restored_claims_fixture,
--- a/packages/config/tests/change_log_test.cpp
+++ b/packages/config/tests/change_log_test.cpp
@@ -453,6 +453,72 @@
     CHECK(reports == std::vector<bool>{true, false, true});
 }
 
+namespace
+{
+
+/// A router that holds versions 1 and 2 while the table goes back to version 1.
+struct restored_log
+{
+    restored_log()
+    {
+        fakes.table->name_eras();
+        auto const log = fakes.operator_log();
+        commit_rule(*log, "c1", "r", "zone=a");
+        fakes.table->make_copy();
+        commit_rule(*log, "c2", "r", "zone=b");
+        poll(1);
+        fakes.table->restore();
+    }
+
+    void poll(int times)
+    {
+        for (int n = 0; n < times; ++n)
+        {
+            poller.tick();
+            clock->advance(std::chrono::milliseconds(2501));
+        }
+    }
+
+    platform_fakes fakes;
+    std::shared_ptr<kernel::manual_clock> clock =
+        std::make_shared<kernel::manual_clock>();
+    std::shared_ptr<config::config_state> state =
+        std::make_shared<config::config_state>();
+    config::change_log_poller poller{
+        {fakes.table, fakes.objects, std::chrono::milliseconds(100)},
+        state,
+        clock,
+        std::make_shared<kernel::seeded_random_source>(7),
+        {}};
+};
+
+} // namespace
+
+TEST_CASE("a change lost with a copy of the table is written again",
+          "[change_log_poller]")
+{
+    // Guards against an accepted change that processes started after a restore
+    // never learn of.
+    restored_log it;
+    REQUIRE(it.state->current()->version() == 2);
+    it.poll(20);
+    CHECK(it.state->current()->version() == 2);
+    CHECK(rule_text(*it.fakes.operator_log(), "r") == "zone=b");
+}
+
+TEST_CASE("a version given out again reaches routers that held the lost one",
+          "[change_log_poller]")
+{
+    // Guards against a router that keeps the content of a lost version, and
+    // applies later changes to it, while the log has other content.
+    restored_log it;
+    auto const log = it.fakes.operator_log();
+    commit_rule(*log, "c3", "s", "zone=c");
+    it.poll(20);
+    auto const& rules = it.state->compiled()->data()->rules;
+    CHECK(rules.contains("s"));
+}
+
 TEST_CASE("the poller reads a long log in pages and uses snapshots",
           "[change_log_poller]")
 {
