--- a/tests/e2e/at_most_once_test.cpp
+++ b/tests/e2e/at_most_once_test.cpp
@@ -117,6 +117,43 @@
     }
 }
 
+// Guards G6 against a second execution when the table comes back from a copy
+// without the claim, and the agent that wrote it again then ends.
+TEST_CASE("G6: a keyed call is not repeated after a restore of the table")
+{
+    auto const what = one_gate();
+    deployment running(what);
+    running.commit(first_operations(what));
+    REQUIRE(wait_until_connected(running, 1));
+    auto const first = send_when_connected(
+        check_call(running.router_url(0), "pass-1", "key-1"));
+    REQUIRE(first.status == 200);
+    auto const claims = running.platform_url() + "/v1/rows?prefix=claims/";
+    auto const claim_count = [&]
+    { return json::parse(test_support::get(claims).body)["rows"].size(); };
+    REQUIRE(claim_count() == 1);
+    // The copy is older than the deployment, so that it is empty.
+    deployment::operate(running.platform_url(), "restore",
+                        {{"copy_age_ms", 250'000}, {"away_ms", 0}});
+    REQUIRE(claim_count() == 0);
+    wait_until([&] { return claim_count() == 1; });
+    running.agent(0).kill();
+    running.agent(0).start();
+    running.wait_until_agent_ready(0);
+    // Keyed calls are refused for a time after a restore.
+    http_answer retry;
+    wait_until(
+        [&]
+        {
+            retry = send_when_connected(
+                check_call(running.router_url(1), "pass-1", "key-1"));
+            return code_of(retry) != "store_unavailable";
+        });
+    INFO(describe(retry));
+    CHECK(retry.status == 200);
+    CHECK(executions(running, "pass-1") == 1);
+}
+
 // Guards G6 and G5 against a keyed call that runs without a claim while the
 // table is down, and against a refusal that blocks the later retry.
 TEST_CASE("G5 G6: a keyed call is refused and not run while the table is down")
