--- a/tests/e2e/at_most_once_test.cpp
+++ b/tests/e2e/at_most_once_test.cpp
@@ -128,7 +128,7 @@
     auto const first = send_when_connected(
         check_call(running.router_url(0), "pass-1", "key-1"));
     REQUIRE(first.status == 200);
-    auto const claims = running.platform_url() + "/v1/rows?prefix=claims/";
+    auto const claims = running.platform_url() + "/v1/rows?prefix=claims%2F";
     auto const claim_count = [&]
     { return json::parse(test_support::get(claims).body)["rows"].size(); };
     REQUIRE(claim_count() == 1);
