cmake: Leave out soak tests by their folder below tests

The filter for soak tests matched /soak/ anywhere in the absolute path, so that a worktree in a folder of that name had no tests at all and did not configure. It now matches /tests/soak/ only.

--- a/cmake/endiveward.cmake
+++ b/cmake/endiveward.cmake
@@ -37,7 +37,7 @@
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS
        ${CMAKE_CURRENT_SOURCE_DIR}/*_test.cpp)
   # A soak is a program of its own.
-  list(FILTER sources EXCLUDE REGEX "/soak/")
+  list(FILTER sources EXCLUDE REGEX "/tests/soak/")
   if(NOT sources)
     return()
   endif()
