tests: Close a test's descriptors in the programs that it starts

Programs inherited the sockets of the test. A port that the test had closed was still in use (bind: Address already in use in the restore drill of the soak), and peers of a connection that a proxy reset did not notice while a program started later held a copy. posix_spawn now closes all descriptors above stderr.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -53,6 +53,9 @@
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log_file_.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    // With a copy of a test's socket in the program, the peer does not notice
+    // when the test closes it, and a port stays in use.
+    posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
     posix_spawnattr_t attributes;
     posix_spawnattr_init(&attributes);
     sigset_t none;
