--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -11,7 +11,6 @@
 
 #include <asio/steady_timer.hpp>
 
-#include <cstdint>
 #include <limits>
 #include <memory>
 #include <utility>
@@ -38,7 +37,7 @@
         scheduler_.set_routers(routers_.size());
         conn->send(scheduler_.state());
         conn->send(scheduler_.cache());
-        send_era(*conn);
+        announce_era(*conn);
     }
 
     void on_message(std::shared_ptr<wire::i_connection> const& conn,
@@ -91,12 +90,12 @@
     }
 
 private:
-    /// The router may have started after the store was restored from a copy
-    /// that lacks what this process has read before. The era tells it whether
-    /// to ask; rows that are known to be missing are sent at once. The greatest
-    /// version keeps it from sending the rows of the same era, since hundreds
-    /// of links may open at a time.
-    void send_era(wire::i_connection& conn) const
+    /// A router may have started after the store was restored from a copy that
+    /// lacks what this process has read before. Rows that are known to be
+    /// missing are sent at once; otherwise the era tells the router whether to
+    /// ask. No rows of this era are requested: after a common failure, each of
+    /// hundreds of routers would send the configuration to each agent.
+    void announce_era(wire::i_connection& conn)
     {
         auto const position = rows_.position();
         if (position.era == 0)
--- a/packages/enginelink/tests/links_test.cpp
+++ b/packages/enginelink/tests/links_test.cpp
@@ -417,4 +417,21 @@
     CHECK(r.listener.states == 0);
 }
 
+// Guards against a flood after a common failure: an agent that has not read the
+// newest rows yet got them from each router that connects, which for 103
+// routers and 180 agents are half a gigabyte of configurations.
+TEST_CASE("an agent does not ask for rows of its own era on connecting")
+{
+    test_agent a;
+    a.rows.merge({{"config", "1", {2, 8}}});
+    test_router r;
+    r.rows.merge({{"config", "2", {2, 9}}});
+    r.connect(a.port);
+    REQUIRE(wait_until([&] { return r.rows.newest_named_era() == 2; }));
+    // A further message, so that rows sent before would be there.
+    r.run([&] { r.links.send_row({"last", "1", {2, 10}}); });
+    REQUIRE(wait_until([&] { return a.rows.position().version == 10; }));
+    CHECK(a.rows.size() == 2);
+}
+
 } // namespace endiveward::enginelink
--- a/packages/gateway/endpoint_directory.hpp
+++ b/packages/gateway/endpoint_directory.hpp
@@ -4,6 +4,8 @@
 #include "gateway/endpoint_record.hpp"
 #include "gateway/upstream_pool.hpp"
 
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -21,11 +23,14 @@
     using pool_factory = std::function<std::shared_ptr<upstream_pool>(
         asio::ip::tcp::endpoint const&)>;
 
-    explicit endpoint_directory(pool_factory make_pool);
+    /// `seed` should differ between processes.
+    explicit endpoint_directory(pool_factory make_pool, std::uint64_t seed = 0);
 
     /// Replaces the whole list. Endpoints that are no longer listed get no new
-    /// requests; requests in progress continue.
-    void update(std::vector<endpoint_entry> entries);
+    /// requests; requests in progress continue. Returns the endpoints whose
+    /// entry is of an earlier incarnation and therefore ignored.
+    std::vector<kernel::endpoint_id>
+    update(std::vector<endpoint_entry> entries);
     /// Returns the endpoint with this id, or null.
     std::shared_ptr<endpoint_record> find(kernel::endpoint_id const& id) const;
     record_list const& of_service(kernel::service_id const& id) const;
@@ -43,9 +48,18 @@
         std::shared_ptr<upstream_pool> pool;
     };
 
+    void remember(std::shared_ptr<endpoint_record> record);
+    std::shared_ptr<endpoint_record>
+    take_removed(kernel::endpoint_id const& id);
+    std::shared_ptr<endpoint_record>
+    make_record(endpoint_entry const& entry) const;
+
     pool_factory make_pool_;
+    std::uint64_t seed_;
     std::unordered_map<kernel::endpoint_id, registration> records_;
     std::unordered_map<kernel::service_id, record_list> by_service_;
+    /// Endpoints that are no longer listed, oldest first.
+    std::deque<std::shared_ptr<endpoint_record>> removed_;
     record_list const empty_list_;
 };
 
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -58,7 +58,8 @@
         [this, options](asio::ip::tcp::endpoint const& peer) {
             return std::make_shared<upstream_pool>(context_, clock_, options,
                                                    peer);
-        });
+        },
+        settings_.seed);
     services_ = std::make_unique<exchange_services>(
         exchange_services{context_, clock_, names_, *endpoints_, *chooser_,
                           overload_, *weights_, *budgets_, *metrics_, log_});
@@ -89,7 +90,9 @@
 
 void gateway::apply(std::vector<endpoint_entry> endpoints)
 {
-    endpoints_->update(std::move(endpoints));
+    for (auto const& it : endpoints_->update(std::move(endpoints)))
+        log_.write("entry_ignored", "endpoint={} reason=earlier_incarnation",
+                   it.str());
     update_limits();
 }
 
@@ -109,8 +112,15 @@
     if (found == nullptr)
         return;
     auto const was_reloading = found->reloading();
+    auto const was_leaving = found->leaving();
     found->on_state(state, clock_.now());
     update_process_count(state.routers);
+    if (!was_leaving && found->leaving())
+    {
+        metrics_->on_leaving("agent");
+        log_.write("endpoint_leaving", "endpoint={} source=agent until=restart",
+                   endpoint.str());
+    }
     if (was_reloading != found->reloading())
         log_.write("engine_state", "endpoint={} reloading={} running={}",
                    endpoint.str(), state.reloading, state.running);
--- a/packages/gateway/tests/gateway_test.cpp
+++ b/packages/gateway/tests/gateway_test.cpp
@@ -1,11 +1,21 @@
+#include "gateway/http/i_upstream_observer.hpp"
+#include "gateway/http/upstream_connection.hpp"
 #include "gateway/tests/support/scripted_endpoint.hpp"
 #include "gateway/tests/support/test_caller.hpp"
 #include "gateway/tests/support/test_gateway.hpp"
+#include "gateway/upstream_pool.hpp"
+#include "kernel/system_clock.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <chrono>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace endiveward::gateway
 {
@@ -502,4 +512,341 @@
     CHECK(endpoint.requests() == 1);
 }
 
+// Guards against requests to an endpoint that is about to exit, which the store
+// still calls ready, and against answers that are lost with it.
+TEST_CASE("an endpoint that announces its exit completes its requests and gets "
+          "no further ones")
+{
+    scripted_endpoint leaving(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.wait(milliseconds(100));
+            conn.answer(request, 200, "ok", "X-Leaving: 1\r\n");
+            return true;
+        });
+    scripted_endpoint serving(answer_ok);
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({leaving.port()});
+    std::vector<std::unique_ptr<test_caller>> callers;
+    for (int n = 0; n < 8; ++n)
+    {
+        callers.push_back(std::make_unique<test_caller>(gate.port()));
+        callers.back()->send(get_request("/once/", "id" + std::to_string(n)));
+    }
+    for (auto const& it : callers)
+    {
+        auto const text = it->read_until("\r\n\r\nok");
+        CHECK(text.starts_with("HTTP/1.1 200"));
+        CHECK_FALSE(contains(text, "X-Leaving"));
+    }
+    CHECK(leaving.requests() == 8);
+    gate.set_endpoints({leaving.port(), serving.port()});
+    for (int n = 0; n < 20; ++n)
+    {
+        auto const* const path = n % 2 == 0 ? "/once/" : "/safe/";
+        test_caller caller(gate.port());
+        caller.send(get_request(path, "next" + std::to_string(n)));
+        CHECK(caller.read_until("\r\n\r\nok").starts_with("HTTP/1.1 200"));
+    }
+    CHECK(leaving.requests() == 8);
+    // The entry is removed and returns.
+    gate.set_endpoints({});
+    gate.set_endpoints({leaving.port()});
+    test_caller caller(gate.port());
+    caller.send(get_request("/once/", "last"));
+    CHECK(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    CHECK(leaving.requests() == 8);
+}
+
+// Guards against kinds of answers in which the announcement is overlooked.
+TEST_CASE("an endpoint announces its exit in any answer")
+{
+    std::string const head =
+        GENERATE("200 OK\r\nX-Signature: s\r\n", "200 OK\r\n", "404 X\r\n",
+                 "421 X\r\nX-Not-Run: 1\r\nX-Endpoint: e0\r\n",
+                 "503 X\r\nX-Not-Run: 1\r\n", "503 X\r\n", "500 X\r\n",
+                 "429 X\r\nX-Not-Run: 1\r\n");
+    CAPTURE(head);
+    auto const* const path = GENERATE("/once/", "/safe/", "/stream/");
+    scripted_endpoint leaving(
+        [&head](http_request const& request, scripted_connection& conn)
+        {
+            conn.send("HTTP/1.1 " + head + "X-Leaving: 1\r\nX-Id: " +
+                      std::string(request.headers.value_or("X-Id", "")) +
+                      "\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({leaving.port()});
+    for (int n = 0; n < 2; ++n)
+    {
+        test_caller caller(gate.port());
+        caller.send(get_request(path, "id" + std::to_string(n)));
+        CHECK_FALSE(contains(caller.read_until("\r\n\r\n"), "X-Leaving"));
+    }
+    std::this_thread::sleep_for(milliseconds(200));
+    CHECK(leaving.requests() == 1);
+}
+
+TEST_CASE("another value of the field does not say that an endpoint leaves")
+{
+    auto const* const value = GENERATE("0", "2", "true", "");
+    scripted_endpoint endpoint(
+        [value](http_request const& request, scripted_connection& conn)
+        {
+            conn.answer(request, 200, "ok",
+                        std::string("X-Leaving: ") + value + "\r\n");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({endpoint.port()});
+    for (int n = 0; n < 2; ++n)
+    {
+        test_caller caller(gate.port());
+        caller.send(get_request("/once/", "id" + std::to_string(n)));
+        CHECK(caller.read_until("\r\n\r\nok").starts_with("HTTP/1.1 200"));
+    }
+}
+
+// Guards against a report that takes back what the endpoint has told this
+// gateway itself: agents learn of a restart under another id only later.
+TEST_CASE("a report announces an exit but does not take back an answer")
+{
+    scripted_endpoint endpoint(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.answer(request, 200, "ok", "X-Leaving: 1\r\n");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({endpoint.port()});
+    auto const report = [&](bool leaving)
+    {
+        wire::engine_state state;
+        state.leaving = leaving;
+        gate.run(
+            [&]
+            { gate.get().on_engine_state(kernel::endpoint_id("e0"), state); });
+    };
+    auto const request = [&](std::string const& id)
+    {
+        test_caller caller(gate.port());
+        caller.send(get_request("/once/", id));
+        return caller.read_until("\r\n\r\n").substr(0, 12);
+    };
+    report(true);
+    CHECK(request("id1") == "HTTP/1.1 503");
+    CHECK(endpoint.requests() == 0);
+    report(false);
+    CHECK(request("id2") == "HTTP/1.1 200");
+    report(true);
+    report(false);
+    CHECK(request("id3") == "HTTP/1.1 503");
+    CHECK(endpoint.requests() == 1);
+}
+
+// Guards against an endpoint that is taken out of use because another one has
+// its former address.
+TEST_CASE("an exit is attributed to the endpoint that has answered")
+{
+    scripted_endpoint other(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.answer(request, 421, "",
+                        "X-Not-Run: 1\r\nX-Endpoint: e1\r\nX-Leaving: "
+                        "1\r\n");
+            return true;
+        });
+    scripted_endpoint named(answer_ok);
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({other.port()});
+    gate.set_endpoints({other.port(), named.port()});
+    for (int n = 0; n < 20 && other.requests() == 0; ++n)
+    {
+        test_caller caller(gate.port());
+        caller.send(get_request("/once/", "id" + std::to_string(n)));
+        caller.read_until("\r\n\r\n");
+    }
+    REQUIRE(other.requests() == 1);
+    auto const before = named.requests();
+    test_caller caller(gate.port());
+    caller.send(get_request("/once/", "next"));
+    CHECK(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    CHECK(named.requests() == before);
+}
+
+// Guards against retries and resumed streams at an endpoint that has asked for
+// no requests.
+TEST_CASE(
+    "a retry and a resumed stream do not go to an endpoint that leaves or "
+    "pauses")
+{
+    auto const* const path = GENERATE("/safe/", "/resume/");
+    auto const leaves = GENERATE(true, false);
+    scripted_endpoint refusing(
+        [leaves](http_request const& request, scripted_connection& conn)
+        {
+            if (leaves)
+                conn.answer(request, 200, "ok", "X-Leaving: 1\r\n");
+            else
+                conn.answer(request, 503, "",
+                            "X-Not-Run: 1\r\nRetry-After: 20\r\n");
+            return true;
+        });
+    scripted_endpoint failing(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            if (request.target.starts_with("/resume/"))
+            {
+                conn.begin_stream(request);
+                conn.event(1);
+                conn.wait(milliseconds(50));
+            }
+            conn.reset();
+            return false;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({refusing.port()});
+    test_caller first(gate.port());
+    first.send(get_request("/once/", "id0"));
+    first.read_until("\r\n\r\n");
+    gate.set_endpoints({refusing.port(), failing.port()});
+    test_caller caller(gate.port());
+    caller.send(get_request(path, "id1"));
+    if (std::string(path) == "/safe/")
+        CHECK(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 502"));
+    else
+        CHECK_FALSE(contains(caller.read_all(), "\r\n0\r\n"));
+    CHECK(failing.requests() == 1);
+    CHECK(refusing.requests() == 1);
+}
+
+// Guards against requests to an endpoint that asked for none, in a refusal or
+// in a 503 that does not prove that the request has not run.
+TEST_CASE("an endpoint gets no request for the time of its Retry-After")
+{
+    using clock = std::chrono::steady_clock;
+    auto const* const proof = GENERATE("X-Not-Run: 1\r\n", "");
+    std::mutex mutex;
+    std::vector<clock::time_point> arrivals;
+    scripted_endpoint pausing(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            std::size_t n = 0;
+            {
+                std::lock_guard const lock(mutex);
+                arrivals.push_back(clock::now());
+                n = arrivals.size();
+            }
+            if (n == 1)
+                conn.answer(request, 503, "",
+                            std::string(proof) + "Retry-After: 0.8\r\n");
+            else
+                conn.answer(request, 200, "ok");
+            return true;
+        });
+    scripted_endpoint serving(answer_ok);
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({pausing.port()});
+    test_caller first(gate.port());
+    first.send(get_request("/once/", "id0"));
+    CHECK_FALSE(contains(first.read_until("\r\n\r\n"), "Retry-After: 0.8"));
+    gate.set_endpoints({pausing.port(), serving.port()});
+    for (int n = 0; n < 30; ++n)
+    {
+        auto const* const path = n % 2 == 0 ? "/once/" : "/safe/";
+        test_caller caller(gate.port());
+        caller.send(get_request(path, "next" + std::to_string(n)));
+        CHECK(caller.read_until("\r\n\r\nok").starts_with("HTTP/1.1 200"));
+    }
+    gate.set_endpoints({pausing.port()});
+    bool served = false;
+    auto const end = clock::now() + std::chrono::seconds(20);
+    for (int n = 0; !served && clock::now() < end; ++n)
+    {
+        test_caller caller(gate.port());
+        caller.send(get_request("/once/", "last" + std::to_string(n)));
+        auto const text = caller.read_until("\r\n\r\n");
+        served = text.starts_with("HTTP/1.1 200");
+        if (!served)
+            CHECK(text.starts_with("HTTP/1.1 503"));
+    }
+    CHECK(served);
+    std::lock_guard const lock(mutex);
+    REQUIRE(arrivals.size() >= 2);
+    CHECK(arrivals[1] - arrivals[0] >= milliseconds(800));
+}
+
+// Guards against a long pause for an endpoint that asked for none.
+TEST_CASE("a refusal without a readable Retry-After pauses shortly")
+{
+    std::string const field =
+        GENERATE("", "Retry-After: 0\r\n", "Retry-After: soon\r\n",
+                 "Retry-After: -5\r\n");
+    std::atomic<int> refusals{0};
+    scripted_endpoint endpoint(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            if (refusals++ == 0)
+                conn.answer(request, 503, "", "X-Not-Run: 1\r\n" + field);
+            else
+                conn.answer(request, 200, "ok");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({endpoint.port()});
+    test_caller first(gate.port());
+    first.send(get_request("/once/", "id1"));
+    CHECK(first.read_until("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    std::this_thread::sleep_for(milliseconds(160));
+    test_caller second(gate.port());
+    second.send(get_request("/once/", "id2"));
+    CHECK(second.read_until("\r\n\r\nok").starts_with("HTTP/1.1 200"));
+}
+
+// Guards against requests that were queued for a connection before the endpoint
+// asked for none.
+TEST_CASE("a request that waits for its connection is not sent to an endpoint "
+          "that refuses requests")
+{
+    struct observer : i_upstream_observer
+    {
+        bool may_send() const override { return wanted; }
+        void on_head(response_head const&) override {}
+        void on_body(std::string_view) override {}
+        void on_end() override { ended = true; }
+        void on_failure(upstream_failure it) override { failure = it; }
+
+        bool wanted = true;
+        bool ended = false;
+        std::optional<upstream_failure> failure;
+    };
+    scripted_endpoint endpoint(answer_ok);
+    asio::io_context context;
+    kernel::system_clock clock;
+    upstream_pool pool(context, clock,
+                       std::make_shared<upstream_options const>(),
+                       {asio::ip::make_address("127.0.0.1"), endpoint.port()});
+    observer it;
+    it.wanted = GENERATE(true, false);
+    auto const conn = pool.acquire(std::chrono::seconds(1));
+    conn->send(pool.peer(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", {}, false, it);
+    auto const end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!it.ended && !it.failure && std::chrono::steady_clock::now() < end)
+        context.run_one_for(milliseconds(100));
+    CHECK(it.ended == it.wanted);
+    if (!it.wanted)
+        CHECK(it.failure == upstream_failure::withdrawn);
+    CHECK(endpoint.requests() == (it.wanted ? 1 : 0));
+}
+
 } // namespace endiveward::gateway
