--- a/stand_ins/common/http_server.cpp
+++ b/stand_ins/common/http_server.cpp
@@ -137,11 +137,15 @@
     std::mutex mutex;
     std::condition_variable none;
     std::size_t running = 0;
+    bool stopping = false;
 
-    void enter()
+    /// False if the server stops.
+    bool enter()
     {
         std::lock_guard const lock(mutex);
-        ++running;
+        if (!stopping)
+            ++running;
+        return !stopping;
     }
     void leave()
     {
@@ -149,9 +153,11 @@
         --running;
         none.notify_all();
     }
+    /// Lets no further handler begin.
     void wait()
     {
         std::unique_lock lock(mutex);
+        stopping = true;
         none.wait(lock, [this] { return running == 0; });
     }
 };
@@ -213,7 +219,10 @@
     restinio::request_handling_status_t
     accept(restinio::request_handle_t request)
     {
-        handlers_.enter();
+        // A handler that began now would outlive the server. The request gets
+        // no answer; its connection is closed with the server.
+        if (!handlers_.enter())
+            return restinio::request_accepted();
         std::thread(
             [this, held = std::move(request)]() mutable
             {
