explain: Tell loading engines from endpoints that refused a request

The reasons endpoints_loading and endpoints_tried were explained as pauses or as failures in the seconds before.

--- a/packages/explain/internal/request_story.cpp
+++ b/packages/explain/internal/request_story.cpp
@@ -211,6 +211,16 @@
 
 verdict request_story::explain_no_endpoint(std::string const& reason) const
 {
+    if (reason == "endpoints_loading")
+        return {"endpoints_loading",
+                "all engines were loading weights, or had weights that were "
+                "too old",
+                "compare `engine_state` and `turn_planned` with the time at "
+                "which the newest weights were named"};
+    if (reason == "endpoints_tried")
+        return last_of("refused_by_endpoint") != nullptr
+                   ? explain_endpoint_refusal()
+                   : explain_failure(reason);
     auto const paused = excluded_endpoints("endpoint_paused");
     auto const leaving = excluded_endpoints("endpoint_leaving");
     if (!paused.empty())
--- a/packages/explain/tests/request_story_test.cpp
+++ b/packages/explain/tests/request_story_test.cpp
@@ -146,6 +146,20 @@
     CHECK(story.explain().code == "endpoint_replaced");
 }
 
+// Guards against a refusal whose cause is taken for failures or pauses.
+TEST_CASE("a refusal tells loading engines from endpoints that refused")
+{
+    auto const loading = story_of({{"r1",
+                                    {{6, "event=gave_up id=q1 status=503 "
+                                         "reason=endpoints_loading"}}}});
+    CHECK(loading.explain().code == "endpoints_loading");
+    auto const tried = story_of(
+        {{"r1",
+          {{5, "event=refused_by_endpoint id=q1 endpoint=e1 status=503"},
+           {6, "event=gave_up id=q1 status=503 reason=endpoints_tried"}}}});
+    CHECK(tried.explain().code == "refused_by_endpoint");
+}
+
 // Guards against a refusal without a cause: the router had excluded the
 // endpoints long before the request.
 TEST_CASE("a refusal names the endpoints that pause or leave")
