--- a/packages/agent/tests/fakes.hpp
+++ b/packages/agent/tests/fakes.hpp
@@ -122,7 +122,7 @@
     }
     std::vector<admission::queue_refusal> take_hopeless() override
     {
-        auto const res = std::exchange(hopeless, {});
+        auto res = std::exchange(hopeless, {});
         for (auto const& it : res)
             withdraw(it.id);
         return res;
