--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -37,15 +37,36 @@
 
 } // namespace
 
-endpoint_record::endpoint_record(endpoint_entry entry)
+endpoint_record::endpoint_record(endpoint_entry entry, std::uint64_t seed)
     : entry_(std::move(entry))
+    , pause_(availability::pause_settings(), seed)
 {
 }
 
-void endpoint_record::update(endpoint_entry entry)
+bool endpoint_record::update(endpoint_entry entry)
 {
-    if (entry.incarnation != entry_.incarnation || entry.host != entry_.host ||
-        entry.port != entry_.port)
+    // An older entry may arrive late, or from a store that was restored from a
+    // copy. Zero means that the incarnation is not known.
+    if (entry.incarnation != 0 && entry.incarnation < entry_.incarnation)
+        return false;
+    auto const restarted = entry.incarnation > entry_.incarnation;
+    entry.incarnation = std::max(entry.incarnation, entry_.incarnation);
+    if (restarted)
+    {
+        ++generation_;
+        pause_.reset();
+        leaving_ = false;
+        // A connected agent may have reported on the new incarnation already.
+        reported_leaving_ = reported_leaving_ && linked_ &&
+                            latest_incarnation_ == entry.incarnation;
+    }
+    else
+    {
+        // An endpoint that drains exits. An entry that calls it ready again is
+        // older, from a store that was restored from a copy.
+        entry.draining = entry.draining || entry_.draining;
+    }
+    if (restarted || entry.host != entry_.host || entry.port != entry_.port)
     {
         // With a connected agent, its reports of the new incarnation may have
         // arrived already and are kept.
@@ -63,7 +84,7 @@
             for (auto const& it : reported_weights_)
                 entry_.models[it.model] = it.version;
         }
-        return;
+        return true;
     }
     // Responses may have reported newer versions than the entry.
     for (auto const& [model, version] : entry_.models)
@@ -75,6 +96,7 @@
             cache_.clear();
     }
     entry_ = std::move(entry);
+    return true;
 }
 
 void endpoint_record::on_sent(request_footprint const& footprint,
@@ -127,6 +149,9 @@
     if (std::exchange(progress_, state.progress) != state.progress)
         last_bytes_ = now;
     reloading_ = state.reloading;
+    // Kept when the link is lost. It follows the reports, since after a restart
+    // under another id the agent may first repeat its last state.
+    reported_leaving_ = state.leaving;
     cache_.set_has_reports(true);
     if (!state.weights.empty())
         reported_weights_ = state.weights;
@@ -216,8 +241,26 @@
 
 bool endpoint_record::available(kernel::steady_time now) const
 {
-    return !replaced_ && !unreachable_or_restarted() && !entry_.draining &&
-           now >= avoided_until_;
+    return can_serve_cache(now) && pause_.allows(now, unanswered_);
+}
+
+bool endpoint_record::can_serve_cache(kernel::steady_time now) const
+{
+    return !replaced_ && !leaving() && !unreachable_or_restarted() &&
+           !entry_.draining && now >= avoided_until_;
+}
+
+std::optional<kernel::steady_time>
+endpoint_record::unusable_until(kernel::steady_time now) const
+{
+    if (replaced_ || leaving() || entry_.draining)
+        return kernel::steady_time::max();
+    auto const paused_until = pause_.paused_until(now);
+    auto const until =
+        std::max(avoided_until_, paused_until.value_or(avoided_until_));
+    if (now < until)
+        return until;
+    return std::nullopt;
 }
 
 bool endpoint_record::stalled(kernel::steady_time now) const
