--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -150,7 +150,7 @@
             options.coalescing_delay = follower::endpoints_coalescing_delay(
                 settings_.endpoint_drain_time);
         auto res = std::make_shared<follower::table_follower>(
-            control_, store_, random_, listener, options);
+            control_, clock_, store_, random_, listener, options);
         res->start();
         return res;
     };
--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -135,8 +135,8 @@
     options.long_poll_time = store_wait;
     options.coalescing_delay = milliseconds(0);
     operators_ = std::make_shared<follower::table_follower>(
-        pool_.context(0), store_, random_, view_->operator_rows_listener(),
-        options);
+        pool_.context(0), clock_, store_, random_,
+        view_->operator_rows_listener(), options);
     row_exchange_.set_follower(operators_);
     row_exchange_.set_view(*view_);
     operators_->start();
--- a/packages/follower/cluster_view.hpp
+++ b/packages/follower/cluster_view.hpp
@@ -70,8 +70,8 @@
                                kernel::store_position const& position);
     void plan_release();
     void log_era(char const* table, era_notice const& notice);
-    void on_endpoints_reachability_change(bool reachable,
-                                          std::string const& reason);
+    void log_contact(char const* table, contact_change const& change);
+    void on_endpoints_contact_change(contact_change const& change);
     void plan_expiry();
     void remove_expired();
     void publish_endpoints();
--- a/packages/follower/i_table_listener.hpp
+++ b/packages/follower/i_table_listener.hpp
@@ -1,11 +1,11 @@
 #ifndef ENDIVEWARD_FOLLOWER_I_TABLE_LISTENER_HPP
 #define ENDIVEWARD_FOLLOWER_I_TABLE_LISTENER_HPP
 
+#include "follower/types/contact_change.hpp"
 #include "follower/types/era_notice.hpp"
 #include "kernel/types/store_position.hpp"
 #include "storage/types/table_row.hpp"
 
-#include <string>
 #include <vector>
 
 namespace endiveward::follower
@@ -27,9 +27,7 @@
     virtual void on_restored_rows(std::vector<storage::table_row> const& rows,
                                   kernel::store_position const& position) = 0;
     virtual void on_era_notice(era_notice const& notice) = 0;
-    /// Reports that the store stopped or began to answer.
-    virtual void on_reachability_change(bool reachable,
-                                        std::string const& reason) = 0;
+    virtual void on_contact_change(contact_change const& change) = 0;
 };
 
 } // namespace endiveward::follower
--- a/packages/follower/internal/cluster_view.cpp
+++ b/packages/follower/internal/cluster_view.cpp
@@ -61,11 +61,9 @@
         view_.log_era("operators", notice);
     }
 
-    void on_reachability_change(bool reachable,
-                                std::string const& reason) override
+    void on_contact_change(contact_change const& change) override
     {
-        view_.log_.write("store_contact", "table=operators reachable={} {}",
-                         reachable, reason);
+        view_.log_contact("operators", change);
     }
 
 private:
@@ -97,10 +95,9 @@
         view_.log_era("endpoints", notice);
     }
 
-    void on_reachability_change(bool reachable,
-                                std::string const& reason) override
+    void on_contact_change(contact_change const& change) override
     {
-        view_.on_endpoints_reachability_change(reachable, reason);
+        view_.on_endpoints_contact_change(change);
     }
 
 private:
@@ -239,10 +236,14 @@
                 expired_[it.key] = *reachable_since_ + reregistration_grace;
             else
                 entries_.erase(found);
-            log_.write("endpoint_removed",
-                       "endpoint={} row_version={} "
-                       "held_back={}",
-                       it.key, it.position.version, held);
+            log_.write(
+                "endpoint_removed",
+                "endpoint={} row_version={} held_back={} held_ms={}", it.key,
+                it.position.version, held,
+                held ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                           expired_[it.key] - now)
+                           .count()
+                     : 0);
             continue;
         }
         restored_.on_changed(it.key);
@@ -351,12 +352,23 @@
     publish_endpoints();
 }
 
-void cluster_view::on_endpoints_reachability_change(bool reachable,
-                                                    std::string const& reason)
+void cluster_view::log_contact(char const* table, contact_change const& change)
 {
-    log_.write("store_contact", "table=endpoints reachable={} {}", reachable,
-               reason);
-    if (reachable)
+    auto const since_failure =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            clock_.now() - change.last_failed_call);
+    log_.write("store_contact",
+               "table={} reachable={} call_ms={} wait_ms={} "
+               "since_failed_call_ms={} {}",
+               table, change.reachable, change.call_time.count(),
+               change.requested_wait.count(), since_failure.count(),
+               change.reason);
+}
+
+void cluster_view::on_endpoints_contact_change(contact_change const& change)
+{
+    log_contact("endpoints", change);
+    if (change.reachable)
         reachable_since_ = clock_.now();
 }
 
--- a/packages/follower/internal/table_follower.cpp
+++ b/packages/follower/internal/table_follower.cpp
@@ -16,11 +16,13 @@
 using storage::table_row;
 
 table_follower::table_follower(asio::io_context& context,
+                               kernel::i_clock const& clock,
                                storage::i_row_feed& feed,
                                kernel::i_random_source& random,
                                i_table_listener& listener,
                                follower_options options)
-    : feed_(feed)
+    : clock_(clock)
+    , feed_(feed)
     , random_(random)
     , listener_(listener)
     , options_(std::move(options))
@@ -42,15 +44,19 @@
 void table_follower::read_all()
 {
     feed_.read_all(options_.table, options_.response_timeout,
-                   [self = shared_from_this(), call = begin_call()](auto res)
+                   [self = shared_from_this(),
+                    call = begin_call(std::chrono::milliseconds(0))](auto res)
                    {
                        if (self->accepts(call.number))
                            self->on_full_read(call, std::move(res));
                    });
 }
 
-table_follower::call_id table_follower::begin_call()
+table_follower::call_id
+table_follower::begin_call(std::chrono::milliseconds requested_wait)
 {
+    last_call_at_ = clock_.now();
+    requested_wait_ = requested_wait;
     return {++last_call_, newest_era_};
 }
 
@@ -98,7 +104,7 @@
 {
     feed_.wait_for_changes(
         options_.table, position_, wait, wait + options_.response_timeout,
-        [self = shared_from_this(), call = begin_call()](auto res)
+        [self = shared_from_this(), call = begin_call(wait)](auto res)
         {
             if (self->accepts(call.number))
                 self->on_changes(call, std::move(res));
@@ -301,7 +307,16 @@
 void table_follower::on_success()
 {
     if (!std::exchange(reachable_, true))
-        listener_.on_reachability_change(true, {});
+        report_contact(true, {});
+}
+
+void table_follower::report_contact(bool reachable, std::string const& reason)
+{
+    auto const call_time =
+        std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() -
+                                                              last_call_at_);
+    listener_.on_contact_change(
+        {reachable, reason, call_time, requested_wait_, last_failed_call_});
 }
 
 void table_follower::on_error(feed_error const& error)
@@ -310,8 +325,10 @@
     if (error.era != 0 && error.era < newest_era_)
         return on_older_answer(error.era);
     auto const lost = error.why == feed_error::reason::history_lost;
+    if (!lost)
+        last_failed_call_ = last_call_at_;
     if (!lost && std::exchange(reachable_, false))
-        listener_.on_reachability_change(false, error.message);
+        report_contact(false, error.message);
     if (error.era > newest_era_ && loaded_)
         return read_restored_table(error.era);
     newest_era_ = std::max(newest_era_, error.era);
--- a/packages/follower/table_follower.hpp
+++ b/packages/follower/table_follower.hpp
@@ -31,9 +31,9 @@
 class table_follower : public std::enable_shared_from_this<table_follower>
 {
 public:
-    table_follower(asio::io_context& context, storage::i_row_feed& feed,
-                   kernel::i_random_source& random, i_table_listener& listener,
-                   follower_options options);
+    table_follower(asio::io_context& context, kernel::i_clock const& clock,
+                   storage::i_row_feed& feed, kernel::i_random_source& random,
+                   i_table_listener& listener, follower_options options);
 
     void start();
     void stop();
@@ -72,7 +72,8 @@
     void on_changes(call_id call, storage::i_row_feed::batch_result res);
     void on_error(storage::feed_error const& error);
     void on_success();
-    call_id begin_call();
+    void report_contact(bool reachable, std::string const& reason);
+    call_id begin_call(std::chrono::milliseconds requested_wait);
     bool accepts(std::uint64_t call) const;
     void replace_rows(storage::row_batch batch);
     void read_restored_table(std::uint64_t era);
@@ -84,6 +85,7 @@
     std::vector<storage::table_row>
     merge_rows(std::vector<storage::table_row> rows);
 
+    kernel::i_clock const& clock_;
     storage::i_row_feed& feed_;
     kernel::i_random_source& random_;
     i_table_listener& listener_;
@@ -94,6 +96,9 @@
     /// Newest era that the store or another process has named.
     std::uint64_t newest_era_ = 0;
     std::uint64_t last_call_ = 0;
+    kernel::steady_time last_call_at_{};
+    std::chrono::milliseconds requested_wait_{0};
+    kernel::steady_time last_failed_call_{};
     std::chrono::milliseconds backoff_{0};
     bool reachable_ = false;
     bool needs_full_read_ = true;
--- a/packages/follower/tests/cluster_view_test.cpp
+++ b/packages/follower/tests/cluster_view_test.cpp
@@ -112,9 +112,9 @@
     f.view.endpoint_rows_listener().on_rows(
         {{"a", "ready", {0, 1}, false}, {"b", "draining", {0, 2}, false}},
         {0, 2});
-    f.view.endpoint_rows_listener().on_reachability_change(false, "timeout");
+    f.view.endpoint_rows_listener().on_contact_change({false, "timeout"});
     f.clock.advance(std::chrono::seconds(10));
-    f.view.endpoint_rows_listener().on_reachability_change(true, "");
+    f.view.endpoint_rows_listener().on_contact_change({true, ""});
     f.view.endpoint_rows_listener().on_rows(
         {{"a", "", {0, 3}, true}, {"b", "", {0, 4}, true}}, {0, 4});
     // An endpoint that was already draining is removed immediately.
@@ -280,14 +280,14 @@
     f.clock.advance(std::chrono::seconds(100));
     auto& rows = f.view.endpoint_rows_listener();
     rows.on_rows({{"a", "ready", {0, 1}, false}}, {0, 1});
-    rows.on_reachability_change(false, "timeout");
-    rows.on_reachability_change(true, "");
+    rows.on_contact_change({false, "timeout"});
+    rows.on_contact_change({true, ""});
     f.clock.advance(milliseconds(100));
     rows.on_rows({{"a", "", {0, 3}, true}}, {0, 3});
     REQUIRE(f.observer.last.size() == 1);
     f.clock.advance(milliseconds(2200));
-    rows.on_reachability_change(false, "status=429");
-    rows.on_reachability_change(true, "");
+    rows.on_contact_change({false, "status=429"});
+    rows.on_contact_change({true, ""});
     rows.on_rows({{"b", "ready", {0, 5}, false}}, {0, 5});
     f.clock.advance(milliseconds(1200));
     f.view.release_held_entries();
--- a/packages/follower/tests/restored_store_property_test.cpp
+++ b/packages/follower/tests/restored_store_property_test.cpp
@@ -289,10 +289,9 @@
     {
         target_.on_era_notice(notice);
     }
-    void on_reachability_change(bool reachable,
-                                std::string const& reason) override
+    void on_contact_change(contact_change const& change) override
     {
-        target_.on_reachability_change(reachable, reason);
+        target_.on_contact_change(change);
     }
 
 private:
@@ -321,10 +320,10 @@
         , operators_listener(view.operator_rows_listener(), fault)
         , endpoints_listener(view.endpoint_rows_listener(), fault)
         , operators(std::make_shared<table_follower>(
-              context, feed, random, operators_listener,
+              context, clock, feed, random, operators_listener,
               options_for(operators_table)))
         , endpoints(std::make_shared<table_follower>(
-              context, feed, random, endpoints_listener,
+              context, clock, feed, random, endpoints_listener,
               options_for(endpoints_table)))
     {
         operators->start();
--- a/packages/follower/tests/row_exchange_test.cpp
+++ b/packages/follower/tests/row_exchange_test.cpp
@@ -69,7 +69,8 @@
         follower_options options;
         options.restored_read_spread = std::chrono::milliseconds(0);
         follower = std::make_shared<table_follower>(
-            context, feed, random, view.operator_rows_listener(), options);
+            context, clock, feed, random, view.operator_rows_listener(),
+            options);
         exchange.set_follower(follower);
         exchange.set_view(view);
         follower->start();
--- a/packages/follower/tests/table_follower_test.cpp
+++ b/packages/follower/tests/table_follower_test.cpp
@@ -1,6 +1,7 @@
 #include "follower/i_table_listener.hpp"
 #include "follower/row_exchange.hpp"
 #include "follower/table_follower.hpp"
+#include "kernel/manual_clock.hpp"
 #include "kernel/seeded_random_source.hpp"
 
 #include <asio/io_context.hpp>
@@ -97,9 +98,9 @@
         notices.push_back(notice);
     }
 
-    void on_reachability_change(bool reachable, std::string const&) override
+    void on_contact_change(contact_change const& change) override
     {
-        reachability.push_back(reachable);
+        reachability.push_back(change.reachable);
     }
 
     std::vector<table_row> rows;
@@ -122,8 +123,8 @@
         options.max_backoff = std::chrono::milliseconds(2);
         options.period = std::chrono::milliseconds(20);
         options.restored_read_spread = std::chrono::milliseconds(0);
-        follower = std::make_shared<table_follower>(context, feed, random,
-                                                    listener, options);
+        follower = std::make_shared<table_follower>(context, clock, feed,
+                                                    random, listener, options);
     }
 
     void start()
@@ -134,6 +135,7 @@
     }
 
     asio::io_context context;
+    kernel::manual_clock clock;
     kernel::seeded_random_source random;
     scripted_feed feed;
     recording_listener listener;
@@ -259,8 +261,8 @@
     /// poll open.
     void start(std::vector<table_row> rows, kernel::store_position position)
     {
-        follower = std::make_shared<table_follower>(context, feed, random,
-                                                    listener, options);
+        follower = std::make_shared<table_follower>(context, clock, feed,
+                                                    random, listener, options);
         follower->start();
         feed.full_reads.at(0)(row_batch{std::move(rows), position, {}});
         run();
@@ -273,6 +275,7 @@
     }
 
     asio::io_context context;
+    kernel::manual_clock clock;
     kernel::seeded_random_source random;
     open_feed feed;
     recording_listener listener;
@@ -346,8 +349,8 @@
 {
     late_fixture f;
     f.options.restored_read_spread = std::chrono::hours(1);
-    f.follower = std::make_shared<table_follower>(f.context, f.feed, f.random,
-                                                  f.listener, f.options);
+    f.follower = std::make_shared<table_follower>(
+        f.context, f.clock, f.feed, f.random, f.listener, f.options);
     f.follower->start();
     f.feed.full_reads.at(0)(
         feed_error{feed_error::reason::refused, "status=503", 3, {}});
@@ -487,6 +490,7 @@
     auto const expected =
         spread < std::chrono::hours(1) ? processes : std::size_t{0};
     asio::io_context context;
+    kernel::manual_clock clock;
     open_feed feed;
     recording_listener listener;
     kernel::seeded_random_source random(7);
@@ -495,8 +499,8 @@
     std::vector<std::shared_ptr<table_follower>> all;
     for (std::size_t n = 0; n < processes; ++n)
     {
-        all.push_back(std::make_shared<table_follower>(context, feed, random,
-                                                       listener, options));
+        all.push_back(std::make_shared<table_follower>(
+            context, clock, feed, random, listener, options));
         all.back()->start();
         feed.full_reads.back()(row_batch{{}, {1, 5}, {}});
     }
