follower: Failing tests of late changes and of removed endpoints that stay in use

Seen on this code: the call after a failure waits 4000 ms for changes; an endpoint that leaves 1.4 s after an outage is held back until 2.4 s after it; a call that is never answered ends after 4.9 s.

--- a/packages/follower/tests/cluster_view_test.cpp
+++ b/packages/follower/tests/cluster_view_test.cpp
@@ -271,6 +271,28 @@
     CHECK(weights.may_start(model, 3, f.clock.now() + seconds(1)));
 }
 
+// Guards against requests to an endpoint that left after the store had come
+// back: its entry did not expire in the outage, but was held back as if it had.
+TEST_CASE("an endpoint that leaves after an outage is not held back like one "
+          "whose entry expired in it")
+{
+    using std::chrono::milliseconds;
+    fixture f;
+    f.clock.advance(std::chrono::seconds(100));
+    auto& rows = f.view.endpoint_rows_listener();
+    rows.on_rows({{"a", "ready", {0, 1}, false}}, {0, 1});
+    rows.on_contact_change({false, "status=503"});
+    f.clock.advance(milliseconds(900));
+    rows.on_contact_change({true, ""});
+    // Its leaving is read up to 1 s after it was written, and no request may be
+    // sent to it 2 s after that.
+    f.clock.advance(milliseconds(1400));
+    rows.on_rows({{"a", "", {0, 3}, true}}, {0, 3});
+    f.clock.advance(milliseconds(800));
+    f.view.release_held_entries();
+    CHECK(f.observer.last.empty());
+}
+
 // Guards against requests to an endpoint that has left: each short loss of
 // contact with the store renewed the grace period of entries held back before.
 TEST_CASE("a grace period is not renewed by a further loss of contact")
--- a/packages/follower/tests/table_follower_test.cpp
+++ b/packages/follower/tests/table_follower_test.cpp
@@ -191,6 +191,36 @@
     CHECK(f.listener.reachability == std::vector<bool>{true, false, true});
 }
 
+// Guards against a process that learns that the store is back only when
+// something changes there, or when a long poll times out.
+TEST_CASE("the first call after a failure does not wait for changes")
+{
+    using std::chrono::milliseconds;
+    fixture f;
+    f.feed.full_reads = {row_batch{{{"a", "1", {0, 3}, false}}, {0, 5}}};
+    f.feed.changes = {feed_error{feed_error::reason::unreachable, "timeout"},
+                      feed_error{feed_error::reason::refused, "status=503"},
+                      row_batch{{}, {0, 5}}};
+    f.start();
+    REQUIRE(f.feed.waits.size() == 4);
+    CHECK(f.feed.waits[0] > milliseconds(0));
+    CHECK(f.feed.waits[1] == milliseconds(0));
+    CHECK(f.feed.waits[2] == milliseconds(0));
+    CHECK(f.feed.waits[3] > milliseconds(0));
+    CHECK(f.listener.reachability == std::vector<bool>{true, false, true});
+}
+
+// Guards against a connection that dies while a call is open and is noticed
+// later than the platform allows a process to be out of date (3 s).
+TEST_CASE("a call that is never answered ends before the process is outdated")
+{
+    using std::chrono::milliseconds;
+    follower_options const options;
+    // The rest is for the call that replaces it.
+    CHECK(options.long_poll_time + options.response_timeout <=
+          milliseconds(2500));
+}
+
 // Guards against rows of another process that restore deleted or replaced rows.
 TEST_CASE("rows of other processes are merged only if they are newer")
 {
