follower: Ask without waiting for changes after a call that failed

What callers saw: requests refused or served as an older configuration says, more than 2 s after its successor was acknowledged (CONFIG).

Cause: after a failure the follower continued with a long poll. The store answers it with the next change, so that a process learned only from that change that the store was back; a long poll that began while the store was silent ended after 4.9 s, and nothing was read meanwhile.

The first call after a failure now asks for what has changed so far, and long polls go on after its answer. This holds for routers and agents and for both tables, as all use the same follower.

Test: 'the first call after a failure does not wait for changes', which failed before (4000 ms instead of 0).

--- a/packages/follower/internal/table_follower.cpp
+++ b/packages/follower/internal/table_follower.cpp
@@ -345,6 +345,8 @@
     retry_after(kernel::half_jitter(backoff_, random_));
 }
 
+/// A call that waits for changes would show that the store is back only with
+/// the next change.
 void table_follower::retry_after(std::chrono::milliseconds delay)
 {
     timer_.expires_after(delay);
@@ -356,7 +358,7 @@
             if (self->needs_full_read_)
                 self->read_all();
             else
-                self->wait_for_changes();
+                self->request_changes(std::chrono::milliseconds(0));
         });
 }
 
