follower: Hold a removed endpoint back only if its entry can have expired in an outage

What callers saw: nothing; requests reached an endpoint up to 3.1 s after it had said that it leaves (DRAIN, 2 s are allowed).

Cause: each removal within 2.4 s after the store was reachable again was held back to the end of that time, also one that was written after the outage and read up to 1 s later.

What the first answer after an outage reports may have happened in it. It is held back for the 2.4 s in which live endpoints register again, but not longer than the process may be out of date after the last call that failed, since the store may have rejected this process alone. What later answers report is held back for the rest of the drain time at most. The bound contact_ms is read from the platform's settings (process_settings::catch_up_time).

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -58,8 +58,10 @@
     , traffic_log_(clock_, "endiveward.traffic", traffic_lines_per_second)
     , traffic_(1)
     , store_(control_, clock_, settings_.store)
-    , view_(std::make_unique<follower::cluster_view>(control_, clock_, decoder_,
-                                                     *this, control_log_))
+    , view_(std::make_unique<follower::cluster_view>(
+          control_, clock_, decoder_, *this, control_log_,
+          follower::removal_hold_options{settings_.endpoint_drain_time,
+                                         settings_.catch_up_time}))
     , gateway_(std::make_unique<gateway::gateway>(
           traffic_.context(0), clock_, platform::header_names(),
           traffic_settings(), *metrics_, traffic_log_))
--- a/packages/follower/cluster_view.hpp
+++ b/packages/follower/cluster_view.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEWARD_FOLLOWER_CLUSTER_VIEW_HPP
 
 #include "follower/i_table_listener.hpp"
+#include "follower/removal_hold.hpp"
 #include "follower/restored_entries.hpp"
 #include "gateway/types/endpoint_entry.hpp"
 #include "kernel/i_clock.hpp"
@@ -34,7 +35,7 @@
 public:
     cluster_view(asio::io_context& context, kernel::i_clock const& clock,
                  i_entry_decoder const& decoder, i_cluster_observer& observer,
-                 observe::decision_log& log);
+                 observe::decision_log& log, removal_hold_options hold = {});
     ~cluster_view();
     cluster_view(cluster_view const&) = delete;
     cluster_view& operator=(cluster_view const&) = delete;
@@ -87,10 +88,10 @@
     storage::table_row config_row_;
     std::map<kernel::model_id, named_target> targets_;
     std::map<std::string, gateway::endpoint_entry> entries_;
-    /// Entries that expired while the store was unreachable and may be
-    /// registered again, with the ends of their grace periods.
+    /// Entries that may have expired while the store was unreachable and may be
+    /// registered again, with the ends of their holds.
     std::map<std::string, kernel::steady_time> expired_;
-    std::optional<kernel::steady_time> reachable_since_;
+    removal_hold hold_;
     /// Whether the operators' table has been read once.
     bool operator_rows_known_ = false;
     bool endpoints_known_ = false;
--- a/packages/follower/internal/cluster_view.cpp
+++ b/packages/follower/internal/cluster_view.cpp
@@ -2,7 +2,6 @@
 
 #include "follower/i_cluster_observer.hpp"
 #include "follower/i_entry_decoder.hpp"
-#include "follower/internal/reregistration_grace.hpp"
 #include "gateway/routing_table.hpp"
 #include "observe/decision_log.hpp"
 
@@ -108,7 +107,8 @@
                            kernel::i_clock const& clock,
                            i_entry_decoder const& decoder,
                            i_cluster_observer& observer,
-                           observe::decision_log& log)
+                           observe::decision_log& log,
+                           removal_hold_options hold)
     : clock_(clock)
     , decoder_(decoder)
     , observer_(observer)
@@ -116,6 +116,7 @@
     , operators_(std::make_unique<operators_listener>(*this))
     , endpoints_(std::make_unique<endpoints_listener>(*this))
     , expiry_timer_(context)
+    , hold_(hold)
     , restored_(clock)
     , release_timer_(context)
 {
@@ -219,8 +220,6 @@
 void cluster_view::on_endpoint_rows(std::vector<storage::table_row> const& rows)
 {
     auto const now = clock_.now();
-    auto const in_grace_period =
-        reachable_since_ && now - *reachable_since_ < reregistration_grace;
     for (auto const& it : rows)
     {
         expired_.erase(it.key);
@@ -231,19 +230,22 @@
                 it.key, found == entries_.end() ? nullptr : &found->second);
             if (found == entries_.end())
                 continue;
-            auto const held = in_grace_period && !found->second.draining;
-            if (held)
-                expired_[it.key] = *reachable_since_ + reregistration_grace;
+            auto const held_until = found->second.draining
+                                        ? std::nullopt
+                                        : hold_.held_until(it.position, now);
+            if (held_until)
+                expired_[it.key] = *held_until;
             else
                 entries_.erase(found);
-            log_.write(
-                "endpoint_removed",
-                "endpoint={} row_version={} held_back={} held_ms={}", it.key,
-                it.position.version, held,
-                held ? std::chrono::duration_cast<std::chrono::milliseconds>(
-                           expired_[it.key] - now)
-                           .count()
-                     : 0);
+            auto const hold_time =
+                held_until
+                    ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                          *held_until - now)
+                    : std::chrono::milliseconds(0);
+            log_.write("endpoint_removed",
+                       "endpoint={} row_version={} held_back={} held_ms={}",
+                       it.key, it.position.version, held_until.has_value(),
+                       hold_time.count());
             continue;
         }
         restored_.on_changed(it.key);
@@ -368,8 +370,7 @@
 void cluster_view::on_endpoints_contact_change(contact_change const& change)
 {
     log_contact("endpoints", change);
-    if (change.reachable)
-        reachable_since_ = clock_.now();
+    hold_.on_contact_change(change, clock_.now());
 }
 
 void cluster_view::remove_expired()
--- a/packages/follower/internal/table_follower.cpp
+++ b/packages/follower/internal/table_follower.cpp
@@ -139,7 +139,7 @@
     complete_era(batch, call.era);
     if (batch.position.era < newest_era_)
         return on_older_answer(batch.position.era);
-    on_success();
+    on_success(batch.position);
     // A stale answer may lack rows that are already known.
     if (batch.position < position_)
         return retry_later();
@@ -191,7 +191,7 @@
     complete_era(batch, call.era);
     if (batch.position.era < newest_era_)
         return on_older_answer(batch.position.era);
-    on_success();
+    on_success(batch.position);
     // These are changes since a version of another history.
     if (batch.position.era > newest_era_)
         return read_restored_table(batch.position.era);
@@ -304,19 +304,20 @@
     return changed;
 }
 
-void table_follower::on_success()
+void table_follower::on_success(kernel::store_position const& answered)
 {
     if (!std::exchange(reachable_, true))
-        report_contact(true, {});
+        report_contact(true, {}, answered);
 }
 
-void table_follower::report_contact(bool reachable, std::string const& reason)
+void table_follower::report_contact(bool reachable, std::string const& reason,
+                                    kernel::store_position const& answered)
 {
     auto const call_time =
         std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() -
                                                               last_call_at_);
-    listener_.on_contact_change(
-        {reachable, reason, call_time, requested_wait_, last_failed_call_});
+    listener_.on_contact_change({reachable, reason, call_time, requested_wait_,
+                                 last_failed_call_, answered});
 }
 
 void table_follower::on_error(feed_error const& error)
@@ -328,7 +329,7 @@
     if (!lost)
         last_failed_call_ = last_call_at_;
     if (!lost && std::exchange(reachable_, false))
-        report_contact(false, error.message);
+        report_contact(false, error.message, {});
     if (error.era > newest_era_ && loaded_)
         return read_restored_table(error.era);
     newest_era_ = std::max(newest_era_, error.era);
--- a/packages/follower/table_follower.hpp
+++ b/packages/follower/table_follower.hpp
@@ -71,8 +71,9 @@
     void on_full_read(call_id call, storage::i_row_feed::batch_result res);
     void on_changes(call_id call, storage::i_row_feed::batch_result res);
     void on_error(storage::feed_error const& error);
-    void on_success();
-    void report_contact(bool reachable, std::string const& reason);
+    void on_success(kernel::store_position const& answered);
+    void report_contact(bool reachable, std::string const& reason,
+                        kernel::store_position const& answered);
     call_id begin_call(std::chrono::milliseconds requested_wait);
     bool accepts(std::uint64_t call) const;
     void replace_rows(storage::row_batch batch);
--- a/packages/follower/types/contact_change.hpp
+++ b/packages/follower/types/contact_change.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEWARD_FOLLOWER_TYPES_CONTACT_CHANGE_HPP
 
 #include "kernel/i_clock.hpp"
+#include "kernel/types/store_position.hpp"
 
 #include <chrono>
 #include <string>
@@ -22,6 +23,9 @@
     /// When the last call was made that failed. The store may have begun to
     /// answer at any time after it.
     kernel::steady_time last_failed_call{};
+    /// Where the answer ends that showed that the store is back. What it
+    /// reports may have happened before.
+    kernel::store_position position{};
 };
 
 } // namespace endiveward::follower
--- a/packages/gateway/types/process_settings.hpp
+++ b/packages/gateway/types/process_settings.hpp
@@ -37,6 +37,9 @@
     /// Time within which requests must no longer be sent to an endpoint that
     /// drains.
     std::chrono::milliseconds endpoint_drain_time{2000};
+    /// Time after an outage of the store within which the process must know
+    /// what happened in it.
+    std::chrono::milliseconds catch_up_time{3000};
 
     bool operator==(process_settings const&) const = default;
 };
