follower: Notice a silent connection to the store within the time for catching up

What callers may see: requests served as an older configuration says (CONFIG), weights loaded late.

Cause: a call that is open when its connection dies without a word ends after 4.9 s on routers and 8.9 s on agents that follow the table, while a process counts as in touch 3 s after such a fault on sites with contact_ms 3,000.

long_poll_time() derives the wait from the catch-up time, so that timeout and the next call fit into it: 1.6 s instead of 4 s and 8 s. Calculated: without changes a router makes 1.25 calls a second for its two tables instead of 0.5.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -146,6 +146,8 @@
     {
         follower::follower_options options;
         options.table = table;
+        options.long_poll_time = follower::long_poll_time(
+            settings_.catch_up_time, options.response_timeout);
         if (table == std::string_view(platform::operators_table))
             options.coalescing_delay = operators_pause;
         else
--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -38,9 +38,6 @@
 constexpr int reports_until_unreachable = 2;
 constexpr milliseconds close_timeout{300};
 constexpr milliseconds endpoints_timeout{900};
-/// The store answers as soon as something changes; a longer wait only delays
-/// the notice of a store that has fallen silent.
-constexpr milliseconds store_wait{8000};
 
 /// Leaves the other half of the time for draining, loading and orders that are
 /// not answered.
@@ -132,7 +129,8 @@
 {
     follower::follower_options options;
     options.table = platform::operators_table;
-    options.long_poll_time = store_wait;
+    options.long_poll_time = follower::long_poll_time(settings_.catch_up_time,
+                                                      options.response_timeout);
     options.coalescing_delay = milliseconds(0);
     operators_ = std::make_shared<follower::table_follower>(
         pool_.context(0), clock_, store_, random_,
--- a/packages/follower/internal/follow_policy.cpp
+++ b/packages/follower/internal/follow_policy.cpp
@@ -16,6 +16,12 @@
 constexpr std::chrono::milliseconds row_request_retention{10000};
 /// New endpoints and crashed ones without an agent are noticed this late.
 constexpr std::chrono::milliseconds max_endpoints_delay{2000};
+/// Time for the delay after the failure, and for the next call on a new
+/// connection.
+constexpr std::chrono::milliseconds recovery_time{500};
+/// Without changes, a call is made this often at most, since each has a cost.
+constexpr std::chrono::milliseconds min_long_poll{200};
+constexpr std::chrono::milliseconds max_long_poll{4000};
 
 } // namespace
 
@@ -31,6 +37,14 @@
     return follow_mode::periodic;
 }
 
+std::chrono::milliseconds
+long_poll_time(std::chrono::milliseconds catch_up_time,
+               std::chrono::milliseconds response_timeout)
+{
+    return std::clamp(catch_up_time - response_timeout - recovery_time,
+                      min_long_poll, max_long_poll);
+}
+
 // The other half of the time is left for the answer of the store and for
 // requests that are on their way.
 std::chrono::milliseconds
--- a/packages/follower/tests/follow_policy_test.cpp
+++ b/packages/follower/tests/follow_policy_test.cpp
@@ -52,4 +52,23 @@
           milliseconds(2000));
 }
 
+// Guards against a connection that dies while a call is open and is noticed
+// later than the platform allows a process to be out of date.
+TEST_CASE(
+    "a silent connection is noticed and replaced within the catch-up time")
+{
+    using std::chrono::milliseconds;
+    auto const response_timeout = milliseconds(900);
+    auto const catch_up_time = GENERATE(as<milliseconds>(), milliseconds(1800),
+                                        milliseconds(3000), milliseconds(5000));
+    auto const wait = long_poll_time(catch_up_time, response_timeout);
+    CHECK(wait + response_timeout <= catch_up_time - milliseconds(400));
+    CHECK(wait >= milliseconds(200));
+    // More calls than needed are a cost.
+    CHECK(long_poll_time(milliseconds(3000), response_timeout) ==
+          milliseconds(1600));
+    CHECK(long_poll_time(milliseconds(60000), response_timeout) ==
+          milliseconds(4000));
+}
+
 } // namespace endiveward::follower
--- a/packages/follower/types/follower_options.hpp
+++ b/packages/follower/types/follower_options.hpp
@@ -22,8 +22,9 @@
 {
     std::string table;
     /// How long the store holds a call open while there are no changes. A store
-    /// that stops answering is detected after this plus `response_timeout`.
-    std::chrono::milliseconds long_poll_time{4000};
+    /// that stops answering is detected after this plus `response_timeout`; see
+    /// `long_poll_time()`.
+    std::chrono::milliseconds long_poll_time{1600};
     /// Delay between received changes and the next call, so that the changes of
     /// many writers arrive with one call; each call has a cost. Half of the
     /// shortest time within which routers must stop using a draining endpoint
