gateway: Close a client's idle connections after a call without an answer

After a timeout the next call to the store or an engine's agent-side pages took another idle connection, which often had died at the same moment, and timed out in turn.

Test: 'after a call without an answer the next one uses a new connection', which failed before (the second dead connection was used).

--- a/packages/gateway/internal/call_client.cpp
+++ b/packages/gateway/internal/call_client.cpp
@@ -64,10 +64,14 @@
                false);
     }
 
+    /// Whatever made the connection silent may have made the idle ones silent,
+    /// too.
     void on_timeout()
     {
-        if (conn_ != nullptr)
-            finish(call_failure{!conn_->sent(), "timeout"}, false);
+        if (conn_ == nullptr)
+            return;
+        pool_->close_idle();
+        finish(call_failure{!conn_->sent(), "timeout"}, false);
     }
 
     void finish(result res, bool reusable)
