gateway: Log the prompt parts of a failed attempt, and whether it had output

When an engine crashes, all requests there fail within milliseconds. Those that had output did not cause it; of the others the logs told no parts.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -129,6 +129,8 @@
     workspace_entry const* workspace_ = nullptr;
     retry_budget* budget_ = nullptr;
     endpoint_requirements requirements_;
+    /// Keys of the prompt parts that other requests may have, too.
+    std::vector<std::uint64_t> shared_parts_;
     kernel::steady_time arrived_{};
     kernel::steady_time expires_{};
     /// When the caller stops trying. The route may allow less time.
@@ -147,6 +149,8 @@
     kernel::steady_time last_event_at_{};
     std::chrono::milliseconds expected_first_byte_{0};
     bool response_started_ = false;
+    /// Whether the endpoint has begun to write an answer in this attempt.
+    bool has_output_ = false;
     response_head head_;
     bool refused_ = false;
     std::string body_;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -24,6 +24,7 @@
 #include "observe/decision_log.hpp"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -177,6 +178,8 @@
     requirements_.seed = XXH3_64bits(id_.data(), id_.size());
     if (route_->has_prompt || is_stream(route_->kind))
         requirements_.prompt = parse_prompt(request_.headers, services_.names);
+    if (requirements_.prompt)
+        shared_parts_ = shared_part_keys(*requirements_.prompt);
     if (workspace_ != nullptr && workspace_->isolated)
         requirements_.cache_group = workspace_->id.str();
     requirements_.kv_stores = table_->kv_stores();
@@ -303,6 +306,7 @@
     requested_version_ = choice.version;
     expected_first_byte_ = choice.time_to_first_byte;
     response_started_ = false;
+    has_output_ = false;
     refused_ = false;
     body_.clear();
     events_.clear();
@@ -489,6 +493,7 @@
         forward_events();
         break;
     case progress::collecting:
+        has_output_ = true;
         body_ += bytes;
         if (body_.size() > max_collected_bytes && !refused_ && !head_forwarded_)
             begin_relay();
@@ -508,6 +513,7 @@
 {
     while (auto const event = events_.next())
     {
+        has_output_ = true;
         // A resumed stream may begin with events that were already forwarded.
         if (event->id && last_event_ && *event->id <= *last_event_)
             continue;
@@ -686,10 +692,11 @@
 {
     services_.log.write("failed",
                         "id={} endpoint={} reason={} after_ms={} passed={} "
-                        "last_event={}",
+                        "last_event={} output={} parts={:x}",
                         id_, endpoint_->entry().id.str(), reason,
                         since_sent().count(), head_forwarded_,
-                        last_event_.value_or(0));
+                        last_event_.value_or(0), has_output_,
+                        fmt::join(shared_parts_, ","));
     if (head_forwarded_)
         return resume_stream(reason);
     if (prepare_retry(reason))
--- a/packages/gateway/internal/request_fields.cpp
+++ b/packages/gateway/internal/request_fields.cpp
@@ -1,5 +1,6 @@
 #include "gateway/request_fields.hpp"
 
+#include "gateway/prefix_cache_estimate.hpp"
 #include "kernel/parse_number.hpp"
 
 #include <array>
@@ -54,6 +55,14 @@
     return res;
 }
 
+std::vector<std::uint64_t> shared_part_keys(prompt_info const& prompt)
+{
+    std::vector<std::uint64_t> res;
+    for (std::size_t n = 0; n + 1 < prompt.parts.size(); ++n)
+        res.push_back(part_key(prompt.model.str(), prompt.parts[n].id));
+    return res;
+}
+
 std::optional<load_sample> parse_load(std::string_view text)
 {
     std::array<std::uint32_t, 3> counts{};
--- a/packages/gateway/request_fields.hpp
+++ b/packages/gateway/request_fields.hpp
@@ -6,8 +6,10 @@
 #include "gateway/types/load_sample.hpp"
 #include "gateway/types/prompt_info.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace endiveward::gateway
 {
@@ -17,6 +19,10 @@
 std::optional<prompt_info> parse_prompt(header_list const& headers,
                                         header_field_names const& names);
 
+/// Returns keys of the parts that other prompts may share, in order: all but
+/// the last.
+std::vector<std::uint64_t> shared_part_keys(prompt_info const& prompt);
+
 /// Parses a load report of the form `RUNNING,WAITING,SLOTS`.
 std::optional<load_sample> parse_load(std::string_view text);
 
