enginelink: Tell other routers which prompt parts probably crash engines

Cause: requests with such a part come at any router. Each had to see two crashes of its own, and a restarted one began anew.

Routers send what they have learned (crashes, parts that were served, crashes that were refuted) to three agents, the same for all by hash; each agent passes it on to all its routers within 60 ms, in one message, and to those that connect later. Programs of earlier versions close a link on an unknown message; the greeting says who accepts part_report.

Tests: 'what a router learns of a prompt part reaches the other routers' and 'all routers send their reports to the same few agents'.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -72,6 +72,12 @@
         std::make_shared<enginelink::link_identity>(
             wire::process_role::router, settings_.name, settings_.zone, clock_),
         *this, row_exchange_);
+    gateway_->set_part_report_handler(
+        [this](wire::part_report report)
+        {
+            asio::post(control_, [this, report = std::move(report)]
+                       { links_->send_part_report(report); });
+        });
 }
 
 gateway_process::~gateway_process() = default;
@@ -213,6 +219,11 @@
                    { gateway_->on_cache_change(endpoint, change); });
 }
 
+void gateway_process::on_part_report(wire::part_report const& report)
+{
+    pass_on_report([this, report] { gateway_->on_part_report(report); });
+}
+
 void gateway_process::on_link_lost(kernel::endpoint_id const& endpoint)
 {
     pass_on_report([this, endpoint] { gateway_->on_link_lost(endpoint); });
--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -83,6 +83,7 @@
                          wire::engine_state const& state) override;
     void on_cache_change(kernel::endpoint_id const& endpoint,
                          wire::cache_change const& change) override;
+    void on_part_report(wire::part_report const& report) override;
     void on_link_lost(kernel::endpoint_id const& endpoint) override;
 
     bool listen();
--- a/packages/enginelink/agent_links.hpp
+++ b/packages/enginelink/agent_links.hpp
@@ -3,6 +3,7 @@
 
 #include "kernel/types/identifiers.hpp"
 #include "wire/types/cluster_key.hpp"
+#include "wire/types/part_report.hpp"
 #include "wire/types/table_row.hpp"
 
 #include <cstddef>
@@ -61,6 +62,9 @@
     /// Sends a row of the operators' table to all connected agents, and to each
     /// that connects later.
     void send_row(wire::table_row const& row);
+    /// Sends what this router has learned to a few agents, the same for all
+    /// routers, which pass it on to the others.
+    void send_part_report(wire::part_report const& report);
     /// Closes all links.
     void close();
     std::size_t connected() const;
--- a/packages/enginelink/internal/agent_links.cpp
+++ b/packages/enginelink/internal/agent_links.cpp
@@ -13,8 +13,10 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -33,6 +35,9 @@
 /// Number of agents from which rows are requested at a time. More than one,
 /// because any of them may be cut off from the store as well.
 constexpr std::size_t row_request_fanout = 3;
+/// Number of agents that pass reports on. More than one, because any of them
+/// may be cut off from some routers.
+constexpr std::size_t report_relays = 3;
 
 } // namespace
 
@@ -110,6 +115,28 @@
         }
     }
 
+    /// The relays are those with the highest rank by hash, so that routers that
+    /// know nearly the same agents choose the same ones. A crash of many
+    /// engines then costs a few messages a router.
+    void send_part_report(wire::part_report const& report)
+    {
+        std::vector<std::pair<std::uint64_t, wire::i_connection*>> ranked;
+        for (auto const& [id, it] : links_)
+        {
+            if (it->connection != nullptr &&
+                it->connection->peer().accepts_part_reports)
+                ranked.emplace_back(
+                    XXH3_64bits(id.str().data(), id.str().size()),
+                    it->connection.get());
+        }
+        auto const n = std::min(report_relays, ranked.size());
+        std::partial_sort(ranked.begin(),
+                          ranked.begin() + static_cast<std::ptrdiff_t>(n),
+                          ranked.end(), std::greater<>());
+        for (std::size_t i = 0; i < n; ++i)
+            ranked[i].second->send(report);
+    }
+
     void close()
     {
         auto const all = std::move(links_);
@@ -146,6 +173,8 @@
         }
         else if (auto const* response = std::get_if<wire::table_rows>(&msg))
             rows_.merge(response->rows);
+        else if (auto const* report = std::get_if<wire::part_report>(&msg))
+            listener_.on_part_report(*report);
     }
 
     void on_closed(std::shared_ptr<wire::i_connection> const& conn,
@@ -304,6 +333,11 @@
     impl_->send_row(row);
 }
 
+void agent_links::send_part_report(wire::part_report const& report)
+{
+    impl_->send_part_report(report);
+}
+
 void agent_links::close()
 {
     impl_->close();
--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -1,5 +1,6 @@
 #include "enginelink/state_publisher.hpp"
 
+#include "availability/part_quarantine.hpp"
 #include "enginelink/i_row_source.hpp"
 #include "enginelink/link_options.hpp"
 #include "enginelink/report_scheduler.hpp"
@@ -19,6 +20,15 @@
 namespace endiveward::enginelink
 {
 
+namespace
+{
+
+/// After a crash of many engines, hundreds of routers report at the same
+/// moment; each gets one message.
+constexpr std::chrono::milliseconds part_report_delay{60};
+
+} // namespace
+
 class state_publisher::observer : public wire::i_connection_observer,
                                   public std::enable_shared_from_this<observer>
 {
@@ -29,6 +39,7 @@
         , rows_(rows)
         , timer_(context)
         , scheduler_(report_options{})
+        , parts_timer_(context)
     {
     }
 
@@ -39,6 +50,8 @@
         conn->send(scheduler_.state());
         conn->send(scheduler_.cache());
         announce_era(*conn);
+        if (auto const known = parts_.snapshot(clock_.now()); !known.empty())
+            send_report(*conn, known);
     }
 
     void on_message(std::shared_ptr<wire::i_connection> const& conn,
@@ -52,6 +65,8 @@
         }
         else if (auto const* response = std::get_if<wire::table_rows>(&msg))
             rows_.merge(response->rows);
+        else if (auto const* report = std::get_if<wire::part_report>(&msg))
+            pass_on(*report);
     }
 
     void on_closed(std::shared_ptr<wire::i_connection> const& conn,
@@ -80,6 +95,7 @@
     {
         closed_ = true;
         timer_.cancel();
+        parts_timer_.cancel();
         for (auto const& it : routers_)
             it->close();
     }
@@ -91,6 +107,45 @@
     }
 
 private:
+    /// Routers have no links to each other. What they have learned is kept for
+    /// those that connect later.
+    void pass_on(wire::part_report const& report)
+    {
+        parts_.on_report(report, clock_.now());
+        append(pending_parts_, report);
+        append(pending_parts_, parts_.take_news());
+        if (std::exchange(passing_on_, true))
+            return;
+        parts_timer_.expires_after(part_report_delay);
+        parts_timer_.async_wait(
+            [weak = weak_from_this()](std::error_code ec)
+            {
+                auto const self = weak.lock();
+                if (ec || self == nullptr)
+                    return;
+                self->passing_on_ = false;
+                auto const all = std::exchange(self->pending_parts_, {});
+                for (auto const& it : self->routers_)
+                    send_report(*it, all);
+            });
+    }
+
+    static void append(wire::part_report& all, wire::part_report const& more)
+    {
+        auto const add = [](auto& to, auto const& from)
+        { to.insert(to.end(), from.begin(), from.end()); };
+        add(all.crashes, more.crashes);
+        add(all.served_parts, more.served_parts);
+        add(all.refuted_crashes, more.refuted_crashes);
+    }
+
+    static void send_report(wire::i_connection& conn,
+                            wire::part_report const& report)
+    {
+        if (conn.peer().accepts_part_reports)
+            conn.send(report);
+    }
+
     /// A router may have started after the store was restored from a copy that
     /// lacks what this process has read before. Rows that are known to be
     /// missing are sent at once; otherwise the era tells the router whether to
@@ -145,6 +200,10 @@
     i_row_source& rows_;
     asio::steady_timer timer_;
     report_scheduler scheduler_;
+    availability::part_quarantine parts_;
+    asio::steady_timer parts_timer_;
+    wire::part_report pending_parts_;
+    bool passing_on_ = false;
     std::vector<std::shared_ptr<wire::i_connection>> routers_;
     std::optional<kernel::steady_time> last_row_request_;
     bool closed_ = false;
--- a/packages/enginelink/tests/links_test.cpp
+++ b/packages/enginelink/tests/links_test.cpp
@@ -99,6 +99,20 @@
         }
     }
 
+    void on_part_report(wire::part_report const& report) override
+    {
+        std::lock_guard const lock(mutex);
+        crashes.insert(crashes.end(), report.crashes.begin(),
+                       report.crashes.end());
+    }
+
+    bool knows(std::uint64_t part) const
+    {
+        std::lock_guard const lock(mutex);
+        return std::any_of(crashes.begin(), crashes.end(),
+                           [part](auto const& it) { return it.part == part; });
+    }
+
     void on_link_lost(kernel::endpoint_id const&) override { ++lost; }
 
     template <typename F>
@@ -111,6 +125,7 @@
     mutable std::mutex mutex;
     wire::engine_state state;
     std::map<std::uint64_t, std::uint32_t> parts;
+    std::vector<wire::part_crash> crashes;
     std::atomic<int> states{0};
     std::atomic<int> lost{0};
 };
@@ -169,13 +184,24 @@
     std::uint16_t port = 0;
 };
 
+/// A process of a program version that knows no reports on prompt parts.
+struct earlier_identity : wire::i_local_identity
+{
+    wire::hello describe() const override
+    {
+        auto res = identity(wire::process_role::router)->describe();
+        res.accepts_part_reports = false;
+        return res;
+    }
+};
+
 struct test_router
 {
-    test_router()
+    explicit test_router(std::shared_ptr<wire::i_local_identity const> self =
+                             identity(wire::process_role::router))
         : random(1)
         , pool(1)
-        , links(pool.context(0), random, key,
-                identity(wire::process_role::router), listener, rows)
+        , links(pool.context(0), random, key, std::move(self), listener, rows)
     {
         pool.start();
     }
@@ -249,6 +275,73 @@
     CHECK(r.listener.check([&] { return r.listener.state.routers; }) == 1);
 }
 
+// Guards against routers that each learn of a part by crashes of their own, and
+// against one that starts anew with each restart.
+TEST_CASE("what a router learns of a prompt part reaches the other routers")
+{
+    test_agent a;
+    test_router first;
+    test_router second;
+    test_router earlier(std::make_shared<earlier_identity>());
+    for (auto* it : {&first, &second, &earlier})
+        it->connect(a.port);
+    REQUIRE(wait_until(
+        [&]
+        {
+            return first.listener.states > 0 && second.listener.states > 0 &&
+                   earlier.listener.states > 0;
+        }));
+    wire::part_report report;
+    report.crashes = {{7, 1, 2, std::chrono::milliseconds(3)}};
+    first.run([&] { first.links.send_part_report(report); });
+    CHECK(wait_until([&] { return second.listener.knows(7); }));
+    test_router third;
+    third.connect(a.port);
+    CHECK(wait_until([&] { return third.listener.knows(7); }));
+    // It would close its link.
+    CHECK_FALSE(earlier.listener.knows(7));
+    CHECK(earlier.listener.lost == 0);
+}
+
+// Guards against hundreds of messages at the crash of many engines, and against
+// routers that rely on different agents.
+TEST_CASE("all routers send their reports to the same few agents")
+{
+    std::vector<std::unique_ptr<test_agent>> agents;
+    std::vector<agent_address> addresses;
+    for (int n = 0; n < 6; ++n)
+    {
+        agents.push_back(std::make_unique<test_agent>());
+        agents.back()->rows.merge({{"row", "1", {0, 9}}});
+        addresses.push_back({kernel::endpoint_id("e" + std::to_string(n)),
+                             "127.0.0.1", agents.back()->port});
+    }
+    test_router sender;
+    test_router other;
+    for (auto* it : {&sender, &other})
+        it->run([&] { it->links.update(addresses); });
+    REQUIRE(wait_until(
+        [&]
+        { return sender.listener.states >= 6 && other.listener.states >= 6; }));
+    wire::part_report report;
+    report.crashes = {{7, 1, 2, std::chrono::milliseconds(3)}};
+    sender.run([&] { sender.links.send_part_report(report); });
+    other.run([&] { other.links.send_part_report(report); });
+    REQUIRE(wait_until([&] { return sender.listener.knows(7); }));
+    std::size_t informed = 0;
+    for (auto const& it : agents)
+    {
+        test_router late;
+        late.connect(it->port);
+        REQUIRE(wait_until([&] { return late.listener.states > 0; }));
+        // The answer follows what the agent sends on connecting.
+        late.run([&] { late.links.request_rows(); });
+        REQUIRE(wait_until([&] { return late.rows.position().version == 9; }));
+        informed += late.listener.knows(7) ? 1 : 0;
+    }
+    CHECK(informed == 3);
+}
+
 // Guards against configuration changes that do not reach a process whose
 // requests the store rejects.
 TEST_CASE("processes exchange rows of the operators' table")
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -154,7 +154,7 @@
         fbb, msg.protocol, static_cast<fbs::role>(msg.role),
         msg.process.str().c_str(), msg.incarnation, msg.region.str().c_str(),
         msg.zone.str().c_str(), msg.endpoint.str().c_str(), msg.config_version,
-        &msg.nonce, load);
+        &msg.nonce, load, msg.accepts_part_reports);
 }
 
 hello get(fbs::hello const& in)
@@ -171,6 +171,7 @@
     if (in.nonce() != nullptr)
         out.nonce.assign(in.nonce()->begin(), in.nonce()->end());
     out.load = get(in.load());
+    out.accepts_part_reports = in.accepts_part_reports();
     return out;
 }
 
@@ -478,6 +479,34 @@
     return out;
 }
 
+offset<fbs::part_report> put(builder& fbb, part_report const& msg)
+{
+    std::vector<fbs::part_crash> crashes;
+    crashes.reserve(msg.crashes.size());
+    for (auto const& it : msg.crashes)
+        crashes.emplace_back(it.part, it.crash, it.depth, to_ms(it.age));
+    return fbs::Createpart_reportDirect(fbb, &crashes, &msg.served_parts,
+                                        &msg.refuted_crashes);
+}
+
+part_report get(fbs::part_report const& in)
+{
+    part_report out;
+    if (in.crashes() != nullptr)
+    {
+        for (auto const* it : *in.crashes())
+            out.crashes.push_back({it->part(), it->crash(), it->depth(),
+                                   milliseconds(it->age_ms())});
+    }
+    if (in.served_parts() != nullptr)
+        out.served_parts.assign(in.served_parts()->begin(),
+                                in.served_parts()->end());
+    if (in.refuted_crashes() != nullptr)
+        out.refuted_crashes.assign(in.refuted_crashes()->begin(),
+                                   in.refuted_crashes()->end());
+    return out;
+}
+
 template <typename Table>
 message get_body(fbs::envelope const& envelope)
 {
@@ -552,6 +581,8 @@
         return get_body<fbs::table_request>(envelope);
     case fbs::message_body::table_rows:
         return get_body<fbs::table_rows>(envelope);
+    case fbs::message_body::part_report:
+        return get_body<fbs::part_report>(envelope);
     case fbs::message_body::NONE:
         break;
     }
--- a/packages/wire/types/hello.hpp
+++ b/packages/wire/types/hello.hpp
@@ -26,6 +26,9 @@
     /// 32 random bytes, filled in by the connection.
     std::vector<std::uint8_t> nonce;
     load_report load;
+    /// Programs of earlier versions close a connection on which they receive a
+    /// `part_report`.
+    bool accepts_part_reports = false;
 
     bool operator==(hello const&) const = default;
 };
--- a/packages/wire/types/message.hpp
+++ b/packages/wire/types/message.hpp
@@ -14,6 +14,7 @@
 #include "wire/types/heartbeat.hpp"
 #include "wire/types/hello.hpp"
 #include "wire/types/invoke.hpp"
+#include "wire/types/part_report.hpp"
 #include "wire/types/resume.hpp"
 #include "wire/types/table_request.hpp"
 #include "wire/types/table_rows.hpp"
@@ -28,7 +29,8 @@
 using message =
     std::variant<hello, heartbeat, invoke, verdict, chunk, call_end, chunk_ack,
                  cancel, resume, config_request, config_update, draining,
-                 gossip, engine_state, cache_change, table_request, table_rows>;
+                 gossip, engine_state, cache_change, table_request, table_rows,
+                 part_report>;
 
 } // namespace endiveward::wire
 
