--- a/packages/gateway/tests/call_client_test.cpp
+++ b/packages/gateway/tests/call_client_test.cpp
@@ -90,4 +90,21 @@
     CHECK(peer.connections() == 3);
 }
 
+// Guards against memory that is filled by a response without end.
+TEST_CASE("a call whose response is too long fails")
+{
+    std::atomic<std::size_t> taken{0};
+    scripted_endpoint peer(
+        [&](http_request const&, scripted_connection& conn)
+        {
+            conn.send("HTTP/1.1 200 OK\r\n\r\n");
+            taken = conn.send_until_closed(std::string(64U << 10U, 'x'),
+                                           128U << 20U);
+            return false;
+        });
+    fixture f(peer.port());
+    CHECK_FALSE(answered(f.send(milliseconds(20000))));
+    CHECK(taken < 64U << 20U);
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/tests/support/scripted_endpoint.hpp
+++ b/packages/gateway/tests/support/scripted_endpoint.hpp
@@ -37,6 +37,17 @@
         asio::write(socket_, asio::buffer(text), ec);
     }
 
+    /// Sends the text again and again until the gateway closes the connection
+    /// or `limit` bytes were sent. Returns their number.
+    std::size_t send_until_closed(std::string const& text, std::size_t limit)
+    {
+        std::error_code ec;
+        std::size_t sent = 0;
+        while (!ec && sent < limit)
+            sent += asio::write(socket_, asio::buffer(text), ec);
+        return sent;
+    }
+
     /// Sends a response with the fields that the gateway requires of a success.
     void answer(http_request const& request, int status,
                 std::string const& body, std::string const& extra = {})
