gateway: Give up a stream whose event does not end

Cause: the splitter keeps the bytes of an incomplete event without a limit, so that one endpoint that sends bytes without end fills the router's memory. An event may have 1 MiB, as on the product's own front; then the attempt fails like one with an improper answer.

Test: 'an event that never ends is given up', which failed before (64 MiB taken).

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -91,6 +91,7 @@
     answering_endpoint(response_head const& head) const;
     bool is_refusal(response_head const& head) const;
     bool is_valid_response(response_head const& head) const;
+    void reject_response(std::string_view reason);
     void forward_events();
     void begin_stream();
     void begin_relay();
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -83,6 +83,8 @@
 constexpr std::size_t max_queued_bytes = 64U << 10U;
 /// A longer response is forwarded while it arrives.
 constexpr std::size_t max_collected_bytes = 256U << 10U;
+/// Limit of one event of a stream.
+constexpr std::size_t max_event_bytes = 1U << 20U;
 constexpr int lowest_priority = 9;
 constexpr char const* retry_after_field = "Retry-After";
 
@@ -372,11 +374,7 @@
     if (refused_ || head.status >= status_multiple_choices)
         return;
     if (!is_valid_response(head))
-    {
-        endpoint_->on_error(now);
-        release_upstream(false);
-        return handle_failure("improper_answer");
-    }
+        return reject_response("improper_answer");
     if (is_stream(route_->kind))
         progress_ = progress::streaming;
 }
@@ -511,6 +509,8 @@
     case progress::streaming:
         events_.feed(bytes);
         forward_events();
+        if (events_.pending() > max_event_bytes)
+            return reject_response("event_too_long");
         break;
     case progress::collecting:
         has_output_ = true;
@@ -529,6 +529,14 @@
         upstream_->pause();
 }
 
+/// Ends the attempt because of what the endpoint has sent.
+void exchange::reject_response(std::string_view reason)
+{
+    endpoint_->on_error(services_.clock.now());
+    release_upstream(false);
+    handle_failure(reason);
+}
+
 void exchange::forward_events()
 {
     while (auto const event = events_.next())
