gateway: Do not keep the body of a refusal

Cause: the body of a refusal was kept in memory without a limit, and never used. It is discarded, and the refusal counts at 64 KiB without its end.

Test: 'a refusal whose body never ends is still a refusal', which failed before (64 MiB taken).

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -91,6 +91,7 @@
     answering_endpoint(response_head const& head) const;
     bool is_refusal(response_head const& head) const;
     bool is_valid_response(response_head const& head) const;
+    void discard(std::size_t n);
     void reject_response(std::string_view reason);
     void forward_events();
     void begin_stream();
@@ -157,6 +158,7 @@
     response_head head_;
     bool refused_ = false;
     std::string body_;
+    std::size_t discarded_bytes_ = 0;
     event_splitter events_;
     std::optional<std::uint64_t> last_event_;
     bool head_forwarded_ = false;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -83,6 +83,9 @@
 constexpr std::size_t max_queued_bytes = 64U << 10U;
 /// A longer response is forwarded while it arrives.
 constexpr std::size_t max_collected_bytes = 256U << 10U;
+/// What follows the head of a refusal is not forwarded. A connection on which
+/// more than this arrives is closed.
+constexpr std::size_t max_discarded_bytes = 64U << 10U;
 /// Limit of one event of a stream.
 constexpr std::size_t max_event_bytes = 1U << 20U;
 constexpr int lowest_priority = 9;
@@ -329,6 +332,7 @@
     response_started_ = false;
     has_output_ = false;
     refused_ = false;
+    discarded_bytes_ = 0;
     body_.clear();
     events_.clear();
     progress_ = progress::sent;
@@ -513,9 +517,11 @@
             return reject_response("event_too_long");
         break;
     case progress::collecting:
+        if (refused_)
+            return discard(bytes.size());
         has_output_ = true;
         body_ += bytes;
-        if (body_.size() > max_collected_bytes && !refused_ && !head_forwarded_)
+        if (body_.size() > max_collected_bytes && !head_forwarded_)
             begin_relay();
         break;
     case progress::relaying:
@@ -529,6 +535,15 @@
         upstream_->pause();
 }
 
+void exchange::discard(std::size_t n)
+{
+    discarded_bytes_ += n;
+    if (discarded_bytes_ <= max_discarded_bytes)
+        return;
+    release_upstream(false);
+    handle_refusal();
+}
+
 /// Ends the attempt because of what the endpoint has sent.
 void exchange::reject_response(std::string_view reason)
 {
