gateway: Limit the response to a call of the store or an engine's own pages

Cause: the client that buffers whole responses had no limit. At 16 MiB, well above the longest page of rows (1 MB), the call fails and its connection is closed.

--- a/packages/gateway/internal/call_client.cpp
+++ b/packages/gateway/internal/call_client.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr std::chrono::milliseconds max_idle{60000};
+/// Sixteen times the longest page of rows.
+constexpr std::size_t max_body_bytes = 16U << 20U;
 
 } // namespace
 
@@ -53,7 +55,12 @@
         response_.headers = head.headers;
     }
 
-    void on_body(std::string_view bytes) override { response_.body += bytes; }
+    void on_body(std::string_view bytes) override
+    {
+        if (response_.body.size() + bytes.size() > max_body_bytes)
+            return finish(call_failure{false, "response too long"}, false);
+        response_.body += bytes;
+    }
 
     void on_end() override { finish(std::move(response_), true); }
 
