gateway: Do not keep the body of an error that answers a resumed stream

Cause: the same as for refusals, in the place where a stream goes on at another endpoint and gets an error. Only the status is used.

Test: 'an error without end ends a resumed stream', which failed before (64 MiB taken).

--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -83,8 +83,9 @@
 constexpr std::size_t max_queued_bytes = 64U << 10U;
 /// A longer response is forwarded while it arrives.
 constexpr std::size_t max_collected_bytes = 256U << 10U;
-/// What follows the head of a refusal is not forwarded. A connection on which
-/// more than this arrives is closed.
+/// What follows the head of a refusal, or of an error in the place of the rest
+/// of a stream, is not forwarded. A connection on which more than this arrives
+/// is closed.
 constexpr std::size_t max_discarded_bytes = 64U << 10U;
 /// Limit of one event of a stream.
 constexpr std::size_t max_event_bytes = 1U << 20U;
@@ -517,11 +518,13 @@
             return reject_response("event_too_long");
         break;
     case progress::collecting:
-        if (refused_)
+        // Of an error in the place of the rest of a stream only the status
+        // counts.
+        if (refused_ || head_forwarded_)
             return discard(bytes.size());
         has_output_ = true;
         body_ += bytes;
-        if (body_.size() > max_collected_bytes && !head_forwarded_)
+        if (body_.size() > max_collected_bytes)
             begin_relay();
         break;
     case progress::relaying:
@@ -541,7 +544,9 @@
     if (discarded_bytes_ <= max_discarded_bytes)
         return;
     release_upstream(false);
-    handle_refusal();
+    if (refused_)
+        return handle_refusal();
+    answer_collected();
 }
 
 /// Ends the attempt because of what the endpoint has sent.
