--- a/packages/explain/internal/request_story.cpp
+++ b/packages/explain/internal/request_story.cpp
@@ -3,6 +3,7 @@
 #include "kernel/parse_number.hpp"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <array>
@@ -93,6 +94,8 @@
 {
     if (refused_without_endpoint() && excludes_endpoint(it))
         return true;
+    if (suspects_own_part(it))
+        return true;
     if (it.time < own_.front().time - context_before ||
         it.time > own_.back().time + context_after)
         return false;
@@ -206,9 +209,44 @@
                 "none; callers come back to another process"};
     if (is_without_endpoint(reason))
         return explain_no_endpoint(reason);
+    if (reason == "part_quarantined")
+        return explain_quarantine();
     return explain_failure(reason);
 }
 
+verdict request_story::explain_quarantine() const
+{
+    std::set<std::string> endpoints;
+    for (auto const* lines : {&own_, &others_})
+    {
+        for (auto const& it : *lines)
+        {
+            if (suspects_own_part(it))
+                endpoints.insert(it.value("endpoint"));
+        }
+    }
+    endpoints.erase("");
+    return {"part_quarantined",
+            fmt::format("a part of the prompt has probably crashed endpoints{}"
+                        "{}; requests with it are refused for another {} ms",
+                        endpoints.empty() ? "" : ": ",
+                        fmt::join(endpoints, ", "),
+                        last_or_empty("part_quarantined").value("left_ms")),
+            "find in all routers' logs the `part_suspected` lines of the parts "
+            "that `part_quarantined` names, and the requests that they name"};
+}
+
+/// Whether the line suspects one of the parts for which the request was
+/// refused.
+bool request_story::suspects_own_part(log_record const& it) const
+{
+    if (it.event != "part_suspected")
+        return false;
+    auto const parts = last_or_empty("part_quarantined").value("parts") + ",";
+    return ("," + parts).find("," + it.value("part") + ",") !=
+           std::string::npos;
+}
+
 verdict request_story::explain_no_endpoint(std::string const& reason) const
 {
     if (reason == "endpoints_loading")
--- a/packages/explain/tests/request_story_test.cpp
+++ b/packages/explain/tests/request_story_test.cpp
@@ -200,6 +200,26 @@
     CHECK(removed.explain().code == "no_endpoint");
 }
 
+// Guards against a refusal whose cause was seen at another request or router.
+TEST_CASE("a refusal for a quarantined part names the endpoints that crashed")
+{
+    auto const suspected = [](std::string const& text)
+    { return "event=part_suspected " + text; };
+    auto const story = story_of(
+        {{"r1",
+          {{1000, suspected("id=q7 endpoint=e1 part=ab crashes=1")},
+           {1500, suspected("source=report part=ab crashes=2")},
+           {2000, suspected("id=q8 endpoint=e3 part=abc crashes=1")},
+           {20000, "event=part_quarantined id=q1 parts=12,ab left_ms=700"},
+           {20000, "event=gave_up id=q1 status=503 reason=part_quarantined"}}},
+         {"r2", {{1400, suspected("id=q9 endpoint=e2 part=ab crashes=1")}}}});
+    auto const res = story.explain();
+    CHECK(res.code == "part_quarantined");
+    CHECK(res.cause.find(": e1, e2;") != std::string::npos);
+    CHECK(res.cause.find("e3") == std::string::npos);
+    CHECK(story.lines().size() == 5);
+}
+
 TEST_CASE("an answer after a repeat is told from one that was slow")
 {
     auto const repeated =
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -224,6 +224,8 @@
         return false;
     auto const left = std::chrono::duration_cast<milliseconds>(
         *until - services_.clock.now());
+    services_.log.write("part_quarantined", "id={} parts={:x} left_ms={}", id_,
+                        fmt::join(shared_parts_, ","), left.count());
     give_up("part_quarantined",
             std::min(left, services_.unavailability.max_retry_after(
                                describe_unserved())));
