availability: Try a prompt part once after its quarantine

Cause: the quarantine ended at the same moment in all routers, and refused requests were told to come back then.

Each process ends a quarantine at a time of its own within 15 s, the first request with the part is a trial, and others are refused until it has ended, 5 s at most, in all routers. Refused callers are told the whole time.

Tests: 'one request tries a part after its quarantine', 'processes end a quarantine at different times'; the replay now lets refused requests come back and exceeds five crashes without spread and trial ('the replay detects a quarantine that fails').

--- a/packages/availability/internal/part_quarantine.cpp
+++ b/packages/availability/internal/part_quarantine.cpp
@@ -18,8 +18,10 @@
 
 } // namespace
 
-part_quarantine::part_quarantine(quarantine_settings settings)
+part_quarantine::part_quarantine(quarantine_settings settings,
+                                 std::uint64_t seed)
     : settings_(settings)
+    , seed_(seed)
 {
 }
 
@@ -47,6 +49,25 @@
     return res;
 }
 
+bool part_quarantine::on_sent(std::vector<part_key> const& parts,
+                              kernel::steady_time now)
+{
+    auto res = false;
+    if (suspects_.empty())
+        return res;
+    for (auto const part : parts)
+    {
+        auto const found = suspects_.find(part);
+        if (found == suspects_.end() ||
+            found->second.crashes.size() < settings_.min_crashes)
+            continue;
+        found->second.trial_until = now + settings_.trial_time;
+        news_.tried_parts.push_back(part);
+        res = true;
+    }
+    return res;
+}
+
 std::size_t part_quarantine::on_served(std::vector<part_key> const& parts,
                                        kernel::steady_time now)
 {
@@ -91,6 +112,11 @@
     }
     for (auto const it : report.refuted_crashes)
         remove_crash(it, now);
+    for (auto const it : report.tried_parts)
+    {
+        if (auto const found = suspects_.find(it); found != suspects_.end())
+            found->second.trial_until = now + settings_.trial_time;
+    }
     std::vector<suspicion> res;
     for (auto const& it : report.crashes)
     {
@@ -184,6 +210,19 @@
     return std::min(res, settings_.max_duration);
 }
 
+/// The spread depends on the part, too, so that no process tries all of them.
+kernel::steady_time part_quarantine::quarantine_end(part_key part,
+                                                    suspect const& it) const
+{
+    constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15;
+    constexpr int unused_bits = 32;
+    auto const hash = ((part ^ seed_) * multiplier) >> unused_bits;
+    auto const choices =
+        static_cast<std::uint64_t>(settings_.return_spread.count() + 1);
+    return it.last_crash + duration_after(it.crashes.size()) +
+           milliseconds(static_cast<std::int64_t>(hash % choices));
+}
+
 /// Requests with a part that crashes endpoints share parts with sound ones. A
 /// part is not quarantined while another one, later in the prompt, was at all
 /// of its crashes, or another one at the same place was at more. A crash
@@ -219,7 +258,9 @@
         if (found == suspects_.end())
             continue;
         auto const& it = found->second;
-        auto const until = it.last_crash + duration_after(it.crashes.size());
+        if (it.crashes.size() < settings_.min_crashes)
+            continue;
+        auto const until = std::max(quarantine_end(part, it), it.trial_until);
         if (until <= now || has_better_explanation(part, it))
             continue;
         res = res ? std::max(*res, until) : until;
--- a/packages/availability/part_quarantine.hpp
+++ b/packages/availability/part_quarantine.hpp
@@ -33,13 +33,18 @@
         std::chrono::milliseconds quarantine{0};
     };
 
-    explicit part_quarantine(quarantine_settings settings = {});
+    /// `seed` should differ between processes.
+    explicit part_quarantine(quarantine_settings settings = {},
+                             std::uint64_t seed = 0);
 
     /// An endpoint crashed, as far as known, before it sent any output for a
     /// request with these parts, in the order of the prompt.
     std::vector<suspicion> on_crash(crash_key crash,
                                     std::vector<part_key> const& parts,
                                     kernel::steady_time now);
+    /// A request with these parts was sent to an endpoint. Returns true if it
+    /// is the first one after a quarantine.
+    bool on_sent(std::vector<part_key> const& parts, kernel::steady_time now);
     /// A request with these parts was answered completely. Returns the number
     /// of parts that are no longer suspected.
     std::size_t on_served(std::vector<part_key> const& parts,
@@ -51,8 +56,8 @@
     std::vector<suspicion> on_report(wire::part_report const& report,
                                      kernel::steady_time now);
 
-    /// When the last quarantine of these parts ends; no value if none is
-    /// quarantined.
+    /// When the last quarantine of these parts ends, or the trial of one after
+    /// it; no value if a request with them may be sent.
     std::optional<kernel::steady_time>
     quarantined_until(std::vector<part_key> const& parts,
                       kernel::steady_time now) const;
@@ -73,6 +78,7 @@
         std::map<crash_key, kernel::steady_time> crashes;
         std::uint32_t depth = 0;
         kernel::steady_time last_crash{};
+        kernel::steady_time trial_until{};
     };
 
     std::optional<suspicion> add(wire::part_crash const& crash,
@@ -82,9 +88,11 @@
     void remember_served(part_key part, kernel::steady_time now);
     bool recently_served(part_key part, kernel::steady_time crash_at) const;
     std::chrono::milliseconds duration_after(std::size_t crashes) const;
+    kernel::steady_time quarantine_end(part_key part, suspect const& it) const;
     bool has_better_explanation(part_key part, suspect const& it) const;
 
     quarantine_settings settings_;
+    std::uint64_t seed_;
     std::unordered_map<part_key, suspect> suspects_;
     /// When parts were last in a complete answer.
     std::unordered_map<part_key, kernel::steady_time> served_;
--- a/packages/availability/tests/part_quarantine_test.cpp
+++ b/packages/availability/tests/part_quarantine_test.cpp
@@ -22,10 +22,18 @@
 constexpr part_quarantine::part_key bad_part = 2;
 constexpr part_quarantine::part_key other_part = 3;
 
+/// Settings with which a quarantine ends at the same time in all processes.
+quarantine_settings without_spread()
+{
+    quarantine_settings res;
+    res.return_spread = milliseconds(0);
+    return res;
+}
+
 /// Crashes of two endpoints, a second apart, under the same parts.
 part_quarantine after_two_crashes(part_keys const& parts)
 {
-    part_quarantine res;
+    part_quarantine res(without_spread());
     res.on_crash(1, parts, start);
     res.on_crash(2, parts, start + seconds(1));
     return res;
@@ -36,7 +44,7 @@
 // Guards against requests of one kind that crash endpoints one after the other.
 TEST_CASE("a part is quarantined after it was at two endpoints that crashed")
 {
-    part_quarantine quarantine;
+    part_quarantine quarantine(without_spread());
     CHECK(quarantine.on_crash(1, {bad_part}, start).size() == 1);
     CHECK_FALSE(quarantine.quarantined_until({bad_part}, start));
     // Another request that ended with the same endpoint.
@@ -112,7 +120,7 @@
     CHECK_FALSE(quarantine.quarantined_until({bad_part}, crash));
     // Reports of the same crash that arrive later.
     CHECK(quarantine
-              .on_report({{{bad_part, 2, 0, milliseconds(300)}}, {}, {}},
+              .on_report({{{bad_part, 2, 0, milliseconds(300)}}, {}, {}, {}},
                          crash + milliseconds(300))
               .empty());
     // The next incarnation may be meant.
@@ -138,6 +146,44 @@
     CHECK(quarantine.suspects() == 0);
 }
 
+// Guards against requests that return when a quarantine ends and crash one
+// endpoint each.
+TEST_CASE("one request tries a part after its quarantine")
+{
+    auto quarantine = after_two_crashes({bad_part});
+    auto other = after_two_crashes({bad_part});
+    quarantine.take_news();
+    auto const now = start + seconds(17);
+    REQUIRE_FALSE(quarantine.quarantined_until({bad_part}, now));
+    CHECK(quarantine.on_sent({bad_part}, now));
+    CHECK(quarantine.quarantined_until({bad_part}, now) == now + seconds(5));
+    other.on_report(quarantine.take_news(), now);
+    CHECK(other.quarantined_until({bad_part}, now));
+    // Without a result, another one is sent.
+    CHECK_FALSE(quarantine.quarantined_until({bad_part}, now + seconds(5)));
+    quarantine.on_sent({bad_part}, now + seconds(5));
+    quarantine.on_served({bad_part}, now + seconds(6));
+    CHECK_FALSE(quarantine.quarantined_until({bad_part}, now + seconds(6)));
+    CHECK_FALSE(quarantine.on_sent({bad_part}, now + seconds(6)));
+}
+
+TEST_CASE("processes end a quarantine at different times")
+{
+    std::set<kernel::steady_time> ends;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        part_quarantine quarantine({}, seed * 1000003);
+        quarantine.on_crash(1, {bad_part}, start);
+        quarantine.on_crash(2, {bad_part}, start);
+        auto const end = quarantine.quarantined_until({bad_part}, start);
+        REQUIRE(end);
+        CHECK(*end >= start + seconds(15));
+        CHECK(*end <= start + seconds(30));
+        ends.insert(*end);
+    }
+    CHECK(ends.size() > 30);
+}
+
 // Guards against a process that sees none of the crashes, or has just started.
 TEST_CASE("crashes that other processes report count like own ones")
 {
@@ -203,9 +249,11 @@
     int sound_refused = 0;
 };
 
-/// Replays a load on routers that exchange their news: 20 requests a second, of
-/// which a twentieth have a part that crashes the engine 300 ms later. Each
-/// request has the caller's part, one of a few shared parts and one of its own.
+/// Replays a load on routers that exchange their news within 50 ms: 20 requests
+/// a second, of which a twentieth have a part that crashes the engine 300 ms
+/// later. Each request has the caller's part, one of a few shared parts and one
+/// of its own. Those that are refused for the part come back when they are told
+/// to.
 outcome replay(unsigned seed, std::size_t routers,
                quarantine_settings settings = {})
 {
@@ -218,9 +266,17 @@
         part_keys parts;
     };
     std::mt19937 random(seed);
-    std::vector<part_quarantine> all(routers, part_quarantine(settings));
+    std::vector<part_quarantine> all;
+    for (std::size_t n = 0; n < routers; ++n)
+        all.emplace_back(settings, random());
     std::vector<std::uint64_t> incarnations(9, 1);
+    struct refusal
+    {
+        kernel::steady_time at;
+        running request;
+    };
     std::deque<running> in_flight;
+    std::vector<refusal> returning;
     outcome res;
     auto const crash_key = [&](std::uint64_t engine)
     { return engine * 1000 + incarnations[engine]; };
@@ -263,14 +319,30 @@
         auto const tenant = 100 + random() % 8;
         next.parts = {tenant, next.bad ? bad_part : 200 + random() % 12,
                       1000 + static_cast<std::uint64_t>(n)};
-        auto const refused =
-            all[next.router].quarantined_until(next.parts, now).has_value();
+        auto const until = all[next.router].quarantined_until(next.parts, now);
+        auto const refused = until.has_value();
         if (!next.bad)
             ++res.sound;
         if (refused && !next.bad)
             ++res.sound_refused;
-        if (!refused)
-            in_flight.push_back(next);
+        if (refused && next.bad)
+            returning.push_back({*until, next});
+        if (refused)
+            continue;
+        all[next.router].on_sent(next.parts, now);
+        in_flight.push_back(next);
+        for (auto& it : returning)
+        {
+            if (it.at > now)
+                continue;
+            it.at = kernel::steady_time::max();
+            it.request.ends = now + milliseconds(300);
+            auto& router = all[it.request.router];
+            if (router.quarantined_until(it.request.parts, now))
+                continue;
+            router.on_sent(it.request.parts, now);
+            in_flight.push_back(it.request);
+        }
     }
     return res;
 }
@@ -302,6 +374,11 @@
     quarantine_settings brief;
     brief.max_duration = milliseconds(500);
     CHECK(replay(1, 4, brief).crashes > 5);
+    // All that come back at the end of a quarantine are sent.
+    quarantine_settings all_at_once;
+    all_at_once.return_spread = milliseconds(0);
+    all_at_once.trial_time = milliseconds(0);
+    CHECK(replay(1, 4, all_at_once).crashes > 5);
 }
 
 } // namespace endiveward::availability
--- a/packages/availability/types/quarantine_settings.hpp
+++ b/packages/availability/types/quarantine_settings.hpp
@@ -18,6 +18,12 @@
     std::chrono::milliseconds first_duration{15000};
     int growth = 8;
     std::chrono::milliseconds max_duration{600000};
+    /// Processes end a quarantine spread over this time, so that one of them
+    /// sends the first request and the others learn of its result.
+    std::chrono::milliseconds return_spread{15000};
+    /// Time for the result of the first request after a quarantine. Others with
+    /// the part are refused until then.
+    std::chrono::milliseconds trial_time{5000};
     /// How long a part stays suspected after its last crash.
     std::chrono::milliseconds suspicion_retention{1200000};
     /// A part is not suspected if it was served within this time before the
--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -137,6 +137,7 @@
         add(all.crashes, more.crashes);
         add(all.served_parts, more.served_parts);
         add(all.refuted_crashes, more.refuted_crashes);
+        add(all.tried_parts, more.tried_parts);
     }
 
     static void send_report(wire::i_connection& conn,
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -226,9 +226,8 @@
         *until - services_.clock.now());
     services_.log.write("part_quarantined", "id={} parts={:x} left_ms={}", id_,
                         fmt::join(shared_parts_, ","), left.count());
-    give_up("part_quarantined",
-            std::min(left, services_.unavailability.max_retry_after(
-                               describe_unserved())));
+    // An earlier return would be in vain.
+    give_up("part_quarantined", left);
     return true;
 }
 
@@ -343,6 +342,7 @@
     last_event_at_ = now;
     ++runs_;
     endpoint_->on_sent(footprint_, now);
+    services_.parts.on_sent(id_, shared_parts_);
     services_.metrics.on_attempt();
     services_.log.write_routine(
         "sent",
--- a/packages/gateway/internal/part_watch.cpp
+++ b/packages/gateway/internal/part_watch.cpp
@@ -26,10 +26,12 @@
 } // namespace
 
 part_watch::part_watch(asio::io_context& context, kernel::i_clock const& clock,
-                       gateway_metrics& metrics, observe::decision_log& log)
+                       gateway_metrics& metrics, observe::decision_log& log,
+                       std::uint64_t seed)
     : clock_(clock)
     , metrics_(metrics)
     , log_(log)
+    , quarantine_({}, seed)
     , timer_(context)
 {
 }
@@ -48,6 +50,15 @@
     plan_news();
 }
 
+void part_watch::on_sent(std::string const& request_id, part_keys const& parts)
+{
+    if (!quarantine_.on_sent(parts, clock_.now()))
+        return;
+    log_.write("part_tried", "id={} suspected={}", request_id,
+               quarantine_.suspects());
+    plan_news();
+}
+
 void part_watch::on_served(part_keys const& parts)
 {
     auto const cleared = quarantine_.on_served(parts, clock_.now());
--- a/packages/gateway/part_watch.hpp
+++ b/packages/gateway/part_watch.hpp
@@ -32,7 +32,8 @@
     using news_handler = std::function<void(wire::part_report)>;
 
     part_watch(asio::io_context& context, kernel::i_clock const& clock,
-               gateway_metrics& metrics, observe::decision_log& log);
+               gateway_metrics& metrics, observe::decision_log& log,
+               std::uint64_t seed);
 
     /// Sets who passes news on to other processes.
     void set_news_handler(news_handler handler);
@@ -41,6 +42,7 @@
     /// output for it.
     void on_crash(std::string const& request_id, endpoint_entry const& endpoint,
                   part_keys const& parts);
+    void on_sent(std::string const& request_id, part_keys const& parts);
     void on_served(part_keys const& parts);
     /// The endpoint has sent bytes.
     void on_endpoint_active(endpoint_entry const& endpoint);
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -486,7 +486,7 @@
     for (auto const& it : msg.crashes)
         crashes.emplace_back(it.part, it.crash, it.depth, to_ms(it.age));
     return fbs::Createpart_reportDirect(fbb, &crashes, &msg.served_parts,
-                                        &msg.refuted_crashes);
+                                        &msg.refuted_crashes, &msg.tried_parts);
 }
 
 part_report get(fbs::part_report const& in)
@@ -504,6 +504,9 @@
     if (in.refuted_crashes() != nullptr)
         out.refuted_crashes.assign(in.refuted_crashes()->begin(),
                                    in.refuted_crashes()->end());
+    if (in.tried_parts() != nullptr)
+        out.tried_parts.assign(in.tried_parts()->begin(),
+                               in.tried_parts()->end());
     return out;
 }
 
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -90,7 +90,8 @@
         cache_change{true, {{7, 8}, {9, 0}}},
         table_request{{3, 10}},
         table_rows{{{"k", std::string("x\0y", 3), {3, 11}}}},
-        part_report{{{1, 2, 3, std::chrono::milliseconds(4)}}, {5}, {6, 7}}};
+        part_report{
+            {{1, 2, 3, std::chrono::milliseconds(4)}}, {5}, {6, 7}, {8}}};
 }
 
 } // namespace
--- a/packages/wire/types/part_report.hpp
+++ b/packages/wire/types/part_report.hpp
@@ -33,10 +33,13 @@
     /// Crashes after which the endpoint was seen to run on.
     std::vector<std::uint64_t> refuted_crashes;
 
+    /// Quarantined parts of which a trial request was just sent.
+    std::vector<std::uint64_t> tried_parts;
+
     bool empty() const
     {
         return crashes.empty() && served_parts.empty() &&
-               refuted_crashes.empty();
+               refuted_crashes.empty() && tried_parts.empty();
     }
     bool operator==(part_report const&) const = default;
 };
