--- a/packages/explain/internal/request_story.cpp
+++ b/packages/explain/internal/request_story.cpp
@@ -242,8 +242,9 @@
 {
     if (it.event != "part_suspected")
         return false;
-    auto const parts = last_or_empty("part_quarantined").value("parts") + ",";
-    return ("," + parts).find("," + it.value("part") + ",") !=
+    auto const parts =
+        fmt::format(",{},", last_or_empty("part_quarantined").value("parts"));
+    return parts.find(fmt::format(",{},", it.value("part"))) !=
            std::string::npos;
 }
 
