config: Write lost changes back after a restore, and give no version out twice

What operators saw: after the platform's table came back from a copy, processes that started later served without the last changes, and routers that held a lost version ignored the other change that got the same version.

Cause: nothing noticed that the log had gone back; versions go on from the head row.

Routers write the changes that the log lacks back, under their versions and only if no other change was committed since.

--- a/packages/config/change_log.hpp
+++ b/packages/config/change_log.hpp
@@ -53,6 +53,9 @@
     std::size_t max_rounds = 50;
     /// Delay after a round in which the store failed or gave stale answers.
     std::chrono::milliseconds retry_delay{200};
+    /// Time for routers to write back the changes that a restored table lacks,
+    /// before the first change of an era: two of their poll intervals.
+    std::chrono::milliseconds write_back_time{5000};
     /// Sleeps for the given time; tests replace it.
     std::function<void(std::chrono::milliseconds)> sleep;
     /// A snapshot is written at each version that is a multiple of this.
@@ -118,6 +121,9 @@
     std::optional<kernel::result<commit_outcome>> submit(commit_attempt& state);
     kernel::result<kernel::done> validate(change const& candidate) const;
     void after_commit(kernel::config_version version);
+    bool needs_new_era() const;
+    void begin_era();
+    bool put_snapshot(config_data const& data);
     void write_snapshot();
     void trim_log(kernel::config_version snapshot);
 
@@ -128,6 +134,10 @@
     config_state state_;
     /// The newest head row that was read.
     std::optional<storage::row> head_;
+    /// Era in which the head row was read. Row versions are given out again in
+    /// the next one.
+    std::uint64_t head_era_ = 0;
+    bool waited_for_write_back_ = false;
     /// Versions of the changes that were read from the log, by change id.
     std::unordered_map<std::string, kernel::config_version> logged_versions_;
     /// The log has been read without gaps after this version.
--- a/packages/config/change_log_reader.hpp
+++ b/packages/config/change_log_reader.hpp
@@ -7,6 +7,7 @@
 #include "wire/types/config_update.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -38,6 +39,8 @@
     /// The head row; nothing before the first change.
     std::optional<storage::row> head;
     kernel::config_version head_version = 0;
+    /// Era of the table in which the head row was read.
+    std::uint64_t era = 0;
     /// The next changes, at most `change_log_reader::page_size`, or a snapshot
     /// if the log no longer holds them. Nothing if the known version is up to
     /// date.
@@ -60,6 +63,8 @@
     /// once, on any thread, possibly after this object is destroyed. Errors
     /// have kind `store_unavailable`.
     void read(kernel::config_version known, handler on_done) const;
+    std::shared_ptr<storage::i_table> const& table() const { return table_; }
+    std::chrono::milliseconds timeout() const { return timeout_; }
 
 private:
     struct operation;
--- a/packages/config/internal/change_log.cpp
+++ b/packages/config/internal/change_log.cpp
@@ -3,6 +3,7 @@
 #include "config/apply_change.hpp"
 #include "config/config_json.hpp"
 #include "config/configuration.hpp"
+#include "config/log_era.hpp"
 #include "storage/i_object_store.hpp"
 #include "storage/i_table.hpp"
 
@@ -99,9 +100,12 @@
             return kernel::failure(res);
         auto const& read_result = kernel::value(res);
         // A stale read must not replace the head by an older one.
-        if (read_result.head &&
-            (!head_ || read_result.head->version > head_->version))
+        if (read_result.head && (!head_ || read_result.era > head_era_ ||
+                                 read_result.head->version > head_->version))
+        {
             head_ = read_result.head;
+            head_era_ = read_result.era;
+        }
         if (!read_result.update)
             return state_.compiled();
         index_changes(*read_result.update);
@@ -227,6 +231,11 @@
     // stale; a transaction based on both would overwrite a log row.
     if (!kernel::ok(catch_up()) || !is_current())
         return pause();
+    if (needs_new_era())
+    {
+        begin_era();
+        return pause();
+    }
     auto const found = find_committed(state.candidate);
     if (!kernel::ok(found))
         return pause();
@@ -263,6 +272,41 @@
     return submit(state);
 }
 
+bool change_log::needs_new_era() const
+{
+    return data().version < base_version(table_->era());
+}
+
+/// Goes on with the log at the base version of the table's era. Processes that
+/// hold changes which the restored table lacks then take the snapshot at that
+/// version instead of other changes with the same versions.
+void change_log::begin_era()
+{
+    if (!std::exchange(waited_for_write_back_, true))
+        return options_.sleep(options_.write_back_time);
+    auto next = data();
+    next.version = base_version(table_->era());
+    auto const pointer = await<std::optional<storage::row>>(
+        [&](auto on_done) {
+            table_->read(snapshot_row_key(), options_.timeout,
+                         std::move(on_done));
+        });
+    if (!kernel::ok(pointer) || !put_snapshot(next))
+        return;
+    auto const& row = kernel::value(pointer);
+    auto const version = std::to_string(next.version);
+    // The result is ignored: the next round reads the head again.
+    await<storage::transaction_outcome>(
+        [&](auto on_done)
+        {
+            table_->commit(
+                {{{head_key(), head_ ? head_->version : 0},
+                  {snapshot_row_key(), row ? row->version : 0}},
+                 {{head_key(), version}, {snapshot_row_key(), version}}},
+                options_.timeout, std::move(on_done));
+        });
+}
+
 bool change_log::is_stale(change const& candidate) const
 {
     return std::any_of(candidate.seen.begin(), candidate.seen.end(),
@@ -309,18 +353,22 @@
         write_snapshot();
 }
 
-void change_log::write_snapshot()
+bool change_log::put_snapshot(config_data const& data)
 {
-    auto const current = state_.compiled();
-    auto const version = current->version();
-    auto const stored = await<kernel::done>(
+    return kernel::ok(await<kernel::done>(
         [&](auto on_done)
         {
-            objects_->put(snapshot_object_key(version),
-                          to_json(*current->data()).dump(), options_.timeout,
+            objects_->put(snapshot_object_key(data.version),
+                          to_json(data).dump(), options_.timeout,
                           std::move(on_done));
-        });
-    if (!kernel::ok(stored))
+        }));
+}
+
+void change_log::write_snapshot()
+{
+    auto const current = state_.compiled();
+    auto const version = current->version();
+    if (!put_snapshot(*current->data()))
         return;
     auto const pointer = await<std::optional<storage::row>>(
         [&](auto on_done) {
--- a/packages/config/internal/change_log_poller.cpp
+++ b/packages/config/internal/change_log_poller.cpp
@@ -2,7 +2,9 @@
 
 #include "config/i_config_state.hpp"
 #include "config/i_configuration.hpp"
+#include "config/lost_changes.hpp"
 #include "kernel/i_random_source.hpp"
+#include "storage/i_table.hpp"
 
 #include <mutex>
 #include <optional>
@@ -84,6 +86,8 @@
         report_store_state(kernel::ok(res));
         if (apply(res))
             return read();
+        if (kernel::ok(res))
+            write_back(kernel::value(res));
         std::lock_guard const lock(mutex_);
         read_in_progress_ = false;
         if (is_up_to_date(res))
@@ -102,6 +106,17 @@
                kernel::value(version) < read_result.head_version;
     }
 
+    /// The result is not needed: the next read shows the log as it is then.
+    void write_back(change_log_read_result const& log)
+    {
+        auto transaction = restore_lost_changes(*state_, log);
+        if (!transaction)
+            return;
+        reader_.table()->commit(
+            std::move(*transaction), reader_.timeout(),
+            [](kernel::result<storage::transaction_outcome> const&) {});
+    }
+
     bool is_up_to_date(kernel::result<change_log_read_result> const& res) const
     {
         return kernel::ok(res) &&
--- a/packages/config/internal/change_log_reader.cpp
+++ b/packages/config/internal/change_log_reader.cpp
@@ -86,6 +86,7 @@
 
     void on_head_row(std::optional<storage::row> head)
     {
+        read_result.era = table->era();
         if (head)
         {
             auto const version = parse_version(head->value);
--- a/packages/config/tests/change_log_test.cpp
+++ b/packages/config/tests/change_log_test.cpp
@@ -3,6 +3,7 @@
 #include "config/change_log_poller.hpp"
 #include "config/config_json.hpp"
 #include "config/configuration.hpp"
+#include "config/log_era.hpp"
 #include "kernel/manual_clock.hpp"
 #include "kernel/seeded_random_source.hpp"
 #include "storage/tests/support/fake_object_store.hpp"
@@ -11,8 +12,10 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
 #include <utility>
@@ -519,6 +522,111 @@
     CHECK(rules.contains("s"));
 }
 
+TEST_CASE("the first change after a restore keeps those written back",
+          "[change_log_poller]")
+{
+    restored_log it;
+    auto options = it.fakes.options();
+    // Routers write lost changes back while the command waits.
+    options.sleep = [&](auto) { it.poll(1); };
+    auto const log = it.fakes.operator_log(options);
+    auto const version = commit_rule(*log, "c3", "s", "zone=c");
+    it.poll(1);
+    CHECK(version == config::base_version(2) + 1);
+    CHECK(it.state->current()->version() == version);
+    auto const& rules = it.state->compiled()->data()->rules;
+    CHECK(rules.at("r")->selectors.endpoints == "zone=b");
+    CHECK(rules.contains("s"));
+    // A change that is repeated after the restore is not committed twice.
+    CHECK(commit_rule(*log, "c2", "r", "zone=b") == 2);
+}
+
+namespace
+{
+
+/// A router whose configurations are recorded.
+struct recorded_router
+{
+    explicit recorded_router(platform_fakes const& fakes, unsigned seed)
+        : poller({fakes.table, fakes.objects, std::chrono::milliseconds(100)},
+                 state, clock,
+                 std::make_shared<kernel::seeded_random_source>(seed), {})
+    {
+        state->subscribe(
+            [this](auto const&)
+            {
+                auto const& data = *state->compiled()->data();
+                versions.push_back(data.version);
+                contents[data.version] = config::to_json(data).dump();
+            });
+    }
+
+    void poll()
+    {
+        clock->advance(std::chrono::milliseconds(2501));
+        poller.tick();
+    }
+
+    std::shared_ptr<kernel::manual_clock> clock =
+        std::make_shared<kernel::manual_clock>();
+    std::shared_ptr<config::config_state> state =
+        std::make_shared<config::config_state>();
+    config::change_log_poller poller;
+    std::vector<kernel::config_version> versions;
+    std::map<kernel::config_version, std::string> contents;
+};
+
+} // namespace
+
+// Guards against two contents of one version, versions that decrease, and
+// routers that disagree with the log, over random restores, commits and polls.
+TEST_CASE("a version has one content under random restores",
+          "[change_log_poller]")
+{
+    for (unsigned seed = 1; seed <= 300; ++seed)
+    {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        platform_fakes fakes;
+        fakes.table->name_eras();
+        fakes.table->make_copy();
+        std::vector<std::unique_ptr<recorded_router>> routers;
+        for (unsigned n = 0; n < 3; ++n)
+            routers.push_back(
+                std::make_unique<recorded_router>(fakes, seed * 10 + n));
+        for (int n = 0; n < 60; ++n)
+        {
+            auto const what = random() % 10;
+            if (what < 3)
+                commit_rule(*fakes.operator_log(), "c" + std::to_string(n),
+                            "r" + std::to_string(random() % 3),
+                            "zone=z" + std::to_string(n));
+            else if (what == 3)
+                fakes.table->make_copy();
+            else if (what == 4)
+                fakes.table->restore();
+            else
+                routers[random() % routers.size()]->poll();
+        }
+        commit_rule(*fakes.operator_log(), "last", "r0", "zone=last");
+        for (auto const& it : routers)
+            it->poll();
+        auto const log = fakes.operator_log();
+        auto const res = log->catch_up();
+        REQUIRE(kernel::ok(res));
+        auto const last = config::to_json(*kernel::value(res)->data()).dump();
+        std::map<kernel::config_version, std::string> contents;
+        for (auto const& it : routers)
+        {
+            CHECK(std::is_sorted(it->versions.begin(), it->versions.end()));
+            CHECK(config::to_json(*it->state->compiled()->data()).dump() ==
+                  last);
+            for (auto const& [version, text] : it->contents)
+                CHECK(contents.emplace(version, text).first->second == text);
+        }
+    }
+}
+
 TEST_CASE("the poller reads a long log in pages and uses snapshots",
           "[change_log_poller]")
 {
