--- a/packages/gateway/tests/call_client_test.cpp
+++ b/packages/gateway/tests/call_client_test.cpp
@@ -51,7 +51,7 @@
     call_client client;
 };
 
-bool answered(std::future<call_client::result> call)
+bool answered(std::future<call_client::result>& call)
 {
     return std::holds_alternative<call_response>(call.get());
 }
@@ -80,13 +80,15 @@
     while (peer.requests() < 2)
         std::this_thread::sleep_for(milliseconds(1));
     holding = false;
-    REQUIRE(answered(std::move(first)));
-    REQUIRE(answered(std::move(second)));
+    REQUIRE(answered(first));
+    REQUIRE(answered(second));
     REQUIRE(peer.connections() == 2);
     silent = true;
-    CHECK_FALSE(answered(f.send(milliseconds(100))));
+    auto third = f.send(milliseconds(100));
+    CHECK_FALSE(answered(third));
     silent = false;
-    CHECK(answered(f.send(milliseconds(5000))));
+    auto fourth = f.send(milliseconds(5000));
+    CHECK(answered(fourth));
     CHECK(peer.connections() == 3);
 }
 
@@ -103,7 +105,8 @@
             return false;
         });
     fixture f(peer.port());
-    CHECK_FALSE(answered(f.send(milliseconds(20000))));
+    auto call = f.send(milliseconds(20000));
+    CHECK_FALSE(answered(call));
     CHECK(taken < 64U << 20U);
 }
 
