availability: Forget single crashes when too many parts are suspected

Cause: with 1,024 suspected parts no further one was suspected for 20 minutes, so that a crash of many engines, each under requests with parts of their own, ended the protection. The oldest suspicion of a single crash now gives way.

Found by reading. Test: 'a part is suspected although many others are', which failed before.

--- a/packages/availability/internal/part_quarantine.cpp
+++ b/packages/availability/internal/part_quarantine.cpp
@@ -140,7 +140,7 @@
 part_quarantine::add(wire::part_crash const& crash, kernel::steady_time now)
 {
     if (suspects_.size() >= settings_.max_suspects &&
-        !suspects_.contains(crash.part))
+        !suspects_.contains(crash.part) && !forget_weakest())
         return std::nullopt;
     auto& it = suspects_[crash.part];
     it.depth = std::max(it.depth, crash.depth);
@@ -180,6 +180,24 @@
                   { return now - it.second >= settings_.served_retention; });
 }
 
+/// Forgets the part that was at a single crash the longest time ago. Returns
+/// false if all were at more.
+bool part_quarantine::forget_weakest()
+{
+    auto weakest = suspects_.end();
+    for (auto it = suspects_.begin(); it != suspects_.end(); ++it)
+    {
+        if (it->second.crashes.size() < settings_.min_crashes &&
+            (weakest == suspects_.end() ||
+             it->second.last_crash < weakest->second.last_crash))
+            weakest = it;
+    }
+    if (weakest == suspects_.end())
+        return false;
+    suspects_.erase(weakest);
+    return true;
+}
+
 void part_quarantine::remember_served(part_key part, kernel::steady_time now)
 {
     if (served_.size() >= settings_.max_served && !served_.contains(part))
--- a/packages/availability/part_quarantine.hpp
+++ b/packages/availability/part_quarantine.hpp
@@ -85,6 +85,7 @@
                                  kernel::steady_time now);
     void remove_crash(crash_key crash, kernel::steady_time now);
     void forget_expired(kernel::steady_time now);
+    bool forget_weakest();
     void remember_served(part_key part, kernel::steady_time now);
     bool recently_served(part_key part, kernel::steady_time crash_at) const;
     std::chrono::milliseconds duration_after(std::size_t crashes) const;
--- a/packages/availability/tests/part_quarantine_test.cpp
+++ b/packages/availability/tests/part_quarantine_test.cpp
@@ -224,6 +224,23 @@
     CHECK(first.suspects() == 0);
 }
 
+// Load pattern: many engines crash together, each under requests with parts
+// that were never served. Guards against a quarantine that stops to work after
+// it.
+TEST_CASE("a part is suspected although many others are")
+{
+    part_quarantine quarantine(without_spread());
+    quarantine.on_crash(1, {bad_part}, start);
+    quarantine.on_crash(2, {bad_part}, start);
+    for (std::uint64_t n = 0; n < 5000; ++n)
+        quarantine.on_crash(3, {1000 + n}, start + milliseconds(n));
+    auto const now = start + seconds(6);
+    CHECK(quarantine.quarantined_until({bad_part}, now));
+    quarantine.on_crash(4, {other_part}, now);
+    quarantine.on_crash(5, {other_part}, now);
+    CHECK(quarantine.quarantined_until({other_part}, now));
+}
+
 // Guards against memory that grows with the number of crashes and parts.
 TEST_CASE("what is remembered is bounded")
 {
--- a/packages/availability/types/quarantine_settings.hpp
+++ b/packages/availability/types/quarantine_settings.hpp
@@ -34,7 +34,8 @@
     /// come from its next incarnation.
     std::chrono::milliseconds min_refutation_delay{100};
     std::chrono::milliseconds max_refutation_delay{1000};
-    /// Limits of memory. Further parts are not suspected.
+    /// Limits of memory. Beyond them, the oldest suspicions of a single crash
+    /// are forgotten.
     std::size_t max_suspects = 1024;
     std::size_t max_served = 8192;
     std::size_t max_crashes_per_part = 8;
