availability: Count no sound request as a trial, and end the watch for refutations

Found by reading: a sound request with a part that another one explains was reported as a trial, a message to all routers each; and the watch for bytes of crashed endpoints went on until the next crash. part_quarantine_test has checks of both, which were not run on the code before.

--- a/packages/availability/internal/part_quarantine.cpp
+++ b/packages/availability/internal/part_quarantine.cpp
@@ -32,7 +32,7 @@
     forget_expired(now);
     if (refuted_.contains(crash))
         return {};
-    open_crashes_.try_emplace(crash, now);
+    open_crash(crash, now);
     std::vector<suspicion> res;
     for (std::size_t n = 0; n < parts.size(); ++n)
     {
@@ -59,7 +59,8 @@
     {
         auto const found = suspects_.find(part);
         if (found == suspects_.end() ||
-            found->second.crashes.size() < settings_.min_crashes)
+            found->second.crashes.size() < settings_.min_crashes ||
+            has_better_explanation(part, found->second))
             continue;
         found->second.trial_until = now + settings_.trial_time;
         news_.tried_parts.push_back(part);
@@ -129,13 +130,20 @@
             continue;
         }
         if (since(at, now) <= settings_.max_refutation_delay)
-            open_crashes_.try_emplace(it.crash, at);
+            open_crash(it.crash, at);
         if (auto const added = add(it, now))
             res.push_back(*added);
     }
     return res;
 }
 
+void part_quarantine::open_crash(crash_key crash, kernel::steady_time at)
+{
+    if (open_crashes_.try_emplace(crash, at).second)
+        crashes_open_until_ =
+            std::max(crashes_open_until_, at + settings_.max_refutation_delay);
+}
+
 std::optional<part_quarantine::suspicion>
 part_quarantine::add(wire::part_crash const& crash, kernel::steady_time now)
 {
--- a/packages/availability/part_quarantine.hpp
+++ b/packages/availability/part_quarantine.hpp
@@ -62,7 +62,10 @@
     quarantined_until(std::vector<part_key> const& parts,
                       kernel::steady_time now) const;
     /// Whether `on_endpoint_active` may refute a crash.
-    bool has_open_crashes() const { return !open_crashes_.empty(); }
+    bool has_open_crashes(kernel::steady_time now) const
+    {
+        return now <= crashes_open_until_;
+    }
     /// Number of parts that are suspected or quarantined.
     std::size_t suspects() const { return suspects_.size(); }
 
@@ -83,6 +86,7 @@
 
     std::optional<suspicion> add(wire::part_crash const& crash,
                                  kernel::steady_time now);
+    void open_crash(crash_key crash, kernel::steady_time at);
     void remove_crash(crash_key crash, kernel::steady_time now);
     void forget_expired(kernel::steady_time now);
     bool forget_weakest();
@@ -99,6 +103,7 @@
     std::unordered_map<part_key, kernel::steady_time> served_;
     /// Crashes that may still be refuted, and when they were noticed.
     std::unordered_map<crash_key, kernel::steady_time> open_crashes_;
+    kernel::steady_time crashes_open_until_{};
     /// Crashes that were refuted, and when. Their reports may arrive later.
     std::unordered_map<crash_key, kernel::steady_time> refuted_;
     wire::part_report news_;
--- a/packages/availability/tests/part_quarantine_test.cpp
+++ b/packages/availability/tests/part_quarantine_test.cpp
@@ -98,6 +98,8 @@
     CHECK_FALSE(quarantine.quarantined_until({system_part}, now));
     CHECK_FALSE(quarantine.quarantined_until({system_part, other_part}, now));
     CHECK(quarantine.quarantined_until({system_part, bad_part}, now));
+    // A sound request tries nothing.
+    CHECK_FALSE(quarantine.on_sent({system_part, other_part}, now));
     // A sound part that was at two of three crashes by chance.
     quarantine.on_crash(1, {other_part + 1, other_part}, now);
     quarantine.on_crash(2, {other_part + 1, other_part}, now);
@@ -113,6 +115,8 @@
 {
     auto quarantine = after_two_crashes({bad_part});
     auto const crash = start + seconds(1);
+    CHECK(quarantine.has_open_crashes(crash + seconds(1)));
+    CHECK_FALSE(quarantine.has_open_crashes(crash + milliseconds(1001)));
     // These bytes may have been on their way.
     CHECK_FALSE(quarantine.on_endpoint_active(2, crash + milliseconds(20)));
     CHECK(quarantine.quarantined_until({bad_part}, crash));
--- a/packages/gateway/internal/part_watch.cpp
+++ b/packages/gateway/internal/part_watch.cpp
@@ -71,8 +71,9 @@
 
 void part_watch::on_endpoint_active(endpoint_entry const& endpoint)
 {
-    if (!quarantine_.has_open_crashes() ||
-        !quarantine_.on_endpoint_active(key_of(endpoint), clock_.now()))
+    auto const now = clock_.now();
+    if (!quarantine_.has_open_crashes(now) ||
+        !quarantine_.on_endpoint_active(key_of(endpoint), now))
         return;
     log_.write("parts_cleared", "reason=no_crash endpoint={} suspected={}",
                endpoint.id.str(), quarantine_.suspects());
