gateway: Take a stream without length and events for broken off

What callers may see: an empty stream that looks complete, when an engine ends before its first event and its answer has neither a length nor chunks.

Cause: such a stream was complete after any orderly close outside an event, and the end of a process closes its connections like that. It now counts as a failure without a response, and as a possible crash under the request.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -100,6 +100,7 @@
     void handle_failure(std::string_view reason);
     void handle_unavailable();
     bool reject_if_quarantined();
+    void note_crash();
     void note_served();
     unserved_request describe_unserved() const;
     bool prepare_retry(std::string_view reason);
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -613,6 +613,13 @@
             endpoint_->on_error(now);
             return resume_stream("cut_event");
         }
+        // Without a length, the end of an engine's process looks the same.
+        if (head_.ends_with_connection && !has_output_)
+        {
+            endpoint_->on_no_response(now);
+            note_crash();
+            return resume_stream("no_event");
+        }
         endpoint_->on_success(now);
         note_served();
         begin_stream();
@@ -630,6 +637,14 @@
     }
 }
 
+/// The connection ended. If the endpoint had not begun to write an answer, it
+/// may have crashed under this request.
+void exchange::note_crash()
+{
+    if (!has_output_ && !shared_parts_.empty())
+        services_.parts.on_crash(id_, endpoint_->entry(), shared_parts_);
+}
+
 /// An endpoint that has answered completely does not crash on these parts.
 void exchange::note_served()
 {
@@ -688,10 +703,9 @@
         endpoint_->on_error(now);
     else
         endpoint_->on_no_response(now);
-    if (!has_output_ && !shared_parts_.empty() &&
-        (failure == upstream_failure::no_answer ||
-         failure == upstream_failure::truncated))
-        services_.parts.on_crash(id_, endpoint_->entry(), shared_parts_);
+    if (failure == upstream_failure::no_answer ||
+        failure == upstream_failure::truncated)
+        note_crash();
     if (failure != upstream_failure::not_connected)
         return handle_failure(to_text(failure));
     --runs_;
--- a/packages/gateway/tests/endless_response_test.cpp
+++ b/packages/gateway/tests/endless_response_test.cpp
@@ -169,4 +169,23 @@
     CHECK((text.find("id: 2\n") != std::string::npos) == whole);
 }
 
+// Guards against an engine that ends before its first event and whose answer is
+// forwarded as an empty stream.
+TEST_CASE("a stream without length and events is broken off")
+{
+    scripted_endpoint endpoint(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            conn.send(
+                head(request, "200 OK", "Content-Type: text/event-stream\r\n"));
+            return false;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({endpoint.port()});
+    test_caller caller(gate.port());
+    caller.send(get_request("/stream/", "id1"));
+    CHECK(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 502"));
+}
+
 } // namespace endiveward::gateway
