gateway, agent: Log the limits that endpoints name

A response could name a limit of requests and no log line said so, so that a limit that is not read could not be told from one that each router keeps by itself. `endpoint_limit` (router) and `engine_limit` (agent) are written when the named limit changes; `sent` tells which one was in force. The field is not passed on to callers and is removed from their requests. Nothing is decided by it yet.

--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -36,6 +36,8 @@
 constexpr milliseconds flush_interval{500};
 /// Reports that fail one after the other until routers are told.
 constexpr int reports_until_unreachable = 2;
+/// Longer than the time between two answers of an engine to its agent.
+constexpr milliseconds limit_retention{2000};
 constexpr milliseconds close_timeout{300};
 constexpr milliseconds endpoints_timeout{900};
 
@@ -83,6 +85,10 @@
     auto const on_leaving = [this] { on_engine_leaving(); };
     engine_.set_leaving_handler(on_leaving);
     cache_.set_leaving_handler(on_leaving);
+    auto const on_limit = [this](double per_second)
+    { on_engine_limit(per_second); };
+    engine_.set_limit_handler(on_limit);
+    cache_.set_limit_handler(on_limit);
 }
 
 weights_process::~weights_process() = default;
@@ -350,6 +356,26 @@
     publisher_.publish(last_state_);
 }
 
+/// Not every kind of answer need name the limit, so it ends when none has named
+/// it for some time.
+std::optional<double>
+weights_process::engine_limit(kernel::steady_time now) const
+{
+    if (!limit_named_at_ || now - *limit_named_at_ > limit_retention)
+        return std::nullopt;
+    return limit_;
+}
+
+void weights_process::on_engine_limit(double per_second)
+{
+    auto const now = clock_.now();
+    if (engine_limit(now) != per_second)
+        log_.write("engine_limit", "per_second={} routers={}", per_second,
+                   publisher_.routers());
+    limit_ = per_second;
+    limit_named_at_ = now;
+}
+
 void weights_process::order_if_due()
 {
     auto const order = updater_.next_order(clock_.now());
--- a/apps/endiveward_agent/weights_process.hpp
+++ b/apps/endiveward_agent/weights_process.hpp
@@ -70,6 +70,8 @@
     void publish(weights::engine_report const& report);
     void publish_unreachable();
     void on_engine_leaving();
+    void on_engine_limit(double per_second);
+    std::optional<double> engine_limit(kernel::steady_time now) const;
     void start();
     void close_links();
     void flush();
@@ -100,6 +102,9 @@
     kernel::steady_time asked_routers_at_{};
     wire::engine_state last_state_;
     availability::leaving_tracker leaving_;
+    /// The last limit of requests that the engine has named, and when.
+    double limit_ = 0;
+    std::optional<kernel::steady_time> limit_named_at_;
     /// Whether a report of the engine has been published.
     bool published_ = false;
     std::map<kernel::model_id, weights::weight_version> logged_models_;
--- a/packages/availability/internal/retry_after_reader.cpp
+++ b/packages/availability/internal/retry_after_reader.cpp
@@ -1,11 +1,9 @@
 #include "availability/retry_after_reader.hpp"
 
+#include "availability/internal/decimal.hpp"
 #include "availability/internal/field_text.hpp"
 #include "availability/internal/http_date.hpp"
 
-#include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <optional>
 #include <string_view>
 
@@ -18,23 +16,10 @@
 using std::chrono::milliseconds;
 using seconds = std::chrono::duration<double>;
 
-/// Digits with at most one point between or after them. Numbers of any length
-/// are accepted, since they are limited afterwards.
 std::optional<seconds> parse_seconds(std::string_view text)
 {
-    auto const only_digits =
-        text.find_first_not_of("0123456789.") == std::string_view::npos;
-    if (!only_digits || text.empty() || text.front() == '.' ||
-        std::count(text.begin(), text.end(), '.') > 1)
-        return std::nullopt;
-    double n = 0;
-    auto const [end, ec] = std::from_chars(
-        text.data(), text.data() + text.size(), n, std::chars_format::fixed);
-    if (ec == std::errc::result_out_of_range)
-        return seconds::max();
-    if (ec != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return seconds(n);
+    auto const n = parse_decimal(text);
+    return n ? std::optional(seconds(*n)) : std::nullopt;
 }
 
 /// The time from the answer to the date. The clock of this machine is not used:
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace endiveward::gateway
@@ -94,6 +95,14 @@
     {
         return pause_.paused_until(now).has_value();
     }
+    /// An answer of the endpoint named this many requests a second that it
+    /// takes from all processes together, or none. Returns true if this has
+    /// changed.
+    bool on_request_limit(std::optional<double> per_second)
+    {
+        return std::exchange(request_limit_, per_second) != per_second;
+    }
+    std::optional<double> request_limit() const { return request_limit_; }
     /// An answer of the endpoint said that it is going to exit.
     void on_leaving() { leaving_ = true; }
     /// Whether the endpoint is going to exit, as announced to this process,
@@ -163,6 +172,7 @@
     kernel::steady_time waiting_since_{};
     kernel::steady_time avoided_until_{};
     availability::endpoint_pause pause_;
+    std::optional<double> request_limit_;
     kernel::steady_time outdated_until_{};
     std::chrono::milliseconds backoff_{0};
     double failures_ = 0;
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -87,6 +87,7 @@
     void update_endpoint_version(response_head const& head);
     void note_leaving(response_head const& head);
     void note_pause(response_head const& head);
+    void note_limit(response_head const& head);
     std::shared_ptr<endpoint_record>
     answering_endpoint(response_head const& head) const;
     bool is_refusal(response_head const& head) const;
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -55,6 +55,7 @@
     {
         ++generation_;
         pause_.reset();
+        request_limit_.reset();
         leaving_ = false;
         // A connected agent may have reported on the new incarnation already.
         reported_leaving_ = reported_leaving_ && linked_ &&
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/exchange.hpp"
 
 #include "availability/leaving_notice_reader.hpp"
+#include "availability/limit_notice_reader.hpp"
 #include "availability/retry_after_reader.hpp"
 #include "gateway/attempt_timeouts.hpp"
 #include "gateway/endpoint_chooser.hpp"
@@ -92,6 +93,11 @@
 constexpr int lowest_priority = 9;
 constexpr char const* retry_after_field = "Retry-After";
 
+std::string to_text(std::optional<double> limit)
+{
+    return limit ? fmt::format("{}", *limit) : "none";
+}
+
 } // namespace
 
 exchange::exchange(exchange_services const& services,
@@ -348,13 +354,13 @@
         "sent",
         "id={} route={} endpoint={} zone={} attempt={} version={} weights={} "
         "prefix={:x} shared={} known={} uncached={} source={} expect_ms={} "
-        "in_flight={} left_ms={}",
+        "in_flight={} left_ms={} limit={}",
         id_, route_->name, entry.id.str(), entry.zone.str(),
         runs_ + refusals_ + failed_connects_, requested_version_,
         to_text(choice.weights), choice.shared.key, choice.shared.tokens,
         choice.reusable_tokens, footprint_.uncached_tokens, choice.kv.source,
         expected_first_byte_.count(), endpoint_->in_flight(),
-        time_left().count());
+        time_left().count(), to_text(endpoint_->request_limit()));
     upstream_->send(pool_->peer(),
                     build_request(request_, fields, services_.names), id_,
                     request_.method == "HEAD", *this);
@@ -418,6 +424,7 @@
     update_endpoint_version(head);
     note_leaving(head);
     note_pause(head);
+    note_limit(head);
 }
 
 void exchange::note_leaving(response_head const& head)
@@ -483,6 +490,41 @@
         value);
 }
 
+void exchange::note_limit(response_head const& head)
+{
+    auto const* const text = head.headers.find(services_.names.request_limit);
+    auto const answering = answering_endpoint(head);
+    if (answering == nullptr)
+        return;
+    auto const& endpoint = answering->entry().id.str();
+    auto const log = [&](std::string_view limit)
+    {
+        services_.log.write("endpoint_limit",
+                            "endpoint={} source=answer per_second={} status={}",
+                            endpoint, limit, head.status);
+    };
+    std::visit(
+        kernel::overloaded{
+            [&](availability::no_limit)
+            {
+                if (answering->on_request_limit(std::nullopt))
+                    log("none");
+            },
+            [&](availability::unreadable_limit)
+            {
+                services_.log.write("endpoint_field_ignored",
+                                    "endpoint={} field={} value=\"{}\"",
+                                    endpoint, services_.names.request_limit,
+                                    *text);
+            },
+            [&](availability::named_limit const& limit)
+            {
+                if (answering->on_request_limit(limit.requests_per_second))
+                    log(to_text(limit.requests_per_second));
+            }},
+        availability::read_limit_notice(text));
+}
+
 /// Returns the endpoint that has sent the answer, or null if it is unknown or
 /// has restarted since. At the address of an endpoint that has exited another
 /// one may answer.
@@ -1017,6 +1059,7 @@
         if (equal_names(it.name, services_.names.load) ||
             equal_names(it.name, services_.names.endpoint) ||
             equal_names(it.name, services_.names.leaving) ||
+            equal_names(it.name, services_.names.request_limit) ||
             equal_names(it.name, retry_after_field))
             continue;
         res.add(it.name, it.value);
--- a/packages/gateway/tests/support/test_names.hpp
+++ b/packages/gateway/tests/support/test_names.hpp
@@ -29,12 +29,14 @@
     res.endpoint = "X-Endpoint";
     res.load = "X-Load";
     res.leaving = "X-Leaving";
+    res.request_limit = "X-Limit";
     res.weight_version = "X-Version";
-    res.reserved = {res.key,       res.workspace,  res.expected_endpoint,
-                    res.deadline,  res.cache_salt, res.priority,
-                    res.kv_source, res.kv_target,  res.expected_version,
-                    res.signature, res.not_run,    res.endpoint,
-                    res.load,      res.leaving,    res.weight_version};
+    res.reserved = {res.key,          res.workspace,  res.expected_endpoint,
+                    res.deadline,     res.cache_salt, res.priority,
+                    res.kv_source,    res.kv_target,  res.expected_version,
+                    res.signature,    res.not_run,    res.endpoint,
+                    res.load,         res.leaving,    res.weight_version,
+                    res.request_limit};
     return res;
 }
 
--- a/packages/gateway/types/header_field_names.hpp
+++ b/packages/gateway/types/header_field_names.hpp
@@ -44,6 +44,8 @@
     std::string load;
     /// `1` if the endpoint is going to exit.
     std::string leaving;
+    /// Requests a second that the endpoint takes from all processes together.
+    std::string request_limit;
     /// The model version that produced the response.
     std::string weight_version;
     /// Fields that are removed from callers' requests.
