gateway: Keep the limit of requests that an endpoint names

Endpoints in need name in their answers how many requests a second they take from all callers together.

`availability::request_limit` decides without I/O when the next request may be sent. Each router counts its own requests, retries and resumed streams included, and those that the others report through three agents, so that the sum keeps the limit; a request that was sent at the same moment elsewhere is made up for. A router that hears of no other one uses its share. The limit is read from all responses, told to the other routers and to those that start later, and ends when a response to a later request names none, or with the incarnation. The agent reports what its engine's answers name.

A request that only endpoints at their limit could take is rejected at once with the time of the next one; such an endpoint is not the home of a prefix.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -78,6 +78,12 @@
             asio::post(control_, [this, report = std::move(report)]
                        { links_->send_part_report(report); });
         });
+    gateway_->set_limit_report_handler(
+        [this](wire::limit_report report)
+        {
+            asio::post(control_, [this, report = std::move(report)]
+                       { links_->send_limit_report(report); });
+        });
 }
 
 gateway_process::~gateway_process() = default;
@@ -224,6 +230,11 @@
     pass_on_report([this, report] { gateway_->on_part_report(report); });
 }
 
+void gateway_process::on_limit_report(wire::limit_report const& report)
+{
+    pass_on_report([this, report] { gateway_->on_limit_report(report); });
+}
+
 void gateway_process::on_link_lost(kernel::endpoint_id const& endpoint)
 {
     pass_on_report([this, endpoint] { gateway_->on_link_lost(endpoint); });
--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -84,6 +84,7 @@
     void on_cache_change(kernel::endpoint_id const& endpoint,
                          wire::cache_change const& change) override;
     void on_part_report(wire::part_report const& report) override;
+    void on_limit_report(wire::limit_report const& report) override;
     void on_link_lost(kernel::endpoint_id const& endpoint) override;
 
     bool listen();
--- a/apps/endiveward_agent/weights_process.cpp
+++ b/apps/endiveward_agent/weights_process.cpp
@@ -330,6 +330,7 @@
     state.memory_used = report.memory_used;
     state.memory_total = report.memory_total;
     state.leaving = leaving_.leaving();
+    state.request_limit = engine_limit(clock_.now());
     published_ = true;
     last_state_ = state;
     publisher_.publish(state);
--- a/packages/enginelink/agent_links.hpp
+++ b/packages/enginelink/agent_links.hpp
@@ -3,6 +3,7 @@
 
 #include "kernel/types/identifiers.hpp"
 #include "wire/types/cluster_key.hpp"
+#include "wire/types/limit_report.hpp"
 #include "wire/types/part_report.hpp"
 #include "wire/types/table_row.hpp"
 
@@ -65,6 +66,8 @@
     /// Sends what this router has learned to a few agents, the same for all
     /// routers, which pass it on to the others.
     void send_part_report(wire::part_report const& report);
+    /// The same for what it has learned about endpoints that name a limit.
+    void send_limit_report(wire::limit_report const& report);
     /// Closes all links.
     void close();
     std::size_t connected() const;
--- a/packages/enginelink/internal/agent_links.cpp
+++ b/packages/enginelink/internal/agent_links.cpp
@@ -119,12 +119,21 @@
     /// know nearly the same agents choose the same ones. A crash of many
     /// engines then costs a few messages a router.
     void send_part_report(wire::part_report const& report)
+    {
+        send_to_relays(report, &wire::hello::accepts_part_reports);
+    }
+
+    void send_limit_report(wire::limit_report const& report)
+    {
+        send_to_relays(report, &wire::hello::accepts_limit_reports);
+    }
+
+    void send_to_relays(wire::message const& msg, bool wire::hello::*accepts)
     {
         std::vector<std::pair<std::uint64_t, wire::i_connection*>> ranked;
         for (auto const& [id, it] : links_)
         {
-            if (it->connection != nullptr &&
-                it->connection->peer().accepts_part_reports)
+            if (it->connection != nullptr && it->connection->peer().*accepts)
                 ranked.emplace_back(
                     XXH3_64bits(id.str().data(), id.str().size()),
                     it->connection.get());
@@ -134,7 +143,7 @@
                           ranked.begin() + static_cast<std::ptrdiff_t>(n),
                           ranked.end(), std::greater<>());
         for (std::size_t i = 0; i < n; ++i)
-            ranked[i].second->send(report);
+            ranked[i].second->send(msg);
     }
 
     void close()
@@ -175,6 +184,8 @@
             rows_.merge(response->rows);
         else if (auto const* report = std::get_if<wire::part_report>(&msg))
             listener_.on_part_report(*report);
+        else if (auto const* limits = std::get_if<wire::limit_report>(&msg))
+            listener_.on_limit_report(*limits);
     }
 
     void on_closed(std::shared_ptr<wire::i_connection> const& conn,
@@ -338,6 +349,11 @@
     impl_->send_part_report(report);
 }
 
+void agent_links::send_limit_report(wire::limit_report const& report)
+{
+    impl_->send_limit_report(report);
+}
+
 void agent_links::close()
 {
     impl_->close();
--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -1,6 +1,7 @@
 #include "enginelink/state_publisher.hpp"
 
 #include "availability/part_quarantine.hpp"
+#include "availability/reported_limits.hpp"
 #include "enginelink/i_row_source.hpp"
 #include "enginelink/link_options.hpp"
 #include "enginelink/report_scheduler.hpp"
@@ -26,6 +27,8 @@
 /// After a crash of many engines, hundreds of routers report at the same
 /// moment; each gets one message.
 constexpr std::chrono::milliseconds part_report_delay{60};
+/// Until a request is reported, other routers may send one in its place.
+constexpr std::chrono::milliseconds limit_report_delay{10};
 
 } // namespace
 
@@ -40,6 +43,7 @@
         , timer_(context)
         , scheduler_(report_options{})
         , parts_timer_(context)
+        , limits_timer_(context)
     {
     }
 
@@ -52,6 +56,8 @@
         announce_era(*conn);
         if (auto const known = parts_.snapshot(clock_.now()); !known.empty())
             send_report(*conn, known);
+        if (auto const known = limits_.snapshot(clock_.now()); !known.empty())
+            send_report(*conn, known);
     }
 
     void on_message(std::shared_ptr<wire::i_connection> const& conn,
@@ -67,6 +73,8 @@
             rows_.merge(response->rows);
         else if (auto const* report = std::get_if<wire::part_report>(&msg))
             pass_on(*report);
+        else if (auto const* limits = std::get_if<wire::limit_report>(&msg))
+            pass_on(*limits);
     }
 
     void on_closed(std::shared_ptr<wire::i_connection> const& conn,
@@ -96,6 +104,7 @@
         closed_ = true;
         timer_.cancel();
         parts_timer_.cancel();
+        limits_timer_.cancel();
         for (auto const& it : routers_)
             it->close();
     }
@@ -130,10 +139,35 @@
             });
     }
 
+    void pass_on(wire::limit_report const& report)
+    {
+        limits_.on_report(report, clock_.now());
+        add(pending_limits_.changes, report.changes);
+        add(pending_limits_.requests, report.requests);
+        if (std::exchange(passing_on_limits_, true))
+            return;
+        limits_timer_.expires_after(limit_report_delay);
+        limits_timer_.async_wait(
+            [weak = weak_from_this()](std::error_code ec)
+            {
+                auto const self = weak.lock();
+                if (ec || self == nullptr)
+                    return;
+                self->passing_on_limits_ = false;
+                auto const all = std::exchange(self->pending_limits_, {});
+                for (auto const& it : self->routers_)
+                    send_report(*it, all);
+            });
+    }
+
+    template <typename T>
+    static void add(std::vector<T>& to, std::vector<T> const& from)
+    {
+        to.insert(to.end(), from.begin(), from.end());
+    }
+
     static void append(wire::part_report& all, wire::part_report const& more)
     {
-        auto const add = [](auto& to, auto const& from)
-        { to.insert(to.end(), from.begin(), from.end()); };
         add(all.crashes, more.crashes);
         add(all.served_parts, more.served_parts);
         add(all.refuted_crashes, more.refuted_crashes);
@@ -147,6 +181,13 @@
             conn.send(report);
     }
 
+    static void send_report(wire::i_connection& conn,
+                            wire::limit_report const& report)
+    {
+        if (conn.peer().accepts_limit_reports)
+            conn.send(report);
+    }
+
     /// A router may have started after the store was restored from a copy that
     /// lacks what this process has read before. Rows that are known to be
     /// missing are sent at once; otherwise the era tells the router whether to
@@ -205,6 +246,10 @@
     asio::steady_timer parts_timer_;
     wire::part_report pending_parts_;
     bool passing_on_ = false;
+    availability::reported_limits limits_;
+    asio::steady_timer limits_timer_;
+    wire::limit_report pending_limits_;
+    bool passing_on_limits_ = false;
     std::vector<std::shared_ptr<wire::i_connection>> routers_;
     std::optional<kernel::steady_time> last_row_request_;
     bool closed_ = false;
--- a/packages/enginelink/tests/links_test.cpp
+++ b/packages/enginelink/tests/links_test.cpp
@@ -106,6 +106,23 @@
                        report.crashes.end());
     }
 
+    void on_limit_report(wire::limit_report const& report) override
+    {
+        std::lock_guard const lock(mutex);
+        limits.insert(limits.end(), report.changes.begin(),
+                      report.changes.end());
+        requests.insert(requests.end(), report.requests.begin(),
+                        report.requests.end());
+    }
+
+    bool knows_limit(std::uint64_t endpoint) const
+    {
+        std::lock_guard const lock(mutex);
+        return std::any_of(limits.begin(), limits.end(),
+                           [endpoint](auto const& it)
+                           { return it.endpoint == endpoint; });
+    }
+
     bool knows(std::uint64_t part) const
     {
         std::lock_guard const lock(mutex);
@@ -126,6 +143,8 @@
     wire::engine_state state;
     std::map<std::uint64_t, std::uint32_t> parts;
     std::vector<wire::part_crash> crashes;
+    std::vector<wire::limit_change> limits;
+    std::vector<wire::limited_request> requests;
     std::atomic<int> states{0};
     std::atomic<int> lost{0};
 };
@@ -184,13 +203,14 @@
     std::uint16_t port = 0;
 };
 
-/// A process of a program version that knows no reports on prompt parts.
+/// A process of a program version that knows no reports of other routers.
 struct earlier_identity : wire::i_local_identity
 {
     wire::hello describe() const override
     {
         auto res = identity(wire::process_role::router)->describe();
         res.accepts_part_reports = false;
+        res.accepts_limit_reports = false;
         return res;
     }
 };
@@ -303,6 +323,49 @@
     CHECK(earlier.listener.lost == 0);
 }
 
+// Guards against routers that each use the whole limit of an endpoint, and
+// against one that starts anew and does not know it.
+TEST_CASE("the limit of an endpoint and requests to it reach all routers")
+{
+    test_agent a;
+    test_router first;
+    test_router second;
+    test_router earlier(std::make_shared<earlier_identity>());
+    for (auto* it : {&first, &second, &earlier})
+        it->connect(a.port);
+    REQUIRE(wait_until(
+        [&]
+        {
+            return first.listener.states > 0 && second.listener.states > 0 &&
+                   earlier.listener.states > 0;
+        }));
+    first.run(
+        [&] {
+            first.links.send_limit_report({{{7, 1.5, false}}, {{7, 1}}});
+        });
+    CHECK(wait_until([&] { return second.listener.knows_limit(7); }));
+    CHECK(
+        second.listener.check([&] { return second.listener.requests.size(); }));
+    test_router third;
+    third.connect(a.port);
+    CHECK(wait_until([&] { return third.listener.knows_limit(7); }));
+    // Requests that were sent before it started are not counted again.
+    CHECK(
+        third.listener.check([&] { return third.listener.requests.empty(); }));
+    // It would close its link.
+    CHECK_FALSE(earlier.listener.knows_limit(7));
+    CHECK(earlier.listener.lost == 0);
+    first.run(
+        [&] {
+            first.links.send_limit_report({{{7, 0, true}, {8, 2, false}}, {}});
+        });
+    REQUIRE(wait_until([&] { return second.listener.knows_limit(8); }));
+    test_router last;
+    last.connect(a.port);
+    REQUIRE(wait_until([&] { return last.listener.knows_limit(8); }));
+    CHECK_FALSE(last.listener.knows_limit(7));
+}
+
 // Guards against hundreds of messages at the crash of many engines, and against
 // routers that rely on different agents.
 TEST_CASE("all routers send their reports to the same few agents")
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEWARD_GATEWAY_ENDPOINT_RECORD_HPP
 
 #include "availability/endpoint_pause.hpp"
+#include "availability/request_limit.hpp"
 #include "gateway/prefix_cache_estimate.hpp"
 #include "gateway/types/endpoint_entry.hpp"
 #include "gateway/types/load_sample.hpp"
@@ -13,7 +14,6 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace endiveward::gateway
@@ -95,14 +95,9 @@
     {
         return pause_.paused_until(now).has_value();
     }
-    /// An answer of the endpoint named this many requests a second that it
-    /// takes from all processes together, or none. Returns true if this has
-    /// changed.
-    bool on_request_limit(std::optional<double> per_second)
-    {
-        return std::exchange(request_limit_, per_second) != per_second;
-    }
-    std::optional<double> request_limit() const { return request_limit_; }
+    /// The limit of requests that the endpoint names.
+    availability::request_limit& limit() { return limit_; }
+    availability::request_limit const& limit() const { return limit_; }
     /// An answer of the endpoint said that it is going to exit.
     void on_leaving() { leaving_ = true; }
     /// Whether the endpoint is going to exit, as announced to this process,
@@ -136,6 +131,10 @@
     /// in this incarnation.
     std::optional<kernel::steady_time>
     unusable_until(kernel::steady_time now) const;
+    /// The end of the time in which only a limit that the endpoint names keeps
+    /// requests from it; no value if there is no such time.
+    std::optional<kernel::steady_time>
+    limited_until(kernel::steady_time now) const;
     /// Whether requests are waiting for a response, and the endpoint has sent
     /// no output to any process within the stall limit, as far as known, or its
     /// agent cannot reach it.
@@ -172,7 +171,7 @@
     kernel::steady_time waiting_since_{};
     kernel::steady_time avoided_until_{};
     availability::endpoint_pause pause_;
-    std::optional<double> request_limit_;
+    availability::request_limit limit_;
     kernel::steady_time outdated_until_{};
     std::chrono::milliseconds backoff_{0};
     double failures_ = 0;
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -154,6 +154,9 @@
     kernel::steady_time sent_at_{};
     kernel::steady_time last_event_at_{};
     std::chrono::milliseconds expected_first_byte_{0};
+    /// Whether a limit that the endpoint names was in force when the request
+    /// was sent.
+    bool counted_by_limit_ = false;
     bool response_started_ = false;
     /// Whether the endpoint has begun to write an answer in this attempt.
     bool has_output_ = false;
--- a/packages/gateway/exchange_services.hpp
+++ b/packages/gateway/exchange_services.hpp
@@ -27,6 +27,7 @@
 class endpoint_chooser;
 class endpoint_directory;
 class gateway_metrics;
+class limit_watch;
 class overload_policy;
 class part_watch;
 class retry_budgets;
@@ -47,6 +48,7 @@
     weights_view const& weights;
     retry_budgets& budgets;
     part_watch& parts;
+    limit_watch& limits;
     gateway_metrics& metrics;
     observe::decision_log& log;
 };
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include "weights/types/model_target.hpp"
 #include "wire/types/cache_change.hpp"
 #include "wire/types/engine_state.hpp"
+#include "wire/types/limit_report.hpp"
 #include "wire/types/part_report.hpp"
 
 #include <asio/steady_timer.hpp>
@@ -67,6 +68,10 @@
     /// Sets who passes what this process has learned on to the others.
     void
     set_part_report_handler(std::function<void(wire::part_report)> handler);
+    /// What other processes have learned about endpoints that name a limit.
+    void on_limit_report(wire::limit_report const& report);
+    void
+    set_limit_report_handler(std::function<void(wire::limit_report)> handler);
     void set_settings(gateway_settings settings);
 
     /// From now on each connection is closed after its next response.
@@ -86,6 +91,7 @@
 private:
     void tick();
     void update_limits();
+    void update_limit_share();
     void update_process_count(std::size_t routers);
 
     asio::io_context& context_;
@@ -104,6 +110,7 @@
     std::unique_ptr<weights_view> weights_;
     std::unique_ptr<retry_budgets> budgets_;
     std::unique_ptr<part_watch> parts_;
+    std::unique_ptr<limit_watch> limits_;
     std::unique_ptr<exchange_services> services_;
     std::shared_ptr<routing_table const> table_;
     caller_server caller_server_;
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -349,7 +349,9 @@
             it->cache().cached_tokens(lookup.levels, context.now);
         if (cached_tokens >= min_fetch_tokens)
             lookup.holders.push_back({it.get(), cached_tokens});
-        if (it->reloading() || !it->available(context.now))
+        // The home of a prefix has to take its requests most of the time.
+        if (it->reloading() || !it->available(context.now) ||
+            it->limit().rate())
             continue;
         auto const rank = rendezvous_rank(it->entry().id.str(), shared.key);
         if (lookup.home == nullptr || rank > best)
--- a/packages/gateway/internal/endpoint_outages.cpp
+++ b/packages/gateway/internal/endpoint_outages.cpp
@@ -38,6 +38,11 @@
         outage.until = it->unusable_until(now);
         outage.loading = it->reloading() ||
                          has_expired_weights(*it, requirements, weights, now);
+        if (auto const limited_until = it->limited_until(now))
+        {
+            outage.until = limited_until;
+            outage.limited = true;
+        }
         auto const& tried = requirements.excluded;
         outage.tried = std::find(tried.begin(), tried.end(), it->entry().id) !=
                        tried.end();
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -55,7 +55,7 @@
     {
         ++generation_;
         pause_.reset();
-        request_limit_.reset();
+        limit_.reset();
         leaving_ = false;
         // A connected agent may have reported on the new incarnation already.
         reported_leaving_ = reported_leaving_ && linked_ &&
@@ -242,7 +242,8 @@
 
 bool endpoint_record::available(kernel::steady_time now) const
 {
-    return can_serve_cache(now) && pause_.allows(now, unanswered_);
+    return can_serve_cache(now) && pause_.allows(now, unanswered_) &&
+           !limit_.blocked_until(now);
 }
 
 bool endpoint_record::can_serve_cache(kernel::steady_time now) const
@@ -264,6 +265,14 @@
     return std::nullopt;
 }
 
+std::optional<kernel::steady_time>
+endpoint_record::limited_until(kernel::steady_time now) const
+{
+    if (!can_serve_cache(now) || !pause_.allows(now, unanswered_))
+        return std::nullopt;
+    return limit_.blocked_until(now);
+}
+
 bool endpoint_record::stalled(kernel::steady_time now) const
 {
     if (unanswered_ == 0)
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -1,7 +1,6 @@
 #include "gateway/exchange.hpp"
 
 #include "availability/leaving_notice_reader.hpp"
-#include "availability/limit_notice_reader.hpp"
 #include "availability/retry_after_reader.hpp"
 #include "gateway/attempt_timeouts.hpp"
 #include "gateway/endpoint_chooser.hpp"
@@ -11,6 +10,7 @@
 #include "gateway/gateway_metrics.hpp"
 #include "gateway/http/upstream_connection.hpp"
 #include "gateway/i_response_writer.hpp"
+#include "gateway/limit_watch.hpp"
 #include "gateway/overload_policy.hpp"
 #include "gateway/part_watch.hpp"
 #include "gateway/request_builder.hpp"
@@ -348,6 +348,8 @@
     last_event_at_ = now;
     ++runs_;
     endpoint_->on_sent(footprint_, now);
+    counted_by_limit_ = endpoint_->limit().rate().has_value();
+    services_.limits.on_sent(*endpoint_);
     services_.parts.on_sent(id_, shared_parts_);
     services_.metrics.on_attempt();
     services_.log.write_routine(
@@ -360,18 +362,19 @@
         to_text(choice.weights), choice.shared.key, choice.shared.tokens,
         choice.reusable_tokens, footprint_.uncached_tokens, choice.kv.source,
         expected_first_byte_.count(), endpoint_->in_flight(),
-        time_left().count(), to_text(endpoint_->request_limit()));
+        time_left().count(), to_text(endpoint_->limit().rate()));
     upstream_->send(pool_->peer(),
                     build_request(request_, fields, services_.names), id_,
                     request_.method == "HEAD", *this);
     arm(next_check());
 }
 
-/// The endpoint may have asked for no requests, in an answer to another one,
-/// while the connection was established.
+/// The endpoint may have asked for no requests, or named a limit, in an answer
+/// to another one while the connection was established.
 bool exchange::may_send() const
 {
-    return !endpoint_->refuses_requests(services_.clock.now());
+    return !endpoint_->refuses_requests(services_.clock.now()) &&
+           (counted_by_limit_ || !endpoint_->limit().rate());
 }
 
 void exchange::on_head(response_head const& head)
@@ -492,37 +495,10 @@
 
 void exchange::note_limit(response_head const& head)
 {
-    auto const* const text = head.headers.find(services_.names.request_limit);
-    auto const answering = answering_endpoint(head);
-    if (answering == nullptr)
-        return;
-    auto const& endpoint = answering->entry().id.str();
-    auto const log = [&](std::string_view limit)
-    {
-        services_.log.write("endpoint_limit",
-                            "endpoint={} source=answer per_second={} status={}",
-                            endpoint, limit, head.status);
-    };
-    std::visit(
-        kernel::overloaded{
-            [&](availability::no_limit)
-            {
-                if (answering->on_request_limit(std::nullopt))
-                    log("none");
-            },
-            [&](availability::unreadable_limit)
-            {
-                services_.log.write("endpoint_field_ignored",
-                                    "endpoint={} field={} value=\"{}\"",
-                                    endpoint, services_.names.request_limit,
-                                    *text);
-            },
-            [&](availability::named_limit const& limit)
-            {
-                if (answering->on_request_limit(limit.requests_per_second))
-                    log(to_text(limit.requests_per_second));
-            }},
-        availability::read_limit_notice(text));
+    auto const& field = services_.names.request_limit;
+    if (auto const answering = answering_endpoint(head))
+        services_.limits.on_response(*answering, sent_at_, field,
+                                     head.headers.find(field));
 }
 
 /// Returns the endpoint that has sent the answer, or null if it is unknown or
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway/endpoint_directory.hpp"
 #include "gateway/exchange.hpp"
 #include "gateway/gateway_metrics.hpp"
+#include "gateway/limit_watch.hpp"
 #include "gateway/part_watch.hpp"
 #include "gateway/retry_budgets.hpp"
 #include "gateway/routing_table.hpp"
@@ -64,10 +65,14 @@
                                                    peer);
         },
         settings_.seed);
-    services_ = std::make_unique<exchange_services>(exchange_services{
-        context_, clock_, names_, *endpoints_, *chooser_, overload_,
-        unavailability_, *weights_, *budgets_, *parts_, *metrics_, log_});
+    limits_ = std::make_unique<limit_watch>(context_, clock_, *endpoints_, log_,
+                                            settings_.seed);
+    services_ = std::make_unique<exchange_services>(
+        exchange_services{context_, clock_, names_, *endpoints_, *chooser_,
+                          overload_, unavailability_, *weights_, *budgets_,
+                          *parts_, *limits_, *metrics_, log_});
     update_limits();
+    update_limit_share();
 }
 
 gateway::~gateway() = default;
@@ -118,6 +123,8 @@
     auto const was_reloading = found->reloading();
     auto const was_leaving = found->leaving();
     found->on_state(state, clock_.now());
+    limits_->on_agent_report(*found, state.request_limit);
+    limits_->set_share(processes_, true);
     update_process_count(state.routers);
     if (!was_leaving && found->leaving())
     {
@@ -145,6 +152,7 @@
     if (routers == std::exchange(processes_, routers))
         return;
     update_limits();
+    update_limit_share();
     log_.write("processes_counted", "processes={}", processes_);
 }
 
@@ -160,6 +168,16 @@
     log_.write("link_lost", "endpoint={}", endpoint.str());
     if (auto const found = endpoints_->find(endpoint))
         found->on_link_lost();
+    update_limit_share();
+}
+
+/// Routers learn of each other's requests from the agents.
+void gateway::update_limit_share()
+{
+    bool connected = false;
+    endpoints_->for_each([&](endpoint_record const& it, upstream_pool&)
+                         { connected = connected || it.linked(); });
+    limits_->set_share(processes_, connected);
 }
 
 void gateway::on_part_report(wire::part_report const& report)
@@ -173,6 +191,17 @@
     parts_->set_news_handler(std::move(handler));
 }
 
+void gateway::on_limit_report(wire::limit_report const& report)
+{
+    limits_->on_report(report);
+}
+
+void gateway::set_limit_report_handler(
+    std::function<void(wire::limit_report)> handler)
+{
+    limits_->set_news_handler(std::move(handler));
+}
+
 void gateway::set_settings(gateway_settings settings)
 {
     settings_ = std::move(settings);
--- a/packages/gateway/internal/part_watch.cpp
+++ b/packages/gateway/internal/part_watch.cpp
@@ -1,10 +1,10 @@
 #include "gateway/part_watch.hpp"
 
+#include "gateway/endpoint_key.hpp"
 #include "gateway/gateway_metrics.hpp"
 #include "observe/decision_log.hpp"
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
 #include <utility>
 
@@ -17,12 +17,6 @@
 /// The requests that a crash has ended are reported together.
 constexpr std::chrono::milliseconds news_delay{20};
 
-availability::part_quarantine::crash_key key_of(endpoint_entry const& endpoint)
-{
-    auto const& id = endpoint.id.str();
-    return XXH3_64bits_withSeed(id.data(), id.size(), endpoint.incarnation);
-}
-
 } // namespace
 
 part_watch::part_watch(asio::io_context& context, kernel::i_clock const& clock,
@@ -45,7 +39,7 @@
                           endpoint_entry const& endpoint,
                           part_keys const& parts)
 {
-    log(quarantine_.on_crash(key_of(endpoint), parts, clock_.now()),
+    log(quarantine_.on_crash(endpoint_key(endpoint), parts, clock_.now()),
         fmt::format("id={} endpoint={}", request_id, endpoint.id.str()));
     plan_news();
 }
@@ -73,7 +67,7 @@
 {
     auto const now = clock_.now();
     if (!quarantine_.has_open_crashes(now) ||
-        !quarantine_.on_endpoint_active(key_of(endpoint), now))
+        !quarantine_.on_endpoint_active(endpoint_key(endpoint), now))
         return;
     log_.write("parts_cleared", "reason=no_crash endpoint={} suspected={}",
                endpoint.id.str(), quarantine_.suspects());
--- a/packages/gateway/internal/unavailability_policy.cpp
+++ b/packages/gateway/internal/unavailability_policy.cpp
@@ -71,6 +71,8 @@
 {
     /// Known end at an endpoint that may still take this request.
     std::optional<steady_time> known_end;
+    /// When an endpoint with a limit takes the next request.
+    std::optional<steady_time> limited_end;
     /// Known end at an endpoint that has already been tried.
     std::optional<steady_time> tried_end;
     bool short_outage = false;
@@ -88,6 +90,8 @@
             return "no_endpoint";
         if (known_end)
             return "endpoints_paused";
+        if (limited_end)
+            return "endpoints_limited";
         if (loading)
             return "endpoints_loading";
         if (tried)
@@ -110,6 +114,10 @@
 // - All endpoints have asked for a pause, or are avoided after failures: the
 //   end is known. The request waits if it is near enough, with the same limit
 //   as for a wait at an endpoint, and is otherwise rejected at once.
+// - More requests arrive than endpoints take that name a limit: rejected at
+//   once. Each endpoint takes its next request from any router, and requests
+//   that arrive then are enough to use the limit; those that waited for it
+//   would be too many for it, and late.
 // - No endpoint is listed, or the last one leaves and its replacement takes
 //   some seconds: rejected at once. Callers retry only a few times, so they
 //   return when a replacement is likely.
@@ -156,6 +164,8 @@
             res.tried = true;
             add_end(res.tried_end, it.until.value_or(now));
         }
+        else if (it.limited)
+            add_end(res.limited_end, it.until.value_or(now));
         else if (it.until)
             add_end(res.known_end, *it.until);
         else if (it.loading)
@@ -178,7 +188,8 @@
         return end ? std::chrono::ceil<milliseconds>(*end - now)
                    : milliseconds::max();
     };
-    auto until_known = remaining(summary.known_end);
+    auto until_known =
+        std::min(remaining(summary.known_end), remaining(summary.limited_end));
     if (summary.tried_end)
         until_known = std::min(
             until_known, std::max(remaining(summary.tried_end), after_refusal));
--- a/packages/gateway/tests/endpoint_chooser_test.cpp
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -195,6 +195,26 @@
                   ->endpoint == fixture.records[3]);
 }
 
+// Load pattern: the home of a prefix takes one request a second. Requests that
+// share the prefix would alternate between it and another endpoint, and both
+// would compute the prefix.
+TEST_CASE("an endpoint with a limit gets no more than that and is no home")
+{
+    chooser_fixture fixture(12);
+    auto const home =
+        fixture.choose(fixture.make_requirements("s1", 1))->endpoint;
+    home->limit().on_named(1, start - std::chrono::seconds(5));
+    auto const other =
+        fixture.choose(fixture.make_requirements("s1", 1))->endpoint;
+    CHECK(other != home);
+    home->limit().on_sent(start);
+    for (std::uint64_t seed = 0; seed < 50; ++seed)
+        CHECK(fixture.choose(fixture.make_requirements("s1", seed))->endpoint !=
+              home);
+    home->limit().reset();
+    CHECK(fixture.choose(fixture.make_requirements("s1", 1))->endpoint == home);
+}
+
 TEST_CASE("draining and failing endpoints get no requests")
 {
     chooser_fixture fixture(2);
--- a/packages/gateway/tests/support/test_gateway.hpp
+++ b/packages/gateway/tests/support/test_gateway.hpp
@@ -9,6 +9,7 @@
 #include "kernel/thread_pool.hpp"
 #include "observe/decision_log.hpp"
 
+#include <asio/post.hpp>
 #include <prometheus/registry.h>
 
 #include <string>
@@ -110,6 +111,13 @@
         kernel::tests::run_on(pool_.context(0), std::move(work));
     }
 
+    /// Does not wait until the work is done.
+    template <typename F>
+    void post(F work)
+    {
+        asio::post(pool_.context(0), std::move(work));
+    }
+
     gateway& get() { return gateway_; }
 
 private:
--- a/packages/gateway/tests/unavailability_policy_test.cpp
+++ b/packages/gateway/tests/unavailability_policy_test.cpp
@@ -228,6 +228,30 @@
     CHECK(res.retry_after <= milliseconds(33));
 }
 
+// Load pattern: more requests arrive than endpoints with a limit take. Those
+// that waited for the next one would be too many for it.
+TEST_CASE(
+    "a request is rejected at once while all endpoints are at their limit")
+{
+    fixture f;
+    auto limited = f.paused(milliseconds(50));
+    limited.limited = true;
+    auto later = f.paused(milliseconds(400));
+    later.limited = true;
+    for (std::uint64_t seed = 0; seed < 50; ++seed)
+    {
+        auto const res =
+            f.reject_at_once({later, limited}, f.arrive(seed << 56U));
+        CHECK(res.reason == "endpoints_limited");
+        CHECK(res.retry_after >= milliseconds(37));
+        CHECK(res.retry_after <= milliseconds(150));
+    }
+    // One that takes requests again soon is waited for.
+    auto const decision = f.policy.decide(
+        std::vector{limited, f.paused(milliseconds(60))}, f.arrive());
+    CHECK(std::holds_alternative<wait_for_endpoint>(decision));
+}
+
 // Load pattern: all engines crashed a moment ago, and their agents report them
 // unreachable. They usually restart soon.
 TEST_CASE("a request waits a short time for endpoints that may return soon")
--- a/packages/gateway/types/endpoint_outage.hpp
+++ b/packages/gateway/types/endpoint_outage.hpp
@@ -19,6 +19,8 @@
     /// It has already failed or refused this request, which is not sent to it
     /// again. Another request of the same caller may be.
     bool tried = false;
+    /// It takes no more requests now because of a limit that it names.
+    bool limited = false;
 };
 
 } // namespace endiveward::gateway
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -154,7 +154,7 @@
         fbb, msg.protocol, static_cast<fbs::role>(msg.role),
         msg.process.str().c_str(), msg.incarnation, msg.region.str().c_str(),
         msg.zone.str().c_str(), msg.endpoint.str().c_str(), msg.config_version,
-        &msg.nonce, load, msg.accepts_part_reports);
+        &msg.nonce, load, msg.accepts_part_reports, msg.accepts_limit_reports);
 }
 
 hello get(fbs::hello const& in)
@@ -172,6 +172,7 @@
         out.nonce.assign(in.nonce()->begin(), in.nonce()->end());
     out.load = get(in.load());
     out.accepts_part_reports = in.accepts_part_reports();
+    out.accepts_limit_reports = in.accepts_limit_reports();
     return out;
 }
 
@@ -396,7 +397,8 @@
     return fbs::Createengine_stateDirect(
         fbb, msg.endpoint_incarnation, &weights, msg.reloading, msg.running,
         msg.waiting, msg.memory_used, msg.memory_total, msg.unanswered,
-        msg.routers, msg.unreachable, msg.progress, msg.leaving);
+        msg.routers, msg.unreachable, msg.progress, msg.leaving,
+        msg.request_limit.has_value(), msg.request_limit.value_or(0));
 }
 
 engine_state get(fbs::engine_state const& in)
@@ -413,6 +415,8 @@
     out.unreachable = in.unreachable();
     out.progress = in.progress();
     out.leaving = in.leaving();
+    if (in.limited())
+        out.request_limit = in.request_limit();
     if (in.weights() == nullptr)
         return out;
     for (auto const* it : *in.weights())
@@ -510,6 +514,35 @@
     return out;
 }
 
+offset<fbs::limit_report> put(builder& fbb, limit_report const& msg)
+{
+    std::vector<fbs::limit_change> changes;
+    changes.reserve(msg.changes.size());
+    for (auto const& it : msg.changes)
+        changes.emplace_back(it.endpoint, it.rate, it.ended);
+    std::vector<fbs::limited_request> requests;
+    requests.reserve(msg.requests.size());
+    for (auto const& it : msg.requests)
+        requests.emplace_back(it.endpoint, it.request);
+    return fbs::Createlimit_reportDirect(fbb, &changes, &requests);
+}
+
+limit_report get(fbs::limit_report const& in)
+{
+    limit_report out;
+    if (in.changes() != nullptr)
+    {
+        for (auto const* it : *in.changes())
+            out.changes.push_back({it->endpoint(), it->rate(), it->ended()});
+    }
+    if (in.requests() != nullptr)
+    {
+        for (auto const* it : *in.requests())
+            out.requests.push_back({it->endpoint(), it->request()});
+    }
+    return out;
+}
+
 template <typename Table>
 message get_body(fbs::envelope const& envelope)
 {
@@ -586,6 +619,8 @@
         return get_body<fbs::table_rows>(envelope);
     case fbs::message_body::part_report:
         return get_body<fbs::part_report>(envelope);
+    case fbs::message_body::limit_report:
+        return get_body<fbs::limit_report>(envelope);
     case fbs::message_body::NONE:
         break;
     }
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -86,12 +86,14 @@
                      8,
                      true,
                      9,
-                     true},
+                     true,
+                     1.5},
         cache_change{true, {{7, 8}, {9, 0}}},
         table_request{{3, 10}},
         table_rows{{{"k", std::string("x\0y", 3), {3, 11}}}},
         part_report{
-            {{1, 2, 3, std::chrono::milliseconds(4)}}, {5}, {6, 7}, {8}}};
+            {{1, 2, 3, std::chrono::milliseconds(4)}}, {5}, {6, 7}, {8}},
+        limit_report{{{1, 1.5, false}, {2, 0, true}}, {{3, 4}}}};
 }
 
 } // namespace
--- a/packages/wire/types/engine_state.hpp
+++ b/packages/wire/types/engine_state.hpp
@@ -5,6 +5,7 @@
 #include "wire/types/model_weights.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace endiveward::wire
@@ -35,6 +36,9 @@
     std::uint64_t progress = 0;
     /// The engine has announced its exit.
     bool leaving = false;
+    /// Requests a second that the engine takes from all processes together, as
+    /// its answers to the agent name it.
+    std::optional<double> request_limit = std::nullopt;
 
     bool operator==(engine_state const&) const = default;
 };
--- a/packages/wire/types/hello.hpp
+++ b/packages/wire/types/hello.hpp
@@ -29,6 +29,8 @@
     /// Programs of earlier versions close a connection on which they receive a
     /// `part_report`.
     bool accepts_part_reports = false;
+    /// The same for a `limit_report`.
+    bool accepts_limit_reports = false;
 
     bool operator==(hello const&) const = default;
 };
--- a/packages/wire/types/message.hpp
+++ b/packages/wire/types/message.hpp
@@ -14,6 +14,7 @@
 #include "wire/types/heartbeat.hpp"
 #include "wire/types/hello.hpp"
 #include "wire/types/invoke.hpp"
+#include "wire/types/limit_report.hpp"
 #include "wire/types/part_report.hpp"
 #include "wire/types/resume.hpp"
 #include "wire/types/table_request.hpp"
@@ -30,7 +31,7 @@
     std::variant<hello, heartbeat, invoke, verdict, chunk, call_end, chunk_ack,
                  cancel, resume, config_request, config_update, draining,
                  gossip, engine_state, cache_change, table_request, table_rows,
-                 part_report>;
+                 part_report, limit_report>;
 
 } // namespace endiveward::wire
 
