gateway: Log which requests are the same one

A request that crashes endpoints comes again with another id, so that the log lines of its attempts could not be joined. `sent`, `silent` and `failed` have a key of method, host, path, caller and body, `request`. `silent` with the key and the endpoint's id tells which requests had been given up there before it ended.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -135,6 +135,8 @@
     workspace_entry const* workspace_ = nullptr;
     retry_budget* budget_ = nullptr;
     endpoint_requirements requirements_;
+    /// The same each time the request comes.
+    std::uint64_t request_key_ = 0;
     /// Keys of the prompt parts that other requests may have, too.
     std::vector<std::uint64_t> shared_parts_;
     kernel::steady_time arrived_{};
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -188,6 +188,7 @@
     }
     expires_ = arrived_ + limit;
     caller_expires_ = arrived_ + caller_limit;
+    request_key_ = request_key(request_, services_.names);
     requirements_.seed = XXH3_64bits(id_.data(), id_.size());
     if (route_->has_prompt || is_stream(route_->kind))
         requirements_.prompt = parse_prompt(request_.headers, services_.names);
@@ -356,13 +357,13 @@
         "sent",
         "id={} route={} endpoint={} zone={} attempt={} version={} weights={} "
         "prefix={:x} shared={} known={} uncached={} source={} expect_ms={} "
-        "in_flight={} left_ms={} limit={}",
+        "in_flight={} left_ms={} limit={} request={:x}",
         id_, route_->name, entry.id.str(), entry.zone.str(),
         runs_ + refusals_ + failed_connects_, requested_version_,
         to_text(choice.weights), choice.shared.key, choice.shared.tokens,
         choice.reusable_tokens, footprint_.uncached_tokens, choice.kv.source,
         expected_first_byte_.count(), endpoint_->in_flight(),
-        time_left().count(), to_text(endpoint_->limit().rate()));
+        time_left().count(), to_text(endpoint_->limit().rate()), request_key_);
     upstream_->send(pool_->peer(),
                     build_request(request_, fields, services_.names), id_,
                     request_.method == "HEAD", *this);
@@ -790,11 +791,11 @@
 {
     services_.log.write("failed",
                         "id={} endpoint={} reason={} after_ms={} passed={} "
-                        "last_event={} output={} parts={:x}",
+                        "last_event={} output={} parts={:x} request={:x}",
                         id_, endpoint_->entry().id.str(), reason,
                         since_sent().count(), head_forwarded_,
                         last_event_.value_or(0), has_output_,
-                        fmt::join(shared_parts_, ","));
+                        fmt::join(shared_parts_, ","), request_key_);
     if (head_forwarded_)
         return resume_stream(reason);
     if (prepare_retry(reason))
@@ -984,9 +985,10 @@
         return arm(now + recheck_interval);
     if (!prepare_retry("silent"))
         return arm(expires_ + expiry_slack);
-    services_.log.write("silent", "id={} endpoint={} waited_ms={} passed={}",
+    services_.log.write("silent",
+                        "id={} endpoint={} waited_ms={} passed={} request={:x}",
                         id_, endpoint_->entry().id.str(), since_sent().count(),
-                        head_forwarded_);
+                        head_forwarded_, request_key_);
     if (endpoint_->stalled(now))
         endpoint_->on_no_response(now);
     else
--- a/packages/gateway/internal/request_fields.cpp
+++ b/packages/gateway/internal/request_fields.cpp
@@ -3,6 +3,8 @@
 #include "gateway/prefix_cache_estimate.hpp"
 #include "kernel/parse_number.hpp"
 
+#include <xxhash.h>
+
 #include <array>
 #include <cstdint>
 
@@ -63,6 +65,20 @@
     return res;
 }
 
+std::uint64_t request_key(http_request const& request,
+                          header_field_names const& names)
+{
+    std::uint64_t res = 0;
+    for (auto const it :
+         {std::string_view(request.method),
+          std::string_view(request.headers.value_or("Host", "")),
+          std::string_view(request.target),
+          std::string_view(request.headers.value_or(names.key, "")),
+          std::string_view(request.body)})
+        res = XXH3_64bits_withSeed(it.data(), it.size(), res);
+    return res;
+}
+
 std::optional<load_sample> parse_load(std::string_view text)
 {
     std::array<std::uint32_t, 3> counts{};
--- a/packages/gateway/request_fields.hpp
+++ b/packages/gateway/request_fields.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEWARD_GATEWAY_REQUEST_FIELDS_HPP
 
 #include "gateway/http/header_list.hpp"
+#include "gateway/http/http_request.hpp"
 #include "gateway/types/header_field_names.hpp"
 #include "gateway/types/load_sample.hpp"
 #include "gateway/types/prompt_info.hpp"
@@ -23,6 +24,11 @@
 /// the last.
 std::vector<std::uint64_t> shared_part_keys(prompt_info const& prompt);
 
+/// Returns a key of the request that is the same each time it comes: of its
+/// method, host, path, query, caller's key and body.
+std::uint64_t request_key(http_request const& request,
+                          header_field_names const& names);
+
 /// Parses a load report of the form `RUNNING,WAITING,SLOTS`.
 std::optional<load_sample> parse_load(std::string_view text);
 
--- /dev/null
+++ b/packages/gateway/tests/request_fields_test.cpp
@@ -0,0 +1,75 @@
+#include "gateway/request_fields.hpp"
+#include "gateway/tests/support/test_names.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <vector>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+http_request make_request()
+{
+    http_request res;
+    res.method = "POST";
+    res.target = "/p/1?q=1";
+    res.headers.add("Host", "h");
+    res.headers.add("X-Key", "key1");
+    res.headers.add("X-Id", "id1");
+    res.body = "body";
+    return res;
+}
+
+} // namespace
+
+// Guards against a suspicion of one request that costs others of the same
+// caller or path their service.
+TEST_CASE("requests differ by method, host, path, caller and body only")
+{
+    auto const names = test_names();
+    auto const key = request_key(make_request(), names);
+    auto again = make_request();
+    again.headers = {};
+    again.headers.add("Host", "h");
+    again.headers.add("X-Id", "id2");
+    again.headers.add("X-Key", "key1");
+    again.headers.add("X-Time", "77");
+    CHECK(request_key(again, names) == key);
+
+    std::vector<std::function<void(http_request&)>> const changes{
+        [](auto& it) { it.method = "PUT"; },
+        [](auto& it) { it.target = "/p/2?q=1"; },
+        [](auto& it) { it.target = "/p/1?q=2"; },
+        [](auto& it) { it.body = "other"; }, [](auto& it) { it.body.clear(); },
+        [](auto& it)
+        {
+            it.headers = {};
+            it.headers.add("Host", "other");
+            it.headers.add("X-Key", "key1");
+        },
+        [](auto& it)
+        {
+            it.headers = {};
+            it.headers.add("Host", "h");
+            it.headers.add("X-Key", "key2");
+        },
+        // The same bytes in other fields.
+        [](auto& it)
+        {
+            it.target = "/p/1?q=1key1";
+            it.headers = {};
+            it.headers.add("Host", "h");
+        }};
+    for (auto const& change : changes)
+    {
+        auto request = make_request();
+        change(request);
+        CHECK(request_key(request, names) != key);
+    }
+}
+
+} // namespace endiveward::gateway
