gateway: Failing tests of a request that crashes endpoints and comes again

A repeatable request that has crashed two endpoints is sent to two more when it comes again, and one that runs at most once to a third.

--- /dev/null
+++ b/packages/gateway/tests/request_crash_test.cpp
@@ -0,0 +1,98 @@
+#include "gateway/tests/support/scripted_endpoint.hpp"
+#include "gateway/tests/support/test_caller.hpp"
+#include "gateway/tests/support/test_gateway.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <string>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+/// Ends a request with the body `bad` like an endpoint that crashes when it
+/// begins to run it.
+bool crash_or_answer(http_request const& request, scripted_connection& conn)
+{
+    if (request.body == "bad")
+    {
+        conn.reset();
+        return false;
+    }
+    conn.answer(request, 200, "ok");
+    return true;
+}
+
+/// A service of four endpoints, of which two are left when the others have
+/// crashed.
+struct crashing_service
+{
+    int requests() const
+    {
+        int res = 0;
+        for (auto const& it : endpoints)
+            res += it.requests();
+        return res;
+    }
+
+    void use_for(test_gateway& gate) const
+    {
+        gate.apply();
+        gate.set_endpoints({endpoints[0].port(), endpoints[1].port(),
+                            endpoints[2].port(), endpoints[3].port()});
+    }
+
+    std::array<scripted_endpoint, 4> endpoints{
+        scripted_endpoint(crash_or_answer), scripted_endpoint(crash_or_answer),
+        scripted_endpoint(crash_or_answer), scripted_endpoint(crash_or_answer)};
+};
+
+std::string ask(test_gateway& gate, std::string const& path,
+                std::string const& id, std::string const& body,
+                std::string const& key = "key1")
+{
+    test_caller caller(gate.port());
+    caller.send("POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Id: " + id +
+                "\r\nX-Time: 3000\r\nX-Key: " + key + "\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+    return caller.read_until("\r\n\r\n");
+}
+
+} // namespace
+
+// Guards against a request without prompt parts that crashes one endpoint after
+// the other: each time it comes it is sent to two of them.
+TEST_CASE("a request that has crashed two endpoints is not sent again")
+{
+    crashing_service service;
+    test_gateway gate;
+    service.use_for(gate);
+    CHECK(ask(gate, "/safe/a", "id1", "bad").starts_with("HTTP/1.1 502"));
+    REQUIRE(service.requests() == 2);
+    auto const refused = ask(gate, "/safe/a", "id2", "bad");
+    CHECK(refused.starts_with("HTTP/1.1 503"));
+    CHECK(refused.find("Retry-After: ") != std::string::npos);
+    CHECK(service.requests() == 2);
+    // Other requests of the same caller and path, and with the same body.
+    CHECK(ask(gate, "/safe/a", "id3", "good").starts_with("HTTP/1.1 200"));
+    CHECK(ask(gate, "/safe/b", "id4", "good").starts_with("HTTP/1.1 200"));
+}
+
+// The same for requests that are sent once each time they come.
+TEST_CASE("a request that runs at most once is not sent after two crashes")
+{
+    crashing_service service;
+    test_gateway gate;
+    service.use_for(gate);
+    CHECK(ask(gate, "/once/a", "id1", "bad").starts_with("HTTP/1.1 502"));
+    CHECK(ask(gate, "/once/a", "id2", "bad").starts_with("HTTP/1.1 502"));
+    CHECK(ask(gate, "/once/a", "id3", "bad").starts_with("HTTP/1.1 503"));
+    CHECK(service.requests() == 2);
+    // Another caller, path or method is another request.
+    CHECK(ask(gate, "/once/a", "id4", "good").starts_with("HTTP/1.1 200"));
+}
+
+} // namespace endiveward::gateway
