gateway: Quarantine whole requests that crash endpoints

The quarantine of prompt parts now takes the whole request, told by method, host, path, caller and body, as one more key. After two crashes it is refused with the time to come back, at all routers, which the reports between them carry already. Other requests of the same caller and path go on; a victim of the same crashes does so after the next crash without it.

Requests that were given up are remembered for a second and suspected if their endpoint crashes or takes no connection in this time. The first request after a quarantine is neither retried nor given up as silent, and counts as another crash if it is not answered.

--- a/packages/availability/internal/part_quarantine.cpp
+++ b/packages/availability/internal/part_quarantine.cpp
@@ -26,7 +26,7 @@
 }
 
 std::vector<part_quarantine::suspicion>
-part_quarantine::on_crash(crash_key crash, std::vector<part_key> const& parts,
+part_quarantine::on_crash(crash_key crash, request_keys const& keys,
                           kernel::steady_time now)
 {
     forget_expired(now);
@@ -34,53 +34,100 @@
         return {};
     open_crash(crash, now);
     std::vector<suspicion> res;
-    for (std::size_t n = 0; n < parts.size(); ++n)
+    add_suspects(crash, keys, now, res);
+    add_abandoned(crash, now, res);
+    return res;
+}
+
+std::vector<part_quarantine::suspicion>
+part_quarantine::on_abandoned(crash_key crash, request_keys const& keys,
+                              kernel::steady_time now)
+{
+    forget_expired(now);
+    if (open_crashes_.contains(crash))
+        return on_crash(crash, keys, now);
+    abandoned_.push_back({crash, keys, now});
+    if (abandoned_.size() > settings_.max_abandoned)
+        abandoned_.pop_front();
+    return {};
+}
+
+std::vector<part_quarantine::suspicion>
+part_quarantine::on_unreachable(crash_key crash, kernel::steady_time now)
+{
+    forget_expired(now);
+    auto const known =
+        std::any_of(abandoned_.begin(), abandoned_.end(),
+                    [crash](auto const& it) { return it.endpoint == crash; });
+    return known ? on_crash(crash, {}, now) : std::vector<suspicion>();
+}
+
+void part_quarantine::add_suspects(crash_key crash, request_keys const& keys,
+                                   kernel::steady_time now,
+                                   std::vector<suspicion>& out)
+{
+    keys.for_each(
+        [&](part_key key, std::uint32_t depth)
+        {
+            if (recently_served(key, now))
+                return;
+            wire::part_crash const it{key, crash, depth, milliseconds(0)};
+            auto const added = add(it, now);
+            if (!added)
+                return;
+            out.push_back(*added);
+            news_.crashes.push_back(it);
+        });
+}
+
+void part_quarantine::add_abandoned(crash_key crash, kernel::steady_time now,
+                                    std::vector<suspicion>& out)
+{
+    for (auto it = abandoned_.begin(); it != abandoned_.end();)
     {
-        if (recently_served(parts[n], now))
-            continue;
-        wire::part_crash const it{
-            parts[n], crash, static_cast<std::uint32_t>(n), milliseconds(0)};
-        auto const added = add(it, now);
-        if (!added)
+        if (it->endpoint != crash)
+        {
+            ++it;
             continue;
-        res.push_back(*added);
-        news_.crashes.push_back(it);
+        }
+        add_suspects(crash, it->keys, now, out);
+        it = abandoned_.erase(it);
     }
-    return res;
 }
 
-bool part_quarantine::on_sent(std::vector<part_key> const& parts,
-                              kernel::steady_time now)
+bool part_quarantine::on_sent(request_keys const& keys, kernel::steady_time now)
 {
     auto res = false;
     if (suspects_.empty())
         return res;
-    for (auto const part : parts)
-    {
-        auto const found = suspects_.find(part);
-        if (found == suspects_.end() ||
-            found->second.crashes.size() < settings_.min_crashes ||
-            has_better_explanation(part, found->second))
-            continue;
-        found->second.trial_until = now + settings_.trial_time;
-        news_.tried_parts.push_back(part);
-        res = true;
-    }
+    keys.for_each(
+        [&](part_key part, std::uint32_t)
+        {
+            auto const found = suspects_.find(part);
+            if (found == suspects_.end() ||
+                found->second.crashes.size() < settings_.min_crashes ||
+                has_better_explanation(part, found->second))
+                return;
+            found->second.trial_until = now + settings_.trial_time;
+            news_.tried_parts.push_back(part);
+            res = true;
+        });
     return res;
 }
 
-std::size_t part_quarantine::on_served(std::vector<part_key> const& parts,
+std::size_t part_quarantine::on_served(request_keys const& keys,
                                        kernel::steady_time now)
 {
     std::size_t res = 0;
-    for (auto const it : parts)
-    {
-        remember_served(it, now);
-        if (suspects_.erase(it) == 0)
-            continue;
-        news_.served_parts.push_back(it);
-        ++res;
-    }
+    keys.for_each(
+        [&](part_key it, std::uint32_t)
+        {
+            remember_served(it, now);
+            if (suspects_.erase(it) == 0)
+                return;
+            news_.served_parts.push_back(it);
+            ++res;
+        });
     return res;
 }
 
@@ -133,6 +180,7 @@
             open_crash(it.crash, at);
         if (auto const added = add(it, now))
             res.push_back(*added);
+        add_abandoned(it.crash, now, res);
     }
     return res;
 }
@@ -159,7 +207,8 @@
         return std::nullopt;
     it.last_crash = std::max(it.last_crash, at);
     return suspicion{crash.part, it.crashes.size(),
-                     duration_after(it.crashes.size())};
+                     duration_after(it.crashes.size()),
+                     crash.depth == request_keys::request_depth};
 }
 
 void part_quarantine::remove_crash(crash_key crash, kernel::steady_time now)
@@ -186,6 +235,9 @@
                   { return now - it.second > settings_.max_refutation_delay; });
     std::erase_if(refuted_, [&](auto const& it)
                   { return now - it.second >= settings_.served_retention; });
+    while (!abandoned_.empty() &&
+           now - abandoned_.front().at > settings_.abandoned_retention)
+        abandoned_.pop_front();
 }
 
 /// Forgets the part that was at a single crash the longest time ago. Returns
@@ -252,7 +304,8 @@
 /// Requests with a part that crashes endpoints share parts with sound ones. A
 /// part is not quarantined while another one, later in the prompt, was at all
 /// of its crashes, or another one at the same place was at more. A crash
-/// without that other part ends this.
+/// without that other part ends this. A whole request is no such explanation
+/// for its parts: other requests with them may crash endpoints just as well.
 bool part_quarantine::has_better_explanation(part_key part,
                                              suspect const& it) const
 {
@@ -261,6 +314,9 @@
         [&](auto const& entry)
         {
             auto const& other = entry.second;
+            constexpr auto request_depth = request_keys::request_depth;
+            if ((other.depth == request_depth) != (it.depth == request_depth))
+                return false;
             auto const likelier = other.depth > it.depth ||
                                   (other.depth == it.depth &&
                                    other.crashes.size() > it.crashes.size());
@@ -272,25 +328,27 @@
 }
 
 std::optional<kernel::steady_time>
-part_quarantine::quarantined_until(std::vector<part_key> const& parts,
+part_quarantine::quarantined_until(request_keys const& keys,
                                    kernel::steady_time now) const
 {
     std::optional<kernel::steady_time> res;
     if (suspects_.empty())
         return res;
-    for (auto const part : parts)
-    {
-        auto const found = suspects_.find(part);
-        if (found == suspects_.end())
-            continue;
-        auto const& it = found->second;
-        if (it.crashes.size() < settings_.min_crashes)
-            continue;
-        auto const until = std::max(quarantine_end(part, it), it.trial_until);
-        if (until <= now || has_better_explanation(part, it))
-            continue;
-        res = res ? std::max(*res, until) : until;
-    }
+    keys.for_each(
+        [&](part_key part, std::uint32_t)
+        {
+            auto const found = suspects_.find(part);
+            if (found == suspects_.end())
+                return;
+            auto const& it = found->second;
+            if (it.crashes.size() < settings_.min_crashes)
+                return;
+            auto const until =
+                std::max(quarantine_end(part, it), it.trial_until);
+            if (until <= now || has_better_explanation(part, it))
+                return;
+            res = res ? std::max(*res, until) : until;
+        });
     return res;
 }
 
--- a/packages/availability/part_quarantine.hpp
+++ b/packages/availability/part_quarantine.hpp
@@ -2,12 +2,14 @@
 #define ENDIVEWARD_AVAILABILITY_PART_QUARANTINE_HPP
 
 #include "availability/types/quarantine_settings.hpp"
+#include "availability/types/request_keys.hpp"
 #include "kernel/i_clock.hpp"
 #include "wire/types/part_report.hpp"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -16,8 +18,10 @@
 namespace endiveward::availability
 {
 
-/// Decides from crashes of endpoints which prompt parts must not be sent to
-/// endpoints for a time, because they probably cause the crashes.
+/// Decides from crashes of endpoints which prompt parts and which whole
+/// requests must not be sent to endpoints for a time, because they probably
+/// cause the crashes. A request that comes again has the same key; in the
+/// following, it counts as its own last part.
 class part_quarantine
 {
 public:
@@ -31,6 +35,8 @@
         std::size_t crashes = 0;
         /// Zero if the part is not quarantined.
         std::chrono::milliseconds quarantine{0};
+        /// It is a whole request.
+        bool whole_request = false;
     };
 
     /// `seed` should differ between processes.
@@ -39,16 +45,24 @@
 
     /// An endpoint crashed, as far as known, before it sent any output for a
     /// request with these parts, in the order of the prompt.
-    std::vector<suspicion> on_crash(crash_key crash,
-                                    std::vector<part_key> const& parts,
+    std::vector<suspicion> on_crash(crash_key crash, request_keys const& keys,
                                     kernel::steady_time now);
+    /// This process has given up a request with these parts that the endpoint
+    /// may have begun to run. If the endpoint crashes soon, or has crashed just
+    /// now, the request may be the cause.
+    std::vector<suspicion> on_abandoned(crash_key crash,
+                                        request_keys const& keys,
+                                        kernel::steady_time now);
+    /// No connection to the endpoint can be established. If a request was given
+    /// up there shortly before, it has probably crashed.
+    std::vector<suspicion> on_unreachable(crash_key crash,
+                                          kernel::steady_time now);
     /// A request with these parts was sent to an endpoint. Returns true if it
     /// is the first one after a quarantine.
-    bool on_sent(std::vector<part_key> const& parts, kernel::steady_time now);
+    bool on_sent(request_keys const& keys, kernel::steady_time now);
     /// A request with these parts was answered completely. Returns the number
     /// of parts that are no longer suspected.
-    std::size_t on_served(std::vector<part_key> const& parts,
-                          kernel::steady_time now);
+    std::size_t on_served(request_keys const& keys, kernel::steady_time now);
     /// The endpoint sent bytes. Returns true if this shows that it did not
     /// crash.
     bool on_endpoint_active(crash_key crash, kernel::steady_time now);
@@ -59,8 +73,7 @@
     /// When the last quarantine of these parts ends, or the trial of one after
     /// it; no value if a request with them may be sent.
     std::optional<kernel::steady_time>
-    quarantined_until(std::vector<part_key> const& parts,
-                      kernel::steady_time now) const;
+    quarantined_until(request_keys const& keys, kernel::steady_time now) const;
     /// Whether `on_endpoint_active` may refute a crash.
     bool has_open_crashes(kernel::steady_time now) const
     {
@@ -84,6 +97,17 @@
         kernel::steady_time trial_until{};
     };
 
+    struct abandoned_request
+    {
+        crash_key endpoint = 0;
+        request_keys keys;
+        kernel::steady_time at{};
+    };
+
+    void add_suspects(crash_key crash, request_keys const& keys,
+                      kernel::steady_time now, std::vector<suspicion>& out);
+    void add_abandoned(crash_key crash, kernel::steady_time now,
+                       std::vector<suspicion>& out);
     std::optional<suspicion> add(wire::part_crash const& crash,
                                  kernel::steady_time now);
     void open_crash(crash_key crash, kernel::steady_time at);
@@ -106,6 +130,8 @@
     kernel::steady_time crashes_open_until_{};
     /// Crashes that were refuted, and when. Their reports may arrive later.
     std::unordered_map<crash_key, kernel::steady_time> refuted_;
+    /// Oldest first.
+    std::deque<abandoned_request> abandoned_;
     wire::part_report news_;
 };
 
--- a/packages/availability/tests/part_quarantine_test.cpp
+++ b/packages/availability/tests/part_quarantine_test.cpp
@@ -402,4 +402,87 @@
     CHECK(replay(1, 4, all_at_once).crashes > 5);
 }
 
+// Guards against a request that comes again and again, and against sound
+// requests with the same parts, or at the same crashes, that are refused for
+// it.
+TEST_CASE("a whole request is quarantined after two crashes")
+{
+    part_quarantine quarantine(without_spread());
+    request_keys const bad({system_part, other_part}, bad_part);
+    request_keys const sound({system_part, other_part}, bad_part + 100);
+    quarantine.on_served(sound, start - seconds(1));
+    quarantine.on_crash(1, bad, start);
+    auto const added = quarantine.on_crash(2, bad, start + seconds(1));
+    CHECK(std::any_of(added.begin(), added.end(),
+                      [](auto const& it)
+                      { return it.whole_request && it.part == bad_part; }));
+    auto const now = start + seconds(2);
+    CHECK(quarantine.quarantined_until(bad, now));
+    CHECK(quarantine.quarantined_until({{}, bad_part}, now));
+    CHECK_FALSE(quarantine.quarantined_until(sound, now));
+    // A victim of both crashes, until there is a third one without it.
+    request_keys const victim({}, bad_part + 200);
+    quarantine.on_crash(1, victim, now);
+    quarantine.on_crash(2, victim, now);
+    CHECK(quarantine.quarantined_until(victim, now));
+    quarantine.on_crash(3, bad, now);
+    CHECK_FALSE(quarantine.quarantined_until(victim, now));
+    CHECK(quarantine.quarantined_until(bad, now));
+}
+
+// Guards against a crash that is not seen as one of the request because it was
+// given up as silent before, and sent to another endpoint.
+TEST_CASE("a request that was given up shortly before a crash is suspected")
+{
+    part_quarantine quarantine(without_spread());
+    request_keys const bad({}, bad_part);
+    CHECK(quarantine.on_abandoned(1, bad, start).empty());
+    CHECK(quarantine.suspects() == 0);
+    SECTION("another request sees the crash")
+    {
+        auto const added =
+            quarantine.on_crash(1, {other_part}, start + milliseconds(60));
+        CHECK(added.size() == 2);
+    }
+    SECTION("the endpoint takes no connections any more")
+    {
+        CHECK(quarantine.on_unreachable(1, start + milliseconds(60)).size() ==
+              1);
+        CHECK(quarantine.on_unreachable(2, start + milliseconds(60)).empty());
+    }
+    SECTION("another process reports the crash")
+    {
+        wire::part_report report;
+        report.crashes = {{other_part, 1, 0, milliseconds(10)}};
+        CHECK(quarantine.on_report(report, start + milliseconds(80)).size() ==
+              2);
+        auto const news = quarantine.take_news();
+        REQUIRE(news.crashes.size() == 1);
+        CHECK(news.crashes[0].part == bad_part);
+    }
+    SECTION("it is given up just after the crash")
+    {
+        quarantine.on_crash(3, {other_part}, start + milliseconds(60));
+        CHECK(
+            quarantine.on_abandoned(3, bad, start + milliseconds(90)).size() ==
+            1);
+    }
+    quarantine.on_crash(9, bad, start + milliseconds(200));
+    CHECK(quarantine.quarantined_until(bad, start + milliseconds(300)));
+}
+
+// Guards against sound requests that are suspected of a crash long after they
+// were given up, or of one of another endpoint.
+TEST_CASE("a request that was given up long before a crash is not suspected")
+{
+    part_quarantine quarantine(without_spread());
+    request_keys const sound({}, other_part);
+    quarantine.on_abandoned(1, sound, start);
+    quarantine.on_crash(2, {bad_part}, start + milliseconds(100));
+    quarantine.on_crash(1, {bad_part}, start + milliseconds(1100));
+    quarantine.on_crash(4, sound, start + milliseconds(1200));
+    CHECK_FALSE(
+        quarantine.quarantined_until(sound, start + milliseconds(1300)));
+}
+
 } // namespace endiveward::availability
--- a/packages/availability/types/quarantine_settings.hpp
+++ b/packages/availability/types/quarantine_settings.hpp
@@ -34,6 +34,10 @@
     /// come from its next incarnation.
     std::chrono::milliseconds min_refutation_delay{100};
     std::chrono::milliseconds max_refutation_delay{1000};
+    /// An endpoint that crashes within this time after a request was given up
+    /// there may have crashed under it.
+    std::chrono::milliseconds abandoned_retention{1000};
+    std::size_t max_abandoned = 1024;
     /// Limits of memory. Beyond them, the oldest suspicions of a single crash
     /// are forgotten.
     std::size_t max_suspects = 1024;
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEWARD_GATEWAY_EXCHANGE_HPP
 #define ENDIVEWARD_GATEWAY_EXCHANGE_HPP
 
+#include "availability/types/request_keys.hpp"
 #include "gateway/endpoint_record.hpp"
 #include "gateway/http/event_splitter.hpp"
 #include "gateway/http/http_request.hpp"
@@ -102,6 +103,7 @@
     void handle_unavailable();
     bool reject_if_quarantined();
     void note_crash();
+    void abandon_attempt();
     void note_served();
     unserved_request describe_unserved() const;
     bool prepare_retry(std::string_view reason);
@@ -135,10 +137,8 @@
     workspace_entry const* workspace_ = nullptr;
     retry_budget* budget_ = nullptr;
     endpoint_requirements requirements_;
-    /// The same each time the request comes.
-    std::uint64_t request_key_ = 0;
-    /// Keys of the prompt parts that other requests may have, too.
-    std::vector<std::uint64_t> shared_parts_;
+    /// Keys of the request and of the prompt parts that others may have, too.
+    availability::request_keys keys_;
     kernel::steady_time arrived_{};
     kernel::steady_time expires_{};
     /// When the caller stops trying. The route may allow less time.
@@ -159,6 +159,8 @@
     /// Whether a limit that the endpoint names was in force when the request
     /// was sent.
     bool counted_by_limit_ = false;
+    /// Whether the request is the first one after a quarantine.
+    bool is_trial_ = false;
     bool response_started_ = false;
     /// Whether the endpoint has begun to write an answer in this attempt.
     bool has_output_ = false;
--- a/packages/gateway/gateway_metrics.hpp
+++ b/packages/gateway/gateway_metrics.hpp
@@ -35,6 +35,7 @@
     void on_leaving(std::string const& source);
     void on_pause() { pauses_.Increment(); }
     void on_part_quarantined() { quarantines_.Increment(); }
+    void on_request_quarantined() { request_quarantines_.Increment(); }
     void on_prompt(std::uint32_t tokens, std::uint32_t expected_uncached);
 
 private:
@@ -43,6 +44,7 @@
     prometheus::Family<prometheus::Counter>& leaving_;
     prometheus::Counter& pauses_;
     prometheus::Counter& quarantines_;
+    prometheus::Counter& request_quarantines_;
     prometheus::Counter& attempts_;
     prometheus::Counter& prompt_tokens_;
     prometheus::Counter& uncached_tokens_;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -188,12 +188,12 @@
     }
     expires_ = arrived_ + limit;
     caller_expires_ = arrived_ + caller_limit;
-    request_key_ = request_key(request_, services_.names);
     requirements_.seed = XXH3_64bits(id_.data(), id_.size());
     if (route_->has_prompt || is_stream(route_->kind))
         requirements_.prompt = parse_prompt(request_.headers, services_.names);
     if (requirements_.prompt)
-        shared_parts_ = shared_part_keys(*requirements_.prompt);
+        keys_.parts = shared_part_keys(*requirements_.prompt);
+    keys_.request = request_key(request_, services_.names);
     if (workspace_ != nullptr && workspace_->isolated)
         requirements_.cache_group = workspace_->id.str();
     requirements_.kv_stores = table_->kv_stores();
@@ -221,20 +221,25 @@
     send(std::move(*choice));
 }
 
-/// Ends the request and returns true if one of its prompt parts probably
-/// crashes endpoints. Another endpoint would be lost with each attempt, along
-/// with the requests that run there.
+/// Ends the request and returns true if it, or one of its prompt parts,
+/// probably crashes endpoints. Another endpoint would be lost with each
+/// attempt, along with the requests that run there.
 bool exchange::reject_if_quarantined()
 {
-    auto const until = services_.parts.quarantined_until(shared_parts_);
+    auto const until = services_.parts.quarantined_until(keys_);
     if (!until)
         return false;
     auto const left = std::chrono::duration_cast<milliseconds>(
         *until - services_.clock.now());
-    services_.log.write("part_quarantined", "id={} parts={:x} left_ms={}", id_,
-                        fmt::join(shared_parts_, ","), left.count());
+    auto const whole_request =
+        services_.parts.quarantined_until({{}, keys_.request}).has_value();
+    auto const* const reason =
+        whole_request ? "request_quarantined" : "part_quarantined";
+    services_.log.write(reason, "id={} parts={:x} request={:x} left_ms={}", id_,
+                        fmt::join(keys_.parts, ","), *keys_.request,
+                        left.count());
     // An earlier return would be in vain.
-    give_up("part_quarantined", left);
+    give_up(reason, left);
     return true;
 }
 
@@ -351,7 +356,7 @@
     endpoint_->on_sent(footprint_, now);
     counted_by_limit_ = endpoint_->limit().rate().has_value();
     services_.limits.on_sent(*endpoint_);
-    services_.parts.on_sent(id_, shared_parts_);
+    is_trial_ = services_.parts.on_sent(id_, keys_);
     services_.metrics.on_attempt();
     services_.log.write_routine(
         "sent",
@@ -363,7 +368,8 @@
         to_text(choice.weights), choice.shared.key, choice.shared.tokens,
         choice.reusable_tokens, footprint_.uncached_tokens, choice.kv.source,
         expected_first_byte_.count(), endpoint_->in_flight(),
-        time_left().count(), to_text(endpoint_->limit().rate()), request_key_);
+        time_left().count(), to_text(endpoint_->limit().rate()),
+        *keys_.request);
     upstream_->send(pool_->peer(),
                     build_request(request_, fields, services_.names), id_,
                     request_.method == "HEAD", *this);
@@ -660,15 +666,30 @@
 /// may have crashed under this request.
 void exchange::note_crash()
 {
-    if (!has_output_ && !shared_parts_.empty())
-        services_.parts.on_crash(id_, endpoint_->entry(), shared_parts_);
+    if (!has_output_)
+        services_.parts.on_crash(id_, endpoint_->entry(), keys_);
+}
+
+/// Ends an attempt whose response is not waited for any more. If the endpoint
+/// crashes later, it may do so under this request.
+void exchange::abandon_attempt()
+{
+    auto const unanswered = upstream_ != nullptr && !has_output_ && !refused_;
+    release_upstream(false);
+    if (!unanswered)
+        return;
+    // A trial that is not answered must not be followed by the next one.
+    if (is_trial_)
+        services_.parts.on_crash(id_, endpoint_->entry(), keys_);
+    else
+        services_.parts.on_abandoned(id_, endpoint_->entry(), keys_);
 }
 
 /// An endpoint that has answered completely does not crash on these parts.
 void exchange::note_served()
 {
-    if (has_output_ && head_.status < status_multiple_choices)
-        services_.parts.on_served(shared_parts_);
+    if (head_.status < status_multiple_choices)
+        services_.parts.on_served(keys_);
 }
 
 void exchange::answer_collected()
@@ -729,6 +750,7 @@
         return handle_failure(to_text(failure));
     --runs_;
     ++failed_connects_;
+    services_.parts.on_unreachable(endpoint_->entry());
     requirements_.excluded.push_back(endpoint_->entry().id);
     services_.log.write("connect_failed", "id={} endpoint={} waited_ms={}", id_,
                         endpoint_->entry().id.str(), since_sent().count());
@@ -795,7 +817,7 @@
                         id_, endpoint_->entry().id.str(), reason,
                         since_sent().count(), head_forwarded_,
                         last_event_.value_or(0), has_output_,
-                        fmt::join(shared_parts_, ","), request_key_);
+                        fmt::join(keys_.parts, ","), *keys_.request);
     if (head_forwarded_)
         return resume_stream(reason);
     if (prepare_retry(reason))
@@ -807,6 +829,9 @@
 {
     if (!is_retryable(route_->kind) || runs_ >= route_->max_attempts)
         return false;
+    // Another endpoint would be lost if the request crashes them.
+    if (is_trial_)
+        return false;
     if (time_left() < min_time_left)
         return false;
     if (!budget_->try_retry(services_.clock.now()))
@@ -924,7 +949,7 @@
     services_.log.write("caller_gone", "id={} sent={} passed={} took_ms={}",
                         id_, upstream_ != nullptr, head_forwarded_,
                         elapsed().count());
-    release_upstream(false);
+    abandon_attempt();
     finish("caller_gone");
 }
 
@@ -952,7 +977,7 @@
     auto const now = services_.clock.now();
     if (now >= expires_)
     {
-        release_upstream(false);
+        abandon_attempt();
         return give_up("expired");
     }
     if (progress_ == progress::choosing)
@@ -967,7 +992,8 @@
 /// because this one does not respond. Other requests wait until they expire.
 std::optional<kernel::steady_time> exchange::stall_deadline() const
 {
-    if (!is_retryable(route_->kind) || runs_ >= route_->max_attempts)
+    if (!is_retryable(route_->kind) || runs_ >= route_->max_attempts ||
+        is_trial_)
         return std::nullopt;
     auto const stalled = endpoint_->stalled(services_.clock.now());
     if (!head_forwarded_)
@@ -988,12 +1014,12 @@
     services_.log.write("silent",
                         "id={} endpoint={} waited_ms={} passed={} request={:x}",
                         id_, endpoint_->entry().id.str(), since_sent().count(),
-                        head_forwarded_, request_key_);
+                        head_forwarded_, *keys_.request);
     if (endpoint_->stalled(now))
         endpoint_->on_no_response(now);
     else
         endpoint_->on_error(now);
-    release_upstream(false);
+    abandon_attempt();
     attempt();
 }
 
--- a/packages/gateway/internal/gateway_metrics.cpp
+++ b/packages/gateway/internal/gateway_metrics.cpp
@@ -48,6 +48,11 @@
                             "Quarantines of prompt parts that probably crash "
                             "endpoints, and their extensions")
                        .Add({}))
+    , request_quarantines_(
+          counters(registry, "endiveward_gateway_request_quarantines_total",
+                   "Quarantines of requests that probably crash endpoints, and "
+                   "their extensions")
+              .Add({}))
     , attempts_(counters(registry, "endiveward_gateway_attempts_total",
                          "Requests sent to endpoints")
                     .Add({}))
--- a/packages/gateway/internal/part_watch.cpp
+++ b/packages/gateway/internal/part_watch.cpp
@@ -37,25 +37,44 @@
 
 void part_watch::on_crash(std::string const& request_id,
                           endpoint_entry const& endpoint,
-                          part_keys const& parts)
+                          request_keys const& keys)
 {
-    log(quarantine_.on_crash(endpoint_key(endpoint), parts, clock_.now()),
+    log(quarantine_.on_crash(endpoint_key(endpoint), keys, clock_.now()),
         fmt::format("id={} endpoint={}", request_id, endpoint.id.str()));
     plan_news();
 }
 
-void part_watch::on_sent(std::string const& request_id, part_keys const& parts)
+void part_watch::on_abandoned(std::string const& request_id,
+                              endpoint_entry const& endpoint,
+                              request_keys const& keys)
 {
-    if (!quarantine_.on_sent(parts, clock_.now()))
-        return;
+    log(quarantine_.on_abandoned(endpoint_key(endpoint), keys, clock_.now()),
+        fmt::format("id={} endpoint={} given_up=true", request_id,
+                    endpoint.id.str()));
+    plan_news();
+}
+
+void part_watch::on_unreachable(endpoint_entry const& endpoint)
+{
+    log(quarantine_.on_unreachable(endpoint_key(endpoint), clock_.now()),
+        fmt::format("endpoint={} given_up=true", endpoint.id.str()));
+    plan_news();
+}
+
+bool part_watch::on_sent(std::string const& request_id,
+                         request_keys const& keys)
+{
+    if (!quarantine_.on_sent(keys, clock_.now()))
+        return false;
     log_.write("part_tried", "id={} suspected={}", request_id,
                quarantine_.suspects());
     plan_news();
+    return true;
 }
 
-void part_watch::on_served(part_keys const& parts)
+void part_watch::on_served(request_keys const& keys)
 {
-    auto const cleared = quarantine_.on_served(parts, clock_.now());
+    auto const cleared = quarantine_.on_served(keys, clock_.now());
     if (cleared == 0)
         return;
     log_.write("parts_cleared", "reason=served parts={} suspected={}", cleared,
@@ -85,9 +104,9 @@
 }
 
 std::optional<kernel::steady_time>
-part_watch::quarantined_until(part_keys const& parts) const
+part_watch::quarantined_until(request_keys const& keys) const
 {
-    return quarantine_.quarantined_until(parts, clock_.now());
+    return quarantine_.quarantined_until(keys, clock_.now());
 }
 
 void part_watch::log(
@@ -96,9 +115,15 @@
 {
     for (auto const& it : added)
     {
-        log_.write("part_suspected", "{} part={:x} crashes={} quarantine_ms={}",
-                   source, it.part, it.crashes, it.quarantine.count());
-        if (it.quarantine.count() > 0)
+        log_.write(it.whole_request ? "request_suspected" : "part_suspected",
+                   "{} {}={:x} crashes={} quarantine_ms={}", source,
+                   it.whole_request ? "request" : "part", it.part, it.crashes,
+                   it.quarantine.count());
+        if (it.quarantine.count() == 0)
+            continue;
+        if (it.whole_request)
+            metrics_.on_request_quarantined();
+        else
             metrics_.on_part_quarantined();
     }
 }
--- a/packages/gateway/internal/request_fields.cpp
+++ b/packages/gateway/internal/request_fields.cpp
@@ -68,13 +68,15 @@
 std::uint64_t request_key(http_request const& request,
                           header_field_names const& names)
 {
+    auto const content = request.body.empty()
+                             ? request.headers.value_or(names.prompt_parts, "")
+                             : std::string_view(request.body);
     std::uint64_t res = 0;
     for (auto const it :
          {std::string_view(request.method),
           std::string_view(request.headers.value_or("Host", "")),
           std::string_view(request.target),
-          std::string_view(request.headers.value_or(names.key, "")),
-          std::string_view(request.body)})
+          std::string_view(request.headers.value_or(names.key, "")), content})
         res = XXH3_64bits_withSeed(it.data(), it.size(), res);
     return res;
 }
--- a/packages/gateway/part_watch.hpp
+++ b/packages/gateway/part_watch.hpp
@@ -23,12 +23,12 @@
 
 class gateway_metrics;
 
-/// Tells the quarantine of prompt parts what happens to requests, logs its
-/// decisions and passes its news on. Used on the traffic thread.
+/// Tells the quarantine of prompt parts and requests what happens to requests,
+/// logs its decisions and passes its news on. Used on the traffic thread.
 class part_watch
 {
 public:
-    using part_keys = std::vector<availability::part_quarantine::part_key>;
+    using request_keys = availability::request_keys;
     using news_handler = std::function<void(wire::part_report)>;
 
     part_watch(asio::io_context& context, kernel::i_clock const& clock,
@@ -41,14 +41,20 @@
     /// The connection of a request broke before the endpoint had sent any
     /// output for it.
     void on_crash(std::string const& request_id, endpoint_entry const& endpoint,
-                  part_keys const& parts);
-    void on_sent(std::string const& request_id, part_keys const& parts);
-    void on_served(part_keys const& parts);
+                  request_keys const& keys);
+    /// The request was given up before the endpoint had sent any output for it.
+    void on_abandoned(std::string const& request_id,
+                      endpoint_entry const& endpoint, request_keys const& keys);
+    /// No connection to the endpoint could be established.
+    void on_unreachable(endpoint_entry const& endpoint);
+    /// Returns true if the request is the first one after a quarantine.
+    bool on_sent(std::string const& request_id, request_keys const& keys);
+    void on_served(request_keys const& keys);
     /// The endpoint has sent bytes.
     void on_endpoint_active(endpoint_entry const& endpoint);
     void on_report(wire::part_report const& report);
     std::optional<kernel::steady_time>
-    quarantined_until(part_keys const& parts) const;
+    quarantined_until(request_keys const& keys) const;
     std::size_t suspects() const { return quarantine_.suspects(); }
 
 private:
--- a/packages/gateway/request_fields.hpp
+++ b/packages/gateway/request_fields.hpp
@@ -25,7 +25,8 @@
 std::vector<std::uint64_t> shared_part_keys(prompt_info const& prompt);
 
 /// Returns a key of the request that is the same each time it comes: of its
-/// method, host, path, query, caller's key and body.
+/// method, host, path, query, caller's key and body, or the parts of the prompt
+/// if there is no body.
 std::uint64_t request_key(http_request const& request,
                           header_field_names const& names);
 
--- a/packages/gateway/tests/request_crash_test.cpp
+++ b/packages/gateway/tests/request_crash_test.cpp
@@ -5,7 +5,10 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <atomic>
+#include <chrono>
 #include <string>
+#include <thread>
 
 namespace endiveward::gateway
 {
@@ -76,7 +79,7 @@
     CHECK(refused.starts_with("HTTP/1.1 503"));
     CHECK(refused.find("Retry-After: ") != std::string::npos);
     CHECK(service.requests() == 2);
-    // Other requests of the same caller and path, and with the same body.
+    // Other requests of the same caller and path.
     CHECK(ask(gate, "/safe/a", "id3", "good").starts_with("HTTP/1.1 200"));
     CHECK(ask(gate, "/safe/b", "id4", "good").starts_with("HTTP/1.1 200"));
 }
@@ -91,8 +94,40 @@
     CHECK(ask(gate, "/once/a", "id2", "bad").starts_with("HTTP/1.1 502"));
     CHECK(ask(gate, "/once/a", "id3", "bad").starts_with("HTTP/1.1 503"));
     CHECK(service.requests() == 2);
-    // Another caller, path or method is another request.
     CHECK(ask(gate, "/once/a", "id4", "good").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a second endpoint that is lost: the first one is silent until
+// it crashes, after the request was given up there.
+TEST_CASE("a request given up at an endpoint that then crashes is suspected")
+{
+    std::atomic<bool> crash{false};
+    auto const hold_until_crash =
+        [&](http_request const& request, scripted_connection& conn)
+    {
+        if (request.body != "bad")
+        {
+            conn.answer(request, 200, "ok");
+            return true;
+        }
+        while (!crash)
+            conn.wait(std::chrono::milliseconds(1));
+        conn.reset();
+        return false;
+    };
+    scripted_endpoint first(hold_until_crash);
+    scripted_endpoint second(hold_until_crash);
+    test_gateway gate;
+    gate.apply(1, std::chrono::seconds(5), {}, std::chrono::milliseconds(100));
+    gate.set_endpoints({first.port(), second.port()});
+    test_caller caller(gate.port());
+    caller.send("POST /safe/a HTTP/1.1\r\nHost: h\r\nX-Id: id1\r\nX-Time: "
+                "400\r\nX-Key: key1\r\nContent-Length: 3\r\n\r\nbad");
+    while (first.requests() + second.requests() < 2)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    crash = true;
+    CHECK(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 50"));
+    CHECK(first.requests() + second.requests() == 2);
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/tests/request_fields_test.cpp
+++ b/packages/gateway/tests/request_fields_test.cpp
@@ -39,6 +39,16 @@
     again.headers.add("X-Key", "key1");
     again.headers.add("X-Time", "77");
     CHECK(request_key(again, names) == key);
+    // The body is the prompt that these describe.
+    again.headers.add("X-Parts", "p1:10,p2:20");
+    CHECK(request_key(again, names) == key);
+    again.body.clear();
+    auto const first_prompt = request_key(again, names);
+    again.headers = {};
+    again.headers.add("Host", "h");
+    again.headers.add("X-Key", "key1");
+    again.headers.add("X-Parts", "p1:10,p3:20");
+    CHECK(request_key(again, names) != first_prompt);
 
     std::vector<std::function<void(http_request&)>> const changes{
         [](auto& it) { it.method = "PUT"; },
