agent: Keep the limit of requests that an endpoint names

All calls to an endpoint pass through its agent, so that it keeps the limit for all routers: each response's X-Request-Limit is read, a call beyond the limit is refused as not run with the time of the next one, also if it had been queued before, and the reported wait sends routers elsewhere.

Tests fail without the check (40 calls in 4 s, allowed 11; a queued call starts).

--- a/packages/agent/internal/call.hpp
+++ b/packages/agent/internal/call.hpp
@@ -62,6 +62,8 @@
     /// False once the response is too large to be recorded.
     bool response_kept = true;
 
+    /// Counted against the limit that the endpoint names.
+    bool counted_by_limit = false;
     kernel::steady_time started_at;
     std::optional<wire::call_end> end;
     kernel::steady_time ended_at;
--- a/packages/agent/internal/call_executor.cpp
+++ b/packages/agent/internal/call_executor.cpp
@@ -12,13 +12,18 @@
 #include "agent/types/endpoint_result.hpp"
 #include "config/i_config_state.hpp"
 #include "config/i_configuration.hpp"
+#include "kernel/types/result.hpp"
 #include "wire/i_connection.hpp"
 
+#include <fmt/format.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace endiveward::agent
 {
@@ -39,6 +44,12 @@
     return {kind, std::move(message), kernel::run_state::not_run, {}};
 }
 
+log4cplus::Logger logger()
+{
+    return log4cplus::Logger::getInstance(
+        LOG4CPLUS_TEXT("endiveward.agent.calls"));
+}
+
 kernel::hash128 hash_request(wire::invoke const& request)
 {
     std::string all;
@@ -139,6 +150,8 @@
         return request_configuration(entry);
     if (auto reason = policy_.check(entry.request, *configuration))
         return refuse(entry, std::move(*reason));
+    if (auto reason = check_limit(entry))
+        return refuse(entry, std::move(*reason));
     auto const queued =
         dependencies_.queue->submit({entry.id, entry.request.priority,
                                      entry.deadline, average_service_time_});
@@ -178,6 +191,70 @@
     }
 }
 
+/// Counts the call against the limit that the endpoint names, once, or returns
+/// the reason for refusing it. A call that waited for its turn here could have
+/// run at another endpoint.
+std::optional<kernel::error> call_executor::check_limit(call& entry)
+{
+    auto const incarnation = dependencies_.load->engine_incarnation();
+    if (std::exchange(limited_incarnation_, incarnation) != incarnation)
+        limit_.reset();
+    if (entry.counted_by_limit || !limit_.rate())
+        return std::nullopt;
+    if (auto const until = limit_.blocked_until(now()))
+    {
+        update_limit_wait();
+        auto reason = not_run(
+            kernel::error_kind::overloaded,
+            fmt::format("the endpoint takes {} requests a second; retry later "
+                        "or use another endpoint",
+                        *limit_.rate()));
+        reason.retry_after =
+            std::chrono::ceil<std::chrono::milliseconds>(*until - now());
+        return reason;
+    }
+    entry.counted_by_limit = true;
+    limit_.on_sent(now());
+    update_limit_wait();
+    return std::nullopt;
+}
+
+void call_executor::update_limit_wait()
+{
+    auto const wait = limit_.blocked_until(now()).value_or(now()) - now();
+    dependencies_.load->set_limit_wait(
+        std::chrono::ceil<std::chrono::milliseconds>(wait));
+}
+
+void call_executor::on_limit_notice(std::uint64_t id,
+                                    availability::limit_notice const& notice)
+{
+    auto* const entry = calls_.find(id);
+    if (entry == nullptr || entry->state != call_state::running)
+        return;
+    auto const changed = std::visit(
+        kernel::overloaded{
+            [&](availability::no_limit)
+            { return limit_.on_not_named(entry->started_at, now()); },
+            [](availability::unreadable_limit)
+            {
+                LOG4CPLUS_WARN(logger(), "endpoint names a limit that is no "
+                                         "decimal number; ignored");
+                return false;
+            },
+            [&](availability::named_limit const& named)
+            { return limit_.on_named(named.requests_per_second, now()); }},
+        notice);
+    if (!changed)
+        return;
+    LOG4CPLUS_INFO(logger(),
+                   "endpoint takes "
+                       << (limit_.rate() ? fmt::format("{}", *limit_.rate())
+                                         : std::string("any number of"))
+                       << " requests a second");
+    update_limit_wait();
+}
+
 void call_executor::refuse(call& entry, kernel::error reason)
 {
     dependencies_.metrics->count_refusal(reason.kind);
@@ -287,6 +364,9 @@
     if (auto reason = policy_.check_target_and_rules(
             request, *dependencies_.configuration->current()))
         return fail(entry, std::move(*reason));
+    // The endpoint may have named the limit while the call was queued.
+    if (auto reason = check_limit(entry))
+        return fail(entry, std::move(*reason));
     bool const engine = request.target == wire::target_kind::engine;
     auto built = build_endpoint_request(
         request, engine ? dependencies_.cache_salt(request) : std::string());
@@ -506,6 +586,8 @@
         if (it != nullptr)
             check_timeouts(*it);
     }
+    if (limit_.rate())
+        update_limit_wait();
     start_queued_calls();
 }
 
--- a/packages/agent/internal/call_executor.hpp
+++ b/packages/agent/internal/call_executor.hpp
@@ -6,6 +6,7 @@
 #include "agent/internal/call_policy.hpp"
 #include "agent/internal/call_sender.hpp"
 #include "agent/internal/call_table.hpp"
+#include "availability/request_limit.hpp"
 #include "kernel/types/result.hpp"
 #include "wire/types/cancel.hpp"
 #include "wire/types/chunk_ack.hpp"
@@ -14,6 +15,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -88,6 +90,8 @@
     std::size_t open_calls() const;
 
 private:
+    void on_limit_notice(std::uint64_t id,
+                         availability::limit_notice const& notice) override;
     void on_chunk(std::uint64_t id, std::string bytes) override;
     void on_end(std::uint64_t id, endpoint_result const& end) override;
 
@@ -96,6 +100,8 @@
     void admit(call& entry);
     void request_configuration(call& entry);
     void refuse(call& entry, kernel::error reason);
+    std::optional<kernel::error> check_limit(call& entry);
+    void update_limit_wait();
     void start(call& entry);
     void claim(call& entry);
     void on_claimed(std::uint64_t id,
@@ -124,6 +130,9 @@
     /// Moving average of the service time; 0 until the first measurement.
     std::chrono::milliseconds average_service_time_;
     bool starting_calls_ = false;
+    /// All calls of the endpoint pass through this process.
+    availability::request_limit limit_;
+    kernel::incarnation limited_incarnation_ = 0;
 };
 
 } // namespace endiveward::agent
--- a/packages/agent/internal/endpoint_exchange.cpp
+++ b/packages/agent/internal/endpoint_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/i_endpoint_observer.hpp"
 #include "agent/internal/http_transport.hpp"
+#include "availability/limit_notice_reader.hpp"
 
 #include <asio/io_context.hpp>
 #include <fmt/format.h>
@@ -131,6 +132,10 @@
         return;
     head_ = head;
     has_head_ = true;
+    auto const limit = head.headers.find("x-request-limit");
+    observer_.on_limit_notice(
+        id_, availability::read_limit_notice(
+                 limit == head.headers.end() ? nullptr : &limit->second));
     // A refused resume request is handled when its transfer ends.
     bool const resumed = response_started_ || resume_attempts_ > 0;
     if (resumed && head.status != status_ok)
--- a/packages/agent/internal/load_reporter.cpp
+++ b/packages/agent/internal/load_reporter.cpp
@@ -70,7 +70,8 @@
     load.running = static_cast<std::uint32_t>(queue_->running());
     load.queued = static_cast<std::uint32_t>(queue_->queued());
     load.capacity = static_cast<std::uint32_t>(queue_->capacity());
-    load.queue_wait = queue_->estimated_wait();
+    // Routers that count the limit as a wait send calls elsewhere.
+    load.queue_wait = std::max(queue_->estimated_wait(), limit_wait_);
     load.draining = queue_->draining();
     load.models = engine_.models;
     load.recent_levels = recent_levels_.list();
--- a/packages/agent/tests/call_executor_test.cpp
+++ b/packages/agent/tests/call_executor_test.cpp
@@ -642,4 +642,67 @@
     CHECK(agent.executor->idle());
 }
 
+// Guards against an endpoint in need that gets calls at the usual rate. Its
+// agent is the only process that sends to it, for all routers.
+TEST_CASE("an endpoint that names a limit gets no more calls than that")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.endpoint->name_limit(0, availability::named_limit{1});
+    agent.endpoint->finish(0);
+    std::size_t refused = 0;
+    constexpr std::size_t calls = 40;
+    for (std::uint64_t n = 0; n < calls; ++n)
+    {
+        agent.advance(100ms);
+        auto& from = n % 2 == 0 ? agent.router : agent.other;
+        agent.executor->on_invoke(from, agent.make_invoke(2 + n));
+        auto const verdict = from->all<wire::verdict>().back();
+        if (!verdict.refusal)
+        {
+            agent.endpoint->finish(agent.endpoint->started.size() - 1);
+            continue;
+        }
+        ++refused;
+        CHECK(verdict.refusal->kind == error_kind::overloaded);
+        CHECK(verdict.refusal->run == run_state::not_run);
+        REQUIRE(verdict.refusal->retry_after);
+        CHECK(*verdict.refusal->retry_after > 0ms);
+        CHECK(*verdict.refusal->retry_after <= 1000ms);
+        CHECK(verdict.load.queue_wait >= *verdict.refusal->retry_after);
+    }
+    // In 4 s, half as much again as the limit and 5 requests are allowed.
+    CHECK(agent.endpoint->started.size() - 1 <= 11);
+    CHECK(agent.endpoint->started.size() - 1 >= 3);
+    CHECK(refused > 0);
+}
+
+// Guards against calls that were queued before the endpoint named its limit,
+// and against a limit that outlasts what the endpoint says.
+TEST_CASE("a limit holds for queued calls and ends with a later response")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.executor->on_invoke(agent.router, agent.make_invoke(2));
+    REQUIRE(agent.endpoint->started.size() == 1);
+    agent.endpoint->name_limit(0, availability::named_limit{2});
+    agent.endpoint->finish(0);
+    CHECK(agent.endpoint->started.size() == 1);
+    auto const end = agent.router->all<wire::call_end>().back();
+    REQUIRE(end.failure);
+    CHECK(end.failure->kind == error_kind::overloaded);
+    CHECK(end.failure->run == run_state::not_run);
+    agent.advance(600ms);
+    agent.executor->on_invoke(agent.router, agent.make_invoke(3));
+    REQUIRE(agent.endpoint->started.size() == 2);
+    agent.endpoint->name_limit(1, availability::no_limit());
+    agent.endpoint->finish(1);
+    agent.executor->on_invoke(agent.router, agent.make_invoke(4));
+    CHECK(agent.endpoint->started.size() == 3);
+    agent.endpoint->name_limit(2, availability::unreadable_limit());
+    agent.endpoint->finish(2);
+    agent.executor->on_invoke(agent.router, agent.make_invoke(5));
+    CHECK(agent.endpoint->started.size() == 4);
+}
+
 } // namespace endiveward::agent
--- a/packages/agent/tests/fakes.hpp
+++ b/packages/agent/tests/fakes.hpp
@@ -410,6 +410,10 @@
     {
         started.at(n).observer->on_chunk(started.at(n).id, std::move(bytes));
     }
+    void name_limit(std::size_t n, availability::limit_notice const& notice)
+    {
+        started.at(n).observer->on_limit_notice(started.at(n).id, notice);
+    }
     void finish(std::size_t n, std::optional<kernel::error> failure = {})
     {
         endpoint_result end;
--- a/packages/agent/tests/http_endpoint_client_test.cpp
+++ b/packages/agent/tests/http_endpoint_client_test.cpp
@@ -25,6 +25,11 @@
     {
         chunks.push_back(std::move(bytes));
     }
+    void on_limit_notice(std::uint64_t,
+                         availability::limit_notice const& it) override
+    {
+        limits.push_back(it);
+    }
     void on_end(std::uint64_t, endpoint_result const& it) override
     {
         CHECK_FALSE(end);
@@ -39,6 +44,7 @@
     }
 
     std::vector<std::string> chunks;
+    std::vector<availability::limit_notice> limits;
     std::optional<endpoint_result> end;
 };
 
@@ -119,6 +125,23 @@
     CHECK(request.find("X-Model-Version: v1") != std::string::npos);
 }
 
+// Guards against a limit that is read from some responses only.
+TEST_CASE("the limit that an endpoint names is read from each response")
+{
+    auto const status =
+        GENERATE(std::string("200 OK"), std::string("503 Unavailable"));
+    fake_engine engine({{json_response(
+        status, "{}", "X-Request-Limit: 1.5\r\nX-Model-Version: v1\r\n")}});
+    client_under_test test(engine.url());
+    auto request = make_stream_request();
+    request.streaming = false;
+    test.client.start(1, request, test.observer);
+    test.run_to_end();
+    REQUIRE(test.observer.limits.size() == 1);
+    CHECK(test.observer.limits[0] ==
+          availability::limit_notice(availability::named_limit{1.5}));
+}
+
 // Guards against events that are lost, repeated or reordered when the engine's
 // connection breaks.
 TEST_CASE("a broken stream is resumed at the engine")
