router, agent: Quarantine calls that crash endpoints

An agent tells when its endpoint has ended under a call. Each router remembers such calls, told by workspace, target, method, path and body, and refuses them after two crashes with the time to come back; a keyed call, which may have run before, as of unknown outcome. Routers report to each other through three agents, which keep what they know for routers that connect later. The choice of these agents is the same as for the links of the platform's routers and is shared with them. The first call after a quarantine is not retried.

--- a/packages/agent/internal/agent_core.cpp
+++ b/packages/agent/internal/agent_core.cpp
@@ -117,7 +117,8 @@
 void agent_core::make_connections()
 {
     connections_ = std::make_shared<router_connections>(
-        executor_, dependencies_.configuration, load_, metrics_);
+        dependencies_.clock, executor_, dependencies_.configuration, load_,
+        metrics_);
     state_ = std::make_shared<agent_state_source>(load_, connections_,
                                                   dependencies_.configuration,
                                                   settings_.endpoint.str());
@@ -128,6 +129,7 @@
     local_hello.region = settings_.common.region;
     local_hello.zone = settings_.common.zone;
     local_hello.endpoint = settings_.endpoint;
+    local_hello.accepts_part_reports = true;
     options_ = std::make_shared<wire::connection_options>();
     options_->key = settings_.common.cluster_key;
     options_->identity = std::make_shared<agent_identity>(
--- a/packages/agent/internal/call_executor.cpp
+++ b/packages/agent/internal/call_executor.cpp
@@ -406,7 +406,7 @@
     if (entry == nullptr || entry->state != call_state::running)
         return;
     if (result.failure)
-        return fail(*entry, *result.failure);
+        return fail(*entry, *result.failure, result.endpoint_ended);
     dependencies_.metrics->prompt_bytes.Increment(
         static_cast<double>(result.prompt_bytes));
     dependencies_.metrics->cached_bytes.Increment(
@@ -422,10 +422,11 @@
 
 // --- Completion and cancellation ---------------------------------------------
 
-void call_executor::fail(call& entry, kernel::error reason)
+void call_executor::fail(call& entry, kernel::error reason, bool endpoint_ended)
 {
     wire::call_end outcome;
     outcome.outcome = wire::call_outcome::failed;
+    outcome.endpoint_ended = endpoint_ended;
     outcome.failure = std::move(reason);
     end(entry, std::move(outcome));
 }
--- a/packages/agent/internal/call_executor.hpp
+++ b/packages/agent/internal/call_executor.hpp
@@ -115,7 +115,7 @@
     void discard_chunks(call& entry);
     void release_chunks(call& entry, std::uint64_t next);
     void end(call& entry, wire::call_end outcome);
-    void fail(call& entry, kernel::error reason);
+    void fail(call& entry, kernel::error reason, bool endpoint_ended = false);
     void settle_claim(call& entry) const;
     void resume_stream(call& entry, std::uint64_t next);
     void count_dropped_message() const;
--- a/packages/agent/internal/endpoint_exchange.cpp
+++ b/packages/agent/internal/endpoint_exchange.cpp
@@ -162,6 +162,7 @@
     if (incarnation != incarnation_)
     {
         abort_at_endpoint();
+        result_.endpoint_ended = true;
         fail(unknown_outcome(
             kernel::error_kind::stream_interrupted,
             "the engine restarted during the stream; send the request again"));
@@ -240,6 +241,7 @@
     bool const refused = has_head_ && head_.status != status_ok;
     if (refused && first)
         return finish_non_streaming(end);
+    result_.endpoint_ended = true;
     if (refused && head_.status == 404)
         return fail(unknown_outcome(kernel::error_kind::stream_interrupted,
                                     "the engine lost the stream; send the "
@@ -250,6 +252,7 @@
             fmt::format("the stream of the engine broke ({}) and could not be "
                         "resumed; send the request again",
                         end.reason)));
+    result_.endpoint_ended = false;
     resume_stream();
 }
 
@@ -261,6 +264,7 @@
             read_usage(body_);
         return complete();
     }
+    result_.endpoint_ended = true;
     fail(unknown_outcome(
         kernel::error_kind::outcome_unknown,
         fmt::format("the endpoint's answer was not complete: {}; check whether "
--- a/packages/agent/internal/router_connections.cpp
+++ b/packages/agent/internal/router_connections.cpp
@@ -17,10 +17,12 @@
 {
 
 router_connections::router_connections(
+    std::shared_ptr<kernel::i_clock const> clock,
     std::shared_ptr<call_executor> executor,
     std::shared_ptr<config::i_config_state> configuration,
     std::shared_ptr<load_reporter> load, std::shared_ptr<agent_metrics> metrics)
-    : executor_(std::move(executor))
+    : clock_(std::move(clock))
+    , executor_(std::move(executor))
     , configuration_(std::move(configuration))
     , load_(std::move(load))
     , metrics_(std::move(metrics))
@@ -34,6 +36,9 @@
     request_newer_config(conn, conn->peer().config_version);
     if (draining_)
         conn->send(wire::draining{});
+    auto const known = crashes_.snapshot(clock_->now());
+    if (!known.empty() && conn->peer().accepts_part_reports)
+        conn->send(known);
 }
 
 void router_connections::on_message(connection_ptr const& conn,
@@ -117,6 +122,20 @@
     executor_->on_configuration(conn);
 }
 
+/// Not all routers have connections to each other, but all have one to the
+/// agents of their region.
+void router_connections::handle(connection_ptr const& conn,
+                                wire::part_report const& msg)
+{
+    crashes_.on_report(msg, clock_->now());
+    crashes_.take_news();
+    for (auto const& it : connections_)
+    {
+        if (it != conn && it->peer().accepts_part_reports)
+            it->send(msg);
+    }
+}
+
 template <typename T>
 void router_connections::handle(connection_ptr const&, T const&)
 {
--- a/packages/agent/internal/router_connections.hpp
+++ b/packages/agent/internal/router_connections.hpp
@@ -1,6 +1,8 @@
 #ifndef ENDIVEWARD_AGENT_ROUTER_CONNECTIONS_HPP
 #define ENDIVEWARD_AGENT_ROUTER_CONNECTIONS_HPP
 
+#include "availability/part_quarantine.hpp"
+#include "kernel/i_clock.hpp"
 #include "wire/i_connection_observer.hpp"
 #include "wire/types/message.hpp"
 
@@ -26,6 +28,7 @@
 /// exchanges configuration and heartbeats. Used on the traffic thread.
 class router_connections : public wire::i_connection_observer
 {
+    std::shared_ptr<kernel::i_clock const> clock_;
     std::shared_ptr<call_executor> executor_;
     std::shared_ptr<config::i_config_state> configuration_;
     std::shared_ptr<load_reporter> load_;
@@ -34,7 +37,8 @@
 public:
     using connection_ptr = std::shared_ptr<wire::i_connection>;
 
-    router_connections(std::shared_ptr<call_executor> executor,
+    router_connections(std::shared_ptr<kernel::i_clock const> clock,
+                       std::shared_ptr<call_executor> executor,
                        std::shared_ptr<config::i_config_state> configuration,
                        std::shared_ptr<load_reporter> load,
                        std::shared_ptr<agent_metrics> metrics);
@@ -59,6 +63,7 @@
     void handle(connection_ptr const& conn, wire::heartbeat const& msg);
     void handle(connection_ptr const& conn, wire::config_request const& msg);
     void handle(connection_ptr const& conn, wire::config_update const& msg);
+    void handle(connection_ptr const& conn, wire::part_report const& msg);
     /// Message types that routers do not send to agents; counted and dropped.
     template <typename T>
     void handle(connection_ptr const& conn, T const& msg);
@@ -72,6 +77,9 @@
     std::map<connection_ptr, kernel::config_version> requested_versions_;
     std::atomic<std::size_t> size_{0};
     bool draining_ = false;
+    /// What routers have learned about crashes of endpoints, for those that
+    /// connect later.
+    availability::part_quarantine crashes_;
 };
 
 } // namespace endiveward::agent
--- a/packages/agent/tests/drain_controller_test.cpp
+++ b/packages/agent/tests/drain_controller_test.cpp
@@ -37,7 +37,7 @@
             dependencies, endpoint_identity{kernel::endpoint_id("e"),
                                             kernel::service_id("gate")});
         connections = std::make_shared<router_connections>(
-            executor, configuration, load, metrics);
+            clock, executor, configuration, load, metrics);
         drain = std::make_shared<drain_controller>(clock, executor, connections,
                                                    [this] { ++drained; });
     }
@@ -185,4 +185,30 @@
     CHECK(process.router->sent.empty());
 }
 
+// Guards against routers that each learn of a call that crashes endpoints by
+// crashes of their own, and against one that starts anew with each restart.
+TEST_CASE("an agent passes reports of crashes on to the other routers")
+{
+    process_under_test f;
+    auto const sender = std::make_shared<fake_connection>();
+    auto const other = std::make_shared<fake_connection>();
+    auto const earlier = std::make_shared<fake_connection>();
+    for (auto const& it : {sender, other})
+        it->peer_hello.accepts_part_reports = true;
+    for (auto const& it : {sender, other, earlier})
+        f.connections->on_open(it);
+    wire::part_report report;
+    report.crashes = {{7, 1, 0, std::chrono::milliseconds(3)}};
+    f.connections->on_message(sender, report);
+    CHECK(other->all<wire::part_report>().size() == 1);
+    CHECK(sender->all<wire::part_report>().empty());
+    // It would close its connection.
+    CHECK(earlier->all<wire::part_report>().empty());
+    auto const later = std::make_shared<fake_connection>();
+    later->peer_hello.accepts_part_reports = true;
+    f.connections->on_open(later);
+    REQUIRE(later->all<wire::part_report>().size() == 1);
+    CHECK(later->all<wire::part_report>()[0].crashes[0].part == 7);
+}
+
 } // namespace endiveward::agent
--- a/packages/agent/tests/fakes.hpp
+++ b/packages/agent/tests/fakes.hpp
@@ -33,7 +33,9 @@
 class fake_connection : public wire::i_connection
 {
 public:
-    wire::hello const& peer() const override { return peer_; }
+    wire::hello peer_hello;
+
+    wire::hello const& peer() const override { return peer_hello; }
     bool is_open() const override { return open_; }
     void send(wire::message const& msg, wire::write_handler handler) override
     {
@@ -72,7 +74,6 @@
     std::vector<wire::message> sent;
 
 private:
-    wire::hello peer_;
     bool open_ = true;
 };
 
--- a/packages/agent/tests/http_endpoint_client_test.cpp
+++ b/packages/agent/tests/http_endpoint_client_test.cpp
@@ -185,6 +185,7 @@
     test.client.start(1, make_stream_request(), test.observer);
     test.run_to_end();
     REQUIRE(test.observer.end->failure);
+    CHECK(test.observer.end->endpoint_ended);
     CHECK(test.observer.end->failure->kind ==
           kernel::error_kind::stream_interrupted);
     CHECK(test.observer.end->failure->run == kernel::run_state::unknown);
@@ -214,6 +215,7 @@
     test.client.start(1, make_stream_request(), test.observer);
     test.run_to_end();
     REQUIRE(test.observer.end->failure);
+    CHECK_FALSE(test.observer.end->endpoint_ended);
     CHECK(test.observer.end->failure->run == kernel::run_state::unknown);
     CHECK(test.observer.chunks.empty());
     REQUIRE(engine.wait_for_requests(2));
@@ -232,6 +234,7 @@
     test.client.start(1, make_stream_request(), test.observer);
     test.run_to_end();
     REQUIRE(test.observer.end->failure);
+    CHECK_FALSE(test.observer.end->endpoint_ended);
     CHECK(test.observer.end->failure->run == kernel::run_state::not_run);
 }
 
@@ -248,6 +251,7 @@
     test.client.start(1, request, test.observer);
     test.run_to_end();
     REQUIRE(test.observer.end->failure);
+    CHECK(test.observer.end->endpoint_ended);
     CHECK(test.observer.end->failure->kind ==
           kernel::error_kind::outcome_unknown);
     CHECK(test.observer.end->failure->run == kernel::run_state::unknown);
--- a/packages/agent/types/endpoint_result.hpp
+++ b/packages/agent/types/endpoint_result.hpp
@@ -16,6 +16,9 @@
     /// Set unless the response is complete. Its run state is `not_run` only if
     /// no byte of the request was sent.
     std::optional<kernel::error> failure;
+    /// The endpoint's process has ended, as far as known, before the response
+    /// was complete.
+    bool endpoint_ended = false;
     int http_status = 0;
     std::string content_type;
     std::uint64_t prompt_bytes = 0;
--- a/packages/enginelink/internal/agent_links.cpp
+++ b/packages/enginelink/internal/agent_links.cpp
@@ -10,10 +10,10 @@
 #include "wire/connector.hpp"
 #include "wire/i_connection.hpp"
 #include "wire/i_connection_observer.hpp"
+#include "wire/report_relays.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <functional>
@@ -35,9 +35,6 @@
 /// Number of agents from which rows are requested at a time. More than one,
 /// because any of them may be cut off from the store as well.
 constexpr std::size_t row_request_fanout = 3;
-/// Number of agents that pass reports on. More than one, because any of them
-/// may be cut off from some routers.
-constexpr std::size_t report_relays = 3;
 
 } // namespace
 
@@ -115,9 +112,7 @@
         }
     }
 
-    /// The relays are those with the highest rank by hash, so that routers that
-    /// know nearly the same agents choose the same ones. A crash of many
-    /// engines then costs a few messages a router.
+    /// A crash of many engines costs a few messages a router.
     void send_part_report(wire::part_report const& report)
     {
         send_to_relays(report, &wire::hello::accepts_part_reports);
@@ -130,20 +125,14 @@
 
     void send_to_relays(wire::message const& msg, bool wire::hello::*accepts)
     {
-        std::vector<std::pair<std::uint64_t, wire::i_connection*>> ranked;
+        std::vector<wire::relay_candidate> open;
         for (auto const& [id, it] : links_)
         {
             if (it->connection != nullptr && it->connection->peer().*accepts)
-                ranked.emplace_back(
-                    XXH3_64bits(id.str().data(), id.str().size()),
-                    it->connection.get());
+                open.push_back({id, it->connection.get()});
         }
-        auto const n = std::min(report_relays, ranked.size());
-        std::partial_sort(ranked.begin(),
-                          ranked.begin() + static_cast<std::ptrdiff_t>(n),
-                          ranked.end(), std::greater<>());
-        for (std::size_t i = 0; i < n; ++i)
-            ranked[i].second->send(msg);
+        for (auto* const it : wire::choose_report_relays(std::move(open)))
+            it->send(msg);
     }
 
     void close()
--- a/packages/router/call_relay.hpp
+++ b/packages/router/call_relay.hpp
@@ -71,6 +71,10 @@
     void perform(abandon& action);
 
     call_event choose();
+    /// Returns the reason for not sending a call that probably crashes
+    /// endpoints, if it does.
+    std::optional<kernel::error> check_quarantine() const;
+    void record_end(wire::call_end const& end);
     bool wait_for_remote(call_event const& event);
     void on_remote_wait_ended();
     config::routing_key routing_key() const;
@@ -97,6 +101,11 @@
     std::shared_ptr<i_caller_response> response_;
     std::function<void()> on_finished_;
 
+    std::uint64_t const request_key_;
+    /// The call is the first one after a quarantine.
+    bool is_trial_ = false;
+    /// The endpoint has sent output in this attempt.
+    bool has_output_ = false;
     call_state_machine machine_;
     kernel::steady_time const arrival_;
     kernel::steady_time const deadline_;
--- a/packages/router/internal/call_relay.cpp
+++ b/packages/router/internal/call_relay.cpp
@@ -8,6 +8,7 @@
 #include "kernel/i_random_source.hpp"
 #include "placement/i_placement.hpp"
 #include "placement/types/placement_choice.hpp"
+#include "router/crash_watch.hpp"
 #include "router/error_body.hpp"
 #include "router/i_agent_directory.hpp"
 #include "router/i_caller_response.hpp"
@@ -63,7 +64,10 @@
     , request_(std::move(request))
     , response_(std::move(response))
     , on_finished_(std::move(on_finished))
-    , machine_(policy_of(request_, *services_), services_->try_take_retry_token)
+    , request_key_(make_request_key(request_))
+    // Another endpoint would be lost if the call crashes them.
+    , machine_(policy_of(request_, *services_), [this]
+               { return !is_trial_ && services_->try_take_retry_token(); })
     , arrival_(services_->clock->now())
     , deadline_(arrival_ + request_.timeout)
     , deadline_timer_(context)
@@ -120,7 +124,24 @@
     {
         cached_bytes_ = it->end.cached_bytes;
         prompt_bytes_ = it->end.prompt_bytes;
+        record_end(it->end);
     }
+    if (auto const* it = std::get_if<chunk_received>(&event);
+        it != nullptr && it->leg == machine_.leg())
+        has_output_ = true;
+}
+
+/// An endpoint that ends without output may have crashed under this call.
+void call_relay::record_end(wire::call_end const& end)
+{
+    if (!end.failure)
+    {
+        services_->crashes->on_served(request_key_);
+        return;
+    }
+    if (end.endpoint_ended && !has_output_)
+        services_->crashes->on_crash(request_.request_id, endpoint_,
+                                     end.load.engine_incarnation, request_key_);
 }
 
 void call_relay::perform_all(call_state_machine::actions actions)
@@ -195,6 +216,8 @@
 {
     if (!find_allowed())
         return no_endpoint_chosen{no_endpoint_error_};
+    if (auto reason = check_quarantine())
+        return no_endpoint_chosen{std::move(*reason)};
     placement_request_.time_left = time_left();
     auto const res = services_->placement->choose(placement_request_);
     if (!kernel::ok(res))
@@ -202,6 +225,25 @@
     return endpoint_chosen{kernel::value(res).endpoint};
 }
 
+std::optional<kernel::error> call_relay::check_quarantine() const
+{
+    auto const until = services_->crashes->quarantined_until(request_key_);
+    if (!until)
+        return std::nullopt;
+    auto res = not_run(kernel::error_kind::overloaded,
+                       "endpoints have crashed under this call; it is refused "
+                       "for a time, then tried again");
+    // A call with this key may have run before it came here.
+    if (!request_.idempotency_key.empty())
+    {
+        res.kind = kernel::error_kind::outcome_unknown;
+        res.run = kernel::run_state::unknown;
+    }
+    res.retry_after = std::chrono::ceil<std::chrono::milliseconds>(
+        *until - services_->clock->now());
+    return res;
+}
+
 std::chrono::milliseconds call_relay::time_left() const
 {
     using std::chrono::milliseconds;
@@ -288,6 +330,8 @@
     endpoint_ = action.endpoint;
     cached_bytes_ = 0;
     prompt_bytes_ = 0;
+    has_output_ = false;
+    is_trial_ = services_->crashes->on_sent(request_.request_id, request_key_);
     services_->placement->on_sent(placement_request_, endpoint_);
     if (machine_.attempts() > 1)
         services_->metrics->on_retry();
--- a/packages/router/internal/peer_connections.cpp
+++ b/packages/router/internal/peer_connections.cpp
@@ -16,6 +16,7 @@
 #include "wire/connector.hpp"
 #include "wire/i_connection.hpp"
 #include "wire/i_local_identity.hpp"
+#include "wire/report_relays.hpp"
 
 #include <asio/ip/address.hpp>
 #include <asio/post.hpp>
@@ -144,6 +145,27 @@
                    });
     }
 
+    void send_part_report(wire::part_report const& report)
+    {
+        std::vector<std::shared_ptr<peer_channel>> channels;
+        {
+            std::lock_guard const lock(mutex_);
+            channels.reserve(agents_.size());
+            for (auto const& [endpoint, it] : agents_)
+            {
+                if (it.channel != nullptr &&
+                    it.channel->peer().accepts_part_reports)
+                    channels.push_back(it.channel);
+            }
+        }
+        std::vector<wire::relay_candidate> open;
+        open.reserve(channels.size());
+        for (auto const& it : channels)
+            open.push_back({it->peer().endpoint, it->connection().get()});
+        for (auto* const it : wire::choose_report_relays(std::move(open)))
+            it->send(report);
+    }
+
     std::size_t open_agents() const
     {
         std::lock_guard const lock(mutex_);
@@ -508,6 +530,12 @@
             channel->send(wire::gossip{current_version(), {}});
     }
 
+    void on(std::shared_ptr<peer_channel> const&, wire::part_report const& msg)
+    {
+        if (options_.on_part_report)
+            options_.on_part_report(msg);
+    }
+
     /// Messages that routers do not handle.
     template <typename Message>
     void on(std::shared_ptr<peer_channel> const&, Message const&)
@@ -1083,6 +1111,11 @@
     impl_->stop();
 }
 
+void peer_connections::send_part_report(wire::part_report const& report)
+{
+    impl_->send_part_report(report);
+}
+
 std::size_t peer_connections::open_agents() const
 {
     return impl_->open_agents();
--- a/packages/router/internal/router_identity.cpp
+++ b/packages/router/internal/router_identity.cpp
@@ -18,6 +18,7 @@
     own_.incarnation = own_incarnation;
     own_.region = settings.region;
     own_.zone = settings.zone;
+    own_.accepts_part_reports = true;
 }
 
 wire::hello router_identity::describe() const
--- a/packages/router/peer_connections.hpp
+++ b/packages/router/peer_connections.hpp
@@ -6,6 +6,7 @@
 #include "observe/i_state_source.hpp"
 #include "router/i_agent_directory.hpp"
 #include "wire/i_connection_observer.hpp"
+#include "wire/types/part_report.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -78,6 +79,9 @@
     /// Called with the configuration version that a connected process reports;
     /// may be empty.
     std::function<void(kernel::config_version)> on_reported;
+    /// Called with what other routers have learned about crashes of endpoints;
+    /// may be empty.
+    std::function<void(wire::part_report const&)> on_part_report;
 };
 
 /// Cluster membership: keeps one authenticated connection to each agent of the
@@ -101,6 +105,9 @@
     void start(std::shared_ptr<wire::connection_options const> wire_options);
     /// Closes all connections and opens no new ones.
     void stop();
+    /// Sends what this process has learned about crashes of endpoints to a few
+    /// agents, the same for all routers, which pass it on to the others.
+    void send_part_report(wire::part_report const& report);
     /// Number of open connections to agents.
     std::size_t open_agents() const;
 
--- a/packages/router/relay_services.hpp
+++ b/packages/router/relay_services.hpp
@@ -30,6 +30,7 @@
 namespace endiveward::router
 {
 
+class crash_watch;
 class i_agent_directory;
 class router_metrics;
 
@@ -46,6 +47,7 @@
     std::shared_ptr<placement::i_placement> placement;
     std::shared_ptr<i_agent_directory> agents;
     std::shared_ptr<router_metrics> metrics;
+    std::shared_ptr<crash_watch> crashes;
     /// See `placement::make_prefix_levels`.
     prefix_level_function make_prefix_levels;
     /// See `placement::retry_budget`.
--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -1,4 +1,5 @@
 #include "router/router_module.hpp"
+#include "router/crash_watch.hpp"
 
 #include "config/change_log_poller.hpp"
 #include "config/config_state_source.hpp"
@@ -81,6 +82,8 @@
     {
         services_->clock = registry.get<kernel::i_clock const>("clock");
         random_ = registry.get<kernel::i_random_source>("random");
+        crashes_ =
+            std::make_shared<crash_watch>(services_->clock, random_->next());
         configuration_ = registry.get<config::i_config_state>("config_state");
         services_->placement =
             registry.get<placement::i_placement>("placement");
@@ -183,9 +186,17 @@
         options.on_reported = [it = readiness_, state = configuration_](
                                   kernel::config_version version)
         { it->on_reported(version, state->current()->version()); };
+        options.on_part_report = [it = crashes_](auto const& report)
+        { it->on_report(report); };
         if (settings_.when_isolated == config::isolation_policy::refuse)
             options.probe_interval = probe_interval;
         connections_ = std::make_shared<peer_connections>(std::move(options));
+        crashes_->set_news_handler(
+            [weak = std::weak_ptr(connections_)](auto const& news)
+            {
+                if (auto const connections = weak.lock())
+                    connections->send_part_report(news);
+            });
     }
 
     void make_services()
@@ -195,6 +206,7 @@
         services_->configuration = configuration_;
         services_->agents = connections_;
         services_->metrics = metrics_;
+        services_->crashes = crashes_;
         services_->make_prefix_levels = make_prefix_levels;
         services_->on_request = [budget = retry_budget_]
         { budget->on_request(); };
@@ -295,6 +307,7 @@
         std::make_shared<prometheus::Registry>();
     std::shared_ptr<router_metrics> metrics_ =
         std::make_shared<router_metrics>(registry_);
+    std::shared_ptr<crash_watch> crashes_;
     std::shared_ptr<wire::wire_counters> counters_ =
         std::make_shared<wire::wire_counters>();
     std::shared_ptr<placement::retry_budget> retry_budget_;
--- a/packages/router/tests/fake_agent.hpp
+++ b/packages/router/tests/fake_agent.hpp
@@ -135,6 +135,7 @@
             own.region = kernel::region_id("region");
             own.zone = kernel::zone_id("zone");
             own.config_version = version_;
+            own.accepts_part_reports = is_agent;
             return own;
         }
 
--- a/packages/router/tests/router_test.cpp
+++ b/packages/router/tests/router_test.cpp
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
+
 namespace endiveward::router
 {
 
@@ -627,4 +629,62 @@
         [&] { return has_received<wire::gossip>(peer, is_answer); }));
 }
 
+// Guards against a call that crashes one endpoint after the other each time it
+// comes, at any router.
+TEST_CASE("a call that has crashed two endpoints is not sent again")
+{
+    std::atomic<int> bad_calls{0};
+    auto const crash_or_answer =
+        [&](connection const& conn, wire::message const& msg)
+    {
+        auto const* const call = std::get_if<wire::invoke>(&msg);
+        if (call == nullptr || call->body.find("bad") == std::string::npos)
+            return answer_all(conn, msg);
+        ++bad_calls;
+        conn->send(accepted(call->call_id));
+        wire::call_end end;
+        end.call_id = call->call_id;
+        end.outcome = wire::call_outcome::failed;
+        end.failure = kernel::error{kernel::error_kind::outcome_unknown,
+                                    "the answer was not complete",
+                                    kernel::run_state::unknown,
+                                    {}};
+        end.load.engine_incarnation = 1;
+        end.endpoint_ended = true;
+        conn->send(end);
+    };
+    fake_agent const first("a", crash_or_answer);
+    fake_agent const second("b", crash_or_answer);
+    router_under_test const router({&first, &second});
+    router_under_test const other({&first, &second});
+    auto const bad =
+        R"({"model":"m","messages":[{"role":"user","content":"bad"}]})";
+    std::string answer;
+    for (int n = 0; n < 4; ++n)
+        answer = router.post("/v1/chat/completions", bad);
+    CHECK(bad_calls == 2);
+    CHECK(answer.starts_with("HTTP/1.1 429"));
+    CHECK(contains(head_of(answer), "Retry-After: "));
+    CHECK(error_of(answer).at("run") == "not_run");
+    CHECK(router.post("/v1/chat/completions", buffered_body)
+              .starts_with("HTTP/1.1 200"));
+    // The agents pass the report on; here, the test does.
+    auto const report_of = [](fake_agent const& agent)
+    {
+        wire::part_report res;
+        for (auto const& it : agent.received())
+        {
+            if (auto const* report = std::get_if<wire::part_report>(&it))
+                res.crashes.insert(res.crashes.end(), report->crashes.begin(),
+                                   report->crashes.end());
+        }
+        return res;
+    };
+    REQUIRE(router_under_test::eventually(
+        [&] { return report_of(first).crashes.size() == 2; }));
+    other.crashes->on_report(report_of(first));
+    CHECK(other.post("/v1/chat/completions", bad).starts_with("HTTP/1.1 429"));
+    CHECK(bad_calls == 2);
+}
+
 } // namespace endiveward::router
--- a/packages/router/tests/router_under_test.hpp
+++ b/packages/router/tests/router_under_test.hpp
@@ -6,6 +6,7 @@
 #include "kernel/thread_pool.hpp"
 #include "router/caller_api.hpp"
 #include "router/caller_server.hpp"
+#include "router/crash_watch.hpp"
 #include "router/peer_connections.hpp"
 #include "router/relay_services.hpp"
 #include "router/router_metrics.hpp"
@@ -140,6 +141,7 @@
     std::shared_ptr<router_metrics> metrics;
     std::shared_ptr<peer_connections> connections;
     std::shared_ptr<relay_services> services;
+    std::shared_ptr<crash_watch> crashes;
     std::shared_ptr<caller_api> api;
     std::unique_ptr<caller_server> server;
     std::atomic<int> dropped{0};
@@ -175,6 +177,8 @@
         options.placement = placement;
         options.on_dropped = [this] { ++dropped; };
         options.probe_interval = probe_interval_;
+        options.on_part_report = [this](auto const& report)
+        { crashes->on_report(report); };
         options.vm_list = vm_list_;
         options.vm_poll_interval = gossip_interval;
         options.on_hello = [this](auto) { ++hellos; };
@@ -198,6 +202,10 @@
         services->placement = placement;
         services->agents = connections;
         services->metrics = metrics;
+        crashes = std::make_shared<crash_watch>(services->clock, 1);
+        crashes->set_news_handler([this](auto const& news)
+                                  { connections->send_part_report(news); });
+        services->crashes = crashes;
         services->make_prefix_levels =
             [](auto const&, auto const&, auto const&, auto const&)
         { return std::vector<wire::prefix_level>(); };
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -277,7 +277,7 @@
                                static_cast<fbs::call_outcome>(msg.outcome),
                                static_cast<std::uint16_t>(msg.http_status),
                                content_type, failure, msg.prompt_bytes,
-                               msg.cached_bytes, load);
+                               msg.cached_bytes, load, msg.endpoint_ended);
 }
 
 call_end get(fbs::call_end const& in)
@@ -292,6 +292,7 @@
     out.prompt_bytes = in.prompt_bytes();
     out.cached_bytes = in.cached_bytes();
     out.load = get(in.load());
+    out.endpoint_ended = in.endpoint_ended();
     return out;
 }
 
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -65,7 +65,7 @@
         verdict{1, make_error(), 2, make_load(), 3},
         chunk{1, 2, "abc"},
         call_end{1, 2, call_outcome::cancelled, 200, "text/plain", make_error(),
-                 3, 4, make_load()},
+                 3, 4, make_load(), true},
         chunk_ack{1, 2},
         cancel{1},
         resume{1, {2, 3}, 4},
--- a/packages/wire/types/call_end.hpp
+++ b/packages/wire/types/call_end.hpp
@@ -26,6 +26,9 @@
     std::uint64_t prompt_bytes = 0;
     std::uint64_t cached_bytes = 0;
     load_report load;
+    /// The endpoint's process has ended, as far as known, with the call
+    /// unfinished.
+    bool endpoint_ended = false;
 
     bool operator==(call_end const&) const = default;
 };
