--- a/packages/explain/internal/request_story.cpp
+++ b/packages/explain/internal/request_story.cpp
@@ -260,6 +260,14 @@
         return last_of("refused_by_endpoint") != nullptr
                    ? explain_endpoint_refusal()
                    : explain_failure(reason);
+    if (reason == "endpoints_limited")
+        return {"endpoints_limited",
+                fmt::format("all endpoints of the service got as many requests "
+                            "as they take; limits: {}",
+                            excluded_endpoints("endpoint_limit")),
+                "`sent` of all routers with these endpoints counts against "
+                "`per_second` of `endpoint_limit`; find out why the endpoints "
+                "are in need, or add some"};
     auto const paused = excluded_endpoints("endpoint_paused");
     auto const leaving = excluded_endpoints("endpoint_leaving");
     if (!paused.empty())
@@ -305,18 +313,21 @@
         return false;
     if (it.event == "endpoint_paused")
         return it.time + milliseconds(number(it, "until_ms")) >= last.time;
-    if (it.event != "endpoint_leaving")
+    auto const limits =
+        it.event == "endpoint_limit" && it.value("ended") == "false";
+    if (it.event != "endpoint_leaving" && !limits)
         return false;
-    return std::none_of(others_.begin(), others_.end(),
-                        [&](log_record const& other)
-                        {
-                            return other.event == "endpoint_removed" &&
-                                   other.process == it.process &&
-                                   other.value("endpoint") ==
-                                       it.value("endpoint") &&
-                                   other.time >= it.time &&
-                                   other.time <= last.time;
-                        });
+    return std::none_of(
+        others_.begin(), others_.end(),
+        [&](log_record const& other)
+        {
+            auto const ends = other.event == "endpoint_removed" ||
+                              (limits && other.event == "endpoint_limit" &&
+                               other.value("ended") == "true");
+            return ends && other.process == it.process &&
+                   other.value("endpoint") == it.value("endpoint") &&
+                   other.time >= it.time && other.time <= last.time;
+        });
 }
 
 /// Names the endpoints that such lines excluded; of a pause, also how long it
@@ -330,6 +341,9 @@
             continue;
         auto const name = it.value("endpoint");
         texts[name] = name;
+        if (event == "endpoint_limit")
+            texts[name] =
+                fmt::format("{} ({} a second)", name, it.value("per_second"));
         if (event != "endpoint_paused")
             continue;
         auto const until = it.time + milliseconds(number(it, "until_ms"));
--- a/packages/explain/tests/request_story_test.cpp
+++ b/packages/explain/tests/request_story_test.cpp
@@ -200,6 +200,26 @@
     CHECK(removed.explain().code == "no_endpoint");
 }
 
+// Guards against a refusal that does not tell which limits were reached.
+TEST_CASE("a refusal names the limits of the endpoints")
+{
+    auto const limit = [](std::string const& rest)
+    { return "event=endpoint_limit source=answer " + rest; };
+    auto const story = story_of(
+        {{"r1",
+          {{1000, limit("endpoint=e1 ended=false per_second=3")},
+           {1500, limit("endpoint=e1 ended=false per_second=1.5")},
+           {1600, limit("endpoint=e2 ended=false per_second=4")},
+           {1700, limit("endpoint=e2 ended=true per_second=0")},
+           {20000, "event=gave_up id=q1 status=503 reason=endpoints_limited"}}},
+         {"r2", {{1500, limit("endpoint=e3 ended=false per_second=7")}}}});
+    auto const res = story.explain();
+    CHECK(res.code == "endpoints_limited");
+    CHECK(res.cause.find("e1 (1.5 a second)") != std::string::npos);
+    CHECK(res.cause.find("e2") == std::string::npos);
+    CHECK(res.cause.find("e3") == std::string::npos);
+}
+
 // Guards against a refusal whose cause was seen at another request or router.
 TEST_CASE("a refusal for a quarantined part names the endpoints that crashed")
 {
