--- a/packages/explain/internal/request_story.cpp
+++ b/packages/explain/internal/request_story.cpp
@@ -94,7 +94,7 @@
 {
     if (refused_without_endpoint() && excludes_endpoint(it))
         return true;
-    if (suspects_own_part(it))
+    if (suspects_own_key(it))
         return true;
     if (it.time < own_.front().time - context_before ||
         it.time > own_.back().time + context_after)
@@ -209,37 +209,50 @@
                 "none; callers come back to another process"};
     if (is_without_endpoint(reason))
         return explain_no_endpoint(reason);
-    if (reason == "part_quarantined")
-        return explain_quarantine();
+    if (reason == "part_quarantined" || reason == "request_quarantined")
+        return explain_quarantine(reason);
     return explain_failure(reason);
 }
 
-verdict request_story::explain_quarantine() const
+verdict request_story::explain_quarantine(std::string const& reason) const
 {
     std::set<std::string> endpoints;
     for (auto const* lines : {&own_, &others_})
     {
         for (auto const& it : *lines)
         {
-            if (suspects_own_part(it))
+            if (suspects_own_key(it))
                 endpoints.insert(it.value("endpoint"));
         }
     }
     endpoints.erase("");
-    return {"part_quarantined",
-            fmt::format("a part of the prompt has probably crashed endpoints{}"
+    auto const list = fmt::format("{}{}", endpoints.empty() ? "" : ": ",
+                                  fmt::join(endpoints, ", "));
+    auto const left = last_or_empty(reason).value("left_ms");
+    if (reason == "request_quarantined")
+        return {reason,
+                fmt::format("this request, which has come before, has probably "
+                            "crashed endpoints{}; it is refused for another "
+                            "{} ms",
+                            list, left),
+                "find in all routers' logs the `request_suspected` lines with "
+                "the `request` that `request_quarantined` names, and the "
+                "`sent` lines with it"};
+    return {reason,
+            fmt::format("a part of the prompt has probably crashed endpoints"
                         "{}; requests with it are refused for another {} ms",
-                        endpoints.empty() ? "" : ": ",
-                        fmt::join(endpoints, ", "),
-                        last_or_empty("part_quarantined").value("left_ms")),
+                        list, left),
             "find in all routers' logs the `part_suspected` lines of the parts "
             "that `part_quarantined` names, and the requests that they name"};
 }
 
-/// Whether the line suspects one of the parts for which the request was
+/// Whether the line suspects the request, or one of the parts for which it was
 /// refused.
-bool request_story::suspects_own_part(log_record const& it) const
+bool request_story::suspects_own_key(log_record const& it) const
 {
+    if (it.event == "request_suspected")
+        return it.value("request") ==
+               last_or_empty("request_quarantined").value("request");
     if (it.event != "part_suspected")
         return false;
     auto const parts =
--- a/packages/explain/request_story.hpp
+++ b/packages/explain/request_story.hpp
@@ -34,8 +34,8 @@
                     std::set<std::string> const& endpoints) const;
     verdict explain_refusal(log_record const& last) const;
     verdict explain_overload() const;
-    verdict explain_quarantine() const;
-    bool suspects_own_part(log_record const& it) const;
+    verdict explain_quarantine(std::string const& reason) const;
+    bool suspects_own_key(log_record const& it) const;
     verdict explain_endpoint_refusal() const;
     verdict explain_no_endpoint(std::string const& reason) const;
     bool refused_without_endpoint() const;
--- a/packages/explain/tests/request_story_test.cpp
+++ b/packages/explain/tests/request_story_test.cpp
@@ -240,6 +240,29 @@
     CHECK(story.lines().size() == 5);
 }
 
+// The same for a whole request, which comes again with other ids.
+TEST_CASE(
+    "a refusal for a quarantined request names the endpoints that crashed")
+{
+    auto const suspected = [](std::string const& text)
+    { return "event=request_suspected " + text; };
+    auto const story = story_of(
+        {{"r1",
+          {{1000, suspected("id=q7 endpoint=e1 request=ab crashes=1")},
+           {2000, suspected("id=q8 endpoint=e3 request=abc crashes=1")},
+           {20000,
+            "event=request_quarantined id=q1 parts= request=ab left_ms=700"},
+           {20000,
+            "event=gave_up id=q1 status=503 reason=request_quarantined"}}},
+         {"r2",
+          {{1400, suspected("id=q9 endpoint=e2 request=ab crashes=1")}}}});
+    auto const res = story.explain();
+    CHECK(res.code == "request_quarantined");
+    CHECK(res.cause.find(": e1, e2;") != std::string::npos);
+    CHECK(res.cause.find("e3") == std::string::npos);
+    CHECK(story.lines().size() == 4);
+}
+
 TEST_CASE("an answer after a repeat is told from one that was slow")
 {
     auto const repeated =
