stand_ins: Run the HTTP server on one thread

The test "store stand-in: it goes away while calls come" crashed now and then: RESTinio closes its acceptor on one thread of its pool while another one, which has just accepted a connection, starts the next accept on it. Requests run on threads of their own, so one thread is enough for the connections.

--- a/stand_ins/common/http_server.cpp
+++ b/stand_ins/common/http_server.cpp
@@ -202,8 +202,11 @@
                     { port_ = acceptor.local_endpoint().port(); })
                 .request_handler([this](restinio::request_handle_t request)
                                  { return accept(std::move(request)); });
+        // With more threads, RESTinio may accept a connection on one of them
+        // while another one closes the acceptor.
+        constexpr std::size_t threads = 1;
         server_ = restinio::run_async(restinio::own_io_context(),
-                                      std::move(settings), 2);
+                                      std::move(settings), threads);
     }
 
     ~impl()
