wire, gateway: Read limits of peers as numbers, skip repeated reports

A limit that is not a number of requests would block an endpoint for good or let all requests through. A request to an endpoint with a limit is reported through three agents; only the first report is looked up among the endpoints.

--- a/packages/gateway/internal/limit_watch.cpp
+++ b/packages/gateway/internal/limit_watch.cpp
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace endiveward::gateway
 {
@@ -108,6 +109,15 @@
 void limit_watch::on_report(wire::limit_report const& report)
 {
     auto const now = clock_.now();
+    // Most reports have arrived through another agent before.
+    std::vector<wire::limited_request> requests;
+    for (auto const& it : report.requests)
+    {
+        if (remember(it.request))
+            requests.push_back(it);
+    }
+    if (requests.empty() && report.changes.empty())
+        return;
     std::unordered_map<std::uint64_t, endpoint_record*> by_key;
     endpoints_.for_each([&](endpoint_record& it, upstream_pool&)
                         { by_key.emplace(endpoint_key(it.entry()), &it); });
@@ -127,10 +137,9 @@
                      : limit.on_reported(it.rate, now))
             on_changed(*endpoint, "report", it.ended);
     }
-    for (auto const& it : report.requests)
+    for (auto const& it : requests)
     {
-        auto* const endpoint = find(it.endpoint);
-        if (endpoint != nullptr && remember(it.request))
+        if (auto* const endpoint = find(it.endpoint))
             endpoint->limit().on_sent(now);
     }
 }
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -3,6 +3,7 @@
 #include "wire/generated/messages_generated.h"
 
 #include <algorithm>
+#include <cmath>
 #include <type_traits>
 
 namespace endiveward::wire
@@ -388,6 +389,12 @@
     return out;
 }
 
+/// A number that is none, or below zero, would block an endpoint for good.
+double limit_of(double per_second)
+{
+    return std::isfinite(per_second) ? std::max(per_second, 0.0) : 0;
+}
+
 offset<fbs::engine_state> put(builder& fbb, engine_state const& msg)
 {
     std::vector<offset<fbs::model_weights>> weights;
@@ -417,7 +424,7 @@
     out.progress = in.progress();
     out.leaving = in.leaving();
     if (in.limited())
-        out.request_limit = in.request_limit();
+        out.request_limit = limit_of(in.request_limit());
     if (in.weights() == nullptr)
         return out;
     for (auto const* it : *in.weights())
@@ -534,7 +541,8 @@
     if (in.changes() != nullptr)
     {
         for (auto const* it : *in.changes())
-            out.changes.push_back({it->endpoint(), it->rate(), it->ended()});
+            out.changes.push_back(
+                {it->endpoint(), limit_of(it->rate()), it->ended()});
     }
     if (in.requests() != nullptr)
     {
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 namespace endiveward::wire
 {
 
@@ -109,6 +111,22 @@
     }
 }
 
+// Guards against an endpoint that gets no requests for good, or all of them,
+// because of a number that is none.
+TEST_CASE("a limit that is no number of requests is read as zero")
+{
+    auto const rate = GENERATE(std::numeric_limits<double>::quiet_NaN(),
+                               std::numeric_limits<double>::infinity(), -1.0);
+    auto const report = decode(encode(limit_report{{{1, rate, false}}, {}}));
+    REQUIRE(kernel::ok(report));
+    CHECK(std::get<limit_report>(kernel::value(report)).changes[0].rate == 0);
+    engine_state state;
+    state.request_limit = rate;
+    auto const read = decode(encode(state));
+    REQUIRE(kernel::ok(read));
+    CHECK(std::get<engine_state>(kernel::value(read)).request_limit == 0.0);
+}
+
 // Guards against reading out of bounds on damaged or hostile input.
 TEST_CASE("damaged frames are refused or decoded, never read out of bounds")
 {
