agent: Send no calls to endpoints that leave or ask for a pause

The agent, through which all calls pass, refuses calls as not run for that time, queued ones too, with the time to come back, lets them return one after the other after a pause, and reports the wait to the routers. Both end with the engine's incarnation.

Tests: both new ones fail if the fields are not applied.

--- a/packages/agent/i_endpoint_observer.hpp
+++ b/packages/agent/i_endpoint_observer.hpp
@@ -1,14 +1,13 @@
 #ifndef ENDIVEWARD_AGENT_I_ENDPOINT_OBSERVER_HPP
 #define ENDIVEWARD_AGENT_I_ENDPOINT_OBSERVER_HPP
 
-#include "availability/types/limit_notice.hpp"
-
 #include <cstdint>
 #include <string>
 
 namespace endiveward::agent
 {
 
+struct endpoint_notices;
 struct endpoint_result;
 
 /// Receives the endpoint's responses, on the client's thread.
@@ -16,10 +15,9 @@
 {
 public:
     virtual ~i_endpoint_observer() = default;
-    /// A response, also to an attempt to resume a stream, has begun. Tells what
-    /// it says about the requests that the endpoint takes.
-    virtual void on_limit_notice(std::uint64_t id,
-                                 availability::limit_notice const& notice) = 0;
+    /// A response, also to an attempt to resume a stream, has begun.
+    virtual void on_notices(std::uint64_t id,
+                            endpoint_notices const& notices) = 0;
     /// A chunk of the response body, delivered in order and without duplicates.
     /// For a stream, each chunk is one event in the form `data: <json>\n\n`.
     virtual void on_chunk(std::uint64_t id, std::string bytes) = 0;
--- a/packages/agent/internal/call_executor.cpp
+++ b/packages/agent/internal/call_executor.cpp
@@ -9,6 +9,7 @@
 #include "agent/internal/agent_metrics.hpp"
 #include "agent/internal/endpoint_request_builder.hpp"
 #include "agent/internal/load_reporter.hpp"
+#include "agent/types/endpoint_notices.hpp"
 #include "agent/types/endpoint_result.hpp"
 #include "config/i_config_state.hpp"
 #include "config/i_configuration.hpp"
@@ -38,6 +39,12 @@
 // `outcome_unknown`.
 constexpr std::size_t max_recorded_response = 1U << 20U;
 constexpr std::size_t replay_chunk_bytes = 64U << 10U;
+/// Time in which an endpoint that leaves is replaced, as a rule.
+constexpr std::chrono::milliseconds replacement_time{2000};
+constexpr std::chrono::seconds leaving_retention{30};
+/// Soonest return of a call that was refused while traffic returns after a
+/// pause.
+constexpr std::chrono::milliseconds return_time{100};
 
 kernel::error not_run(kernel::error_kind kind, std::string message)
 {
@@ -71,6 +78,7 @@
     , policy_(dependencies_.load, std::move(identity))
     , sender_(dependencies_.load, dependencies_.configuration)
     , average_service_time_(0)
+    , pause_(availability::pause_settings(), 0)
 {
 }
 
@@ -150,7 +158,7 @@
         return request_configuration(entry);
     if (auto reason = policy_.check(entry.request, *configuration))
         return refuse(entry, std::move(*reason));
-    if (auto reason = check_limit(entry))
+    if (auto reason = check_endpoint(entry))
         return refuse(entry, std::move(*reason));
     auto const queued =
         dependencies_.queue->submit({entry.id, entry.request.priority,
@@ -191,51 +199,129 @@
     }
 }
 
-/// Counts the call against the limit that the endpoint names, once, or returns
-/// the reason for refusing it. A call that waited for its turn here could have
-/// run at another endpoint.
-std::optional<kernel::error> call_executor::check_limit(call& entry)
+/// A call that waited for its turn here could have run at another endpoint.
+std::optional<kernel::error> call_executor::check_endpoint(call& entry)
 {
-    auto const incarnation = dependencies_.load->engine_incarnation();
-    if (std::exchange(limited_incarnation_, incarnation) != incarnation)
-        limit_.reset();
+    forget_earlier_incarnation();
+    auto const refusal = [&](std::string message, kernel::steady_time until)
+    {
+        auto res = not_run(kernel::error_kind::overloaded, std::move(message));
+        res.retry_after =
+            std::chrono::ceil<std::chrono::milliseconds>(until - now());
+        return res;
+    };
+    update_endpoint_wait();
+    if (endpoint_leaving())
+        return refusal("the endpoint is going to exit; use another endpoint",
+                       now() + replacement_time);
+    if (auto const until = pause_.paused_until(now()))
+        return refusal("the endpoint wants no requests for a time; retry later "
+                       "or use another endpoint",
+                       *until);
+    if (!pause_.allows(
+            now(), static_cast<std::uint32_t>(dependencies_.queue->running() +
+                                              dependencies_.queue->queued())) &&
+        entry.state != call_state::claiming)
+        return refusal("calls return to the endpoint one after the other after "
+                       "a pause; retry later or use another endpoint",
+                       now() + return_time);
     if (entry.counted_by_limit || !limit_.rate())
         return std::nullopt;
     if (auto const until = limit_.blocked_until(now()))
-    {
-        update_limit_wait();
-        auto reason = not_run(
-            kernel::error_kind::overloaded,
+        return refusal(
             fmt::format("the endpoint takes {} requests a second; retry later "
                         "or use another endpoint",
-                        *limit_.rate()));
-        reason.retry_after =
-            std::chrono::ceil<std::chrono::milliseconds>(*until - now());
-        return reason;
-    }
+                        *limit_.rate()),
+            *until);
     entry.counted_by_limit = true;
     limit_.on_sent(now());
-    update_limit_wait();
+    update_endpoint_wait();
     return std::nullopt;
 }
 
-void call_executor::update_limit_wait()
+void call_executor::forget_earlier_incarnation()
 {
-    auto const wait = limit_.blocked_until(now()).value_or(now()) - now();
-    dependencies_.load->set_limit_wait(
-        std::chrono::ceil<std::chrono::milliseconds>(wait));
+    auto const incarnation = dependencies_.load->engine_incarnation();
+    if (std::exchange(endpoint_incarnation_, incarnation) == incarnation)
+        return;
+    limit_.reset();
+    pause_.reset();
+    leaving_announced_at_.reset();
 }
 
-void call_executor::on_limit_notice(std::uint64_t id,
-                                    availability::limit_notice const& notice)
+bool call_executor::endpoint_leaving() const
+{
+    if (!leaving_announced_at_)
+        return false;
+    // A plain service has no incarnation that would show its restart.
+    return endpoint_incarnation_ != 0 ||
+           now() - *leaving_announced_at_ < leaving_retention;
+}
+
+/// Routers count the wait, so that they send calls elsewhere.
+void call_executor::update_endpoint_wait()
+{
+    auto until = now();
+    if (endpoint_leaving())
+        until += replacement_time;
+    until = std::max(until, pause_.paused_until(now()).value_or(until));
+    until = std::max(until, limit_.blocked_until(now()).value_or(until));
+    dependencies_.load->set_endpoint_wait(
+        std::chrono::ceil<std::chrono::milliseconds>(until - now()));
+}
+
+void call_executor::on_notices(std::uint64_t id,
+                               endpoint_notices const& notices)
 {
     auto* const entry = calls_.find(id);
     if (entry == nullptr || entry->state != call_state::running)
         return;
+    forget_earlier_incarnation();
+    on_leaving(notices.leaving);
+    on_pause(notices.pause);
+    on_limit(*entry, notices.limit);
+    update_endpoint_wait();
+}
+
+void call_executor::on_leaving(availability::leaving_notice notice)
+{
+    if (notice == availability::leaving_notice::unreadable)
+        LOG4CPLUS_WARN(logger(), "endpoint's announcement of its exit is "
+                                 "neither 0 nor 1; ignored");
+    if (notice != availability::leaving_notice::leaving)
+        return;
+    if (!endpoint_leaving())
+        LOG4CPLUS_INFO(logger(), "endpoint is going to exit; new calls are "
+                                 "refused");
+    leaving_announced_at_ = now();
+}
+
+void call_executor::on_pause(availability::retry_after const& pause)
+{
+    std::visit(
+        kernel::overloaded{
+            [](availability::no_pause) {},
+            [](availability::unreadable_pause)
+            {
+                LOG4CPLUS_WARN(logger(), "endpoint's Retry-After is neither "
+                                         "seconds nor a date; ignored");
+            },
+            [&](availability::requested_pause const& it)
+            {
+                if (pause_.begin(now(), it.time))
+                    LOG4CPLUS_INFO(logger(), "endpoint wants no requests for "
+                                                 << it.time.count() << " ms");
+            }},
+        pause);
+}
+
+void call_executor::on_limit(call const& entry,
+                             availability::limit_notice const& notice)
+{
     auto const changed = std::visit(
         kernel::overloaded{
             [&](availability::no_limit)
-            { return limit_.on_not_named(entry->started_at, now()); },
+            { return limit_.on_not_named(entry.started_at, now()); },
             [](availability::unreadable_limit)
             {
                 LOG4CPLUS_WARN(logger(), "endpoint names a limit that is no "
@@ -252,7 +338,6 @@
                        << (limit_.rate() ? fmt::format("{}", *limit_.rate())
                                          : std::string("any number of"))
                        << " requests a second");
-    update_limit_wait();
 }
 
 void call_executor::refuse(call& entry, kernel::error reason)
@@ -365,7 +450,7 @@
             request, *dependencies_.configuration->current()))
         return fail(entry, std::move(*reason));
     // The endpoint may have named the limit while the call was queued.
-    if (auto reason = check_limit(entry))
+    if (auto reason = check_endpoint(entry))
         return fail(entry, std::move(*reason));
     bool const engine = request.target == wire::target_kind::engine;
     auto built = build_endpoint_request(
@@ -587,8 +672,7 @@
         if (it != nullptr)
             check_timeouts(*it);
     }
-    if (limit_.rate())
-        update_limit_wait();
+    update_endpoint_wait();
     start_queued_calls();
 }
 
--- a/packages/agent/internal/call_executor.hpp
+++ b/packages/agent/internal/call_executor.hpp
@@ -6,7 +6,11 @@
 #include "agent/internal/call_policy.hpp"
 #include "agent/internal/call_sender.hpp"
 #include "agent/internal/call_table.hpp"
+#include "availability/endpoint_pause.hpp"
 #include "availability/request_limit.hpp"
+#include "availability/types/leaving_notice.hpp"
+#include "availability/types/limit_notice.hpp"
+#include "availability/types/retry_after.hpp"
 #include "kernel/types/result.hpp"
 #include "wire/types/cancel.hpp"
 #include "wire/types/chunk_ack.hpp"
@@ -90,8 +94,7 @@
     std::size_t open_calls() const;
 
 private:
-    void on_limit_notice(std::uint64_t id,
-                         availability::limit_notice const& notice) override;
+    void on_notices(std::uint64_t id, endpoint_notices const& notices) override;
     void on_chunk(std::uint64_t id, std::string bytes) override;
     void on_end(std::uint64_t id, endpoint_result const& end) override;
 
@@ -100,8 +103,15 @@
     void admit(call& entry);
     void request_configuration(call& entry);
     void refuse(call& entry, kernel::error reason);
-    std::optional<kernel::error> check_limit(call& entry);
-    void update_limit_wait();
+    /// Returns the reason for refusing a call of an endpoint that is leaving,
+    /// pauses or is at its limit. Counts the call against the limit.
+    std::optional<kernel::error> check_endpoint(call& entry);
+    void forget_earlier_incarnation();
+    bool endpoint_leaving() const;
+    void on_leaving(availability::leaving_notice notice);
+    void on_pause(availability::retry_after const& pause);
+    void on_limit(call const& entry, availability::limit_notice const& notice);
+    void update_endpoint_wait();
     void start(call& entry);
     void claim(call& entry);
     void on_claimed(std::uint64_t id,
@@ -132,7 +142,11 @@
     bool starting_calls_ = false;
     /// All calls of the endpoint pass through this process.
     availability::request_limit limit_;
-    kernel::incarnation limited_incarnation_ = 0;
+    availability::endpoint_pause pause_;
+    /// When the endpoint last announced its exit.
+    std::optional<kernel::steady_time> leaving_announced_at_;
+    /// That to which limit, pause and exit belong.
+    kernel::incarnation endpoint_incarnation_ = 0;
 };
 
 } // namespace endiveward::agent
--- a/packages/agent/internal/endpoint_exchange.cpp
+++ b/packages/agent/internal/endpoint_exchange.cpp
@@ -2,7 +2,10 @@
 
 #include "agent/i_endpoint_observer.hpp"
 #include "agent/internal/http_transport.hpp"
+#include "agent/types/endpoint_notices.hpp"
+#include "availability/leaving_notice_reader.hpp"
 #include "availability/limit_notice_reader.hpp"
+#include "availability/retry_after_reader.hpp"
 
 #include <asio/io_context.hpp>
 #include <fmt/format.h>
@@ -24,6 +27,23 @@
 // Token usage is only read from response bodies up to this size.
 constexpr std::size_t max_usage_body_bytes = 1U << 20U;
 constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+endpoint_notices read_notices(http_head const& head)
+{
+    auto const find = [&](char const* name)
+    {
+        auto const it = head.headers.find(name);
+        return it == head.headers.end() ? nullptr : &it->second;
+    };
+    endpoint_notices res;
+    res.limit = availability::read_limit_notice(find("x-request-limit"));
+    res.leaving = availability::read_leaving_notice(find("x-leaving"));
+    if (head.status == status_unavailable)
+        res.pause =
+            availability::read_retry_after(find("retry-after"), find("date"));
+    return res;
+}
 
 kernel::error unknown_outcome(kernel::error_kind kind, std::string message)
 {
@@ -132,10 +152,7 @@
         return;
     head_ = head;
     has_head_ = true;
-    auto const limit = head.headers.find("x-request-limit");
-    observer_.on_limit_notice(
-        id_, availability::read_limit_notice(
-                 limit == head.headers.end() ? nullptr : &limit->second));
+    observer_.on_notices(id_, read_notices(head));
     // A refused resume request is handled when its transfer ends.
     bool const resumed = response_started_ || resume_attempts_ > 0;
     if (resumed && head.status != status_ok)
--- a/packages/agent/internal/http_endpoint_client.cpp
+++ b/packages/agent/internal/http_endpoint_client.cpp
@@ -165,12 +165,12 @@
         it->second.observer->on_chunk(id, std::move(bytes));
 }
 
-void http_endpoint_client::on_limit_notice(
-    std::uint64_t id, availability::limit_notice const& notice)
+void http_endpoint_client::on_notices(std::uint64_t id,
+                                      endpoint_notices const& notices)
 {
     auto const it = exchanges_.find(id);
     if (it != exchanges_.end())
-        it->second.observer->on_limit_notice(id, notice);
+        it->second.observer->on_notices(id, notices);
 }
 
 void http_endpoint_client::on_end(std::uint64_t id, endpoint_result const& end)
--- a/packages/agent/internal/http_endpoint_client.hpp
+++ b/packages/agent/internal/http_endpoint_client.hpp
@@ -47,8 +47,7 @@
     };
 
     void on_chunk(std::uint64_t id, std::string bytes) override;
-    void on_limit_notice(std::uint64_t id,
-                         availability::limit_notice const& notice) override;
+    void on_notices(std::uint64_t id, endpoint_notices const& notices) override;
     void on_end(std::uint64_t id, endpoint_result const& end) override;
     void
     fetch(http_request request,
--- a/packages/agent/internal/load_reporter.cpp
+++ b/packages/agent/internal/load_reporter.cpp
@@ -70,8 +70,7 @@
     load.running = static_cast<std::uint32_t>(queue_->running());
     load.queued = static_cast<std::uint32_t>(queue_->queued());
     load.capacity = static_cast<std::uint32_t>(queue_->capacity());
-    // Routers that count the limit as a wait send calls elsewhere.
-    load.queue_wait = std::max(queue_->estimated_wait(), limit_wait_);
+    load.queue_wait = std::max(queue_->estimated_wait(), endpoint_wait_);
     load.draining = queue_->draining();
     load.models = engine_.models;
     load.recent_levels = recent_levels_.list();
--- a/packages/agent/internal/load_reporter.hpp
+++ b/packages/agent/internal/load_reporter.hpp
@@ -37,9 +37,12 @@
     kernel::incarnation engine_incarnation() const;
     /// Records the prefix levels of an accepted call.
     void record_prefix_levels(std::span<wire::prefix_level const> levels);
-    /// Time until the endpoint takes the next call, because of a limit that it
-    /// names.
-    void set_limit_wait(std::chrono::milliseconds wait) { limit_wait_ = wait; }
+    /// Time until the endpoint takes the next call, because it is leaving, asks
+    /// for a pause or names a limit.
+    void set_endpoint_wait(std::chrono::milliseconds wait)
+    {
+        endpoint_wait_ = wait;
+    }
     /// Whether the engine is reachable, so that its newest report is valid.
     bool engine_up() const { return engine_up_; }
 
@@ -54,7 +57,7 @@
     engine_load engine_;
     placement::recent_levels recent_levels_;
     bool engine_up_ = false;
-    std::chrono::milliseconds limit_wait_{0};
+    std::chrono::milliseconds endpoint_wait_{0};
     kernel::snapshot<wire::load_report> published_;
 };
 
--- a/packages/agent/tests/call_executor_test.cpp
+++ b/packages/agent/tests/call_executor_test.cpp
@@ -705,4 +705,67 @@
     CHECK(agent.endpoint->started.size() == 4);
 }
 
+// Guards against calls that reach an endpoint within the time for which it
+// wants none, and against all routers' calls that come back at once.
+TEST_CASE("an endpoint gets no calls for the time that it asked for")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    endpoint_notices notices;
+    notices.pause = availability::requested_pause{2000ms, false};
+    agent.endpoint->send_notices(0, notices);
+    agent.endpoint->finish(0);
+    for (std::uint64_t n = 0; n < 19; ++n)
+    {
+        agent.advance(100ms);
+        agent.executor->on_invoke(agent.other, agent.make_invoke(2 + n));
+        auto const verdict = agent.other->all<wire::verdict>().back();
+        REQUIRE(verdict.refusal);
+        CHECK(verdict.refusal->kind == error_kind::overloaded);
+        CHECK(verdict.refusal->run == run_state::not_run);
+        REQUIRE(verdict.refusal->retry_after);
+        CHECK(*verdict.refusal->retry_after > 0ms);
+        CHECK(verdict.load.queue_wait > 0ms);
+    }
+    CHECK(agent.endpoint->started.size() == 1);
+    // The end of the pause is spread by a quarter of it.
+    agent.advance(600ms);
+    agent.executor->on_invoke(agent.router, agent.make_invoke(30));
+    CHECK(agent.endpoint->started.size() == 2);
+    agent.executor->on_invoke(agent.router, agent.make_invoke(31));
+    CHECK(agent.router->all<wire::verdict>().back().refusal);
+    agent.advance(1100ms);
+    agent.executor->on_invoke(agent.router, agent.make_invoke(32));
+    CHECK_FALSE(agent.router->all<wire::verdict>().back().refusal);
+}
+
+// Guards against calls that reach an endpoint after it has announced its exit,
+// and against one that stays out of use after its restart.
+TEST_CASE("an endpoint that is going to exit gets no calls until it restarts")
+{
+    agent_under_test agent;
+    agent.executor->on_invoke(agent.router, agent.make_invoke(1));
+    agent.executor->on_invoke(agent.router, agent.make_invoke(2));
+    REQUIRE(agent.endpoint->started.size() == 1);
+    endpoint_notices notices;
+    notices.leaving = availability::leaving_notice::leaving;
+    agent.endpoint->send_notices(0, notices);
+    agent.endpoint->finish(0);
+    // The call that was queued.
+    auto const end = agent.router->all<wire::call_end>().back();
+    REQUIRE(end.failure);
+    CHECK(end.failure->run == run_state::not_run);
+    agent.advance(60s);
+    agent.executor->on_invoke(agent.router, agent.make_invoke(3));
+    CHECK(agent.router->all<wire::verdict>().back().refusal);
+    CHECK(agent.endpoint->started.size() == 1);
+    engine_load loaded;
+    loaded.incarnation = 8;
+    loaded.capacity = 1;
+    loaded.models = {{kernel::model_id("m"), kernel::model_version("v1")}};
+    agent.load->update_engine_load(loaded);
+    agent.executor->on_invoke(agent.router, agent.make_invoke(4));
+    CHECK(agent.endpoint->started.size() == 2);
+}
+
 } // namespace endiveward::agent
--- a/packages/agent/tests/fakes.hpp
+++ b/packages/agent/tests/fakes.hpp
@@ -9,6 +9,7 @@
 #include "admission/types/queue_refusal.hpp"
 #include "agent/i_endpoint_client.hpp"
 #include "agent/i_endpoint_observer.hpp"
+#include "agent/types/endpoint_notices.hpp"
 #include "agent/types/endpoint_result.hpp"
 #include "config/i_config_state.hpp"
 #include "config/i_configuration.hpp"
@@ -411,9 +412,15 @@
     {
         started.at(n).observer->on_chunk(started.at(n).id, std::move(bytes));
     }
+    void send_notices(std::size_t n, endpoint_notices const& notices)
+    {
+        started.at(n).observer->on_notices(started.at(n).id, notices);
+    }
     void name_limit(std::size_t n, availability::limit_notice const& notice)
     {
-        started.at(n).observer->on_limit_notice(started.at(n).id, notice);
+        endpoint_notices notices;
+        notices.limit = notice;
+        send_notices(n, notices);
     }
     void finish(std::size_t n, std::optional<kernel::error> failure = {})
     {
--- a/packages/agent/tests/http_endpoint_client_test.cpp
+++ b/packages/agent/tests/http_endpoint_client_test.cpp
@@ -1,6 +1,7 @@
 #include "agent/i_endpoint_observer.hpp"
 #include "agent/internal/http_endpoint_client.hpp"
 #include "agent/tests/fake_engine.hpp"
+#include "agent/types/endpoint_notices.hpp"
 #include "agent/types/endpoint_result.hpp"
 #include "placement/cache_namespace.hpp"
 
@@ -25,10 +26,9 @@
     {
         chunks.push_back(std::move(bytes));
     }
-    void on_limit_notice(std::uint64_t,
-                         availability::limit_notice const& it) override
+    void on_notices(std::uint64_t, endpoint_notices const& it) override
     {
-        limits.push_back(it);
+        notices.push_back(it);
     }
     void on_end(std::uint64_t, endpoint_result const& it) override
     {
@@ -44,7 +44,7 @@
     }
 
     std::vector<std::string> chunks;
-    std::vector<availability::limit_notice> limits;
+    std::vector<endpoint_notices> notices;
     std::optional<endpoint_result> end;
 };
 
@@ -125,21 +125,32 @@
     CHECK(request.find("X-Model-Version: v1") != std::string::npos);
 }
 
-// Guards against a limit that is read from some responses only.
-TEST_CASE("the limit that an endpoint names is read from each response")
+// Guards against a limit, an exit or a pause that is read from some responses
+// only.
+TEST_CASE("what an endpoint says about itself is read from each response")
 {
     auto const status =
         GENERATE(std::string("200 OK"), std::string("503 Unavailable"));
-    fake_engine engine({{json_response(
-        status, "{}", "X-Request-Limit: 1.5\r\nX-Model-Version: v1\r\n")}});
+    fake_engine engine(
+        {{json_response(status, "{}",
+                        "X-Request-Limit: 1.5\r\nX-Leaving: 1\r\n"
+                        "Retry-After: 1.5\r\nX-Model-Version: v1\r\n")}});
     client_under_test test(engine.url());
     auto request = make_stream_request();
     request.streaming = false;
     test.client.start(1, request, test.observer);
     test.run_to_end();
-    REQUIRE(test.observer.limits.size() == 1);
-    CHECK(test.observer.limits[0] ==
+    REQUIRE(test.observer.notices.size() == 1);
+    auto const& seen = test.observer.notices[0];
+    CHECK(seen.limit ==
           availability::limit_notice(availability::named_limit{1.5}));
+    CHECK(seen.leaving == availability::leaving_notice::leaving);
+    // Only a refusal asks for a pause.
+    auto const is_refusal = status.starts_with("503");
+    CHECK(seen.pause ==
+          (is_refusal ? availability::retry_after(availability::requested_pause{
+                            std::chrono::milliseconds(1500), false})
+                      : availability::retry_after(availability::no_pause())));
 }
 
 // Guards against events that are lost, repeated or reordered when the engine's
