availability: Refuse no request of several that were at the same two crashes

Requests that end with one endpoint are retried together with the one that crashes it, and may end with the next endpoint, too. Each of them was then refused for 15 s and more, although only one is the cause. Whole requests at the same two crashes are now told apart by the next crash or an answer; three crashes quarantine them all.

--- a/packages/availability/internal/part_quarantine.cpp
+++ b/packages/availability/internal/part_quarantine.cpp
@@ -306,6 +306,10 @@
 /// of its crashes, or another one at the same place was at more. A crash
 /// without that other part ends this. A whole request is no such explanation
 /// for its parts: other requests with them may crash endpoints just as well.
+///
+/// Requests that end with one endpoint are retried together and may end with
+/// the next one, too. Of whole requests that were at the same two crashes, none
+/// is quarantined until the next crash tells them apart.
 bool part_quarantine::has_better_explanation(part_key part,
                                              suspect const& it) const
 {
@@ -317,9 +321,13 @@
             constexpr auto request_depth = request_keys::request_depth;
             if ((other.depth == request_depth) != (it.depth == request_depth))
                 return false;
+            auto const undecided = it.depth == request_depth &&
+                                   it.crashes.size() == settings_.min_crashes &&
+                                   other.crashes.size() == it.crashes.size();
             auto const likelier = other.depth > it.depth ||
                                   (other.depth == it.depth &&
-                                   other.crashes.size() > it.crashes.size());
+                                   other.crashes.size() > it.crashes.size()) ||
+                                  undecided;
             return entry.first != part && likelier &&
                    std::all_of(it.crashes.begin(), it.crashes.end(),
                                [&](auto const& crash)
--- a/packages/gateway/internal/limit_watch.cpp
+++ b/packages/gateway/internal/limit_watch.cpp
@@ -73,7 +73,7 @@
             {
                 if (!limit.on_not_named(sent, now))
                     return;
-                on_changed(endpoint, "answer", true);
+                log_change(endpoint, "answer", true);
                 news_.changes.push_back(
                     {endpoint_key(endpoint.entry()), 0, true});
                 plan_news();
@@ -89,7 +89,7 @@
                 limit.set_share(share_, now);
                 if (!limit.on_named(named.requests_per_second, now))
                     return;
-                on_changed(endpoint, "answer", false);
+                log_change(endpoint, "answer", false);
                 news_.changes.push_back({endpoint_key(endpoint.entry()),
                                          named.requests_per_second, false});
                 plan_news();
@@ -103,7 +103,7 @@
     auto const now = clock_.now();
     endpoint.limit().set_share(share_, now);
     if (endpoint.limit().on_agent_report(per_second, now))
-        on_changed(endpoint, "agent", !per_second);
+        log_change(endpoint, "agent", !per_second);
 }
 
 void limit_watch::on_report(wire::limit_report const& report)
@@ -135,7 +135,7 @@
         limit.set_share(share_, now);
         if (it.ended ? limit.on_end_reported(now)
                      : limit.on_reported(it.rate, now))
-            on_changed(*endpoint, "report", it.ended);
+            log_change(*endpoint, "report", it.ended);
     }
     for (auto const& it : requests)
     {
@@ -159,7 +159,7 @@
                         { it.limit().set_share(share, now); });
 }
 
-void limit_watch::on_changed(endpoint_record const& endpoint,
+void limit_watch::log_change(endpoint_record const& endpoint,
                              std::string_view source, bool ended) const
 {
     log_.write("endpoint_limit", "endpoint={} source={} ended={} per_second={}",
--- a/packages/gateway/limit_watch.hpp
+++ b/packages/gateway/limit_watch.hpp
@@ -57,7 +57,13 @@
     void set_share(std::size_t processes, bool connected);
 
 private:
-    void on_changed(endpoint_record const& endpoint, std::string_view source,
+    struct counted_request
+    {
+        kernel::steady_time at{};
+        std::uint64_t request = 0;
+    };
+
+    void log_change(endpoint_record const& endpoint, std::string_view source,
                     bool ended) const;
     /// Returns false if the request was counted before.
     bool remember(std::uint64_t request);
@@ -73,11 +79,6 @@
     news_handler on_news_;
     asio::steady_timer timer_;
     bool news_planned_ = false;
-    struct counted_request
-    {
-        kernel::steady_time at{};
-        std::uint64_t request = 0;
-    };
     /// Oldest first.
     std::deque<counted_request> counted_;
     std::unordered_set<std::uint64_t> counted_keys_;
