agent: Decide on an endpoint's availability apart from the calls

The checks for an endpoint that leaves, pauses or names a limit stood inside call_executor, between messages and timers. endpoint_availability decides without I/O.

--- a/packages/agent/internal/call_executor.cpp
+++ b/packages/agent/internal/call_executor.cpp
@@ -9,22 +9,16 @@
 #include "agent/internal/agent_metrics.hpp"
 #include "agent/internal/endpoint_request_builder.hpp"
 #include "agent/internal/load_reporter.hpp"
-#include "agent/types/endpoint_notices.hpp"
 #include "agent/types/endpoint_result.hpp"
 #include "config/i_config_state.hpp"
 #include "config/i_configuration.hpp"
-#include "kernel/types/result.hpp"
 #include "wire/i_connection.hpp"
 
-#include <fmt/format.h>
-#include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 
 #include <algorithm>
 #include <utility>
-#include <variant>
 
 namespace endiveward::agent
 {
@@ -39,24 +33,12 @@
 // `outcome_unknown`.
 constexpr std::size_t max_recorded_response = 1U << 20U;
 constexpr std::size_t replay_chunk_bytes = 64U << 10U;
-/// Time in which an endpoint that leaves is replaced, as a rule.
-constexpr std::chrono::milliseconds replacement_time{2000};
-constexpr std::chrono::seconds leaving_retention{30};
-/// Soonest return of a call that was refused while traffic returns after a
-/// pause.
-constexpr std::chrono::milliseconds return_time{100};
 
 kernel::error not_run(kernel::error_kind kind, std::string message)
 {
     return {kind, std::move(message), kernel::run_state::not_run, {}};
 }
 
-log4cplus::Logger logger()
-{
-    return log4cplus::Logger::getInstance(
-        LOG4CPLUS_TEXT("endiveward.agent.calls"));
-}
-
 kernel::hash128 hash_request(wire::invoke const& request)
 {
     std::string all;
@@ -78,7 +60,6 @@
     , policy_(dependencies_.load, std::move(identity))
     , sender_(dependencies_.load, dependencies_.configuration)
     , average_service_time_(0)
-    , pause_(availability::pause_settings(), 0)
 {
 }
 
@@ -199,75 +180,27 @@
     }
 }
 
-/// A call that waited for its turn here could have run at another endpoint.
+/// Returns the reason for not sending the call to the endpoint, if there is
+/// one.
 std::optional<kernel::error> call_executor::check_endpoint(call& entry)
 {
-    forget_earlier_incarnation();
-    auto const refusal = [&](std::string message, kernel::steady_time until)
-    {
-        auto res = not_run(kernel::error_kind::overloaded, std::move(message));
-        res.retry_after =
-            std::chrono::ceil<std::chrono::milliseconds>(until - now());
-        return res;
-    };
-    update_endpoint_wait();
-    if (endpoint_leaving())
-        return refusal("the endpoint is going to exit; use another endpoint",
-                       now() + replacement_time);
-    if (auto const until = pause_.paused_until(now()))
-        return refusal("the endpoint wants no requests for a time; retry later "
-                       "or use another endpoint",
-                       *until);
-    if (!pause_.allows(
-            now(), static_cast<std::uint32_t>(dependencies_.queue->running() +
-                                              dependencies_.queue->queued())) &&
-        entry.state != call_state::claiming)
-        return refusal("calls return to the endpoint one after the other after "
-                       "a pause; retry later or use another endpoint",
-                       now() + return_time);
-    if (entry.counted_by_limit || !limit_.rate())
-        return std::nullopt;
-    if (auto const until = limit_.blocked_until(now()))
-        return refusal(
-            fmt::format("the endpoint takes {} requests a second; retry later "
-                        "or use another endpoint",
-                        *limit_.rate()),
-            *until);
-    entry.counted_by_limit = true;
-    limit_.on_sent(now());
+    auto const& queue = *dependencies_.queue;
+    availability_.on_incarnation(dependencies_.load->engine_incarnation());
+    auto const limited = availability_.limited();
+    auto res =
+        entry.state == call_state::pending_admission
+            ? availability_.admit(now(), static_cast<std::uint32_t>(
+                                             queue.running() + queue.queued()))
+            : availability_.start(now(), entry.counted_by_limit);
+    entry.counted_by_limit = entry.counted_by_limit || limited;
     update_endpoint_wait();
-    return std::nullopt;
-}
-
-void call_executor::forget_earlier_incarnation()
-{
-    auto const incarnation = dependencies_.load->engine_incarnation();
-    if (std::exchange(endpoint_incarnation_, incarnation) == incarnation)
-        return;
-    limit_.reset();
-    pause_.reset();
-    leaving_announced_at_.reset();
-}
-
-bool call_executor::endpoint_leaving() const
-{
-    if (!leaving_announced_at_)
-        return false;
-    // A plain service has no incarnation that would show its restart.
-    return endpoint_incarnation_ != 0 ||
-           now() - *leaving_announced_at_ < leaving_retention;
+    return res;
 }
 
 /// Routers count the wait, so that they send calls elsewhere.
 void call_executor::update_endpoint_wait()
 {
-    auto until = now();
-    if (endpoint_leaving())
-        until += replacement_time;
-    until = std::max(until, pause_.paused_until(now()).value_or(until));
-    until = std::max(until, limit_.blocked_until(now()).value_or(until));
-    dependencies_.load->set_endpoint_wait(
-        std::chrono::ceil<std::chrono::milliseconds>(until - now()));
+    dependencies_.load->set_endpoint_wait(availability_.wait(now()));
 }
 
 void call_executor::on_notices(std::uint64_t id,
@@ -276,70 +209,11 @@
     auto* const entry = calls_.find(id);
     if (entry == nullptr || entry->state != call_state::running)
         return;
-    forget_earlier_incarnation();
-    on_leaving(notices.leaving);
-    on_pause(notices.pause);
-    on_limit(*entry, notices.limit);
+    availability_.on_incarnation(dependencies_.load->engine_incarnation());
+    availability_.on_notices(notices, entry->started_at, now());
     update_endpoint_wait();
 }
 
-void call_executor::on_leaving(availability::leaving_notice notice)
-{
-    if (notice == availability::leaving_notice::unreadable)
-        LOG4CPLUS_WARN(logger(), "endpoint's announcement of its exit is "
-                                 "neither 0 nor 1; ignored");
-    if (notice != availability::leaving_notice::leaving)
-        return;
-    if (!endpoint_leaving())
-        LOG4CPLUS_INFO(logger(), "endpoint is going to exit; new calls are "
-                                 "refused");
-    leaving_announced_at_ = now();
-}
-
-void call_executor::on_pause(availability::retry_after const& pause)
-{
-    std::visit(
-        kernel::overloaded{
-            [](availability::no_pause) {},
-            [](availability::unreadable_pause)
-            {
-                LOG4CPLUS_WARN(logger(), "endpoint's Retry-After is neither "
-                                         "seconds nor a date; ignored");
-            },
-            [&](availability::requested_pause const& it)
-            {
-                if (pause_.begin(now(), it.time))
-                    LOG4CPLUS_INFO(logger(), "endpoint wants no requests for "
-                                                 << it.time.count() << " ms");
-            }},
-        pause);
-}
-
-void call_executor::on_limit(call const& entry,
-                             availability::limit_notice const& notice)
-{
-    auto const changed = std::visit(
-        kernel::overloaded{
-            [&](availability::no_limit)
-            { return limit_.on_not_named(entry.started_at, now()); },
-            [](availability::unreadable_limit)
-            {
-                LOG4CPLUS_WARN(logger(), "endpoint names a limit that is no "
-                                         "decimal number; ignored");
-                return false;
-            },
-            [&](availability::named_limit const& named)
-            { return limit_.on_named(named.requests_per_second, now()); }},
-        notice);
-    if (!changed)
-        return;
-    LOG4CPLUS_INFO(logger(),
-                   "endpoint takes "
-                       << (limit_.rate() ? fmt::format("{}", *limit_.rate())
-                                         : std::string("any number of"))
-                       << " requests a second");
-}
-
 void call_executor::refuse(call& entry, kernel::error reason)
 {
     dependencies_.metrics->count_refusal(reason.kind);
--- a/packages/agent/internal/call_executor.hpp
+++ b/packages/agent/internal/call_executor.hpp
@@ -6,11 +6,7 @@
 #include "agent/internal/call_policy.hpp"
 #include "agent/internal/call_sender.hpp"
 #include "agent/internal/call_table.hpp"
-#include "availability/endpoint_pause.hpp"
-#include "availability/request_limit.hpp"
-#include "availability/types/leaving_notice.hpp"
-#include "availability/types/limit_notice.hpp"
-#include "availability/types/retry_after.hpp"
+#include "agent/internal/endpoint_availability.hpp"
 #include "kernel/types/result.hpp"
 #include "wire/types/cancel.hpp"
 #include "wire/types/chunk_ack.hpp"
@@ -103,14 +99,7 @@
     void admit(call& entry);
     void request_configuration(call& entry);
     void refuse(call& entry, kernel::error reason);
-    /// Returns the reason for refusing a call of an endpoint that is leaving,
-    /// pauses or is at its limit. Counts the call against the limit.
     std::optional<kernel::error> check_endpoint(call& entry);
-    void forget_earlier_incarnation();
-    bool endpoint_leaving() const;
-    void on_leaving(availability::leaving_notice notice);
-    void on_pause(availability::retry_after const& pause);
-    void on_limit(call const& entry, availability::limit_notice const& notice);
     void update_endpoint_wait();
     void start(call& entry);
     void claim(call& entry);
@@ -140,13 +129,7 @@
     /// Moving average of the service time; 0 until the first measurement.
     std::chrono::milliseconds average_service_time_;
     bool starting_calls_ = false;
-    /// All calls of the endpoint pass through this process.
-    availability::request_limit limit_;
-    availability::endpoint_pause pause_;
-    /// When the endpoint last announced its exit.
-    std::optional<kernel::steady_time> leaving_announced_at_;
-    /// That to which limit, pause and exit belong.
-    kernel::incarnation endpoint_incarnation_ = 0;
+    endpoint_availability availability_;
 };
 
 } // namespace endiveward::agent
