gateway: Use only a share of a limit while agents are silent

A link may be silent for seconds before it is noticed to be broken. A router that hears of no other one then used the whole limit of an endpoint. After 1.5 s without a report of any agent it uses its share.

--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -124,7 +124,7 @@
     auto const was_leaving = found->leaving();
     found->on_state(state, clock_.now());
     limits_->on_agent_report(*found, state.request_limit);
-    limits_->set_share(processes_, true);
+    limits_->set_processes(processes_, true);
     update_process_count(state.routers);
     if (!was_leaving && found->leaving())
     {
@@ -174,10 +174,10 @@
 /// Routers learn of each other's requests from the agents.
 void gateway::update_limit_share()
 {
-    bool connected = false;
+    bool linked = false;
     endpoints_->for_each([&](endpoint_record const& it, upstream_pool&)
-                         { connected = connected || it.linked(); });
-    limits_->set_share(processes_, connected);
+                         { linked = linked || it.linked(); });
+    limits_->set_processes(processes_, linked);
 }
 
 void gateway::on_part_report(wire::part_report const& report)
@@ -243,6 +243,7 @@
                 return;
             endpoints_->for_each([](endpoint_record&, upstream_pool& pool)
                                  { pool.close_expired(); });
+            limits_->update_share();
             tick();
         });
 }
--- a/packages/gateway/internal/limit_watch.cpp
+++ b/packages/gateway/internal/limit_watch.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds news_delay{5};
 /// A request is reported through several agents, all within this time.
 constexpr std::chrono::seconds counted_retention{5};
+/// Agents of engines with traffic report several times a second.
+constexpr std::chrono::milliseconds max_agent_silence{1500};
 
 } // namespace
 
@@ -101,6 +103,7 @@
                                   std::optional<double> per_second)
 {
     auto const now = clock_.now();
+    last_agent_report_ = now;
     endpoint.limit().set_share(share_, now);
     if (endpoint.limit().on_agent_report(per_second, now))
         log_change(endpoint, "agent", !per_second);
@@ -144,17 +147,25 @@
     }
 }
 
-void limit_watch::set_share(std::size_t processes, bool connected)
+void limit_watch::set_processes(std::size_t processes, bool linked)
 {
-    auto const share =
-        connected
-            ? 1
-            : 1 / static_cast<double>(std::max<std::size_t>(processes, 1));
+    processes_ = std::max<std::size_t>(processes, 1);
+    linked_ = linked;
+    update_share();
+}
+
+/// A link may be silent for seconds before it is noticed to be broken. The
+/// other processes then send what this one does not hear of.
+void limit_watch::update_share()
+{
+    auto const now = clock_.now();
+    auto const connected =
+        linked_ && now - last_agent_report_ <= max_agent_silence;
+    auto const share = connected ? 1 : 1 / static_cast<double>(processes_);
     if (std::exchange(share_, share) == share)
         return;
     log_.write("limit_share", "share={:.4f} processes={} connected={}", share,
-               processes, connected);
-    auto const now = clock_.now();
+               processes_, connected);
     endpoints_.for_each([&](endpoint_record& it, upstream_pool&)
                         { it.limit().set_share(share, now); });
 }
--- a/packages/gateway/limit_watch.hpp
+++ b/packages/gateway/limit_watch.hpp
@@ -52,9 +52,11 @@
     void on_agent_report(endpoint_record& endpoint,
                          std::optional<double> per_second);
     void on_report(wire::limit_report const& report);
-    /// `processes` share the limits; `connected` tells whether this one is told
-    /// what the others send.
-    void set_share(std::size_t processes, bool connected);
+    /// `processes` share the limits; `linked` tells whether this one has links
+    /// to agents, which pass on what the others send.
+    void set_processes(std::size_t processes, bool linked);
+    /// Checks whether agents still report. To be called regularly.
+    void update_share();
 
 private:
     struct counted_request
@@ -74,6 +76,9 @@
     observe::decision_log& log_;
     std::uint64_t const seed_;
     std::uint64_t sent_ = 0;
+    std::size_t processes_ = 1;
+    bool linked_ = false;
+    kernel::steady_time last_agent_report_{};
     double share_ = 1;
     wire::limit_report news_;
     news_handler on_news_;
