--- a/packages/follower/internal/cluster_view.cpp
+++ b/packages/follower/internal/cluster_view.cpp
@@ -255,10 +255,10 @@
             auto const& entry = kernel::value(decoded);
             log_.write("endpoint_entry",
                        "endpoint={} incarnation={} service={} address={}:{} "
-                       "draining={} row_version={}",
+                       "software={} draining={} row_version={}",
                        it.key, entry.incarnation, entry.service.str(),
-                       entry.host, entry.port, entry.draining,
-                       it.position.version);
+                       entry.host, entry.port, entry.software.str(),
+                       entry.draining, it.position.version);
             entries_[it.key] = entry;
             continue;
         }
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -108,6 +108,7 @@
     unserved_request describe_unserved() const;
     bool prepare_retry(std::string_view reason);
     bool has_alternative() const;
+    std::string resumed_after() const;
     void resume_stream(std::string_view reason);
     void answer_collected();
     void release_upstream(bool ended);
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -362,20 +362,33 @@
         "sent",
         "id={} route={} endpoint={} zone={} attempt={} version={} weights={} "
         "prefix={:x} shared={} known={} uncached={} source={} expect_ms={} "
-        "in_flight={} left_ms={} limit={} request={:x}",
+        "in_flight={} left_ms={} limit={} request={:x} software={} resumes={} "
+        "after_event={}",
         id_, route_->name, entry.id.str(), entry.zone.str(),
         runs_ + refusals_ + failed_connects_, requested_version_,
         to_text(choice.weights), choice.shared.key, choice.shared.tokens,
         choice.reusable_tokens, footprint_.uncached_tokens, choice.kv.source,
         expected_first_byte_.count(), endpoint_->in_flight(),
-        time_left().count(), to_text(endpoint_->limit().rate()),
-        *keys_.request);
+        time_left().count(), to_text(endpoint_->limit().rate()), *keys_.request,
+        entry.software.str(),
+        request_.headers.value_or(services_.names.resumed_request, ""),
+        resumed_after());
     upstream_->send(pool_->peer(),
                     build_request(request_, fields, services_.names), id_,
                     request_.method == "HEAD", *this);
     arm(next_check());
 }
 
+/// The id of the event after which the endpoint is to resume the stream; empty
+/// for a new one.
+std::string exchange::resumed_after() const
+{
+    if (last_event_)
+        return fmt::to_string(*last_event_);
+    return std::string(
+        request_.headers.value_or(services_.names.last_event_id, ""));
+}
+
 /// The endpoint may have asked for no requests, or named a limit, in an answer
 /// to another one while the connection was established.
 bool exchange::may_send() const
--- a/packages/gateway/types/endpoint_entry.hpp
+++ b/packages/gateway/types/endpoint_entry.hpp
@@ -23,6 +23,8 @@
     std::uint16_t port = 0;
     kernel::zone_id zone;
     std::uint32_t slots = 0;
+    /// Empty if the endpoint names none.
+    kernel::software_version software;
     bool draining = false;
     std::map<kernel::model_id, weights::weight_version> models;
 
--- a/packages/gateway/types/header_field_names.hpp
+++ b/packages/gateway/types/header_field_names.hpp
@@ -25,6 +25,9 @@
     /// Parts of the prompt as `ID:TOKENS`, comma-separated.
     std::string prompt_parts;
     std::string last_event_id;
+    /// Set by a caller that takes up a stream: the id of the request that
+    /// brought the stream's first event.
+    std::string resumed_request;
     /// Engines reuse cached parts only under the same salt.
     std::string cache_salt;
     std::string priority;
--- a/packages/kernel/types/identifiers.hpp
+++ b/packages/kernel/types/identifiers.hpp
@@ -42,6 +42,9 @@
 using zone_id = identifier<struct zone_tag>;
 using region_id = identifier<struct region_tag>;
 using process_id = identifier<struct process_tag>;
+/// Version of an endpoint's software, not of its model's weights. Versions have
+/// no order.
+using software_version = identifier<struct software_version_tag>;
 
 /// Distinguishes two lives of one process or engine. Zero means unknown.
 using incarnation = std::uint64_t;
