--- a/packages/gateway/tests/support/scripted_endpoint.hpp
+++ b/packages/gateway/tests/support/scripted_endpoint.hpp
@@ -154,6 +154,9 @@
     {
         request_reader reader({1U << 16U, 1U << 20U});
         scripted_connection conn(socket);
+        // A reset would discard events that wait for an acknowledgement.
+        std::error_code ec;
+        socket.set_option(asio::ip::tcp::no_delay(true), ec);
         std::string input;
         std::vector<char> buffer(4096);
         timeval const limit{0, 50000};
--- a/packages/gateway/tests/support/test_gateway.hpp
+++ b/packages/gateway/tests/support/test_gateway.hpp
@@ -84,6 +84,18 @@
             { gateway_.apply(std::make_shared<routing_table const>(config)); });
     }
 
+    /// The entry of endpoint `eN` of service `s`.
+    static endpoint_entry entry(std::size_t number, std::uint16_t port)
+    {
+        endpoint_entry res;
+        res.id = kernel::endpoint_id("e" + std::to_string(number));
+        res.service = kernel::service_id("s");
+        res.host = "127.0.0.1";
+        res.port = port;
+        res.slots = 8;
+        return res;
+    }
+
     /// Registers endpoints `e0`, `e1` and so on at these ports. The gateway's
     /// own zone is empty.
     void set_endpoints(std::vector<std::uint16_t> const& ports,
@@ -92,17 +104,17 @@
         std::vector<endpoint_entry> entries;
         for (std::size_t n = 0; n < ports.size(); ++n)
         {
-            endpoint_entry it;
-            it.id = kernel::endpoint_id("e" + std::to_string(n));
-            it.service = kernel::service_id("s");
-            it.host = "127.0.0.1";
-            it.port = ports[n];
-            it.slots = 8;
+            auto it = entry(n, ports[n]);
             if (n < zones.size() && !zones[n].empty())
                 it.zone = kernel::zone_id(zones[n]);
             entries.push_back(it);
         }
-        run([&] { gateway_.apply(entries); });
+        set_entries(std::move(entries));
+    }
+
+    void set_entries(std::vector<endpoint_entry> entries)
+    {
+        run([&] { gateway_.apply(std::move(entries)); });
     }
 
     template <typename F>
--- a/packages/gateway/tests/support/test_names.hpp
+++ b/packages/gateway/tests/support/test_names.hpp
@@ -19,6 +19,7 @@
     res.token_counts = "X-Tokens";
     res.prompt_parts = "X-Parts";
     res.last_event_id = "X-Last-Event";
+    res.resumed_request = "X-Resumes";
     res.cache_salt = "X-Salt";
     res.priority = "X-Priority";
     res.expected_version = "X-Version-Wanted";
