gateway: Resume a broken stream only at its software version

Cause: a stream was resumed at the cheapest endpoint of its service. Nothing read the software version.

The version of the endpoint that wrote the first event is now a requirement for all further attempts, of the choice as well as of the decision to wait. A request that waits for its connection is withdrawn if the endpoint is listed with another version meanwhile. If that is learned only while the stream runs, the version that began it is unknown and the stream is not resumed anywhere.

--- a/packages/gateway/endpoint_outages.hpp
+++ b/packages/gateway/endpoint_outages.hpp
@@ -16,7 +16,8 @@
 struct endpoint_requirements;
 
 /// Returns why each of the endpoints, none of which the chooser has found
-/// usable, cannot take the request.
+/// usable, cannot take the request. Those with another software version than
+/// the request requires are left out.
 std::vector<endpoint_outage>
 find_outages(std::span<std::shared_ptr<endpoint_record> const> endpoints,
              endpoint_requirements const& requirements,
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -109,6 +109,8 @@
     bool prepare_retry(std::string_view reason);
     bool has_alternative() const;
     std::string resumed_after() const;
+    bool has_changed_software() const;
+    bool check_software();
     void resume_stream(std::string_view reason);
     void answer_collected();
     void release_upstream(bool ended);
@@ -154,6 +156,10 @@
     /// The endpoint's generation when the request was sent.
     std::uint64_t sent_generation_ = 0;
     weights::weight_version requested_version_ = 0;
+    /// The endpoint's software version when the request was sent.
+    kernel::software_version sent_software_;
+    /// Whether the attempt resumes a stream.
+    bool resumes_ = false;
     kernel::steady_time sent_at_{};
     kernel::steady_time last_event_at_{};
     std::chrono::milliseconds expected_first_byte_{0};
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -58,6 +58,13 @@
     return std::find(list.begin(), list.end(), id) != list.end();
 }
 
+bool has_required_software(endpoint_record const& it,
+                           endpoint_requirements const& requirements)
+{
+    return !requirements.software ||
+           it.entry().software == *requirements.software;
+}
+
 std::string address_of(endpoint_entry const& entry)
 {
     return fmt::format("{}:{}", entry.host, entry.port);
@@ -225,6 +232,7 @@
     {
         auto const& id = it->entry().id;
         if (it->available(context.now) && !it->reloading() &&
+            has_required_software(*it, context.requirements) &&
             !contains(context.requirements.excluded, id))
             ranked.emplace_back(
                 rendezvous_rank(id.str(), context.requirements.seed), it.get());
@@ -266,7 +274,8 @@
 {
     auto const& requirements = context.requirements;
     auto const now = context.now;
-    if (!it->available(now) || contains(requirements.excluded, it->entry().id))
+    if (!it->available(now) || !has_required_software(*it, requirements) ||
+        contains(requirements.excluded, it->entry().id))
         return std::nullopt;
     candidate res;
     res.choice.endpoint = it;
--- a/packages/gateway/internal/endpoint_outages.cpp
+++ b/packages/gateway/internal/endpoint_outages.cpp
@@ -34,6 +34,9 @@
     res.reserve(endpoints.size());
     for (auto const& it : endpoints)
     {
+        if (requirements.software &&
+            it->entry().software != *requirements.software)
+            continue;
         endpoint_outage outage;
         outage.until = it->unusable_until(now);
         outage.loading = it->reloading() ||
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -342,6 +342,8 @@
     footprint_ = choice.footprint;
     sent_generation_ = endpoint_->generation();
     requested_version_ = choice.version;
+    sent_software_ = entry.software;
+    resumes_ = requirements_.software.has_value();
     expected_first_byte_ = choice.time_to_first_byte;
     response_started_ = false;
     has_output_ = false;
@@ -390,11 +392,19 @@
 }
 
 /// The endpoint may have asked for no requests, or named a limit, in an answer
-/// to another one while the connection was established.
+/// to another one while the connection was established, or it may have been
+/// replaced.
 bool exchange::may_send() const
 {
     return !endpoint_->refuses_requests(services_.clock.now()) &&
-           (counted_by_limit_ || !endpoint_->limit().rate());
+           (counted_by_limit_ || !endpoint_->limit().rate()) &&
+           !has_changed_software();
+}
+
+bool exchange::has_changed_software() const
+{
+    return route_->kind == route_kind::resumable_stream &&
+           endpoint_->entry().software != sent_software_;
 }
 
 void exchange::on_head(response_head const& head)
@@ -597,10 +607,34 @@
     handle_failure(reason);
 }
 
+/// Returns false, and ends the attempt, if the endpoint that resumes the stream
+/// turns out to have other software than expected.
+bool exchange::check_software()
+{
+    if (!has_changed_software())
+        return true;
+    auto const& software = endpoint_->entry().software;
+    services_.log.write("software_changed", "id={} endpoint={} from={} to={}",
+                        id_, endpoint_->entry().id.str(), sent_software_.str(),
+                        software.str());
+    if (resumes_)
+    {
+        reject_response("software_changed");
+        return false;
+    }
+    // The stream goes on here, but it is not known at which version it began.
+    requirements_.software = kernel::software_version(
+        fmt::format("{} or {}", sent_software_.str(), software.str()));
+    sent_software_ = software;
+    return true;
+}
+
 void exchange::forward_events()
 {
     while (auto const event = events_.next())
     {
+        if (!check_software())
+            return;
         has_output_ = true;
         // A resumed stream may begin with events that were already forwarded.
         if (event->id && last_event_ && *event->id <= *last_event_)
@@ -619,6 +653,8 @@
 {
     if (std::exchange(head_forwarded_, true))
         return;
+    if (!requirements_.software)
+        requirements_.software = sent_software_;
     services_.metrics.on_first_byte(elapsed());
     writer_->begin(head_.status, answer_headers(head_), std::nullopt);
 }
--- a/packages/gateway/tests/software_version_test.cpp
+++ b/packages/gateway/tests/software_version_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -159,6 +160,43 @@
     CHECK(old_one.requests() + new_one.requests() == 1);
 }
 
+// Guards against events of two software versions if an endpoint restarts under
+// its id before the router learns of it.
+TEST_CASE("a stream during which its endpoint changes its software version is "
+          "not resumed")
+{
+    std::promise<void> changed;
+    auto const seen = changed.get_future().share();
+    auto const serve =
+        [&](http_request const& request, scripted_connection& conn)
+    {
+        conn.begin_stream(request);
+        conn.event(1);
+        seen.wait_for(std::chrono::seconds(20));
+        conn.event(2);
+        conn.wait(short_pause);
+        conn.reset();
+        return false;
+    };
+    scripted_endpoint one(serve);
+    scripted_endpoint two(serve);
+    scripted_endpoint three(serve);
+    test_gateway gate;
+    gate.apply();
+    gate.set_entries({entry(0, one.port(), "v1")});
+    test_caller caller(gate.port());
+    caller.send(get_request("/resume/", "id1"));
+    caller.read_until("id: 1\n");
+    auto restarted = entry(0, one.port(), "v2");
+    restarted.incarnation = 1;
+    gate.set_entries(
+        {restarted, entry(1, two.port(), "v1"), entry(2, three.port(), "v2")});
+    changed.set_value();
+    auto const text = caller.read_all();
+    CHECK(text.find("id: 2\n") != std::string::npos);
+    CHECK(one.requests() + two.requests() + three.requests() == 1);
+}
+
 // As above, for streams that their callers take up.
 TEST_CASE("a stream that a caller takes up goes on at the software version "
           "that began it")
--- a/packages/gateway/types/endpoint_requirements.hpp
+++ b/packages/gateway/types/endpoint_requirements.hpp
@@ -28,6 +28,9 @@
     /// If the expected wait at the cheapest endpoint is longer, an idle one is
     /// preferred.
     std::chrono::milliseconds max_wait = std::chrono::milliseconds::max();
+    /// The software version at which a stream that goes on began. What two
+    /// versions write does not fit together.
+    std::optional<kernel::software_version> software;
     /// Endpoints that have failed or refused the request.
     std::vector<kernel::endpoint_id> excluded;
 };
