gateway: Take up a caller's stream only at the version that began it

The request names the attempt that began the stream, but no router knew the version of it, and none looked for one.

The new package resumption decides, without I/O, where a stream goes on. A router remembers where it sends streams. While a service has several versions, it tells three agents, chosen by the stream's key, and tells them again when agents come back; streams that began before the second version are told when that is listed. A router that does not know the stream asks these agents. If nobody knows it and several versions are or were listed lately, or nobody answers, it is refused as not run. A stream of a service with one version costs no message and goes on at any router. The service of a split route is chosen by the attempt that began the stream, too, since the retry has another id.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -11,6 +11,7 @@
 #include "observe/operator_server.hpp"
 #include "platform/boot_file.hpp"
 #include "platform/header_names.hpp"
+#include "wire/types/origin_query.hpp"
 
 #include <asio/post.hpp>
 #include <prometheus/registry.h>
@@ -68,7 +69,7 @@
     , drain_(stop_notice)
 {
     links_ = std::make_unique<enginelink::agent_links>(
-        control_, random_, std::move(key),
+        control_, clock_, random_, std::move(key),
         std::make_shared<enginelink::link_identity>(
             wire::process_role::router, settings_.name, settings_.zone, clock_),
         *this, row_exchange_);
@@ -84,6 +85,17 @@
             asio::post(control_, [this, report = std::move(report)]
                        { links_->send_limit_report(report); });
         });
+    gateway_->set_origin_handlers(
+        [this](wire::stream_origins news)
+        {
+            asio::post(control_, [this, news = std::move(news)]
+                       { links_->send_stream_origins(news); });
+        },
+        [this](wire::origin_query query)
+        {
+            asio::post(control_, [this, query = std::move(query)]
+                       { ask_for_origin(query); });
+        });
 }
 
 gateway_process::~gateway_process() = default;
@@ -235,6 +247,19 @@
     pass_on_report([this, report] { gateway_->on_limit_report(report); });
 }
 
+void gateway_process::on_origin_answer(wire::origin_answer const& answer)
+{
+    pass_on_report([this, answer] { gateway_->on_origin_answer(answer); });
+}
+
+void gateway_process::ask_for_origin(wire::origin_query const& query)
+{
+    auto const asked = links_->send_origin_query(query);
+    pass_on_report(
+        [this, id = query.id, asked, current = endpoints_->reachable()]
+        { gateway_->on_origin_asked(id, asked, current); });
+}
+
 void gateway_process::on_link_lost(kernel::endpoint_id const& endpoint)
 {
     pass_on_report([this, endpoint] { gateway_->on_link_lost(endpoint); });
--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -52,6 +52,11 @@
 class operator_server;
 }
 
+namespace endiveward::wire
+{
+struct origin_query;
+}
+
 namespace endiveward::app
 {
 
@@ -85,6 +90,7 @@
                          wire::cache_change const& change) override;
     void on_part_report(wire::part_report const& report) override;
     void on_limit_report(wire::limit_report const& report) override;
+    void on_origin_answer(wire::origin_answer const& answer) override;
     void on_link_lost(kernel::endpoint_id const& endpoint) override;
 
     bool listen();
@@ -94,6 +100,7 @@
     void perform(router::drain_sequence::step next);
     void tick();
     void pass_on_report(std::function<void()> handler);
+    void ask_for_origin(wire::origin_query const& query);
     /// Asks agents for what the store does not tell.
     void ask_agents();
     void reload();
--- a/packages/enginelink/agent_links.hpp
+++ b/packages/enginelink/agent_links.hpp
@@ -4,7 +4,9 @@
 #include "kernel/types/identifiers.hpp"
 #include "wire/types/cluster_key.hpp"
 #include "wire/types/limit_report.hpp"
+#include "wire/types/origin_query.hpp"
 #include "wire/types/part_report.hpp"
+#include "wire/types/stream_origin.hpp"
 #include "wire/types/table_row.hpp"
 
 #include <cstddef>
@@ -20,8 +22,9 @@
 
 namespace endiveward::kernel
 {
+class i_clock;
 class i_random_source;
-}
+} // namespace endiveward::kernel
 
 namespace endiveward::wire
 {
@@ -48,8 +51,8 @@
 class agent_links
 {
 public:
-    agent_links(asio::io_context& context, kernel::i_random_source& random,
-                wire::cluster_key key,
+    agent_links(asio::io_context& context, kernel::i_clock const& clock,
+                kernel::i_random_source& random, wire::cluster_key key,
                 std::shared_ptr<wire::i_local_identity const> identity,
                 i_engine_listener& listener, i_row_source& rows);
     ~agent_links();
@@ -68,6 +71,12 @@
     void send_part_report(wire::part_report const& report);
     /// The same for what it has learned about endpoints that name a limit.
     void send_limit_report(wire::limit_report const& report);
+    /// Sends the origins of this router's streams to the few agents that keep
+    /// them, and again to agents that have been away.
+    void send_stream_origins(wire::stream_origins const& news);
+    /// Asks these agents where a stream began. Returns the number of agents
+    /// that were asked.
+    std::size_t send_origin_query(wire::origin_query const& query);
     /// Closes all links.
     void close();
     std::size_t connected() const;
--- a/packages/enginelink/i_engine_listener.hpp
+++ b/packages/enginelink/i_engine_listener.hpp
@@ -5,6 +5,7 @@
 #include "wire/types/cache_change.hpp"
 #include "wire/types/engine_state.hpp"
 #include "wire/types/limit_report.hpp"
+#include "wire/types/origin_answer.hpp"
 #include "wire/types/part_report.hpp"
 
 namespace endiveward::enginelink
@@ -25,6 +26,8 @@
     virtual void on_part_report(wire::part_report const& report) = 0;
     /// What other routers have learned about endpoints that name a limit.
     virtual void on_limit_report(wire::limit_report const& report) = 0;
+    /// What an agent knows of a stream that this router has asked about.
+    virtual void on_origin_answer(wire::origin_answer const& answer) = 0;
     /// No more updates of the endpoint arrive until its next state.
     virtual void on_link_lost(kernel::endpoint_id const& endpoint) = 0;
 };
--- a/packages/enginelink/internal/agent_links.cpp
+++ b/packages/enginelink/internal/agent_links.cpp
@@ -4,8 +4,10 @@
 #include "enginelink/i_row_source.hpp"
 #include "enginelink/link_options.hpp"
 #include "kernel/half_jitter.hpp"
+#include "kernel/i_clock.hpp"
 #include "kernel/i_random_source.hpp"
 #include "kernel/types/result.hpp"
+#include "resumption/origin_distribution.hpp"
 #include "wire/connection_options.hpp"
 #include "wire/connector.hpp"
 #include "wire/i_connection.hpp"
@@ -42,9 +44,11 @@
                           public std::enable_shared_from_this<impl>
 {
 public:
-    impl(asio::io_context& context, kernel::i_random_source& random,
-         i_engine_listener& listener, i_row_source& rows)
+    impl(asio::io_context& context, kernel::i_clock const& clock,
+         kernel::i_random_source& random, i_engine_listener& listener,
+         i_row_source& rows)
         : context_(context)
+        , clock_(clock)
         , random_(random)
         , listener_(listener)
         , rows_(rows)
@@ -135,10 +139,30 @@
             it->send(msg);
     }
 
+    void send_stream_origins(wire::stream_origins const& news)
+    {
+        send(origins_.add(news, clock_.now()));
+    }
+
+    std::size_t send_origin_query(wire::origin_query const& query)
+    {
+        std::size_t asked = 0;
+        for (auto const& it : origins_.keepers_of(query.stream))
+        {
+            auto const found = agents_.find(it);
+            if (found == agents_.end())
+                continue;
+            found->second.back()->send(query);
+            ++asked;
+        }
+        return asked;
+    }
+
     void close()
     {
         auto const all = std::move(links_);
         links_.clear();
+        agents_.clear();
         for (auto const& [id, it] : all)
             close_link(*it);
     }
@@ -175,6 +199,8 @@
             listener_.on_part_report(*report);
         else if (auto const* limits = std::get_if<wire::limit_report>(&msg))
             listener_.on_limit_report(*limits);
+        else if (auto const* answer = std::get_if<wire::origin_answer>(&msg))
+            listener_.on_origin_answer(*answer);
     }
 
     void on_closed(std::shared_ptr<wire::i_connection> const& conn,
@@ -185,6 +211,7 @@
             return;
         by_connection_.erase(conn.get());
         owner->connection = nullptr;
+        remove_agent(*conn);
         listener_.on_link_lost(owner->address.endpoint);
         retry(owner);
     }
@@ -219,6 +246,7 @@
         if (it.connection == nullptr)
             return;
         by_connection_.erase(it.connection.get());
+        remove_agent(*it.connection);
         it.connection->close();
         it.connection = nullptr;
     }
@@ -257,9 +285,41 @@
                 it->connection = std::move(conn);
                 it->retry_delay = milliseconds(0);
                 self->send_known_rows(*it->connection);
+                self->add_agent(*it->connection);
             });
     }
 
+    /// Agents of engines at one address are the same process.
+    void add_agent(wire::i_connection& conn)
+    {
+        if (!conn.peer().accepts_stream_origins)
+            return;
+        auto const& agent = conn.peer().process;
+        agents_[agent].push_back(&conn);
+        send(origins_.add_agent(agent, clock_.now()));
+    }
+
+    void remove_agent(wire::i_connection& conn)
+    {
+        auto const found = agents_.find(conn.peer().process);
+        if (found == agents_.end())
+            return;
+        std::erase(found->second, &conn);
+        if (!found->second.empty())
+            return;
+        agents_.erase(found);
+        send(origins_.remove_agent(conn.peer().process, clock_.now()));
+    }
+
+    void send(resumption::origin_distribution::parcels const& parcels)
+    {
+        for (auto const& [agent, news] : parcels)
+        {
+            if (auto const found = agents_.find(agent); found != agents_.end())
+                found->second.back()->send(news);
+        }
+    }
+
     /// Rows that were sent on an earlier connection may have been lost with it.
     void send_known_rows(wire::i_connection& conn) const
     {
@@ -287,6 +347,7 @@
     }
 
     asio::io_context& context_;
+    kernel::i_clock const& clock_;
     kernel::i_random_source& random_;
     i_engine_listener& listener_;
     i_row_source& rows_;
@@ -302,13 +363,18 @@
     /// Requests for rows that the store lost before this era.
     std::uint64_t lost_rows_era_ = 0;
     std::size_t lost_row_requests_ = 0;
+    resumption::origin_distribution origins_;
+    /// Open connections to each agent that keeps origins of streams.
+    std::unordered_map<kernel::process_id, std::vector<wire::i_connection*>>
+        agents_;
 };
 
 agent_links::agent_links(asio::io_context& context,
+                         kernel::i_clock const& clock,
                          kernel::i_random_source& random, wire::cluster_key key,
                          std::shared_ptr<wire::i_local_identity const> identity,
                          i_engine_listener& listener, i_row_source& rows)
-    : impl_(std::make_shared<impl>(context, random, listener, rows))
+    : impl_(std::make_shared<impl>(context, clock, random, listener, rows))
 {
     impl_->set_connector(std::make_unique<wire::connector>(
         make_link_options(std::move(key), std::move(identity),
@@ -343,6 +409,16 @@
     impl_->send_limit_report(report);
 }
 
+void agent_links::send_stream_origins(wire::stream_origins const& news)
+{
+    impl_->send_stream_origins(news);
+}
+
+std::size_t agent_links::send_origin_query(wire::origin_query const& query)
+{
+    return impl_->send_origin_query(query);
+}
+
 void agent_links::close()
 {
     impl_->close();
--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -6,6 +6,7 @@
 #include "enginelink/link_options.hpp"
 #include "enginelink/report_scheduler.hpp"
 #include "kernel/thread_pool.hpp"
+#include "resumption/origin_table.hpp"
 #include "wire/acceptor.hpp"
 #include "wire/connection_options.hpp"
 #include "wire/i_connection.hpp"
@@ -75,6 +76,10 @@
             pass_on(*report);
         else if (auto const* limits = std::get_if<wire::limit_report>(&msg))
             pass_on(*limits);
+        else if (auto const* news = std::get_if<wire::stream_origins>(&msg))
+            keep(*news);
+        else if (auto const* query = std::get_if<wire::origin_query>(&msg))
+            conn->send(answer_to(*query));
     }
 
     void on_closed(std::shared_ptr<wire::i_connection> const& conn,
@@ -160,6 +165,21 @@
             });
     }
 
+    /// A router that ends cannot be asked where its streams began.
+    void keep(wire::stream_origins const& news)
+    {
+        auto const now = clock_.now();
+        for (auto const& it : news.origins)
+            origins_.add(it, now);
+    }
+
+    wire::origin_answer answer_to(wire::origin_query const& query) const
+    {
+        auto const now = clock_.now();
+        return {query.id, origins_.find(query.stream, now),
+                origins_.versions_of(query.service, now)};
+    }
+
     template <typename T>
     static void add(std::vector<T>& to, std::vector<T> const& from)
     {
@@ -250,6 +270,7 @@
     asio::steady_timer limits_timer_;
     wire::limit_report pending_limits_;
     bool passing_on_limits_ = false;
+    resumption::origin_table origins_;
     std::vector<std::shared_ptr<wire::i_connection>> routers_;
     std::optional<kernel::steady_time> last_row_request_;
     bool closed_ = false;
--- a/packages/enginelink/tests/links_test.cpp
+++ b/packages/enginelink/tests/links_test.cpp
@@ -115,6 +115,12 @@
                         report.requests.end());
     }
 
+    void on_origin_answer(wire::origin_answer const& answer) override
+    {
+        std::lock_guard const lock(mutex);
+        origin_answers.push_back(answer);
+    }
+
     bool knows_limit(std::uint64_t endpoint) const
     {
         std::lock_guard const lock(mutex);
@@ -133,7 +139,7 @@
     void on_link_lost(kernel::endpoint_id const&) override { ++lost; }
 
     template <typename F>
-    bool check(F test) const
+    auto check(F test) const
     {
         std::lock_guard const lock(mutex);
         return test();
@@ -145,6 +151,7 @@
     std::vector<wire::part_crash> crashes;
     std::vector<wire::limit_change> limits;
     std::vector<wire::limited_request> requests;
+    std::vector<wire::origin_answer> origin_answers;
     std::atomic<int> states{0};
     std::atomic<int> lost{0};
 };
@@ -171,10 +178,11 @@
 
 struct test_agent
 {
-    explicit test_agent(wire::cluster_key secret = key)
+    explicit test_agent(wire::cluster_key secret = key,
+                        std::shared_ptr<wire::i_local_identity const> self =
+                            identity(wire::process_role::agent))
         : pool(1)
-        , publisher(pool, clock, std::move(secret),
-                    identity(wire::process_role::agent), rows)
+        , publisher(pool, clock, std::move(secret), std::move(self), rows)
     {
         port = kernel::value(publisher.listen("127.0.0.1", 0));
         pool.start();
@@ -211,6 +219,7 @@
         auto res = identity(wire::process_role::router)->describe();
         res.accepts_part_reports = false;
         res.accepts_limit_reports = false;
+        res.accepts_stream_origins = false;
         return res;
     }
 };
@@ -221,7 +230,8 @@
                              identity(wire::process_role::router))
         : random(1)
         , pool(1)
-        , links(pool.context(0), random, key, std::move(self), listener, rows)
+        , links(pool.context(0), clock, random, key, std::move(self), listener,
+                rows)
     {
         pool.start();
     }
@@ -246,6 +256,7 @@
             });
     }
 
+    kernel::system_clock clock;
     kernel::seeded_random_source random;
     recording_listener listener;
     fake_row_source rows;
@@ -590,4 +601,82 @@
     CHECK(a.rows.size() == 2);
 }
 
+// Guards against streams that cannot be taken up because the router that began
+// them has ended, or because an agent that kept their origin has restarted.
+TEST_CASE("another router learns from the agents where a stream began")
+{
+    wire::stream_origin const origin{7, kernel::service_id("s"),
+                                     kernel::software_version("v1"),
+                                     std::chrono::seconds(30)};
+    auto const ask = [](test_router& router, std::uint64_t stream)
+    {
+        auto const before = router.listener.check(
+            [&] { return router.listener.origin_answers.size(); });
+        std::size_t asked = 0;
+        router.run(
+            [&]
+            {
+                asked = router.links.send_origin_query(
+                    {1, stream, kernel::service_id("s")});
+            });
+        CHECK(asked == 1);
+        REQUIRE(wait_until(
+            [&]
+            {
+                return router.listener.check(
+                    [&]
+                    { return router.listener.origin_answers.size() > before; });
+            }));
+        return router.listener.check(
+            [&] { return router.listener.origin_answers.back(); });
+    };
+    auto agent = std::make_unique<test_agent>();
+    test_router second;
+    {
+        test_router first;
+        first.connect(agent->port);
+        REQUIRE(wait_until([&] { return first.links.connected() == 1; }));
+        first.run([&] { first.links.send_stream_origins({{origin}}); });
+        // The answer comes after the agent has kept the origin.
+        auto const own = ask(first, 7);
+        REQUIRE(own.origin);
+    }
+    second.connect(agent->port);
+    REQUIRE(wait_until([&] { return second.links.connected() == 1; }));
+    auto const known = ask(second, 7);
+    REQUIRE(known.origin);
+    CHECK(known.origin->software == origin.software);
+    CHECK(known.versions == std::vector{origin.software});
+    CHECK_FALSE(ask(second, 8).origin);
+}
+
+TEST_CASE("an agent of an earlier program version is not asked for origins")
+{
+    struct earlier_agent : wire::i_local_identity
+    {
+        wire::hello describe() const override
+        {
+            auto res = identity(wire::process_role::agent)->describe();
+            res.accepts_stream_origins = false;
+            return res;
+        }
+    };
+    test_agent agent(key, std::make_shared<earlier_agent>());
+    test_router router;
+    router.connect(agent.port);
+    REQUIRE(wait_until([&] { return router.listener.states > 0; }));
+    std::size_t asked = 1;
+    router.run(
+        [&]
+        {
+            router.links.send_stream_origins(
+                {{{7, kernel::service_id("s"), kernel::software_version("v1"),
+                   std::chrono::seconds(30)}}});
+            asked =
+                router.links.send_origin_query({1, 7, kernel::service_id("s")});
+        });
+    CHECK(asked == 0);
+    CHECK(router.listener.lost == 0);
+}
+
 } // namespace endiveward::enginelink
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -13,6 +13,7 @@
 #include "gateway/types/route.hpp"
 #include "gateway/types/workspace_entry.hpp"
 #include "kernel/i_clock.hpp"
+#include "resumption/types/resumption_decision.hpp"
 
 #include <asio/steady_timer.hpp>
 
@@ -60,6 +61,8 @@
 private:
     enum class progress
     {
+        /// Finding out where a stream began that the caller takes up.
+        locating,
         /// Choosing an endpoint, or waiting for one to become available.
         choosing,
         /// The request was sent; no byte of a response has arrived.
@@ -81,6 +84,13 @@
 
     bool admit();
     void prepare_requirements();
+    bool takes_up_stream() const;
+    void locate_stream();
+    void on_located(resumption::resumption_decision const& decision,
+                    std::optional<kernel::service_id> const& service);
+    void go_on_at(kernel::software_version const& software,
+                  std::optional<kernel::service_id> const& service);
+    void note_origin();
     void attempt();
     bool refuse_if_overloaded(placement_choice const& choice);
     void send(placement_choice choice);
@@ -136,6 +146,9 @@
     http_request request_;
     i_response_writer* writer_;
     std::string id_;
+    /// The request that began the stream: this one, or another one whose stream
+    /// the caller takes up.
+    std::string begun_by_;
     route const* route_ = nullptr;
     workspace_entry const* workspace_ = nullptr;
     retry_budget* budget_ = nullptr;
--- a/packages/gateway/exchange_services.hpp
+++ b/packages/gateway/exchange_services.hpp
@@ -28,6 +28,7 @@
 class endpoint_directory;
 class gateway_metrics;
 class limit_watch;
+class origin_watch;
 class overload_policy;
 class part_watch;
 class retry_budgets;
@@ -49,6 +50,7 @@
     retry_budgets& budgets;
     part_watch& parts;
     limit_watch& limits;
+    origin_watch& origins;
     gateway_metrics& metrics;
     observe::decision_log& log;
 };
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -14,7 +14,10 @@
 #include "wire/types/cache_change.hpp"
 #include "wire/types/engine_state.hpp"
 #include "wire/types/limit_report.hpp"
+#include "wire/types/origin_answer.hpp"
+#include "wire/types/origin_query.hpp"
 #include "wire/types/part_report.hpp"
+#include "wire/types/stream_origin.hpp"
 
 #include <asio/steady_timer.hpp>
 
@@ -72,6 +75,16 @@
     void on_limit_report(wire::limit_report const& report);
     void
     set_limit_report_handler(std::function<void(wire::limit_report)> handler);
+    /// Sets who passes the origins of streams, and queries for those of others,
+    /// on to agents.
+    void
+    set_origin_handlers(std::function<void(wire::stream_origins)> on_origins,
+                        std::function<void(wire::origin_query)> on_query);
+    /// So many agents were asked. `list_is_current` tells whether the list of
+    /// endpoints is read from the store.
+    void on_origin_asked(std::uint64_t query, std::size_t agents,
+                         bool list_is_current);
+    void on_origin_answer(wire::origin_answer const& answer);
     void set_settings(gateway_settings settings);
 
     /// From now on each connection is closed after its next response.
@@ -91,6 +104,7 @@
 private:
     void tick();
     void update_limits();
+    void update_stream_lifetime();
     void update_limit_share();
     void update_process_count(std::size_t routers);
 
@@ -111,6 +125,7 @@
     std::unique_ptr<retry_budgets> budgets_;
     std::unique_ptr<part_watch> parts_;
     std::unique_ptr<limit_watch> limits_;
+    std::unique_ptr<origin_watch> origins_;
     std::unique_ptr<exchange_services> services_;
     std::shared_ptr<routing_table const> table_;
     caller_server caller_server_;
--- a/packages/gateway/gateway_metrics.hpp
+++ b/packages/gateway/gateway_metrics.hpp
@@ -33,6 +33,9 @@
     void on_retry(std::string const& reason);
     /// `source` tells who reported that an endpoint is leaving.
     void on_leaving(std::string const& source);
+    /// `source` tells how it became known where a stream that a caller takes up
+    /// began.
+    void on_taken_up(std::string const& source);
     void on_pause() { pauses_.Increment(); }
     void on_part_quarantined() { quarantines_.Increment(); }
     void on_request_quarantined() { request_quarantines_.Increment(); }
@@ -42,6 +45,7 @@
     prometheus::Family<prometheus::Counter>& requests_;
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Counter>& leaving_;
+    prometheus::Family<prometheus::Counter>& taken_up_;
     prometheus::Counter& pauses_;
     prometheus::Counter& quarantines_;
     prometheus::Counter& request_quarantines_;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -11,6 +11,7 @@
 #include "gateway/http/upstream_connection.hpp"
 #include "gateway/i_response_writer.hpp"
 #include "gateway/limit_watch.hpp"
+#include "gateway/origin_watch.hpp"
 #include "gateway/overload_policy.hpp"
 #include "gateway/part_watch.hpp"
 #include "gateway/request_builder.hpp"
@@ -121,7 +122,10 @@
     {
         prepare_requirements();
         arm(expires_ + expiry_slack);
-        attempt();
+        if (takes_up_stream())
+            locate_stream();
+        else
+            attempt();
     }
     return progress_ != progress::ended;
 }
@@ -164,7 +168,9 @@
             return false;
         }
     }
-    auto const* const chosen = service_for(*route_, id_);
+    begun_by_ = request_.headers.value_or(services_.names.resumed_request, id_);
+    // A stream goes on at the service at which it began.
+    auto const* const chosen = service_for(*route_, begun_by_);
     if (chosen == nullptr || table_->find_service(*chosen) == nullptr)
     {
         refuse(retry_not_served, "no_service");
@@ -201,6 +207,71 @@
     budget_->on_request(arrived_);
 }
 
+bool exchange::takes_up_stream() const
+{
+    return route_->kind == route_kind::resumable_stream &&
+           (request_.headers.find(services_.names.last_event_id) != nullptr ||
+            request_.headers.find(services_.names.resumed_request) != nullptr);
+}
+
+void exchange::locate_stream()
+{
+    progress_ = progress::locating;
+    services_.origins.locate(
+        id_, begun_by_, requirements_.service,
+        [weak = weak_from_this()](auto const& decision, auto const& service)
+        {
+            auto const self = weak.lock();
+            if (self != nullptr && self->progress_ == progress::locating)
+                self->on_located(decision, service);
+        });
+}
+
+void exchange::on_located(resumption::resumption_decision const& decision,
+                          std::optional<kernel::service_id> const& service)
+{
+    progress_ = progress::choosing;
+    std::visit(
+        kernel::overloaded{[&](resumption::resume_at const& it)
+                           { go_on_at(it.software, service); },
+                           [&](auto const&)
+                           {
+                               // Another router may know, or this one soon.
+                               refuse(
+                                   services_.unavailability.retry_after(
+                                       describe_unserved(), retry_not_served),
+                                   "stream_origin_unknown");
+                           }},
+        decision);
+}
+
+void exchange::go_on_at(kernel::software_version const& software,
+                        std::optional<kernel::service_id> const& service)
+{
+    requirements_.software = software;
+    if (service && *service != requirements_.service)
+    {
+        if (!sends_to(*route_, *service) ||
+            table_->find_service(*service) == nullptr)
+            return refuse(services_.unavailability.retry_after(
+                              describe_unserved(), retry_not_served),
+                          "stream_service_gone");
+        requirements_.service = *service;
+        budget_ = &services_.budgets.of(*service);
+    }
+    attempt();
+}
+
+/// Tells where the stream begins, or goes on, as soon as that is known: a
+/// caller may take it up at another router at any time.
+void exchange::note_origin()
+{
+    if (route_->kind == route_kind::resumable_stream)
+        services_.origins.on_sent(
+            begun_by_, requirements_.service,
+            requirements_.software.value_or(sent_software_));
+}
+
 void exchange::attempt()
 {
     if (time_left() < min_time_left)
@@ -278,15 +349,21 @@
                                        id) != without_connection_.end();
                   });
     without_connection_.clear();
-    auto const decision = services_.unavailability.decide(
+    auto const outages =
         find_outages(services_.endpoints.of_service(requirements_.service),
-                     requirements_, services_.weights, now),
-        describe_unserved());
+                     requirements_, services_.weights, now);
+    // Endpoints with other software cannot take the stream.
+    auto const software_gone = requirements_.software && outages.empty();
     std::visit(kernel::overloaded{[this](wait_for_endpoint const& it)
                                   { arm(it.until); },
-                                  [this](reject_request const& it)
-                                  { give_up(it.reason, it.retry_after); }},
-               decision);
+                                  [&](reject_request const& it)
+                                  {
+                                      give_up(software_gone
+                                                  ? "software_version_gone"
+                                                  : it.reason,
+                                              it.retry_after);
+                                  }},
+               services_.unavailability.decide(outages, describe_unserved()));
 }
 
 unserved_request exchange::describe_unserved() const
@@ -344,6 +421,7 @@
     requested_version_ = choice.version;
     sent_software_ = entry.software;
     resumes_ = requirements_.software.has_value();
+    note_origin();
     expected_first_byte_ = choice.time_to_first_byte;
     response_started_ = false;
     has_output_ = false;
@@ -626,6 +704,7 @@
     requirements_.software = kernel::software_version(
         fmt::format("{} or {}", sent_software_.str(), software.str()));
     sent_software_ = software;
+    note_origin();
     return true;
 }
 
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gateway/exchange.hpp"
 #include "gateway/gateway_metrics.hpp"
 #include "gateway/limit_watch.hpp"
+#include "gateway/origin_watch.hpp"
 #include "gateway/part_watch.hpp"
 #include "gateway/retry_budgets.hpp"
 #include "gateway/routing_table.hpp"
@@ -32,6 +33,11 @@
 /// A lower number of routers takes effect only after this time, since a stopped
 /// router may return.
 constexpr std::chrono::seconds process_count_retention{15};
+/// A stream may be taken up until this multiple of its route's timeout after a
+/// request for it was sent: when the timeout ends it, and for some time then.
+constexpr int lifetime_factor = 2;
+constexpr std::chrono::seconds min_stream_lifetime{30};
+constexpr std::chrono::minutes max_stream_lifetime{60};
 
 } // namespace
 
@@ -67,10 +73,12 @@
         settings_.seed);
     limits_ = std::make_unique<limit_watch>(context_, clock_, *endpoints_, log_,
                                             settings_.seed);
+    origins_ =
+        std::make_unique<origin_watch>(context_, clock_, *metrics_, log_);
     services_ = std::make_unique<exchange_services>(
         exchange_services{context_, clock_, names_, *endpoints_, *chooser_,
                           overload_, unavailability_, *weights_, *budgets_,
-                          *parts_, *limits_, *metrics_, log_});
+                          *parts_, *limits_, *origins_, *metrics_, log_});
     update_limits();
     update_limit_share();
 }
@@ -92,6 +100,7 @@
         return;
     table_ = std::move(table);
     update_limits();
+    update_stream_lifetime();
     log_.write("configuration_in_force", "version={} routes={} workspaces={}",
                table_->version(), table_->config().routes.size(),
                table_->config().workspaces.size());
@@ -103,6 +112,19 @@
         log_.write("entry_ignored", "endpoint={} reason=earlier_incarnation",
                    it.str());
     update_limits();
+    origins_->on_endpoints(*endpoints_);
+}
+
+void gateway::update_stream_lifetime()
+{
+    std::chrono::milliseconds longest{0};
+    for (auto const& it : table_->config().routes)
+    {
+        if (it.kind == route_kind::resumable_stream)
+            longest = std::max(longest, it.timeout);
+    }
+    origins_->set_lifetime(std::clamp<std::chrono::milliseconds>(
+        lifetime_factor * longest, min_stream_lifetime, max_stream_lifetime));
 }
 
 void gateway::apply(weights::model_target const& target,
@@ -202,6 +224,24 @@
     limits_->set_news_handler(std::move(handler));
 }
 
+void gateway::set_origin_handlers(
+    std::function<void(wire::stream_origins)> on_origins,
+    std::function<void(wire::origin_query)> on_query)
+{
+    origins_->set_handlers(std::move(on_origins), std::move(on_query));
+}
+
+void gateway::on_origin_asked(std::uint64_t query, std::size_t agents,
+                              bool list_is_current)
+{
+    origins_->on_asked(query, agents, list_is_current);
+}
+
+void gateway::on_origin_answer(wire::origin_answer const& answer)
+{
+    origins_->on_answer(answer);
+}
+
 void gateway::set_settings(gateway_settings settings)
 {
     settings_ = std::move(settings);
--- a/packages/gateway/internal/gateway_metrics.cpp
+++ b/packages/gateway/internal/gateway_metrics.cpp
@@ -40,6 +40,9 @@
                         "Requests sent to another endpoint, by reason"))
     , leaving_(counters(registry, "endiveward_gateway_leaving_endpoints_total",
                         "Endpoints that announced their exit, by source"))
+    , taken_up_(counters(registry, "endiveward_gateway_taken_up_streams_total",
+                         "Streams that callers take up, by how it became known "
+                         "where they began"))
     , pauses_(counters(registry, "endiveward_gateway_endpoint_pauses_total",
                        "Pauses that endpoints asked for with Retry-After")
                   .Add({}))
@@ -93,6 +96,11 @@
     leaving_.Add({{"source", source}}).Increment();
 }
 
+void gateway_metrics::on_taken_up(std::string const& source)
+{
+    taken_up_.Add({{"source", source}}).Increment();
+}
+
 void gateway_metrics::on_prompt(std::uint32_t tokens,
                                 std::uint32_t expected_uncached)
 {
--- a/packages/gateway/internal/routing_table.cpp
+++ b/packages/gateway/internal/routing_table.cpp
@@ -97,4 +97,11 @@
     return &chosen.shares.back().service;
 }
 
+bool sends_to(route const& chosen, kernel::service_id const& service)
+{
+    return std::any_of(chosen.shares.begin(), chosen.shares.end(),
+                       [&](auto const& it)
+                       { return it.service == service && it.weight > 0; });
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/routing_table.hpp
+++ b/packages/gateway/routing_table.hpp
@@ -59,6 +59,9 @@
 kernel::service_id const* service_for(route const& chosen,
                                       std::string_view request_id);
 
+/// Whether the route sends requests to this service.
+bool sends_to(route const& chosen, kernel::service_id const& service);
+
 } // namespace endiveward::gateway
 
 #endif
--- a/packages/gateway/tests/software_version_test.cpp
+++ b/packages/gateway/tests/software_version_test.cpp
@@ -1,9 +1,13 @@
+#include "gateway/i_response_writer.hpp"
 #include "gateway/tests/support/scripted_endpoint.hpp"
 #include "gateway/tests/support/test_caller.hpp"
 #include "gateway/tests/support/test_gateway.hpp"
+#include "kernel/system_clock.hpp"
+#include "resumption/origin_table.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <map>
@@ -11,6 +15,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -52,6 +57,79 @@
     std::map<std::string, std::set<std::string>> versions_;
 };
 
+/// The agents of a deployment in one, as routers see them.
+class origin_keeper
+{
+public:
+    void connect(test_gateway& gate)
+    {
+        gate.run(
+            [&]
+            {
+                gate.get().set_origin_handlers(
+                    [this](wire::stream_origins news)
+                    {
+                        std::lock_guard const lock(mutex_);
+                        reports_ += news.origins.size();
+                        for (auto const& it : news.origins)
+                            table_.add(it, clock_.now());
+                    },
+                    [this, &gate](wire::origin_query const& query) {
+                        gate.post([this, &gate, query]
+                                  { answer(gate, query); });
+                    });
+            });
+    }
+
+    /// From now on agents are connected but do not answer.
+    void fall_silent() { silent_ = true; }
+    std::size_t reports() const
+    {
+        std::lock_guard const lock(mutex_);
+        return reports_;
+    }
+
+private:
+    void answer(test_gateway& gate, wire::origin_query const& query)
+    {
+        gate.get().on_origin_asked(query.id, 1, true);
+        if (silent_)
+            return;
+        std::lock_guard const lock(mutex_);
+        auto const now = clock_.now();
+        gate.get().on_origin_answer({query.id, table_.find(query.stream, now),
+                                     table_.versions_of(query.service, now)});
+    }
+
+    kernel::system_clock clock_;
+    mutable std::mutex mutex_;
+    resumption::origin_table table_;
+    std::size_t reports_ = 0;
+    std::atomic<bool> silent_{false};
+};
+
+/// Tells how a request ends that no caller waits for.
+struct silent_writer : i_response_writer
+{
+    void answer(int code, header_list const&, std::string) override
+    {
+        status = code;
+        ended.set_value();
+    }
+    void begin(int code, header_list const&,
+               std::optional<std::uint64_t>) override
+    {
+        status = code;
+    }
+    void write(std::string_view) override {}
+    void end() override { ended.set_value(); }
+    void abort() override { ended.set_value(); }
+    std::size_t queued() const override { return 0; }
+
+    int status = 0;
+    std::promise<void> ended;
+};
+
 /// A stream is named by the request that began it.
 std::string stream_of(http_request const& request)
 {
@@ -95,6 +173,27 @@
     return res;
 }
 
+/// Two endpoints, one of each software version, whose new streams break off.
+struct two_versions
+{
+    two_versions()
+        : old_one(break_new_streams(record, "v1", long_pause))
+        , new_one(break_new_streams(record, "v2", long_pause))
+    {
+    }
+
+    std::vector<endpoint_entry> entries() const
+    {
+        return {entry(0, old_one.port(), "v1"), entry(1, new_one.port(), "v2")};
+    }
+
+    int requests() const { return old_one.requests() + new_one.requests(); }
+
+    version_record record;
+    scripted_endpoint old_one;
+    scripted_endpoint new_one;
+};
+
 /// Begins a stream and reads up to event 2.
 std::unique_ptr<test_caller> begin_stream(test_gateway& gate,
                                           std::string const& id)
@@ -197,6 +296,40 @@
     CHECK(one.requests() + two.requests() + three.requests() == 1);
 }
 
+// Guards against a restart of the endpoint while the connection to it is
+// established.
+TEST_CASE("a stream that goes on is not sent to an endpoint that changes its "
+          "software version before that")
+{
+    version_record record;
+    scripted_endpoint endpoint(break_new_streams(record, "v2"));
+    test_gateway gate;
+    gate.apply();
+    gate.set_entries({entry(0, endpoint.port(), "v1")});
+    silent_writer writer;
+    std::shared_ptr<i_exchange> running;
+    gate.run(
+        [&]
+        {
+            http_request request;
+            request.method = "GET";
+            request.target = "/resume/";
+            request.headers.add("Host", "h");
+            request.headers.add("X-Id", "id1");
+            request.headers.add("X-Time", "3000");
+            request.headers.add("X-Key", "key1");
+            request.headers.add("X-Last-Event", "2");
+            running = gate.get().handle(std::move(request), writer);
+            auto restarted = entry(0, endpoint.port(), "v2");
+            restarted.incarnation = 1;
+            gate.get().apply(std::vector<endpoint_entry>{restarted});
+        });
+    writer.ended.get_future().wait_for(std::chrono::seconds(20));
+    CHECK(writer.status != 200);
+    CHECK(endpoint.requests() == 0);
+    gate.run([&] { running = nullptr; });
+}
+
 // As above, for streams that their callers take up.
 TEST_CASE("a stream that a caller takes up goes on at the software version "
           "that began it")
@@ -259,4 +392,179 @@
     CHECK(endpoint.requests() == 1);
 }
 
+// Load pattern: a router ends under traffic, and its callers take up their
+// streams at routers that have not seen them, one of which has just started.
+TEST_CASE("a stream that is taken up at another router goes on at the software "
+          "version that began it")
+{
+    two_versions endpoints;
+    origin_keeper agents;
+    auto first = std::make_unique<test_gateway>();
+    agents.connect(*first);
+    first->apply();
+    first->set_entries(endpoints.entries());
+    std::vector<std::unique_ptr<test_caller>> callers;
+    for (int n = 0; n < streams; ++n)
+        callers.push_back(begin_stream(*first, "id" + std::to_string(n)));
+    first = nullptr;
+    test_gateway second;
+    agents.connect(second);
+    second.apply();
+    second.set_entries(endpoints.entries());
+    int complete = 0;
+    for (int n = 0; n < streams; ++n)
+        complete +=
+            take_up(second, "id" + std::to_string(n)).ends_with("0\r\n\r\n");
+    CHECK(endpoints.record.mixed() == 0);
+    CHECK(complete == streams);
+}
+
+// Load pattern: a release begins while streams are open. Guards against streams
+// that nobody knows of since they began at the only version.
+TEST_CASE("streams that began before a second software version are told to "
+          "agents when it appears")
+{
+    two_versions endpoints;
+    origin_keeper agents;
+    auto first = std::make_unique<test_gateway>();
+    agents.connect(*first);
+    first->apply();
+    first->set_entries({entry(0, endpoints.old_one.port(), "v1")});
+    auto const caller = begin_stream(*first, "id1");
+    CHECK(agents.reports() == 0);
+    first->set_entries(endpoints.entries());
+    // The report follows a few milliseconds later.
+    for (int n = 0; n < 400 && agents.reports() == 0; ++n)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    CHECK(agents.reports() == 1);
+    first = nullptr;
+    test_gateway second;
+    agents.connect(second);
+    second.apply();
+    // The old version has gone meanwhile.
+    second.set_entries({entry(1, endpoints.new_one.port(), "v2")});
+    auto const text = take_up(second, "id1");
+    CHECK(text.starts_with("HTTP/1.1 503"));
+    CHECK(endpoints.record.mixed() == 0);
+}
+
+// Guards against refusing streams of a service with one version, and against
+// messages for each of them.
+TEST_CASE("streams of a service with one software version are taken up at any "
+          "router and told to nobody")
+{
+    two_versions endpoints;
+    origin_keeper agents;
+    test_gateway first;
+    test_gateway second;
+    for (auto* it : {&first, &second})
+    {
+        agents.connect(*it);
+        it->apply();
+        it->set_entries({entry(0, endpoints.old_one.port(), "v1")});
+    }
+    auto const caller = begin_stream(first, "id1");
+    CHECK(take_up(second, "id1").ends_with("0\r\n\r\n"));
+    CHECK(agents.reports() == 0);
+}
+
+// Load pattern: a router is cut off from the others and has an old list.
+TEST_CASE("a router whose agents are silent refuses to take up a stream of "
+          "another one")
+{
+    two_versions endpoints;
+    origin_keeper agents;
+    test_gateway gate;
+    agents.connect(gate);
+    agents.fall_silent();
+    gate.apply();
+    gate.set_entries({entry(0, endpoints.old_one.port(), "v1")});
+    auto const text = take_up(gate, "id1");
+    CHECK(text.starts_with("HTTP/1.1 503"));
+    CHECK(text.find("Retry-After: ") != std::string::npos);
+    CHECK(endpoints.requests() == 0);
+}
+
+// Guards against a stream that is resumed elsewhere when the attempt that takes
+// it up fails before its first event.
+TEST_CASE("an attempt that takes up a stream and fails is repeated at the same "
+          "software version")
+{
+    version_record record;
+    auto const fail = [&](std::string const& version)
+    {
+        return [&record, version](http_request const& request,
+                                  scripted_connection& conn)
+        {
+            record.add(stream_of(request), version);
+            conn.reset();
+            return false;
+        };
+    };
+    scripted_endpoint failing(fail("v1"));
+    scripted_endpoint old_one(break_new_streams(record, "v1"));
+    scripted_endpoint new_one(break_new_streams(record, "v2"));
+    origin_keeper agents;
+    test_gateway gate;
+    agents.connect(gate);
+    gate.apply();
+    gate.set_entries({entry(0, old_one.port(), "v1")});
+    auto const caller = begin_stream(gate, "id1");
+    // The endpoint that fails is the least loaded one of its version.
+    gate.set_entries({entry(0, old_one.port(), "v1"),
+                      entry(1, failing.port(), "v1"),
+                      entry(2, new_one.port(), "v2")});
+    CHECK(take_up(gate, "id1").ends_with("0\r\n\r\n"));
+    CHECK(record.mixed() == 0);
+}
+
+// A route may send its requests to several services, chosen by their ids.
+// Guards against a stream that goes on at another service.
+TEST_CASE("a stream that is taken up goes on at its service")
+{
+    version_record record;
+    scripted_endpoint one(break_new_streams(record, "v1 of s", long_pause));
+    scripted_endpoint two(break_new_streams(record, "v1 of t", long_pause));
+    test_gateway gate;
+    gate.apply();
+    route shared;
+    shared.name = "resume";
+    shared.host = "h";
+    shared.prefix = "/resume/";
+    shared.kind = route_kind::resumable_stream;
+    shared.timeout = std::chrono::seconds(5);
+    shared.target_latency = std::chrono::milliseconds(400);
+    shared.max_attempts = 2;
+    shared.is_public = true;
+    shared.shares = {{kernel::service_id("s"), 1},
+                     {kernel::service_id("t"), 1}};
+    routing_config config;
+    config.version = 2;
+    config.routes = {shared};
+    for (auto const* name : {"s", "t"})
+    {
+        service it;
+        it.id = kernel::service_id(name);
+        it.max_connections = 1000;
+        config.services.push_back(it);
+    }
+    gate.run(
+        [&]
+        { gate.get().apply(std::make_shared<routing_table const>(config)); });
+    auto other = entry(1, two.port(), "v1");
+    other.service = kernel::service_id("t");
+    gate.set_entries({entry(0, one.port(), "v1"), other});
+    int complete = 0;
+    for (int n = 0; n < streams; ++n)
+    {
+        auto const id = "id" + std::to_string(n);
+        auto const first = begin_stream(gate, id);
+        complete += take_up(gate, id).ends_with("0\r\n\r\n");
+    }
+    CHECK(record.mixed() == 0);
+    CHECK(complete == streams);
+    CHECK(one.requests() > 0);
+    CHECK(two.requests() > 0);
+}
+
 } // namespace endiveward::gateway
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -155,7 +155,8 @@
         fbb, msg.protocol, static_cast<fbs::role>(msg.role),
         msg.process.str().c_str(), msg.incarnation, msg.region.str().c_str(),
         msg.zone.str().c_str(), msg.endpoint.str().c_str(), msg.config_version,
-        &msg.nonce, load, msg.accepts_part_reports, msg.accepts_limit_reports);
+        &msg.nonce, load, msg.accepts_part_reports, msg.accepts_limit_reports,
+        msg.accepts_stream_origins);
 }
 
 hello get(fbs::hello const& in)
@@ -174,6 +175,7 @@
     out.load = get(in.load());
     out.accepts_part_reports = in.accepts_part_reports();
     out.accepts_limit_reports = in.accepts_limit_reports();
+    out.accepts_stream_origins = in.accepts_stream_origins();
     return out;
 }
 
@@ -552,6 +554,81 @@
     return out;
 }
 
+offset<fbs::stream_origin> put(builder& fbb, stream_origin const& msg)
+{
+    // A report has many streams of few services and versions.
+    auto const service = fbb.CreateSharedString(msg.service.str());
+    auto const software = fbb.CreateSharedString(msg.software.str());
+    return fbs::Createstream_origin(
+        fbb, msg.stream, service, software,
+        static_cast<std::uint32_t>(msg.lifetime.count()));
+}
+
+stream_origin get(fbs::stream_origin const& in)
+{
+    stream_origin out;
+    out.stream = in.stream();
+    out.service = kernel::service_id(text(in.service()));
+    out.software = kernel::software_version(text(in.software()));
+    out.lifetime = milliseconds(in.lifetime_ms());
+    return out;
+}
+
+offset<fbs::stream_origins> put(builder& fbb, stream_origins const& msg)
+{
+    std::vector<offset<fbs::stream_origin>> origins;
+    origins.reserve(msg.origins.size());
+    for (auto const& it : msg.origins)
+        origins.push_back(put(fbb, it));
+    return fbs::Createstream_originsDirect(fbb, &origins);
+}
+
+stream_origins get(fbs::stream_origins const& in)
+{
+    stream_origins out;
+    if (in.origins() == nullptr)
+        return out;
+    for (auto const* it : *in.origins())
+        out.origins.push_back(get(*it));
+    return out;
+}
+
+offset<fbs::origin_query> put(builder& fbb, origin_query const& msg)
+{
+    return fbs::Createorigin_queryDirect(fbb, msg.id, msg.stream,
+                                         msg.service.str().c_str());
+}
+
+origin_query get(fbs::origin_query const& in)
+{
+    return {in.id(), in.stream(), kernel::service_id(text(in.service()))};
+}
+
+offset<fbs::origin_answer> put(builder& fbb, origin_answer const& msg)
+{
+    offset<fbs::stream_origin> origin;
+    if (msg.origin)
+        origin = put(fbb, *msg.origin);
+    std::vector<offset<flatbuffers::String>> versions;
+    versions.reserve(msg.versions.size());
+    for (auto const& it : msg.versions)
+        versions.push_back(fbb.CreateString(it.str()));
+    return fbs::Createorigin_answerDirect(fbb, msg.id, origin, &versions);
+}
+
+origin_answer get(fbs::origin_answer const& in)
+{
+    origin_answer out;
+    out.id = in.id();
+    if (in.origin() != nullptr)
+        out.origin = get(*in.origin());
+    if (in.versions() == nullptr)
+        return out;
+    for (auto const* it : *in.versions())
+        out.versions.emplace_back(text(it));
+    return out;
+}
+
 template <typename Table>
 message get_body(fbs::envelope const& envelope)
 {
@@ -630,6 +707,12 @@
         return get_body<fbs::part_report>(envelope);
     case fbs::message_body::limit_report:
         return get_body<fbs::limit_report>(envelope);
+    case fbs::message_body::stream_origins:
+        return get_body<fbs::stream_origins>(envelope);
+    case fbs::message_body::origin_query:
+        return get_body<fbs::origin_query>(envelope);
+    case fbs::message_body::origin_answer:
+        return get_body<fbs::origin_answer>(envelope);
     case fbs::message_body::NONE:
         break;
     }
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -95,7 +95,20 @@
         table_rows{{{"k", std::string("x\0y", 3), {3, 11}}}},
         part_report{
             {{1, 2, 3, std::chrono::milliseconds(4)}}, {5}, {6, 7}, {8}},
-        limit_report{{{1, 1.5, false}, {2, 0, true}}, {{3, 4}}}};
+        limit_report{{{1, 1.5, false}, {2, 0, true}}, {{3, 4}}},
+        stream_origins{
+            {{1, kernel::service_id("s"), kernel::software_version("v1"),
+              std::chrono::milliseconds(2)},
+             {3, kernel::service_id("s"), kernel::software_version("v2"),
+              std::chrono::milliseconds(4)}}},
+        origin_query{1, 2, kernel::service_id("s")},
+        origin_answer{1, {}, {}},
+        origin_answer{
+            1,
+            stream_origin{2, kernel::service_id("s"),
+                          kernel::software_version("v1"),
+                          std::chrono::milliseconds(3)},
+            {kernel::software_version("v1"), kernel::software_version("v2")}}};
 }
 
 } // namespace
--- a/packages/wire/types/hello.hpp
+++ b/packages/wire/types/hello.hpp
@@ -31,6 +31,8 @@
     bool accepts_part_reports = false;
     /// The same for a `limit_report`.
     bool accepts_limit_reports = false;
+    /// The same for `stream_origins` and an `origin_query`.
+    bool accepts_stream_origins = false;
 
     bool operator==(hello const&) const = default;
 };
--- a/packages/wire/types/message.hpp
+++ b/packages/wire/types/message.hpp
@@ -15,8 +15,11 @@
 #include "wire/types/hello.hpp"
 #include "wire/types/invoke.hpp"
 #include "wire/types/limit_report.hpp"
+#include "wire/types/origin_answer.hpp"
+#include "wire/types/origin_query.hpp"
 #include "wire/types/part_report.hpp"
 #include "wire/types/resume.hpp"
+#include "wire/types/stream_origin.hpp"
 #include "wire/types/table_request.hpp"
 #include "wire/types/table_rows.hpp"
 #include "wire/types/verdict.hpp"
@@ -31,7 +34,8 @@
     std::variant<hello, heartbeat, invoke, verdict, chunk, call_end, chunk_ack,
                  cancel, resume, config_request, config_update, draining,
                  gossip, engine_state, cache_change, table_request, table_rows,
-                 part_report, limit_report>;
+                 part_report, limit_report, stream_origins, origin_query,
+                 origin_answer>;
 
 } // namespace endiveward::wire
 
