explain: Tell why a stream could not be taken up

The refusals stream_origin_unknown, stream_service_gone and software_version_gone were explained by their names only. The story now names the request that began the stream, the versions at which it may have begun and what to look for.

--- a/packages/explain/internal/request_story.cpp
+++ b/packages/explain/internal/request_story.cpp
@@ -211,9 +211,43 @@
         return explain_no_endpoint(reason);
     if (reason == "part_quarantined" || reason == "request_quarantined")
         return explain_quarantine(reason);
+    if (reason == "stream_origin_unknown" || reason == "stream_service_gone" ||
+        reason == "software_version_gone")
+        return explain_resumption(reason);
     return explain_failure(reason);
 }
 
+/// The caller takes up a stream that cannot go on.
+verdict request_story::explain_resumption(std::string const& reason) const
+{
+    auto const located = last_or_empty("stream_located");
+    auto const begun_by = located.value("resumes");
+    if (reason == "stream_origin_unknown")
+        return {reason,
+                fmt::format("it takes up the stream of request {}, which may "
+                            "have begun at any of the software versions {}; no "
+                            "agent knows at which (answered: {}, connected: "
+                            "{})",
+                            begun_by, located.value("versions"),
+                            located.value("agents_answered"),
+                            located.value("linked")),
+                "find the router that has `sent` with the id of that request: "
+                "it ended, or reached no agent, before it could tell"};
+    if (reason == "stream_service_gone")
+        return {reason,
+                fmt::format("it takes up the stream of request {}, which began "
+                            "at service {}; its route sends requests elsewhere "
+                            "now",
+                            begun_by, located.value("service")),
+                "look at `configuration_in_force` since the stream began"};
+    return {reason,
+            fmt::format("it takes up the stream of request {}, which began at "
+                        "software version {}; no endpoint with it is listed",
+                        begun_by, located.value("software")),
+            "`endpoint_removed` and `endpoint_entry` tell when the last one "
+            "went; keep some until their streams have ended"};
+}
+
 verdict request_story::explain_quarantine(std::string const& reason) const
 {
     std::set<std::string> endpoints;
--- a/packages/explain/request_story.hpp
+++ b/packages/explain/request_story.hpp
@@ -33,6 +33,7 @@
     bool is_related(log_record const& it,
                     std::set<std::string> const& endpoints) const;
     verdict explain_refusal(log_record const& last) const;
+    verdict explain_resumption(std::string const& reason) const;
     verdict explain_overload() const;
     verdict explain_quarantine(std::string const& reason) const;
     bool suspects_own_key(log_record const& it) const;
--- a/packages/explain/tests/request_story_test.cpp
+++ b/packages/explain/tests/request_story_test.cpp
@@ -291,4 +291,31 @@
               .code == "in_progress");
 }
 
+// Guards against refusals of streams that callers take up whose cause the logs
+// have but the story does not tell.
+TEST_CASE("a stream that could not be taken up is explained")
+{
+    auto const story = [](std::string const& located, std::string const& reason)
+    {
+        return story_of(
+                   {{"r1",
+                     {{10, "event=stream_located id=q1 resumes=q0 " + located},
+                      {11,
+                       "event=gave_up id=q1 status=503 reason=" + reason}}}})
+            .explain();
+    };
+    auto const unknown =
+        story("source=unknown versions=v1,v2 agents_answered=true linked=true",
+              "stream_origin_unknown");
+    CHECK(unknown.code == "stream_origin_unknown");
+    CHECK(unknown.cause.find("request q0") != std::string::npos);
+    CHECK(unknown.cause.find("v1,v2") != std::string::npos);
+    auto const gone = story("source=agent software=\\\"v1\\\" versions=v2",
+                            "software_version_gone");
+    CHECK(gone.code == "software_version_gone");
+    CHECK(gone.cause.find("software version v1;") != std::string::npos);
+    CHECK(story("source=own service=s1", "stream_service_gone")
+              .cause.find("service s1") != std::string::npos);
+}
+
 } // namespace endiveward::explain
