agent: Do not resume a stream at an engine that newly names its incarnation

A stream that broke was resumed at the engine if its first response had no X-Engine-Incarnation and the second one had: an engine that was replaced by other software, only one of whose versions sends the field, could have written both parts. The field of the first response now counts also if it is missing.

The test failed before with the field missing first.

--- a/packages/agent/internal/endpoint_exchange.cpp
+++ b/packages/agent/internal/endpoint_exchange.cpp
@@ -174,9 +174,9 @@
                         version, request_.model_version)));
     }
     auto const incarnation = head.header("x-engine-incarnation");
-    if (incarnation_.empty())
+    if (!incarnation_)
         incarnation_ = incarnation;
-    if (incarnation != incarnation_)
+    if (incarnation != *incarnation_)
     {
         abort_at_endpoint();
         result_.endpoint_ended = true;
--- a/packages/agent/internal/endpoint_exchange.hpp
+++ b/packages/agent/internal/endpoint_exchange.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace endiveward::agent
@@ -65,7 +66,8 @@
     http_head head_;
     endpoint_result result_;
     std::uint64_t transfer_ = 0;
-    std::string incarnation_;
+    /// As the first response names it; empty if it does not.
+    std::optional<std::string> incarnation_;
     std::string body_;
     std::uint64_t next_event_ = 0;
     unsigned resume_attempts_ = 0;
--- a/packages/agent/tests/http_endpoint_client_test.cpp
+++ b/packages/agent/tests/http_endpoint_client_test.cpp
@@ -203,6 +203,23 @@
     CHECK(test.observer.text() == relayed_event(0));
 }
 
+// Guards against a stream that goes on at other software of the engine: only
+// one of its versions names the incarnation.
+TEST_CASE("a stream is not resumed at an engine that begins or ceases to name "
+          "its incarnation")
+{
+    auto const begins = GENERATE(true, false);
+    fake_engine engine(
+        {{stream_response_head("v1", begins ? "" : "8") + event(0)},
+         {stream_response_head("v1", begins ? "8" : "") + event(1) +
+          "data: [DONE]\n\n"}});
+    client_under_test test(engine.url());
+    test.client.start(1, make_stream_request(), test.observer);
+    test.run_to_end();
+    REQUIRE(test.observer.end->failure);
+    CHECK(test.observer.text() == relayed_event(0));
+}
+
 // Guards against endless resume attempts at an engine that has terminated.
 TEST_CASE("the number of resume attempts is limited")
 {
