gateway: Let a broken stream wait for an endpoint that pauses for a short time

A stream whose endpoint broke it off was cut at once if no other one could take it at that moment. With the choice limited to one software version that is more frequent: the rest may pause, be avoided after a failure or have all connections in use.

--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -336,8 +336,6 @@
 {
     auto const now = services_.clock.now();
     progress_ = progress::choosing;
-    if (head_forwarded_)
-        return give_up("no_endpoint");
     if (!waiting_since_)
         waiting_since_ = now;
     // A connection may become free before the next check.
--- a/packages/gateway/tests/gateway_test.cpp
+++ b/packages/gateway/tests/gateway_test.cpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -288,6 +289,52 @@
     CHECK(one.requests() + two.requests() == 2);
 }
 
+// Load pattern: an endpoint ends while the only other one pauses for a moment.
+// Guards against cutting a stream that could go on within a tolerable pause.
+TEST_CASE("a broken stream waits for an endpoint that pauses for a short time")
+{
+    std::promise<void> paused;
+    auto const may_break = paused.get_future().share();
+    scripted_endpoint breaking(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            if (request.target.starts_with("/safe/"))
+                return answer_ok(request, conn);
+            conn.begin_stream(request);
+            conn.event(1);
+            may_break.wait_for(std::chrono::seconds(20));
+            conn.reset();
+            return false;
+        });
+    scripted_endpoint pausing(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            if (request.target.starts_with("/safe/"))
+            {
+                conn.answer(request, 503, "",
+                            "X-Not-Run: 1\r\nRetry-After: 0.1\r\n");
+                return true;
+            }
+            conn.begin_stream(request);
+            conn.event(2);
+            conn.end_stream();
+            return true;
+        });
+    test_gateway gate;
+    gate.apply(1, std::chrono::seconds(5), {}, std::chrono::seconds(2));
+    gate.set_endpoints({breaking.port(), pausing.port()});
+    test_caller caller(gate.port());
+    caller.send(get_request("/resume/", "id1"));
+    REQUIRE(contains(caller.read_until("id: 1\n"), "id: 1\n"));
+    test_caller other(gate.port());
+    other.send(get_request("/safe/", "id2"));
+    other.read_until("\r\n\r\nok");
+    REQUIRE(pausing.requests() == 1);
+    paused.set_value();
+    CHECK(contains(caller.read_until("0\r\n\r\n"), "id: 2\n"));
+    CHECK(pausing.requests() == 2);
+}
+
 // Guards against an incomplete stream that is terminated like a complete one.
 TEST_CASE("a stream that cannot be resumed has no terminating chunk")
 {
