gateway: Keep origins of streams without a timeout for long

The lifetime of a stream's origin is twice the longest timeout of a resumable route. A route without a timeout counted as zero, so that the origins of its streams were forgotten after 30 s. Found by reading; no test, since the longest lifetime is an hour.

--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -120,8 +120,11 @@
     std::chrono::milliseconds longest{0};
     for (auto const& it : table_->config().routes)
     {
-        if (it.kind == route_kind::resumable_stream)
-            longest = std::max(longest, it.timeout);
+        if (it.kind != route_kind::resumable_stream)
+            continue;
+        // Without a timeout, only the caller's time limits the stream.
+        longest = std::max(
+            longest, it.timeout.count() > 0 ? it.timeout : max_stream_lifetime);
     }
     origins_->set_lifetime(std::clamp<std::chrono::milliseconds>(
         lifetime_factor * longest, min_stream_lifetime, max_stream_lifetime));
