gateway: Test of a stalled stream that sends a byte now and then

One of the faults that operators of similar systems have reported: such a stream never ended. Here only complete events count, and it goes on at another endpoint; the test passes on the code as it was.

--- a/packages/gateway/tests/gateway_test.cpp
+++ b/packages/gateway/tests/gateway_test.cpp
@@ -335,6 +335,41 @@
     CHECK(pausing.requests() == 2);
 }
 
+// Guards against a stalled stream that never ends because its endpoint sends a
+// byte now and then.
+TEST_CASE("a stream that gets bytes but no events goes on elsewhere")
+{
+    scripted_endpoint stalled(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.begin_stream(request);
+            conn.event(1);
+            for (int n = 0; n < 60; ++n)
+            {
+                conn.wait(milliseconds(50));
+                conn.chunk(":");
+            }
+            return false;
+        });
+    scripted_endpoint sound(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.begin_stream(request);
+            conn.event(2);
+            conn.end_stream();
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({stalled.port(), sound.port()});
+    test_caller caller(gate.port());
+    caller.send(get_request("/resume/", "id1"));
+    auto const text = caller.read_until("0\r\n\r\n");
+    CHECK(contains(text, "id: 2\n"));
+    CHECK(text.ends_with("0\r\n\r\n"));
+    CHECK(sound.requests() == 1);
+}
+
 // Guards against an incomplete stream that is terminated like a complete one.
 TEST_CASE("a stream that cannot be resumed has no terminating chunk")
 {
