gateway: Do not trust the software version of an endpoint that has restarted

Between a restart of an endpoint under its id and its new entry, its agent reports only the new incarnation. A stream that was resumed there could go on at other software than listed, and one that began there was remembered with the old version. Its events now end such an attempt, or leave the stream's version unknown, as when the entry has arrived.

gateway: a stream does not go on at an endpoint that has restarted before it was listed anew (failed without the check).

--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -63,8 +63,13 @@
     /// id.
     bool unreachable_or_restarted() const
     {
-        return linked_ &&
-               (unreachable_ || latest_incarnation_ > entry_.incarnation);
+        return linked_ && (unreachable_ || restarted());
+    }
+    /// The agent has reported an incarnation newer than that of the entry,
+    /// whose other data may be wrong.
+    bool restarted() const
+    {
+        return linked_ && latest_incarnation_ > entry_.incarnation;
     }
     void on_success(kernel::steady_time now);
     /// The endpoint returned an error.
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -173,6 +173,9 @@
     kernel::software_version sent_software_;
     /// Whether the attempt resumes a stream.
     bool resumes_ = false;
+    /// The endpoint may have begun the stream with other software than it was
+    /// listed with.
+    bool origin_unknown_ = false;
     kernel::steady_time sent_at_{};
     kernel::steady_time last_event_at_{};
     std::chrono::milliseconds expected_first_byte_{0};
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -480,7 +480,8 @@
 bool exchange::has_changed_software() const
 {
     return route_->kind == route_kind::resumable_stream &&
-           endpoint_->entry().software != sent_software_;
+           (endpoint_->restarted() ||
+            endpoint_->entry().software != sent_software_);
 }
 
 void exchange::on_head(response_head const& head)
@@ -687,21 +688,22 @@
 /// turns out to have other software than expected.
 bool exchange::check_software()
 {
-    if (!has_changed_software())
+    if (origin_unknown_ || !has_changed_software())
         return true;
-    auto const& software = endpoint_->entry().software;
-    services_.log.write("software_changed", "id={} endpoint={} from={} to={}",
-                        id_, endpoint_->entry().id.str(), sent_software_.str(),
-                        software.str());
+    auto const& entry = endpoint_->entry();
+    services_.log.write("software_changed",
+                        "id={} endpoint={} from={} to={} restarted={}", id_,
+                        entry.id.str(), sent_software_.str(),
+                        entry.software.str(), endpoint_->restarted());
     if (resumes_)
     {
         reject_response("software_changed");
         return false;
     }
     // The stream goes on here, but it is not known at which version it began.
-    requirements_.software = kernel::software_version(
-        fmt::format("{} or {}", sent_software_.str(), software.str()));
-    sent_software_ = software;
+    origin_unknown_ = true;
+    requirements_.software =
+        kernel::software_version(sent_software_.str() + " or later");
     note_origin();
     return true;
 }
--- a/packages/gateway/tests/software_version_test.cpp
+++ b/packages/gateway/tests/software_version_test.cpp
@@ -296,6 +296,43 @@
     CHECK(one.requests() + two.requests() + three.requests() == 1);
 }
 
+// As above, if the router has learned of the restart from the endpoint's agent
+// only, which does not know the version.
+TEST_CASE("a stream does not go on at an endpoint that has restarted before it "
+          "was listed anew")
+{
+    version_record record;
+    std::promise<void> restarted;
+    auto const seen = restarted.get_future().share();
+    scripted_endpoint breaking(break_new_streams(record, "v1"));
+    scripted_endpoint replaced(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            conn.begin_stream(request);
+            seen.wait_for(std::chrono::seconds(20));
+            conn.event(3);
+            conn.end_stream();
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_entries({entry(0, breaking.port(), "v1")});
+    test_caller caller(gate.port());
+    caller.send(get_request("/resume/", "id1"));
+    caller.read_until("id: 1\n");
+    gate.set_entries(
+        {entry(0, breaking.port(), "v1"), entry(1, replaced.port(), "v1")});
+    for (int n = 0; n < 4000 && replaced.requests() == 0; ++n)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    REQUIRE(replaced.requests() == 1);
+    wire::engine_state state;
+    state.endpoint_incarnation = 1;
+    gate.run([&]
+             { gate.get().on_engine_state(kernel::endpoint_id("e1"), state); });
+    restarted.set_value();
+    CHECK(caller.read_all().find("id: 3\n") == std::string::npos);
+}
+
 // Guards against a restart of the endpoint while the connection to it is
 // established.
 TEST_CASE("a stream that goes on is not sent to an endpoint that changes its "
