gateway: Do not take a trial that ends early for a crash of a sound endpoint

The first request after a quarantine counted as one more crash if its caller left or its time ended before the endpoint had answered, also at an endpoint that went on serving others. Unless the endpoint sent this router something within a second, a sound request was then refused for two minutes.

It now counts only if the endpoint has sent nothing, to any process as far as known, since the request was sent or for 0.9 s. Otherwise it is remembered like any other request that was given up, and suspected if the endpoint ends within a second.

--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -144,6 +144,12 @@
     /// no output to any process within the stall limit, as far as known, or its
     /// agent cannot reach it.
     bool stalled(kernel::steady_time now) const;
+    /// Whether the endpoint has sent output, to any process as far as known,
+    /// after this time.
+    bool has_sent_since(kernel::steady_time at) const
+    {
+        return last_bytes_ > at;
+    }
     /// Fraction of recent requests that failed, from 0 to 1.
     double failure_rate(kernel::steady_time now) const;
 
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -91,6 +91,8 @@
 constexpr std::size_t max_discarded_bytes = 64U << 10U;
 /// Limit of one event of a stream.
 constexpr std::size_t max_event_bytes = 1U << 20U;
+/// An endpoint that has sent nothing for this time may have crashed.
+constexpr milliseconds max_silence{900};
 constexpr int lowest_priority = 9;
 constexpr char const* retry_after_field = "Retry-After";
 
@@ -806,8 +808,10 @@
     release_upstream(false);
     if (!unanswered)
         return;
-    // A trial that is not answered must not be followed by the next one.
-    if (is_trial_)
+    // A trial that is not answered must not be followed by the next one. An
+    // endpoint that goes on sending to others has not crashed under it so far.
+    if (is_trial_ && !endpoint_->has_sent_since(std::max(
+                         sent_at_, services_.clock.now() - max_silence)))
         services_.parts.on_crash(id_, endpoint_->entry(), keys_);
     else
         services_.parts.on_abandoned(id_, endpoint_->entry(), keys_);
--- a/packages/gateway/tests/request_crash_test.cpp
+++ b/packages/gateway/tests/request_crash_test.cpp
@@ -7,8 +7,10 @@
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace endiveward::gateway
 {
@@ -64,6 +66,32 @@
     return caller.read_until("\r\n\r\n");
 }
 
+/// What another router knows of a request to this path that has crashed two
+/// endpoints, after the quarantine has ended. The next request is a trial.
+wire::part_report past_quarantine(std::string const& path)
+{
+    crashing_service service;
+    test_gateway gate;
+    std::promise<wire::part_report> reported;
+    gate.run(
+        [&]
+        {
+            gate.get().set_part_report_handler(
+                [&](wire::part_report report)
+                {
+                    if (!report.crashes.empty())
+                        reported.set_value(std::move(report));
+                });
+        });
+    service.use_for(gate);
+    ask(gate, path, "id0", "bad");
+    auto res = reported.get_future().get();
+    for (auto& it : res.crashes)
+        it.age = std::chrono::seconds(40);
+    res.tried_parts.clear();
+    return res;
+}
+
 } // namespace
 
 // Guards against a request without prompt parts that crashes one endpoint after
@@ -130,4 +158,47 @@
     CHECK(first.requests() + second.requests() == 2);
 }
 
+// Guards against a sound request that is refused for minutes since the caller
+// of its trial has left: the endpoint serves others, so that it has not
+// crashed.
+TEST_CASE("a trial whose caller leaves is no crash of an endpoint that serves "
+          "on")
+{
+    auto const report = past_quarantine("/safe/a");
+    REQUIRE(report.crashes.size() == 2);
+    std::atomic<int> tried{0};
+    scripted_endpoint endpoint(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            if (request.body == "bad" && ++tried == 1)
+                conn.wait(std::chrono::milliseconds(400));
+            conn.answer(request, 200, "ok");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply(1, std::chrono::seconds(5), {}, std::chrono::seconds(2));
+    // Not one of those that have crashed.
+    gate.set_entries({test_gateway::entry(7, endpoint.port())});
+    gate.run([&] { gate.get().on_part_report(report); });
+    {
+        test_caller caller(gate.port());
+        caller.send("POST /safe/a HTTP/1.1\r\nHost: h\r\nX-Id: id1\r\nX-Time: "
+                    "3000\r\nX-Key: key1\r\nContent-Length: 3\r\n\r\nbad");
+        while (tried == 0)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        CHECK(ask(gate, "/safe/b", "id2", "good").starts_with("HTTP/1.1 200"));
+    }
+    // Others wait for the time of the trial, not for another quarantine.
+    auto const end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    auto served = false;
+    for (int n = 0; !served && std::chrono::steady_clock::now() < end; ++n)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        served = ask(gate, "/safe/a", "id3-" + std::to_string(n), "bad")
+                     .starts_with("HTTP/1.1 200");
+    }
+    CHECK(served);
+}
+
 } // namespace endiveward::gateway
