gateway: Send a trial elsewhere if it finds no connection

The first request after a quarantine was refused for up to 5 s if no connection to its endpoint could be established, or if the endpoint refused it: it was held back by its own trial. A trial that has not run goes on to another endpoint. The test got 503 before.

--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -299,6 +299,9 @@
 /// attempt, along with the requests that run there.
 bool exchange::reject_if_quarantined()
 {
+    // A trial that has not run goes on; others are refused because of it.
+    if (is_trial_ && runs_ == 0)
+        return false;
     auto const until = services_.parts.quarantined_until(keys_);
     if (!until)
         return false;
--- a/packages/gateway/tests/request_crash_test.cpp
+++ b/packages/gateway/tests/request_crash_test.cpp
@@ -201,4 +201,27 @@
     CHECK(served);
 }
 
+// Guards against a trial that is refused although it has not run and another
+// endpoint can take it.
+TEST_CASE("a trial that finds no connection goes to another endpoint")
+{
+    auto const report = past_quarantine("/safe/a");
+    std::uint16_t unused = 0;
+    {
+        scripted_endpoint closed(crash_or_answer);
+        unused = closed.port();
+    }
+    scripted_endpoint sound(
+        [](http_request const& request, scripted_connection& conn)
+        {
+            conn.answer(request, 200, "ok");
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({unused, sound.port()});
+    gate.run([&] { gate.get().on_part_report(report); });
+    CHECK(ask(gate, "/safe/a", "id1", "bad").starts_with("HTTP/1.1 200"));
+}
+
 } // namespace endiveward::gateway
