--- a/packages/gateway/internal/origin_watch.cpp
+++ b/packages/gateway/internal/origin_watch.cpp
@@ -192,7 +192,7 @@
 }
 
 /// Ends the inquiry with what is known by now.
-void origin_watch::finish(std::deque<inquiry>::iterator it,
+void origin_watch::finish(std::deque<inquiry>::iterator const& it,
                           std::optional<wire::stream_origin> const& origin)
 {
     auto done = std::move(*it);
--- a/packages/gateway/origin_watch.hpp
+++ b/packages/gateway/origin_watch.hpp
@@ -82,7 +82,7 @@
     };
 
     std::deque<inquiry>::iterator find(std::uint64_t query);
-    void finish(std::deque<inquiry>::iterator it,
+    void finish(std::deque<inquiry>::iterator const& it,
                 std::optional<wire::stream_origin> const& origin);
     resumption::resumption_decision
     decide(inquiry& it, std::optional<wire::stream_origin> const& origin) const;
--- a/packages/resumption/internal/origin_distribution.cpp
+++ b/packages/resumption/internal/origin_distribution.cpp
@@ -82,9 +82,10 @@
         keeper best;
         for (auto const& other : agents_)
         {
-            auto it = make_keeper(other, n);
-            if (std::find(list.begin(), list.end(), it) == list.end())
-                best = std::max(best, std::move(it));
+            auto const it = make_keeper(other, n);
+            if (it > best &&
+                std::find(list.begin(), list.end(), it) == list.end())
+                best = it;
         }
         if (best.agent.empty())
             continue;
--- a/packages/resumption/origin_distribution.hpp
+++ b/packages/resumption/origin_distribution.hpp
@@ -44,6 +44,8 @@
         std::uint64_t rank = 0;
         kernel::process_id agent;
 
+        // clang-tidy 14 takes the zero of a rewritten comparison for a pointer.
+        // NOLINTNEXTLINE(modernize-use-nullptr)
         auto operator<=>(keeper const&) const = default;
     };
 
