--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -170,7 +170,12 @@
             return false;
         }
     }
-    begun_by_ = request_.headers.value_or(services_.names.resumed_request, id_);
+    auto const* const resumed =
+        request_.headers.find(services_.names.resumed_request);
+    auto const is_resumable = route_->kind == route_kind::resumable_stream;
+    begun_by_ = is_resumable && resumed != nullptr && !resumed->empty()
+                    ? *resumed
+                    : id_;
     // A stream goes on at the service at which it began.
     auto const* const chosen = service_for(*route_, begun_by_);
     if (chosen == nullptr || table_->find_service(*chosen) == nullptr)
--- a/packages/gateway/tests/software_version_test.cpp
+++ b/packages/gateway/tests/software_version_test.cpp
@@ -371,13 +371,10 @@
 TEST_CASE("a stream that a caller takes up goes on at the software version "
           "that began it")
 {
-    version_record record;
-    scripted_endpoint old_one(break_new_streams(record, "v1", long_pause));
-    scripted_endpoint new_one(break_new_streams(record, "v2", long_pause));
+    two_versions endpoints;
     test_gateway gate;
     gate.apply();
-    gate.set_entries(
-        {entry(0, old_one.port(), "v1"), entry(1, new_one.port(), "v2")});
+    gate.set_entries(endpoints.entries());
     int complete = 0;
     for (int n = 0; n < streams; ++n)
     {
@@ -387,24 +384,21 @@
         auto const first = begin_stream(gate, id);
         complete += take_up(gate, id).ends_with("0\r\n\r\n");
     }
-    CHECK(record.mixed() == 0);
+    CHECK(endpoints.record.mixed() == 0);
     CHECK(complete == streams);
 }
 
 TEST_CASE("a stream of which no process knows the software version is refused "
           "while several serve")
 {
-    version_record record;
-    scripted_endpoint old_one(break_new_streams(record, "v1", long_pause));
-    scripted_endpoint new_one(break_new_streams(record, "v2", long_pause));
+    two_versions endpoints;
     test_gateway gate;
     gate.apply();
-    gate.set_entries(
-        {entry(0, old_one.port(), "v1"), entry(1, new_one.port(), "v2")});
+    gate.set_entries(endpoints.entries());
     auto const text = take_up(gate, "unknown");
     CHECK(text.starts_with("HTTP/1.1 503"));
     CHECK(text.find("Retry-After: ") != std::string::npos);
-    CHECK(old_one.requests() + new_one.requests() == 0);
+    CHECK(endpoints.requests() == 0);
 }
 
 // Guards against a resumption at an endpoint that has been replaced at its
@@ -605,4 +599,26 @@
     CHECK(two.requests() > 0);
 }
 
+// Callers of earlier versions name no request, and an empty name is none.
+TEST_CASE("a stream that is taken up without naming its request goes on at the "
+          "only software version")
+{
+    auto const* const field = GENERATE("", "X-Resumes:\r\n");
+    two_versions endpoints;
+    test_gateway gate;
+    gate.apply();
+    gate.set_entries({entry(0, endpoints.old_one.port(), "v1")});
+    auto const ask = [&](std::string const& id)
+    {
+        test_caller caller(gate.port());
+        caller.send(get_request("/resume/", id,
+                                std::string("X-Last-Event: 2\r\n") + field +
+                                    "Connection: close\r\n"));
+        return caller.read_all();
+    };
+    CHECK(ask("id1").ends_with("0\r\n\r\n"));
+    gate.set_entries(endpoints.entries());
+    CHECK(ask("id2").starts_with("HTTP/1.1 503"));
+}
+
 } // namespace endiveward::gateway
