gateway: Refuse a trial that has not run after a new crash

A trial that found no connection went on to another endpoint even if another router had reported one more crash under the same request meanwhile, so that one more endpoint could be lost. It now goes on only as long as nothing but the trial itself holds it back.

The writer that two test files need stands in support.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -184,6 +184,8 @@
     bool counted_by_limit_ = false;
     /// Whether the request is the first one after a quarantine.
     bool is_trial_ = false;
+    /// Until when others are refused because of the trial.
+    kernel::steady_time trial_until_{};
     bool response_started_ = false;
     /// Whether the endpoint has begun to write an answer in this attempt.
     bool has_output_ = false;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -304,12 +304,13 @@
 /// attempt, along with the requests that run there.
 bool exchange::reject_if_quarantined()
 {
-    // A trial that has not run goes on; others are refused because of it.
-    if (is_trial_ && runs_ == 0)
-        return false;
     auto const until = services_.parts.quarantined_until(keys_);
     if (!until)
         return false;
+    // A trial that has not run goes on; others are refused because of it. A
+    // crash that was reported since refuses it, too.
+    if (is_trial_ && runs_ == 0 && *until <= trial_until_)
+        return false;
     auto const left = std::chrono::duration_cast<milliseconds>(
         *until - services_.clock.now());
     auto const whole_request =
@@ -445,6 +446,8 @@
     counted_by_limit_ = endpoint_->limit().rate().has_value();
     services_.limits.on_sent(*endpoint_);
     is_trial_ = services_.parts.on_sent(id_, keys_);
+    if (is_trial_)
+        trial_until_ = services_.parts.quarantined_until(keys_).value_or(now);
     services_.metrics.on_attempt();
     services_.log.write_routine(
         "sent",
--- a/packages/gateway/tests/request_crash_test.cpp
+++ b/packages/gateway/tests/request_crash_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/tests/support/scripted_endpoint.hpp"
+#include "gateway/tests/support/silent_writer.hpp"
 #include "gateway/tests/support/test_caller.hpp"
 #include "gateway/tests/support/test_gateway.hpp"
 
@@ -8,6 +9,7 @@
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
 #include <utility>
@@ -224,4 +226,45 @@
     CHECK(ask(gate, "/safe/a", "id1", "bad").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against one more endpoint that is lost: another router reports a new
+// crash under the request while its trial looks for a connection.
+TEST_CASE("a trial that finds no connection is not sent on after a new crash")
+{
+    auto const report = past_quarantine("/safe/a");
+    auto newest = report;
+    newest.crashes.resize(1);
+    newest.crashes[0].crash += 1;
+    newest.crashes[0].age = std::chrono::milliseconds(0);
+    std::uint16_t unused = 0;
+    {
+        scripted_endpoint closed(crash_or_answer);
+        unused = closed.port();
+    }
+    scripted_endpoint other(crash_or_answer);
+    test_gateway gate;
+    gate.apply();
+    gate.set_endpoints({unused, other.port()});
+    gate.run([&] { gate.get().on_part_report(report); });
+    silent_writer writer;
+    std::shared_ptr<i_exchange> running;
+    gate.run(
+        [&]
+        {
+            http_request request;
+            request.method = "POST";
+            request.target = "/safe/a";
+            request.headers.add("Host", "h");
+            request.headers.add("X-Id", "id1");
+            request.headers.add("X-Time", "3000");
+            request.headers.add("X-Key", "key1");
+            request.body = "bad";
+            running = gate.get().handle(std::move(request), writer);
+            gate.get().on_part_report(newest);
+        });
+    writer.ended.get_future().wait_for(std::chrono::seconds(20));
+    CHECK(writer.status == 503);
+    CHECK(other.requests() == 0);
+    gate.run([&] { running = nullptr; });
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/tests/software_version_test.cpp
+++ b/packages/gateway/tests/software_version_test.cpp
@@ -1,5 +1,5 @@
-#include "gateway/i_response_writer.hpp"
 #include "gateway/tests/support/scripted_endpoint.hpp"
+#include "gateway/tests/support/silent_writer.hpp"
 #include "gateway/tests/support/test_caller.hpp"
 #include "gateway/tests/support/test_gateway.hpp"
 #include "kernel/system_clock.hpp"
@@ -108,28 +108,6 @@
     std::atomic<bool> silent_{false};
 };
 
-/// Tells how a request ends that no caller waits for.
-struct silent_writer : i_response_writer
-{
-    void answer(int code, header_list const&, std::string) override
-    {
-        status = code;
-        ended.set_value();
-    }
-    void begin(int code, header_list const&,
-               std::optional<std::uint64_t>) override
-    {
-        status = code;
-    }
-    void write(std::string_view) override {}
-    void end() override { ended.set_value(); }
-    void abort() override { ended.set_value(); }
-    std::size_t queued() const override { return 0; }
-
-    int status = 0;
-    std::promise<void> ended;
-};
-
 /// A stream is named by the request that began it.
 std::string stream_of(http_request const& request)
 {
