--- a/packages/gateway/internal/origin_watch.cpp
+++ b/packages/gateway/internal/origin_watch.cpp
@@ -9,6 +9,7 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -85,14 +86,18 @@
         if (listed_.several(it, now))
             several.insert(it);
     }
+    std::set<kernel::service_id> added;
+    std::set_difference(several.begin(), several.end(), reported_.begin(),
+                        reported_.end(), std::inserter(added, added.end()));
+    reported_ = std::move(several);
+    if (added.empty())
+        return;
     own_.for_each(now,
                   [&](wire::stream_origin const& it)
                   {
-                      if (several.contains(it.service) &&
-                          !reported_.contains(it.service))
+                      if (added.contains(it.service))
                           report(it);
                   });
-    reported_ = std::move(several);
 }
 
 void origin_watch::on_sent(std::string_view begun_by,
