--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -716,7 +716,7 @@
     // The stream goes on here, but it is not known at which version it began.
     origin_unknown_ = true;
     requirements_.software =
-        kernel::software_version(sent_software_.str() + " or later");
+        kernel::software_version(sent_software_.str() + " or unknown");
     note_origin();
     return true;
 }
--- a/packages/resumption/internal/resumption_policy.cpp
+++ b/packages/resumption/internal/resumption_policy.cpp
@@ -8,8 +8,7 @@
 // Load patterns:
 // - A router ends, and its callers take up their streams at others: agents know
 //   where they began, as soon as the router has sent the requests.
-// - All routers end at once: each asks agents. The list of endpoints alone
-// would
+// - All routers end at once: each asks agents. The list of endpoints alone does
 //   not tell of versions that have gone since.
 // - A service has one version: no origin is told to agents. Streams go on at
 //   that version, unless agents know of another one.
