--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -34,6 +34,7 @@
 class upstream_connection;
 class upstream_pool;
 struct exchange_services;
+struct sent_request;
 struct unserved_request;
 
 /// Serves one request: chooses an endpoint, forwards the request, handles
@@ -94,13 +95,7 @@
     void attempt();
     bool refuse_if_overloaded(placement_choice const& choice);
     void send(placement_choice choice);
-    void update_endpoint(response_head const& head);
-    void update_endpoint_version(response_head const& head);
-    void note_leaving(response_head const& head);
-    void note_pause(response_head const& head);
-    void note_limit(response_head const& head);
-    std::shared_ptr<endpoint_record>
-    answering_endpoint(response_head const& head) const;
+    sent_request describe_sent() const;
     bool is_refusal(response_head const& head) const;
     bool is_valid_response(response_head const& head) const;
     void discard(std::size_t n);
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -1,10 +1,9 @@
 #include "gateway/exchange.hpp"
 
-#include "availability/leaving_notice_reader.hpp"
-#include "availability/retry_after_reader.hpp"
 #include "gateway/attempt_timeouts.hpp"
 #include "gateway/endpoint_chooser.hpp"
 #include "gateway/endpoint_directory.hpp"
+#include "gateway/endpoint_notices.hpp"
 #include "gateway/endpoint_outages.hpp"
 #include "gateway/exchange_services.hpp"
 #include "gateway/gateway_metrics.hpp"
@@ -18,6 +17,7 @@
 #include "gateway/request_fields.hpp"
 #include "gateway/retry_budgets.hpp"
 #include "gateway/routing_table.hpp"
+#include "gateway/types/sent_request.hpp"
 #include "gateway/types/unserved_request.hpp"
 #include "gateway/unavailability_policy.hpp"
 #include "gateway/upstream_pool.hpp"
@@ -497,13 +497,21 @@
             endpoint_->entry().software != sent_software_);
 }
 
+sent_request exchange::describe_sent() const
+{
+    sent_request res{endpoint_, sent_generation_, sent_at_, {}};
+    if (requirements_.prompt)
+        res.model = requirements_.prompt->model;
+    return res;
+}
+
 void exchange::on_head(response_head const& head)
 {
     auto const keep = shared_from_this();
     auto const now = services_.clock.now();
     response_started_ = true;
     endpoint_->on_response_started(footprint_, now);
-    update_endpoint(head);
+    endpoint_notices(services_).apply(head, describe_sent());
     head_ = head;
     progress_ = progress::collecting;
     refused_ = is_refusal(head);
@@ -532,118 +540,6 @@
             head.headers.find(services_.names.not_run) != nullptr);
 }
 
-void exchange::update_endpoint(response_head const& head)
-{
-    auto const* const text = head.headers.find(services_.names.load);
-    if (text != nullptr)
-    {
-        if (auto sample = parse_load(*text))
-        {
-            sample->at = services_.clock.now();
-            sample->own_requests = endpoint_->in_flight();
-            endpoint_->on_load(*sample);
-        }
-    }
-    update_endpoint_version(head);
-    note_leaving(head);
-    note_pause(head);
-    note_limit(head);
-}
-
-void exchange::note_leaving(response_head const& head)
-{
-    auto const* const text = head.headers.find(services_.names.leaving);
-    auto const notice = availability::read_leaving_notice(text);
-    if (notice == availability::leaving_notice::none)
-        return;
-    auto const answering = answering_endpoint(head);
-    if (answering == nullptr)
-        return;
-    auto const& endpoint = answering->entry().id.str();
-    if (notice == availability::leaving_notice::unreadable)
-        return services_.log.write("endpoint_field_ignored",
-                                   "endpoint={} field={} value=\"{}\"",
-                                   endpoint, services_.names.leaving, *text);
-    // An agent may have reported it before, which a later report can end.
-    auto const known = answering->leaving();
-    answering->on_leaving();
-    if (known)
-        return;
-    services_.metrics.on_leaving("answer");
-    services_.log.write("endpoint_leaving",
-                        "endpoint={} source=answer status={} until=restart",
-                        endpoint, head.status);
-}
-
-void exchange::note_pause(response_head const& head)
-{
-    if (head.status != status_unavailable)
-        return;
-    auto const* const text = head.headers.find(retry_after_field);
-    auto const value =
-        availability::read_retry_after(text, head.headers.find("Date"));
-    auto const answering = answering_endpoint(head);
-    if (text == nullptr || answering == nullptr)
-        return;
-    auto const& endpoint = answering->entry().id.str();
-    std::visit(
-        kernel::overloaded{
-            [](availability::no_pause) {},
-            [&](availability::unreadable_pause)
-            {
-                services_.log.write("endpoint_field_ignored",
-                                    "endpoint={} field={} value=\"{}\"",
-                                    endpoint, retry_after_field, *text);
-            },
-            [&](availability::requested_pause const& pause)
-            {
-                auto const now = services_.clock.now();
-                if (!answering->on_pause(now, pause.time) && !pause.limited)
-                    return;
-                services_.metrics.on_pause();
-                auto const until = answering->unusable_until(now).value_or(now);
-                services_.log.write(
-                    "endpoint_paused",
-                    "endpoint={} source=answer requested_ms={} limited={} "
-                    "until_ms={}",
-                    endpoint, pause.time.count(), pause.limited,
-                    std::chrono::duration_cast<milliseconds>(until - now)
-                        .count());
-            }},
-        value);
-}
-
-void exchange::note_limit(response_head const& head)
-{
-    auto const& field = services_.names.request_limit;
-    if (auto const answering = answering_endpoint(head))
-        services_.limits.on_response(*answering, sent_at_, field,
-                                     head.headers.find(field));
-}
-
-/// Returns the endpoint that has sent the answer, or null if it is unknown or
-/// has restarted since. At the address of an endpoint that has exited another
-/// one may answer.
-std::shared_ptr<endpoint_record>
-exchange::answering_endpoint(response_head const& head) const
-{
-    auto const* const id = head.headers.find(services_.names.endpoint);
-    if (id != nullptr && *id != endpoint_->entry().id.str())
-        return services_.endpoints.find(kernel::endpoint_id(*id));
-    return endpoint_->generation() == sent_generation_ ? endpoint_ : nullptr;
-}
-
-void exchange::update_endpoint_version(response_head const& head)
-{
-    if (!requirements_.prompt)
-        return;
-    auto const* const text = head.headers.find(services_.names.weight_version);
-    if (text == nullptr)
-        return;
-    if (auto const n = kernel::parse_number<weights::weight_version>(*text))
-        endpoint_->set_version(requirements_.prompt->model, *n);
-}
-
 void exchange::on_body(std::string_view bytes)
 {
     auto const keep = shared_from_this();
--- /dev/null
+++ b/packages/gateway/types/sent_request.hpp
@@ -0,0 +1,29 @@
+#ifndef ENDIVEWARD_GATEWAY_TYPES_SENT_REQUEST_HPP
+#define ENDIVEWARD_GATEWAY_TYPES_SENT_REQUEST_HPP
+
+#include "kernel/i_clock.hpp"
+#include "kernel/types/identifiers.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace endiveward::gateway
+{
+
+class endpoint_record;
+
+/// A request that this process has sent to an endpoint.
+struct sent_request
+{
+    std::shared_ptr<endpoint_record> endpoint;
+    /// The endpoint's generation at that time.
+    std::uint64_t generation = 0;
+    kernel::steady_time at{};
+    /// The model that the request names.
+    std::optional<kernel::model_id> model;
+};
+
+} // namespace endiveward::gateway
+
+#endif
