facts: Exchange of facts between routers

Quotas and speeds of endpoints need values that each router learns and all use. Facts have a kind, key, source, value, revision and age, a bound on number and lifetime; agents keep them and pass the newest values on. Nothing states a fact yet. The message is sent only to peers that accept it.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -85,6 +85,12 @@
             asio::post(control_, [this, report = std::move(report)]
                        { links_->send_limit_report(report); });
         });
+    gateway_->set_fact_report_handler(
+        [this](wire::fact_report report)
+        {
+            asio::post(control_, [this, report = std::move(report)]
+                       { links_->send_fact_report(report); });
+        });
     gateway_->set_origin_handlers(
         [this](wire::stream_origins news)
         {
@@ -247,6 +253,11 @@
     pass_on_report([this, report] { gateway_->on_limit_report(report); });
 }
 
+void gateway_process::on_fact_report(wire::fact_report const& report)
+{
+    pass_on_report([this, report] { gateway_->on_fact_report(report); });
+}
+
 void gateway_process::on_origin_answer(wire::origin_answer const& answer)
 {
     pass_on_report([this, answer] { gateway_->on_origin_answer(answer); });
--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -90,6 +90,7 @@
                          wire::cache_change const& change) override;
     void on_part_report(wire::part_report const& report) override;
     void on_limit_report(wire::limit_report const& report) override;
+    void on_fact_report(wire::fact_report const& report) override;
     void on_origin_answer(wire::origin_answer const& answer) override;
     void on_link_lost(kernel::endpoint_id const& endpoint) override;
 
--- a/packages/enginelink/agent_links.hpp
+++ b/packages/enginelink/agent_links.hpp
@@ -3,6 +3,7 @@
 
 #include "kernel/types/identifiers.hpp"
 #include "wire/types/cluster_key.hpp"
+#include "wire/types/fact_report.hpp"
 #include "wire/types/limit_report.hpp"
 #include "wire/types/origin_query.hpp"
 #include "wire/types/part_report.hpp"
@@ -71,6 +72,9 @@
     void send_part_report(wire::part_report const& report);
     /// The same for what it has learned about endpoints that name a limit.
     void send_limit_report(wire::limit_report const& report);
+    /// The same for facts that routers share. Agents that connect later, and
+    /// may pass them on then, get those that still hold.
+    void send_fact_report(wire::fact_report const& report);
     /// Sends the origins of this router's streams to the few agents that keep
     /// them, and again to agents that have been away.
     void send_stream_origins(wire::stream_origins const& news);
--- a/packages/enginelink/i_engine_listener.hpp
+++ b/packages/enginelink/i_engine_listener.hpp
@@ -4,6 +4,7 @@
 #include "kernel/types/identifiers.hpp"
 #include "wire/types/cache_change.hpp"
 #include "wire/types/engine_state.hpp"
+#include "wire/types/fact_report.hpp"
 #include "wire/types/limit_report.hpp"
 #include "wire/types/origin_answer.hpp"
 #include "wire/types/part_report.hpp"
@@ -24,6 +25,8 @@
                                  wire::cache_change const& change) = 0;
     /// What other routers have learned about prompt parts that crash engines.
     virtual void on_part_report(wire::part_report const& report) = 0;
+    /// Facts that other routers share.
+    virtual void on_fact_report(wire::fact_report const& report) = 0;
     /// What other routers have learned about endpoints that name a limit.
     virtual void on_limit_report(wire::limit_report const& report) = 0;
     /// What an agent knows of a stream that this router has asked about.
--- a/packages/enginelink/internal/agent_links.cpp
+++ b/packages/enginelink/internal/agent_links.cpp
@@ -3,6 +3,7 @@
 #include "enginelink/i_engine_listener.hpp"
 #include "enginelink/i_row_source.hpp"
 #include "enginelink/link_options.hpp"
+#include "facts/fact_relay.hpp"
 #include "kernel/half_jitter.hpp"
 #include "kernel/i_clock.hpp"
 #include "kernel/i_random_source.hpp"
@@ -127,6 +128,12 @@
         send_to_relays(report, &wire::hello::accepts_limit_reports);
     }
 
+    void send_fact_report(wire::fact_report const& report)
+    {
+        sent_facts_.merge(report.facts, clock_.now());
+        send_to_relays(report, &wire::hello::accepts_facts);
+    }
+
     void send_to_relays(wire::message const& msg, bool wire::hello::*accepts)
     {
         std::vector<wire::relay_candidate> open;
@@ -199,6 +206,8 @@
             listener_.on_part_report(*report);
         else if (auto const* limits = std::get_if<wire::limit_report>(&msg))
             listener_.on_limit_report(*limits);
+        else if (auto const* facts = std::get_if<wire::fact_report>(&msg))
+            listener_.on_fact_report(*facts);
         else if (auto const* answer = std::get_if<wire::origin_answer>(&msg))
             listener_.on_origin_answer(*answer);
     }
@@ -285,6 +294,7 @@
                 it->connection = std::move(conn);
                 it->retry_delay = milliseconds(0);
                 self->send_known_rows(*it->connection);
+                self->send_known_facts(*it->connection);
                 self->add_agent(*it->connection);
             });
     }
@@ -330,6 +340,15 @@
             conn.send(msg);
     }
 
+    void send_known_facts(wire::i_connection& conn) const
+    {
+        if (!conn.peer().accepts_facts)
+            return;
+        for (auto const& it :
+             facts::to_reports(sent_facts_.snapshot(clock_.now())))
+            conn.send(it);
+    }
+
     void retry(std::shared_ptr<link> const& it)
     {
         if (it->closed)
@@ -363,6 +382,7 @@
     /// Requests for rows that the store lost before this era.
     std::uint64_t lost_rows_era_ = 0;
     std::size_t lost_row_requests_ = 0;
+    facts::fact_table sent_facts_;
     resumption::origin_distribution origins_;
     /// Open connections to each agent that keeps origins of streams.
     std::unordered_map<kernel::process_id, std::vector<wire::i_connection*>>
@@ -409,6 +429,11 @@
     impl_->send_limit_report(report);
 }
 
+void agent_links::send_fact_report(wire::fact_report const& report)
+{
+    impl_->send_fact_report(report);
+}
+
 void agent_links::send_stream_origins(wire::stream_origins const& news)
 {
     impl_->send_stream_origins(news);
--- a/packages/enginelink/internal/link_options.cpp
+++ b/packages/enginelink/internal/link_options.cpp
@@ -29,6 +29,7 @@
     hello_.zone = std::move(zone);
     hello_.accepts_part_reports = true;
     hello_.accepts_limit_reports = true;
+    hello_.accepts_facts = true;
     hello_.accepts_stream_origins = true;
     auto const started = std::chrono::duration_cast<std::chrono::milliseconds>(
         clock.wall_now().time_since_epoch());
--- a/packages/enginelink/internal/state_publisher.cpp
+++ b/packages/enginelink/internal/state_publisher.cpp
@@ -5,6 +5,7 @@
 #include "enginelink/i_row_source.hpp"
 #include "enginelink/link_options.hpp"
 #include "enginelink/report_scheduler.hpp"
+#include "facts/fact_relay.hpp"
 #include "kernel/thread_pool.hpp"
 #include "resumption/origin_table.hpp"
 #include "wire/acceptor.hpp"
@@ -30,6 +31,8 @@
 constexpr std::chrono::milliseconds part_report_delay{60};
 /// Until a request is reported, other routers may send one in its place.
 constexpr std::chrono::milliseconds limit_report_delay{10};
+/// Batches the reports of many routers.
+constexpr std::chrono::milliseconds fact_report_delay{50};
 
 } // namespace
 
@@ -45,6 +48,7 @@
         , scheduler_(report_options{})
         , parts_timer_(context)
         , limits_timer_(context)
+        , facts_timer_(context)
     {
     }
 
@@ -59,6 +63,8 @@
             send_report(*conn, known);
         if (auto const known = limits_.snapshot(clock_.now()); !known.empty())
             send_report(*conn, known);
+        for (auto const& it : facts_.snapshot(clock_.now()))
+            send_report(*conn, it);
     }
 
     void on_message(std::shared_ptr<wire::i_connection> const& conn,
@@ -76,6 +82,8 @@
             pass_on(*report);
         else if (auto const* limits = std::get_if<wire::limit_report>(&msg))
             pass_on(*limits);
+        else if (auto const* facts = std::get_if<wire::fact_report>(&msg))
+            pass_on(*facts);
         else if (auto const* news = std::get_if<wire::stream_origins>(&msg))
             keep(*news);
         else if (auto const* query = std::get_if<wire::origin_query>(&msg))
@@ -110,6 +118,7 @@
         timer_.cancel();
         parts_timer_.cancel();
         limits_timer_.cancel();
+        facts_timer_.cancel();
         for (auto const& it : routers_)
             it->close();
     }
@@ -165,6 +174,28 @@
             });
     }
 
+    void pass_on(wire::fact_report const& report)
+    {
+        if (!facts_.on_report(report, clock_.now()) ||
+            std::exchange(passing_on_facts_, true))
+            return;
+        facts_timer_.expires_after(fact_report_delay);
+        facts_timer_.async_wait(
+            [weak = weak_from_this()](std::error_code ec)
+            {
+                auto const self = weak.lock();
+                if (ec || self == nullptr)
+                    return;
+                self->passing_on_facts_ = false;
+                for (auto const& it :
+                     self->facts_.take_pending(self->clock_.now()))
+                {
+                    for (auto const& router : self->routers_)
+                        send_report(*router, it);
+                }
+            });
+    }
+
     /// A router that ends cannot be asked where its streams began.
     void keep(wire::stream_origins const& news)
     {
@@ -208,6 +239,13 @@
             conn.send(report);
     }
 
+    static void send_report(wire::i_connection& conn,
+                            wire::fact_report const& report)
+    {
+        if (conn.peer().accepts_facts)
+            conn.send(report);
+    }
+
     /// A router may have started after the store was restored from a copy that
     /// lacks what this process has read before. Rows that are known to be
     /// missing are sent at once; otherwise the era tells the router whether to
@@ -270,6 +308,9 @@
     asio::steady_timer limits_timer_;
     wire::limit_report pending_limits_;
     bool passing_on_limits_ = false;
+    facts::fact_relay facts_;
+    asio::steady_timer facts_timer_;
+    bool passing_on_facts_ = false;
     resumption::origin_table origins_;
     std::vector<std::shared_ptr<wire::i_connection>> routers_;
     std::optional<kernel::steady_time> last_row_request_;
--- a/packages/enginelink/tests/links_test.cpp
+++ b/packages/enginelink/tests/links_test.cpp
@@ -115,6 +115,13 @@
                         report.requests.end());
     }
 
+    void on_fact_report(wire::fact_report const& report) override
+    {
+        std::lock_guard const lock(mutex);
+        for (auto const& it : report.facts)
+            facts[it.key] = it.value;
+    }
+
     void on_origin_answer(wire::origin_answer const& answer) override
     {
         std::lock_guard const lock(mutex);
@@ -129,6 +136,13 @@
                            { return it.endpoint == endpoint; });
     }
 
+    bool has_fact(std::uint64_t key, double value) const
+    {
+        std::lock_guard const lock(mutex);
+        auto const found = facts.find(key);
+        return found != facts.end() && found->second == value;
+    }
+
     bool knows(std::uint64_t part) const
     {
         std::lock_guard const lock(mutex);
@@ -149,6 +163,7 @@
     wire::engine_state state;
     std::map<std::uint64_t, std::uint32_t> parts;
     std::vector<wire::part_crash> crashes;
+    std::map<std::uint64_t, double> facts;
     std::vector<wire::limit_change> limits;
     std::vector<wire::limited_request> requests;
     std::vector<wire::origin_answer> origin_answers;
@@ -220,6 +235,7 @@
         res.accepts_part_reports = false;
         res.accepts_limit_reports = false;
         res.accepts_stream_origins = false;
+        res.accepts_facts = false;
         return res;
     }
 };
@@ -377,6 +393,34 @@
     CHECK_FALSE(last.listener.knows_limit(7));
 }
 
+// Guards against routers that use a limit without counting the others' use, and
+// against agents that start anew and cannot tell a router that starts later.
+TEST_CASE("facts reach all routers, also through an agent that starts later")
+{
+    test_router first;
+    test_router second;
+    test_router earlier(std::make_shared<earlier_identity>());
+    auto const fact = [](std::uint64_t key, double value)
+    {
+        return wire::fact_report{
+            {{wire::fact_kind::workspace_use, key, 1, value, 1, {}}}};
+    };
+    first.run([&] { first.links.send_fact_report(fact(1, 10)); });
+    test_agent a;
+    for (auto* it : {&first, &second, &earlier})
+        it->connect(a.port);
+    CHECK(wait_until([&] { return second.listener.has_fact(1, 10); }));
+    first.run([&] { first.links.send_fact_report(fact(2, 20)); });
+    CHECK(wait_until([&] { return second.listener.has_fact(2, 20); }));
+    test_router third;
+    third.connect(a.port);
+    CHECK(wait_until([&] { return third.listener.has_fact(1, 10); }));
+    CHECK(wait_until([&] { return third.listener.has_fact(2, 20); }));
+    // It would close its link.
+    CHECK_FALSE(earlier.listener.has_fact(2, 20));
+    CHECK(earlier.listener.lost == 0);
+}
+
 // Guards against hundreds of messages at the crash of many engines, and against
 // routers that rely on different agents.
 TEST_CASE("all routers send their reports to the same few agents")
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include "weights/types/model_target.hpp"
 #include "wire/types/cache_change.hpp"
 #include "wire/types/engine_state.hpp"
+#include "wire/types/fact_report.hpp"
 #include "wire/types/limit_report.hpp"
 #include "wire/types/origin_answer.hpp"
 #include "wire/types/origin_query.hpp"
@@ -36,6 +37,8 @@
 namespace endiveward::gateway
 {
 
+class fact_exchange;
+
 /// Serves callers' requests according to the current configuration and list of
 /// endpoints. All methods must be called on the traffic thread, which runs
 /// `context`.
@@ -75,6 +78,10 @@
     void on_limit_report(wire::limit_report const& report);
     void
     set_limit_report_handler(std::function<void(wire::limit_report)> handler);
+    /// Facts that other processes share.
+    void on_fact_report(wire::fact_report const& report);
+    void
+    set_fact_report_handler(std::function<void(wire::fact_report)> handler);
     /// Sets who passes the origins of streams, and queries for those of others,
     /// on to agents.
     void
@@ -126,6 +133,7 @@
     std::unique_ptr<part_watch> parts_;
     std::unique_ptr<limit_watch> limits_;
     std::unique_ptr<origin_watch> origins_;
+    std::unique_ptr<fact_exchange> facts_;
     std::unique_ptr<exchange_services> services_;
     std::shared_ptr<routing_table const> table_;
     caller_server caller_server_;
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/endpoint_chooser.hpp"
 #include "gateway/endpoint_directory.hpp"
 #include "gateway/exchange.hpp"
+#include "gateway/fact_exchange.hpp"
 #include "gateway/gateway_metrics.hpp"
 #include "gateway/limit_watch.hpp"
 #include "gateway/origin_watch.hpp"
@@ -75,6 +76,7 @@
                                             settings_.seed);
     origins_ =
         std::make_unique<origin_watch>(context_, clock_, *metrics_, log_);
+    facts_ = std::make_unique<fact_exchange>(context_, clock_, settings_.seed);
     services_ = std::make_unique<exchange_services>(
         exchange_services{context_, clock_, names_, *endpoints_, *chooser_,
                           overload_, unavailability_, *weights_, *budgets_,
@@ -227,6 +229,17 @@
     limits_->set_news_handler(std::move(handler));
 }
 
+void gateway::on_fact_report(wire::fact_report const& report)
+{
+    facts_->on_report(report);
+}
+
+void gateway::set_fact_report_handler(
+    std::function<void(wire::fact_report)> handler)
+{
+    facts_->set_report_handler(std::move(handler));
+}
+
 void gateway::set_origin_handlers(
     std::function<void(wire::stream_origins)> on_origins,
     std::function<void(wire::origin_query)> on_query)
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -156,7 +156,7 @@
         msg.process.str().c_str(), msg.incarnation, msg.region.str().c_str(),
         msg.zone.str().c_str(), msg.endpoint.str().c_str(), msg.config_version,
         &msg.nonce, load, msg.accepts_part_reports, msg.accepts_limit_reports,
-        msg.accepts_stream_origins);
+        msg.accepts_stream_origins, msg.accepts_facts);
 }
 
 hello get(fbs::hello const& in)
@@ -176,6 +176,7 @@
     out.accepts_part_reports = in.accepts_part_reports();
     out.accepts_limit_reports = in.accepts_limit_reports();
     out.accepts_stream_origins = in.accepts_stream_origins();
+    out.accepts_facts = in.accepts_facts();
     return out;
 }
 
@@ -593,6 +594,33 @@
     return out;
 }
 
+offset<fbs::fact_report> put(builder& fbb, fact_report const& msg)
+{
+    std::vector<fbs::fact> facts;
+    facts.reserve(msg.facts.size());
+    for (auto const& it : msg.facts)
+        facts.emplace_back(it.key, it.source, it.value, it.revision,
+                           static_cast<std::uint32_t>(it.age.count()),
+                           static_cast<std::uint8_t>(it.kind));
+    return fbs::Createfact_reportDirect(fbb, &facts);
+}
+
+/// Kinds of later versions are kept: agents pass them on.
+fact_report get(fbs::fact_report const& in)
+{
+    fact_report out;
+    if (in.facts() == nullptr)
+        return out;
+    for (auto const* it : *in.facts())
+    {
+        if (std::isfinite(it->value()))
+            out.facts.push_back({static_cast<fact_kind>(it->kind()), it->key(),
+                                 it->source(), it->value(), it->revision(),
+                                 milliseconds(it->age_ms())});
+    }
+    return out;
+}
+
 offset<fbs::origin_query> put(builder& fbb, origin_query const& msg)
 {
     return fbs::Createorigin_queryDirect(fbb, msg.id, msg.stream,
@@ -713,6 +741,8 @@
         return get_body<fbs::origin_query>(envelope);
     case fbs::message_body::origin_answer:
         return get_body<fbs::origin_answer>(envelope);
+    case fbs::message_body::fact_report:
+        return get_body<fbs::fact_report>(envelope);
     case fbs::message_body::NONE:
         break;
     }
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -96,6 +96,10 @@
         part_report{
             {{1, 2, 3, std::chrono::milliseconds(4)}}, {5}, {6, 7}, {8}},
         limit_report{{{1, 1.5, false}, {2, 0, true}}, {{3, 4}}},
+        fact_report{{{fact_kind::endpoint_speed, 1, 2, 0.5, 3,
+                      std::chrono::milliseconds(4)},
+                     {static_cast<fact_kind>(200), 5, 6, -7, 8,
+                      std::chrono::milliseconds(9)}}},
         stream_origins{
             {{1, kernel::service_id("s"), kernel::software_version("v1"),
               std::chrono::milliseconds(2)},
--- a/packages/wire/types/hello.hpp
+++ b/packages/wire/types/hello.hpp
@@ -33,6 +33,8 @@
     bool accepts_limit_reports = false;
     /// The same for `stream_origins` and an `origin_query`.
     bool accepts_stream_origins = false;
+    /// The same for a `fact_report`.
+    bool accepts_facts = false;
 
     bool operator==(hello const&) const = default;
 };
--- a/packages/wire/types/message.hpp
+++ b/packages/wire/types/message.hpp
@@ -10,6 +10,7 @@
 #include "wire/types/config_update.hpp"
 #include "wire/types/draining.hpp"
 #include "wire/types/engine_state.hpp"
+#include "wire/types/fact_report.hpp"
 #include "wire/types/gossip.hpp"
 #include "wire/types/heartbeat.hpp"
 #include "wire/types/hello.hpp"
@@ -35,7 +36,7 @@
                  cancel, resume, config_request, config_update, draining,
                  gossip, engine_state, cache_change, table_request, table_rows,
                  part_report, limit_report, stream_origins, origin_query,
-                 origin_answer>;
+                 origin_answer, fact_report>;
 
 } // namespace endiveward::wire
 
