gateway: Refuse requests of workspaces over their limit

The configuration's limits had no effect. quota_watch asks the decision before each first attempt, counts a request when it is first sent, gives back what certainly never ran, and shares use as facts. Refusals are 429 with a Retry-After that is spread by the request's seed. Without limits nothing is stated.

fact_exchange sends the first report 5 ms after a statement instead of 100 ms, still at most one in 100 ms, since routers use a limit unaware of each other until then; it gets a test of its own.

Tests: decoders_test (limits), fact_exchange_test, workspace_quota_test.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -10,6 +10,7 @@
 #include "gateway/i_exchange.hpp"
 #include "gateway/types/endpoint_requirements.hpp"
 #include "gateway/types/placement_choice.hpp"
+#include "gateway/types/quota_ticket.hpp"
 #include "gateway/types/route.hpp"
 #include "gateway/types/workspace_entry.hpp"
 #include "kernel/i_clock.hpp"
@@ -146,6 +147,7 @@
     std::string begun_by_;
     route const* route_ = nullptr;
     workspace_entry const* workspace_ = nullptr;
+    quota_ticket quota_;
     retry_budget* budget_ = nullptr;
     endpoint_requirements requirements_;
     /// Keys of the request and of the prompt parts that others may have, too.
--- a/packages/gateway/exchange_services.hpp
+++ b/packages/gateway/exchange_services.hpp
@@ -31,6 +31,7 @@
 class origin_watch;
 class overload_policy;
 class part_watch;
+class quota_watch;
 class retry_budgets;
 class routing_table;
 class unavailability_policy;
@@ -51,6 +52,7 @@
     part_watch& parts;
     limit_watch& limits;
     origin_watch& origins;
+    quota_watch& quotas;
     gateway_metrics& metrics;
     observe::decision_log& log;
 };
--- a/packages/gateway/fact_exchange.hpp
+++ b/packages/gateway/fact_exchange.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace endiveward::gateway
@@ -33,9 +34,8 @@
 
     /// Identifies this start of the process as a source.
     std::uint64_t source() const { return source_; }
-    /// States a new value of this process. Values that are stated within a
-    /// tenth of a second are reported together, and only the last one of each
-    /// fact.
+    /// States a new value of this process. Reports are sent at most
+    /// each tenth of a second, with the last value of each fact.
     void state(wire::fact_kind kind, std::uint64_t key, std::uint64_t source,
                double value);
     void on_report(wire::fact_report const& report);
@@ -52,6 +52,7 @@
     report_handler on_report_;
     asio::steady_timer timer_;
     bool report_planned_ = false;
+    std::optional<kernel::steady_time> last_report_;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/gateway_metrics.hpp
+++ b/packages/gateway/gateway_metrics.hpp
@@ -3,6 +3,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 
 #include <chrono>
@@ -39,6 +40,10 @@
     void on_pause() { pauses_.Increment(); }
     void on_part_quarantined() { quarantines_.Increment(); }
     void on_request_quarantined() { request_quarantines_.Increment(); }
+    void on_over_limit() { over_limit_.Increment(); }
+    void on_limited_use(double amount) { limited_use_.Increment(amount); }
+    /// Share of the limits of workspaces that this router uses.
+    void set_limit_share(double share) { limit_share_.Set(share); }
     void on_prompt(std::uint32_t tokens, std::uint32_t expected_uncached);
 
 private:
@@ -50,6 +55,9 @@
     prometheus::Counter& quarantines_;
     prometheus::Counter& request_quarantines_;
     prometheus::Counter& attempts_;
+    prometheus::Counter& over_limit_;
+    prometheus::Counter& limited_use_;
+    prometheus::Gauge& limit_share_;
     prometheus::Counter& prompt_tokens_;
     prometheus::Counter& uncached_tokens_;
     prometheus::Histogram& duration_;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -13,6 +13,7 @@
 #include "gateway/origin_watch.hpp"
 #include "gateway/overload_policy.hpp"
 #include "gateway/part_watch.hpp"
+#include "gateway/quota_watch.hpp"
 #include "gateway/request_builder.hpp"
 #include "gateway/request_fields.hpp"
 #include "gateway/retry_budgets.hpp"
@@ -210,6 +211,8 @@
     if (workspace_ != nullptr && workspace_->isolated)
         requirements_.cache_group = workspace_->id.str();
     requirements_.kv_stores = table_->kv_stores();
+    quota_ = services_.quotas.ticket_for(workspace_, request_.headers,
+                                         services_.names);
     budget_ = &services_.budgets.of(requirements_.service);
     budget_->on_request(arrived_);
 }
@@ -285,6 +288,10 @@
         return give_up("expired");
     if (reject_if_quarantined())
         return;
+    if (auto const delay = services_.quotas.check(quota_))
+        return answer_locally(
+            status_too_many, "workspace_over_limit",
+            services_.unavailability.retry_after(describe_unserved(), *delay));
     auto const& target = *table_->find_service(requirements_.service);
     if (target.engine)
         requirements_.max_wait =
@@ -445,6 +452,7 @@
     endpoint_->on_sent(footprint_, now);
     counted_by_limit_ = endpoint_->limit().rate().has_value();
     services_.limits.on_sent(*endpoint_);
+    services_.quotas.on_sent(quota_);
     is_trial_ = services_.parts.on_sent(id_, keys_);
     if (is_trial_)
         trial_until_ = services_.parts.quarantined_until(keys_).value_or(now);
@@ -971,6 +979,8 @@
 {
     progress_ = progress::ended;
     timer_.cancel();
+    if (runs_ == 0)
+        services_.quotas.give_back(quota_);
     services_.metrics.on_request_end(outcome, elapsed());
     if (outcome == "complete")
         services_.log.write_routine(
--- a/packages/gateway/internal/fact_exchange.cpp
+++ b/packages/gateway/internal/fact_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -14,6 +15,9 @@
 {
 
 constexpr std::chrono::milliseconds report_interval{100};
+/// Values that are stated together are reported together. Others need the
+/// first value as soon as possible.
+constexpr std::chrono::milliseconds report_delay{5};
 
 /// The time tells starts of the process apart.
 std::uint64_t make_source(std::uint64_t seed, kernel::steady_time now)
@@ -69,13 +73,18 @@
 {
     if (std::exchange(report_planned_, true))
         return;
-    timer_.expires_after(report_interval);
+    auto const now = clock_.now();
+    auto const at = last_report_ ? std::max(now + report_delay,
+                                            *last_report_ + report_interval)
+                                 : now + report_delay;
+    timer_.expires_after(at - now);
     timer_.async_wait(
         [this](std::error_code ec)
         {
             if (ec)
                 return;
             report_planned_ = false;
+            last_report_ = clock_.now();
             auto const facts = std::exchange(unreported_, facts::fact_table())
                                    .snapshot(clock_.now());
             if (!on_report_)
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -8,6 +8,7 @@
 #include "gateway/limit_watch.hpp"
 #include "gateway/origin_watch.hpp"
 #include "gateway/part_watch.hpp"
+#include "gateway/quota_watch.hpp"
 #include "gateway/retry_budgets.hpp"
 #include "gateway/routing_table.hpp"
 #include "gateway/weights_view.hpp"
@@ -77,10 +78,13 @@
     origins_ =
         std::make_unique<origin_watch>(context_, clock_, *metrics_, log_);
     facts_ = std::make_unique<fact_exchange>(context_, clock_, settings_.seed);
-    services_ = std::make_unique<exchange_services>(
-        exchange_services{context_, clock_, names_, *endpoints_, *chooser_,
-                          overload_, unavailability_, *weights_, *budgets_,
-                          *parts_, *limits_, *origins_, *metrics_, log_});
+    quotas_ = std::make_unique<quota_watch>(context_, clock_, *facts_,
+                                            *metrics_, log_, settings_.seed);
+    quotas_->set_processes(processes_);
+    services_ = std::make_unique<exchange_services>(exchange_services{
+        context_, clock_, names_, *endpoints_, *chooser_, overload_,
+        unavailability_, *weights_, *budgets_, *parts_, *limits_, *origins_,
+        *quotas_, *metrics_, log_});
     update_limits();
     update_limit_share();
 }
@@ -101,6 +105,7 @@
     if (table_ != nullptr && table->version() <= table_->version())
         return;
     table_ = std::move(table);
+    quotas_->apply(*table_);
     update_limits();
     update_stream_lifetime();
     log_.write("configuration_in_force", "version={} routes={} workspaces={}",
@@ -178,6 +183,7 @@
     process_count_updated_at_ = now;
     if (routers == std::exchange(processes_, routers))
         return;
+    quotas_->set_processes(processes_);
     update_limits();
     update_limit_share();
     log_.write("processes_counted", "processes={}", processes_);
@@ -323,6 +329,7 @@
 void gateway::close_all()
 {
     timer_.cancel();
+    quotas_->stop();
     caller_server_.close_all();
     endpoints_->for_each([](endpoint_record&, upstream_pool& pool)
                          { pool.close_idle(); });
--- a/packages/gateway/internal/gateway_metrics.cpp
+++ b/packages/gateway/internal/gateway_metrics.cpp
@@ -59,6 +59,19 @@
     , attempts_(counters(registry, "endiveward_gateway_attempts_total",
                          "Requests sent to endpoints")
                     .Add({}))
+    , over_limit_(counters(registry, "endiveward_gateway_over_limit_total",
+                           "Requests refused since their workspace was over "
+                           "its limit")
+                      .Add({}))
+    , limited_use_(counters(registry, "endiveward_gateway_limited_use_total",
+                            "Use counted for workspaces with a limit")
+                       .Add({}))
+    , limit_share_(prometheus::BuildGauge()
+                       .Name("endiveward_gateway_limit_share")
+                       .Help("Share of workspaces' limits that this router "
+                             "may use")
+                       .Register(registry)
+                       .Add({}, 1))
     , prompt_tokens_(counters(registry,
                               "endiveward_gateway_prompt_tokens_total",
                               "Tokens of the prompts sent to engines")
--- a/packages/gateway/internal/request_fields.cpp
+++ b/packages/gateway/internal/request_fields.cpp
@@ -57,6 +57,19 @@
     return res;
 }
 
+std::optional<std::uint64_t> parse_total_tokens(header_list const& headers,
+                                                header_field_names const& names)
+{
+    auto counts = headers.value_or(names.token_counts, "");
+    auto const prompt =
+        kernel::parse_number<std::uint32_t>(take_until(counts, ','));
+    auto const output =
+        kernel::parse_number<std::uint32_t>(take_until(counts, ','));
+    if (!prompt)
+        return std::nullopt;
+    return std::uint64_t{*prompt} + output.value_or(0);
+}
+
 std::vector<std::uint64_t> shared_part_keys(prompt_info const& prompt)
 {
     std::vector<std::uint64_t> res;
--- a/packages/gateway/request_fields.hpp
+++ b/packages/gateway/request_fields.hpp
@@ -20,6 +20,11 @@
 std::optional<prompt_info> parse_prompt(header_list const& headers,
                                         header_field_names const& names);
 
+/// Returns the sum of the prompt tokens and the maximum output tokens; none if
+/// they are not given.
+std::optional<std::uint64_t>
+parse_total_tokens(header_list const& headers, header_field_names const& names);
+
 /// Returns keys of the parts that other prompts may share, in order: all but
 /// the last.
 std::vector<std::uint64_t> shared_part_keys(prompt_info const& prompt);
--- a/packages/gateway/tests/support/test_gateway.hpp
+++ b/packages/gateway/tests/support/test_gateway.hpp
@@ -12,6 +12,7 @@
 #include <asio/post.hpp>
 #include <prometheus/registry.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -80,10 +81,14 @@
         config.services = {s};
         config.workspaces = {{kernel::workspace_id("w1"), {"key1"}, {}, false},
                              {kernel::workspace_id("w2"), {"key2"}, {}, true}};
+        config.workspaces[0].limit = limit_;
         run([&]
             { gateway_.apply(std::make_shared<routing_table const>(config)); });
     }
 
+    /// Sets the limit of workspace `w1` in the next configuration.
+    void set_limit(quota::limit const& it) { limit_ = it; }
+
     /// The entry of endpoint `eN` of service `s`.
     static endpoint_entry entry(std::size_t number, std::uint16_t port)
     {
@@ -146,6 +151,7 @@
     kernel::thread_pool pool_;
     gateway gateway_;
     std::uint16_t port_ = 0;
+    std::optional<quota::limit> limit_;
 };
 
 inline std::string get_request(std::string const& path, std::string const& id,
--- a/packages/gateway/types/workspace_entry.hpp
+++ b/packages/gateway/types/workspace_entry.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEWARD_GATEWAY_TYPES_WORKSPACE_ENTRY_HPP
 
 #include "kernel/types/identifiers.hpp"
+#include "quota/types/limit.hpp"
 
 #include <optional>
 #include <string>
@@ -19,6 +20,8 @@
     std::optional<int> priority;
     /// Whether the workspace shares no KV cache with others.
     bool isolated = false;
+    /// Of all routers together.
+    std::optional<quota::limit> limit = std::nullopt;
 };
 
 } // namespace endiveward::gateway
