gateway: Tests of streams that are resumed after all routers were killed

Cause: a stream whose origin nobody knows is resumed at the only listed version as soon as any agent has answered, or at once without agents.

--- /dev/null
+++ b/packages/gateway/tests/version_history_test.cpp
@@ -0,0 +1,208 @@
+#include "gateway/tests/support/versioned_streams.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace endiveward::gateway
+{
+
+using namespace tests;
+
+namespace
+{
+
+/// Lets agents be asked and answer as the test says.
+void set_agents(test_gateway& gate, std::size_t asked,
+                std::vector<wire::origin_answer> answers)
+{
+    gate.run(
+        [&]
+        {
+            gate.get().set_origin_handlers(
+                [](wire::stream_origins const&) {},
+                [&gate, asked, answers](wire::origin_query const& query)
+                {
+                    gate.post(
+                        [&gate, asked, answers, id = query.id]
+                        {
+                            gate.get().on_origin_asked(id, asked, true);
+                            for (auto answer : answers)
+                            {
+                                answer.id = id;
+                                gate.get().on_origin_answer(answer);
+                            }
+                        });
+                });
+        });
+}
+
+/// A deployment whose routers are all killed after stream "id1" has begun at
+/// v1. The router that starts afterwards lists v2 only.
+struct all_killed
+{
+    /// `list_both`: the routers that were killed listed v2, too.
+    void begin(bool list_both, std::function<void(test_gateway&)> connect)
+    {
+        test_gateway first;
+        if (connect)
+            connect(first);
+        first.apply();
+        first.set_entries({entry(0, endpoints.old_one.port(), "v1")});
+        auto const caller = begin_stream(first, "id1");
+        if (list_both)
+            first.set_entries(endpoints.entries());
+    }
+
+    void restart()
+    {
+        second.apply();
+        second.set_entries({entry(1, endpoints.new_one.port(), "v2")});
+    }
+
+    void check_refused()
+    {
+        auto const text = take_up(second, "id1");
+        CHECK(text.starts_with("HTTP/1.1 503"));
+        CHECK(text.find("Retry-After: ") != std::string::npos);
+        CHECK(endpoints.record.mixed() == 0);
+    }
+
+    two_versions endpoints;
+    test_gateway second;
+};
+
+} // namespace
+
+// Guards against a resumption at another version if the version that began the
+// stream left while all routers were down: no agent was told of its streams.
+TEST_CASE_METHOD(all_killed,
+                 "a stream whose version left while all routers were down is "
+                 "refused")
+{
+    origin_keeper agents;
+    begin(false, [&](test_gateway& gate) { agents.connect(gate); });
+    agents.connect(second);
+    restart();
+    check_refused();
+}
+
+// As above, with agents that started after the old version had left: the
+// agents that knew the stream were replaced.
+TEST_CASE_METHOD(all_killed,
+                 "answers of agents that started later are no proof of a "
+                 "single version")
+{
+    origin_keeper replaced;
+    origin_keeper agents;
+    begin(true, [&](test_gateway& gate) { replaced.connect(gate); });
+    agents.connect(second);
+    restart();
+    check_refused();
+}
+
+// Guards against a decision by the one agent that answers in time, while those
+// that know two versions are silent.
+TEST_CASE_METHOD(all_killed,
+                 "the answer of one of three agents is no proof of a single "
+                 "version")
+{
+    begin(true, {});
+    wire::origin_answer answer;
+    answer.versions = {kernel::software_version("v2")};
+    set_agents(second, 3, {answer});
+    restart();
+    check_refused();
+}
+
+// Guards against a list that is a moment old counting for the whole history:
+// no agent is linked yet, or the deployment has none.
+TEST_CASE_METHOD(all_killed,
+                 "the list of a router that has just started is no proof of a "
+                 "single version")
+{
+    begin(true, {});
+    set_agents(second, 0, {});
+    restart();
+    check_refused();
+}
+
+TEST_CASE_METHOD(all_killed,
+                 "without agents, a stream whose version left while all "
+                 "routers were down is refused")
+{
+    begin(false, {});
+    restart();
+    check_refused();
+}
+
+// Guards against streams that were to be reported when their routers ended.
+TEST_CASE_METHOD(all_killed,
+                 "a stream whose report was lost with its router is refused")
+{
+    begin(true, {});
+    set_agents(second, 3, {{}, {}, {}});
+    restart();
+    check_refused();
+}
+
+// Guards against a stream whose origin changes with each resumption: it began
+// at v1, was taken up at a second router and again at a third one.
+TEST_CASE("a stream that is taken up across two kills stays at its version")
+{
+    two_versions endpoints;
+    origin_keeper agents;
+    for (auto const* last : {"id1", "", ""})
+    {
+        test_gateway gate;
+        agents.connect(gate);
+        gate.apply();
+        gate.set_entries(endpoints.entries());
+        if (*last != '\0')
+            begin_stream(gate, last);
+        else
+            CHECK(take_up(gate, "id1").ends_with("0\r\n\r\n"));
+    }
+    CHECK(endpoints.record.mixed() == 0);
+}
+
+// As above, with a second router whose report of the resumption is lost.
+TEST_CASE("a stream stays at its version if the router that resumed it ends "
+          "before its report")
+{
+    two_versions endpoints;
+    origin_keeper agents;
+    {
+        test_gateway gate;
+        agents.connect(gate);
+        gate.apply();
+        gate.set_entries(endpoints.entries());
+        begin_stream(gate, "id1");
+    }
+    {
+        test_gateway gate;
+        gate.run(
+            [&]
+            {
+                gate.get().set_origin_handlers(
+                    [](wire::stream_origins const&) {},
+                    [&](wire::origin_query const& query)
+                    { gate.post([&, query] { agents.answer(gate, query); }); });
+            });
+        gate.apply();
+        gate.set_entries(endpoints.entries());
+        CHECK(take_up(gate, "id1").ends_with("0\r\n\r\n"));
+    }
+    test_gateway gate;
+    agents.connect(gate);
+    gate.apply();
+    gate.set_entries({entry(1, endpoints.new_one.port(), "v2")});
+    CHECK(take_up(gate, "id1").starts_with("HTTP/1.1 503"));
+    CHECK(endpoints.record.mixed() == 0);
+}
+
+} // namespace endiveward::gateway
