resumption: Resume unknown streams only with the recorded history of versions

Cause: agents know of a software version only by streams that were reported to them, and none is reported while a service has one version. After all routers were killed, an empty answer of any agent, or the list of a router that had just started, counted as proof of a single version.

Change: routers record each software version of a service with a resumable route in the store's table software_versions, with a conditional write, before the first request goes to an endpoint with it (endpoint_entry:: withheld, 2 s at most). A router that starts reads the table once. A stream of unknown origin goes on only if one version is left of the rows, the list and the agents' answers, and the rows reach back to before the stream can have begun; the row "since" tells from when on they do, or that they do since the first start (bootstrap of the settings file).

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -1,5 +1,6 @@
 #include "endiveward/gateway_process.hpp"
 
+#include "endiveward/version_recorder.hpp"
 #include "enginelink/agent_links.hpp"
 #include "enginelink/link_options.hpp"
 #include "follower/cluster_view.hpp"
@@ -11,6 +12,7 @@
 #include "observe/operator_server.hpp"
 #include "platform/boot_file.hpp"
 #include "platform/header_names.hpp"
+#include "resumption/recorded_versions.hpp"
 #include "wire/types/origin_query.hpp"
 
 #include <asio/post.hpp>
@@ -102,6 +104,7 @@
             asio::post(control_, [this, query = std::move(query)]
                        { ask_for_origin(query); });
         });
+    start_recorder();
 }
 
 gateway_process::~gateway_process() = default;
@@ -131,6 +134,25 @@
     return exit_code_;
 }
 
+void gateway_process::start_recorder()
+{
+    version_recorder::handlers handlers;
+    handlers.on_endpoints = [this](version_recorder::endpoints const& list) {
+        asio::post(traffic_.context(0),
+                   [this, list] { gateway_->apply(list); });
+    };
+    handlers.on_versions = [this](resumption::recorded_versions const& versions)
+    {
+        asio::post(traffic_.context(0),
+                   [this, versions] { gateway_->apply(versions); });
+    };
+    handlers.on_news = [this](wire::fact_report const& report)
+    { links_->send_fact_report(report); };
+    recorder_ = std::make_unique<version_recorder>(
+        clock_, store_, control_log_, settings_.name, settings_.first_start,
+        std::move(handlers));
+}
+
 bool gateway_process::listen()
 {
     auto const start = [this](kernel::socket_address const& at)
@@ -194,21 +216,23 @@
     row_exchange_.set_view(*view_);
     endpoints_ =
         follow(platform::endpoints_table, view_->endpoint_rows_listener());
+    // Reads the recorded versions at the same time.
+    recorder_->on_tick(0);
 }
 
 void gateway_process::on_configuration(
     std::shared_ptr<gateway::routing_table const> table)
 {
+    recorder_->on_configuration(table->config());
     asio::post(traffic_.context(0),
                [this, table = std::move(table)] { gateway_->apply(table); });
-    ready_ = view_->complete() && !drain_.draining();
+    update_readiness();
 }
 
 void gateway_process::on_endpoints(
     std::vector<gateway::endpoint_entry> const& endpoints)
 {
-    asio::post(traffic_.context(0),
-               [this, endpoints] { gateway_->apply(endpoints); });
+    recorder_->on_endpoints(endpoints);
     std::vector<enginelink::agent_address> agents;
     for (auto const& it : endpoints)
     {
@@ -216,7 +240,12 @@
             agents.push_back({it.id, it.host, settings_.internal_port});
     }
     links_->update(agents);
-    ready_ = view_->complete() && !drain_.draining();
+    update_readiness();
+}
+
+void gateway_process::update_readiness()
+{
+    ready_ = view_->complete() && recorder_->settled() && !drain_.draining();
 }
 
 void gateway_process::on_target(weights::model_target const& target,
@@ -255,6 +284,7 @@
 
 void gateway_process::on_fact_report(wire::fact_report const& report)
 {
+    recorder_->on_report(report);
     pass_on_report([this, report] { gateway_->on_fact_report(report); });
 }
 
@@ -365,6 +395,8 @@
                 return;
             observe::flush_logging();
             ask_agents();
+            recorder_->on_tick(endpoints_->newest_era());
+            update_readiness();
             reload_if_changed();
             if (drain_.draining())
             {
--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -60,6 +60,8 @@
 namespace endiveward::app
 {
 
+class version_recorder;
+
 /// A router on the users' platform: follows the store on the control thread
 /// and serves callers on the traffic thread.
 class gateway_process : public follower::i_cluster_observer,
@@ -95,6 +97,8 @@
     void on_link_lost(kernel::endpoint_id const& endpoint) override;
 
     bool listen();
+    void start_recorder();
+    void update_readiness();
     void start_followers();
     void wait_for_signal();
     void on_signal(int number);
@@ -129,6 +133,7 @@
     std::unique_ptr<gateway::gateway> gateway_;
     follower::row_exchange row_exchange_;
     std::unique_ptr<enginelink::agent_links> links_;
+    std::unique_ptr<version_recorder> recorder_;
     /// Reports that have not been passed on to the traffic thread.
     std::vector<std::function<void()>> reports_;
     std::unique_ptr<observe::operator_server> ready_server_;
--- a/packages/explain/internal/request_story.cpp
+++ b/packages/explain/internal/request_story.cpp
@@ -222,6 +222,17 @@
 {
     auto const located = last_or_empty("stream_located");
     auto const begun_by = located.value("resumes");
+    if (reason == "stream_origin_unknown" &&
+        located.value("history_complete") == "false")
+        return {reason,
+                fmt::format("it takes up the stream of request {}, of which no "
+                            "agent knows; the router does not know all "
+                            "software versions that the service has had since "
+                            "the stream can have begun",
+                            begun_by),
+                "look for `versions_read` and `versions_call_failed` of this "
+                "router: it could not read or write the versions in the store, "
+                "or they are recorded since a short time only"};
     if (reason == "stream_origin_unknown")
         return {reason,
                 fmt::format("it takes up the stream of request {}, which may "
--- a/packages/explain/tests/request_story_test.cpp
+++ b/packages/explain/tests/request_story_test.cpp
@@ -310,6 +310,11 @@
     CHECK(unknown.code == "stream_origin_unknown");
     CHECK(unknown.cause.find("request q0") != std::string::npos);
     CHECK(unknown.cause.find("v1,v2") != std::string::npos);
+    auto const no_history =
+        story("source=unknown versions=v1 history_complete=false",
+              "stream_origin_unknown");
+    CHECK(no_history.code == "stream_origin_unknown");
+    CHECK(no_history.cause.find("does not know all") != std::string::npos);
     auto const gone = story("source=agent software=\\\"v1\\\" versions=v2",
                             "software_version_gone");
     CHECK(gone.code == "software_version_gone");
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -34,6 +34,11 @@
 class Registry;
 }
 
+namespace endiveward::resumption
+{
+struct recorded_versions;
+}
+
 namespace endiveward::gateway
 {
 
@@ -62,6 +67,8 @@
     /// scheduled relative to `announced_at`.
     void apply(weights::model_target const& target,
                std::optional<kernel::steady_time> announced_at);
+    /// Replaces what the store tells of services' software versions.
+    void apply(resumption::recorded_versions const& versions);
     /// Reports of the agents on the endpoints' VMs.
     void on_engine_state(kernel::endpoint_id const& endpoint,
                          wire::engine_state const& state);
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -242,8 +242,8 @@
 
 bool endpoint_record::available(kernel::steady_time now) const
 {
-    return can_serve_cache(now) && pause_.allows(now, unanswered_) &&
-           !limit_.blocked_until(now);
+    return can_serve_cache(now) && !entry_.withheld &&
+           pause_.allows(now, unanswered_) && !limit_.blocked_until(now);
 }
 
 bool endpoint_record::can_serve_cache(kernel::steady_time now) const
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -117,6 +117,11 @@
     origins_->on_endpoints(*endpoints_);
 }
 
+void gateway::apply(resumption::recorded_versions const& versions)
+{
+    origins_->on_versions(versions);
+}
+
 void gateway::update_stream_lifetime()
 {
     std::chrono::milliseconds longest{0};
--- a/packages/gateway/internal/origin_watch.cpp
+++ b/packages/gateway/internal/origin_watch.cpp
@@ -65,25 +65,43 @@
     listed_.set_retention(lifetime);
 }
 
-/// Streams that began while their service had one version were not reported.
-/// They are when it gets a second one.
 void origin_watch::on_endpoints(endpoint_directory const& endpoints)
 {
-    auto const now = clock_.now();
     resumption::listed_versions::listing current;
-    std::set<kernel::service_id> services;
     endpoints.for_each(
         [&](endpoint_record const& it, upstream_pool&)
         {
             current.emplace(it.entry().service, it.entry().software);
-            services.insert(it.entry().service);
+            services_.insert(it.entry().service);
         });
-    listed_.update(std::move(current), now);
-    services.insert(reported_.begin(), reported_.end());
+    listed_.update(std::move(current), clock_.now());
+    update_reported();
+}
+
+void origin_watch::on_versions(resumption::recorded_versions recorded)
+{
+    recorded_ = std::move(recorded);
+    update_reported();
+}
+
+std::set<kernel::software_version>
+origin_watch::versions_of(kernel::service_id const& service) const
+{
+    auto const now = clock_.now();
+    auto res = recorded_.versions_of(service, lifetime_, now);
+    auto const listed = listed_.versions_of(service, now);
+    res.insert(listed.begin(), listed.end());
+    return res;
+}
+
+/// Streams that began while their service had one version were not reported.
+/// They are when it gets a second one.
+void origin_watch::update_reported()
+{
     std::set<kernel::service_id> several;
-    for (auto const& it : services)
+    for (auto const& it : services_)
     {
-        if (listed_.several(it, now))
+        if (versions_of(it).size() > 1)
             several.insert(it);
     }
     std::set<kernel::service_id> added;
@@ -92,7 +110,7 @@
     reported_ = std::move(several);
     if (added.empty())
         return;
-    own_.for_each(now,
+    own_.for_each(clock_.now(),
                   [&](wire::stream_origin const& it)
                   {
                       if (added.contains(it.service))
@@ -213,8 +231,9 @@
     auto& facts = it.facts;
     if (origin)
         facts.origin = origin->software;
-    auto const listed = listed_.versions_of(it.query.service, clock_.now());
-    facts.versions.insert(listed.begin(), listed.end());
+    facts.versions.merge(versions_of(it.query.service));
+    facts.history_complete =
+        recorded_.complete(it.query.service, lifetime_, clock_.now());
     return resumption::decide_resumption(facts);
 }
 
@@ -224,17 +243,20 @@
                             std::string_view source)
 {
     auto const* const found = std::get_if<resumption::resume_at>(&decision);
-    if (!origin)
-        source = found != nullptr ? "single_version" : "unknown";
+    if (!origin && found != nullptr)
+        source = "single_version";
+    else if (!origin)
+        source = it.facts.history_complete ? "unknown" : "unknown_history";
     metrics_.on_taken_up(std::string(source));
     log_.write("stream_located",
                "id={} resumes={} source={} service={} software=\"{}\" "
-               "versions={} agents_answered={} linked={} list_current={}",
+               "versions={} agents_answered={} linked={} list_current={} "
+               "history_complete={}",
                it.request_id, it.begun_by, source,
                origin ? origin->service.str() : it.query.service.str(),
                found != nullptr ? found->software.str() : "",
                to_text(it.facts.versions), it.facts.answered, it.facts.linked,
-               it.facts.list_is_current);
+               it.facts.list_is_current, it.facts.history_complete);
     it.on_done(decision,
                origin ? std::optional(origin->service) : std::nullopt);
 }
--- a/packages/gateway/origin_watch.hpp
+++ b/packages/gateway/origin_watch.hpp
@@ -4,6 +4,7 @@
 #include "kernel/i_clock.hpp"
 #include "resumption/listed_versions.hpp"
 #include "resumption/origin_table.hpp"
+#include "resumption/recorded_versions.hpp"
 #include "resumption/types/resumption_decision.hpp"
 #include "resumption/types/resumption_facts.hpp"
 #include "wire/types/origin_answer.hpp"
@@ -54,6 +55,8 @@
     /// Streams may be taken up within this time after they were sent.
     void set_lifetime(std::chrono::milliseconds lifetime);
     void on_endpoints(endpoint_directory const& endpoints);
+    /// Without them, no stream goes on whose origin is not known.
+    void on_versions(resumption::recorded_versions recorded);
 
     /// A request is sent that begins a stream, or takes it up, at an endpoint
     /// with this version. `begun_by` is the request that began it.
@@ -90,6 +93,9 @@
                   resumption::resumption_decision const& decision,
                   std::optional<wire::stream_origin> const& origin,
                   std::string_view source);
+    std::set<kernel::software_version>
+    versions_of(kernel::service_id const& service) const;
+    void update_reported();
     void report(wire::stream_origin const& origin);
     void plan_news();
     void arm();
@@ -100,6 +106,9 @@
     observe::decision_log& log_;
     std::chrono::milliseconds lifetime_;
     resumption::listed_versions listed_;
+    resumption::recorded_versions recorded_;
+    /// Services that have or had endpoints.
+    std::set<kernel::service_id> services_;
     /// Services of which streams are reported.
     std::set<kernel::service_id> reported_;
     resumption::origin_table own_;
--- a/packages/gateway/tests/support/test_gateway.hpp
+++ b/packages/gateway/tests/support/test_gateway.hpp
@@ -8,6 +8,7 @@
 #include "kernel/tests/support/run_on.hpp"
 #include "kernel/thread_pool.hpp"
 #include "observe/decision_log.hpp"
+#include "resumption/recorded_versions.hpp"
 
 #include <asio/post.hpp>
 #include <prometheus/registry.h>
@@ -82,6 +83,7 @@
                              {kernel::workspace_id("w2"), {"key2"}, {}, true}};
         run([&]
             { gateway_.apply(std::make_shared<routing_table const>(config)); });
+        set_history({});
     }
 
     /// The entry of endpoint `eN` of service `s`.
@@ -112,6 +114,18 @@
         set_entries(std::move(entries));
     }
 
+    /// The store knows all software versions that service `s` had while
+    /// streams can have begun: these beside those of the entries.
+    void set_history(std::vector<std::string> const& versions)
+    {
+        resumption::recorded_versions history;
+        history.complete_since = kernel::steady_time::min();
+        for (auto const& it : versions)
+            history.items.push_back(
+                {kernel::service_id("s"), kernel::software_version(it), {}});
+        run([&] { gateway_.apply(history); });
+    }
+
     void set_entries(std::vector<endpoint_entry> entries)
     {
         run([&] { gateway_.apply(std::move(entries)); });
--- a/packages/gateway/tests/version_history_test.cpp
+++ b/packages/gateway/tests/version_history_test.cpp
@@ -1,4 +1,6 @@
 #include "gateway/tests/support/versioned_streams.hpp"
+#include "kernel/system_clock.hpp"
+#include "resumption/recorded_versions.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -58,9 +60,12 @@
             first.set_entries(endpoints.entries());
     }
 
+    /// The store has a row of each version, since the routers that were killed
+    /// sent requests to both.
     void restart()
     {
         second.apply();
+        second.set_history({"v1", "v2"});
         second.set_entries({entry(1, endpoints.new_one.port(), "v2")});
     }
 
@@ -150,6 +155,84 @@
     check_refused();
 }
 
+// Guards against refusing streams of a service with one version: right after
+// all routers were killed its rows tell that there was no other one.
+TEST_CASE_METHOD(all_killed,
+                 "after all routers were killed, unknown streams of a service "
+                 "with one version go on")
+{
+    auto const agents = GENERATE(std::size_t{0}, std::size_t{3});
+    begin(false, {});
+    set_agents(second, agents,
+               std::vector<wire::origin_answer>(agents, wire::origin_answer()));
+    second.apply();
+    second.set_entries({entry(0, endpoints.old_one.port(), "v1")});
+    CHECK(take_up(second, "id1").ends_with("0\r\n\r\n"));
+}
+
+// Guards against taking an empty table, or one that was not read, for the
+// history of a service.
+TEST_CASE_METHOD(all_killed,
+                 "an unknown stream is refused until the recorded versions "
+                 "reach back to its beginning")
+{
+    begin(false, {});
+    second.apply();
+    resumption::recorded_versions history;
+    if (GENERATE(true, false))
+        history.complete_since =
+            kernel::system_clock().now() - std::chrono::seconds(10);
+    second.run([&] { second.get().apply(history); });
+    second.set_entries({entry(1, endpoints.new_one.port(), "v2")});
+    check_refused();
+}
+
+// Guards against streams at a version that a router that starts later cannot
+// know of.
+TEST_CASE("no request is sent to an endpoint whose version is being recorded")
+{
+    two_versions endpoints;
+    test_gateway gate;
+    gate.apply();
+    auto entries = endpoints.entries();
+    entries[1].withheld = true;
+    gate.set_entries(entries);
+    for (int n = 0; n < streams; ++n)
+        begin_stream(gate, "id" + std::to_string(n));
+    CHECK(endpoints.old_one.requests() == streams);
+    CHECK(endpoints.new_one.requests() == 0);
+    gate.set_entries({entries[1]});
+    test_caller caller(gate.port());
+    caller.send(get_request("/resume/", "last"));
+    gate.set_entries({entry(1, endpoints.new_one.port(), "v2")});
+    CHECK(caller.read_until("id: 2\n").find("id: 2\n") != std::string::npos);
+}
+
+// Load pattern: the second of two kills, while the old version is going. Guards
+// against streams at the new version that nobody knows of: the router lists
+// only this one but knows the other one from the store.
+TEST_CASE("streams are told to agents while the store knows of several "
+          "versions")
+{
+    two_versions endpoints;
+    origin_keeper agents;
+    {
+        test_gateway first;
+        agents.connect(first);
+        first.apply();
+        first.set_history({"v1", "v2"});
+        first.set_entries({entry(1, endpoints.new_one.port(), "v2")});
+        begin_stream(first, "id1");
+    }
+    test_gateway second;
+    agents.connect(second);
+    second.apply();
+    second.set_history({"v1", "v2"});
+    second.set_entries({entry(1, endpoints.new_one.port(), "v2")});
+    CHECK(take_up(second, "id1").ends_with("0\r\n\r\n"));
+    CHECK(endpoints.record.mixed() == 0);
+}
+
 // Guards against a stream whose origin changes with each resumption: it began
 // at v1, was taken up at a second router and again at a third one.
 TEST_CASE("a stream that is taken up across two kills stays at its version")
--- a/packages/gateway/types/endpoint_entry.hpp
+++ b/packages/gateway/types/endpoint_entry.hpp
@@ -26,6 +26,9 @@
     /// Empty if the endpoint names none.
     kernel::software_version software;
     bool draining = false;
+    /// No request may be sent there yet: its software version is being
+    /// recorded.
+    bool withheld = false;
     std::map<kernel::model_id, weights::weight_version> models;
 
     bool operator==(endpoint_entry const&) const = default;
--- a/packages/gateway/types/process_settings.hpp
+++ b/packages/gateway/types/process_settings.hpp
@@ -26,6 +26,8 @@
     /// The engine on this VM.
     std::optional<kernel::socket_address> engine;
     kernel::socket_address store;
+    /// Whether the deployment starts for the first time. False after restarts.
+    bool first_start = false;
     /// First port for connections between processes. It is the same on all VMs.
     std::uint16_t internal_port = 0;
     /// Time from the stop signal until the process is killed.
--- a/packages/resumption/tests/resumption_policy_test.cpp
+++ b/packages/resumption/tests/resumption_policy_test.cpp
@@ -21,6 +21,7 @@
     res.answered = true;
     res.linked = true;
     res.list_is_current = true;
+    res.history_complete = true;
     return res;
 }
 
@@ -73,4 +74,18 @@
     CHECK(decide_resumption(facts) == resumption_decision(resume_at{v1}));
 }
 
+// Load pattern: all routers end at once while a version leaves. Guards against
+// taking the list or the answers of agents for the whole history.
+TEST_CASE("an unknown stream is refused without a complete history")
+{
+    auto facts = asked_facts({v1});
+    facts.history_complete = false;
+    CHECK(decide_resumption(facts) == resumption_decision(reject_resumption{}));
+    facts.linked = false;
+    facts.answered = false;
+    CHECK(decide_resumption(facts) == resumption_decision(reject_resumption{}));
+    facts.origin = v1;
+    CHECK(decide_resumption(facts) == resumption_decision(resume_at{v1}));
+}
+
 } // namespace endiveward::resumption
--- a/packages/resumption/types/resumption_facts.hpp
+++ b/packages/resumption/types/resumption_facts.hpp
@@ -25,6 +25,9 @@
     /// the list of endpoints.
     bool linked = false;
     bool list_is_current = false;
+    /// Whether `versions` holds all versions that the service has had since the
+    /// stream can have begun.
+    bool history_complete = false;
 };
 
 } // namespace endiveward::resumption
--- a/packages/storage/types/row_batch.hpp
+++ b/packages/storage/types/row_batch.hpp
@@ -4,6 +4,7 @@
 #include "kernel/types/store_position.hpp"
 #include "storage/types/table_row.hpp"
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
     kernel::store_position position;
     /// Why the answer names no era; empty if it names one.
     std::string era_reason = {};
+    /// Time of the store's steady clock.
+    std::chrono::milliseconds store_time{0};
 };
 
 } // namespace endiveward::storage
--- a/packages/wire/types/fact_report.hpp
+++ b/packages/wire/types/fact_report.hpp
@@ -15,7 +15,10 @@
     /// Key: endpoint and incarnation. Value: factor to the nominal speed.
     endpoint_speed = 2,
     /// Key: zero. The source is a router that is in service.
-    process_alive = 3
+    process_alive = 3,
+    /// Key: service, software version and era of the store. Value: version of
+    /// the row that a router has written, negative if the version is gone.
+    software_version = 4
 };
 
 /// A value that a router shares with the others.
