gateway: Learn the speed of an endpoint from its answers

Cause: endpoints of a service may differ in speed, and neighbors on their machines slow them down for 600 ms at a time. The cost model has one speed for all.

--- a/packages/gateway/internal/request_fields.cpp
+++ b/packages/gateway/internal/request_fields.cpp
@@ -14,6 +14,10 @@
 namespace
 {
 
+/// Larger numbers are taken for a mistake of the endpoint. In the documented
+/// deployments neighbors slow an engine down 2.5 times.
+constexpr std::uint32_t max_work_percent = 1000;
+
 /// Removes the text up to the separator from the front and returns it trimmed.
 std::string_view take_until(std::string_view& text, char separator)
 {
@@ -24,6 +28,16 @@
     return trimmed(res);
 }
 
+reported_work_figure parse_work_figure(std::string_view text)
+{
+    if (text.empty())
+        return no_work_figure();
+    auto const percent = kernel::parse_number<std::uint32_t>(text);
+    if (!percent || *percent == 0 || *percent > max_work_percent)
+        return unreadable_work_figure();
+    return work_figure{*percent / 100.0};
+}
+
 } // namespace
 
 std::optional<prompt_info> parse_prompt(header_list const& headers,
@@ -96,6 +110,7 @@
     res.running = counts[0];
     res.waiting = counts[1];
     res.slots = counts[2];
+    res.figure = parse_work_figure(take_until(text, ','));
     return res;
 }
 
--- a/packages/gateway/request_fields.hpp
+++ b/packages/gateway/request_fields.hpp
@@ -30,7 +30,9 @@
 std::uint64_t request_key(http_request const& request,
                           header_field_names const& names);
 
-/// Parses a load report of the form `RUNNING,WAITING,SLOTS`.
+/// Parses a load report of the form `RUNNING,WAITING,SLOTS` or
+/// `RUNNING,WAITING,SLOTS,PERCENT`. The last number tells how long work takes
+/// now, in percent of the usual time.
 std::optional<load_sample> parse_load(std::string_view text);
 
 } // namespace endiveward::gateway
--- a/packages/gateway/tests/request_fields_test.cpp
+++ b/packages/gateway/tests/request_fields_test.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 
 #include <functional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace endiveward::gateway
@@ -82,4 +84,31 @@
     }
 }
 
+// Guards against load counts that are lost, or an estimate of speed that is
+// spoilt, because the fourth number of the field is missing or wrong.
+TEST_CASE("the fourth number of the load field tells how long work takes")
+{
+    auto const figure_of = [](std::string_view text)
+    {
+        auto const res = parse_load(text);
+        REQUIRE(res);
+        CHECK(res->running == 3);
+        CHECK(res->waiting == 1);
+        CHECK(res->slots == 64);
+        return res->figure;
+    };
+    reported_work_figure const none = no_work_figure();
+    CHECK(figure_of("3,1,64") == none);
+    CHECK(figure_of("3,1,64,") == none);
+    CHECK(figure_of("3,1,64,100") == reported_work_figure(work_figure{1}));
+    CHECK(figure_of("3, 1, 64, 250 ") ==
+          reported_work_figure(work_figure{2.5}));
+    CHECK(figure_of("3,1,64,40,7") == reported_work_figure(work_figure{0.4}));
+    reported_work_figure const unreadable = unreadable_work_figure();
+    for (auto const* const text :
+         {"0", "-250", "1001", "4294967297", "99999999999999999999", "x", "2.5",
+          "nan", "1e3", "100 %"})
+        CHECK(figure_of("3,1,64," + std::string(text)) == unreadable);
+}
+
 } // namespace endiveward::gateway
