gateway: Estimate times by the speed of each endpoint

Cause: the expected wait and the prefill time of an endpoint are computed at one speed, although engines differ by 2.4 times and neighbors slow them down 2.5 times for 600 ms. Attempt timeouts and the refusal for overload rest on the same estimates.

Change: endpoint_record has an endpoint_speed, by whose current factor endpoint_chooser divides wait and prefill time. speed_watch enables it for a service once one of its endpoints has named the fourth number of the load field, here or at another router; it measures the time to the first output of each attempt, states learned factors as facts of kind 2 (each endpoint at most every 2 s, all routers together 500 a second), applies those of others and keeps the mean of each service.

Result: endiveward_gateway_tests passes, 177 test cases.

--- a/packages/gateway/endpoint_notices.hpp
+++ b/packages/gateway/endpoint_notices.hpp
@@ -27,6 +27,8 @@
 private:
     void apply_load(response_head const& head,
                     sent_request const& request) const;
+    void apply_work_figure(response_head const& head,
+                           endpoint_record& answering) const;
     void apply_weights(response_head const& head,
                        sent_request const& request) const;
     void apply_leaving(response_head const& head,
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -3,6 +3,7 @@
 
 #include "availability/endpoint_pause.hpp"
 #include "availability/request_limit.hpp"
+#include "gateway/endpoint_speed.hpp"
 #include "gateway/prefix_cache_estimate.hpp"
 #include "gateway/types/endpoint_entry.hpp"
 #include "gateway/types/load_sample.hpp"
@@ -103,6 +104,8 @@
     /// The limit of requests that the endpoint names.
     availability::request_limit& limit() { return limit_; }
     availability::request_limit const& limit() const { return limit_; }
+    endpoint_speed& speed() { return speed_; }
+    endpoint_speed const& speed() const { return speed_; }
     /// An answer of the endpoint said that it is going to exit.
     void on_leaving() { leaving_ = true; }
     /// Whether the endpoint is going to exit, as announced to this process,
@@ -183,6 +186,7 @@
     kernel::steady_time avoided_until_{};
     availability::endpoint_pause pause_;
     availability::request_limit limit_;
+    endpoint_speed speed_;
     kernel::steady_time outdated_until_{};
     std::chrono::milliseconds backoff_{0};
     double failures_ = 0;
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -96,6 +96,7 @@
     bool refuse_if_overloaded(placement_choice const& choice);
     void send(placement_choice choice);
     sent_request describe_sent() const;
+    void note_output();
     bool is_refusal(response_head const& head) const;
     bool is_valid_response(response_head const& head) const;
     void discard(std::size_t n);
@@ -174,6 +175,7 @@
     kernel::steady_time sent_at_{};
     kernel::steady_time last_event_at_{};
     std::chrono::milliseconds expected_first_byte_{0};
+    request_work work_;
     /// Whether a limit that the endpoint names was in force when the request
     /// was sent.
     bool counted_by_limit_ = false;
--- a/packages/gateway/exchange_services.hpp
+++ b/packages/gateway/exchange_services.hpp
@@ -33,6 +33,7 @@
 class part_watch;
 class retry_budgets;
 class routing_table;
+class speed_watch;
 class unavailability_policy;
 class weights_view;
 
@@ -51,6 +52,7 @@
     part_watch& parts;
     limit_watch& limits;
     origin_watch& origins;
+    speed_watch& speeds;
     gateway_metrics& metrics;
     observe::decision_log& log;
 };
--- a/packages/gateway/gateway_metrics.hpp
+++ b/packages/gateway/gateway_metrics.hpp
@@ -3,6 +3,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 
 #include <chrono>
@@ -39,6 +40,11 @@
     void on_pause() { pauses_.Increment(); }
     void on_part_quarantined() { quarantines_.Increment(); }
     void on_request_quarantined() { request_quarantines_.Increment(); }
+    void on_speed_sample() { speed_samples_.Increment(); }
+    void on_work_figure_ignored() { work_figures_ignored_.Increment(); }
+    /// Factors of a service's endpoints to the nominal speed.
+    void set_speeds(std::string const& service, double slowest, double mean,
+                    double fastest);
     void on_prompt(std::uint32_t tokens, std::uint32_t expected_uncached);
 
 private:
@@ -50,6 +56,9 @@
     prometheus::Counter& quarantines_;
     prometheus::Counter& request_quarantines_;
     prometheus::Counter& attempts_;
+    prometheus::Counter& speed_samples_;
+    prometheus::Counter& work_figures_ignored_;
+    prometheus::Family<prometheus::Gauge>& speeds_;
     prometheus::Counter& prompt_tokens_;
     prometheus::Counter& uncached_tokens_;
     prometheus::Histogram& duration_;
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -65,6 +65,12 @@
            it.entry().software == *requirements.software;
 }
 
+/// A plain call begins at once if a slot is free.
+request_work plain_work(double wait_ms)
+{
+    return {ms(std::max(0.0, wait_ms - plain_call_ms)), ms(plain_call_ms)};
+}
+
 std::string address_of(endpoint_entry const& entry)
 {
     return fmt::format("{}:{}", entry.host, entry.port);
@@ -83,6 +89,8 @@
 {
     placement_choice choice;
     double cost = 0;
+    /// Factor to the nominal speed.
+    double speed = 1;
 };
 
 /// The prefix levels of the prompt, and where they are cached, for one model
@@ -279,7 +287,12 @@
         return std::nullopt;
     candidate res;
     res.choice.endpoint = it;
-    auto const wait = expected_wait_ms(*it, context);
+    auto const nominal_wait = expected_wait_ms(*it, context);
+    res.choice.work = context.target.engine
+                          ? request_work{ms(nominal_wait), ms(0)}
+                          : plain_work(nominal_wait);
+    res.speed = it->speed().current(now);
+    auto const wait = nominal_wait / res.speed;
     res.cost += wait;
     res.choice.wait =
         std::chrono::milliseconds(static_cast<std::int64_t>(wait));
@@ -311,6 +324,7 @@
     return res;
 }
 
+/// Returns the expected wait at an endpoint of nominal speed.
 double
 endpoint_chooser::expected_wait_ms(endpoint_record const& it,
                                    selection_context const& context) const
@@ -433,11 +447,13 @@
     choice.reusable_tokens = reusable;
     choice.footprint.uncached_tokens = total - std::min(total, reusable);
     choice.footprint.memory_tokens = total + prompt.max_output_tokens;
-    evaluated.cost +=
+    auto const nominal_prefill =
         choice.footprint.uncached_tokens / settings_.prefill_tokens_per_ms;
-    choice.time_to_first_byte += std::chrono::milliseconds(
-        static_cast<std::int64_t>(choice.footprint.uncached_tokens /
-                                  settings_.prefill_tokens_per_ms));
+    auto const prefill = nominal_prefill / evaluated.speed;
+    choice.work.own += ms(nominal_prefill);
+    evaluated.cost += prefill;
+    choice.time_to_first_byte +=
+        std::chrono::milliseconds(static_cast<std::int64_t>(prefill));
     if (context.target.engine)
         evaluated.cost += memory_cost(endpoint, choice.footprint, context);
 }
--- a/packages/gateway/internal/endpoint_notices.cpp
+++ b/packages/gateway/internal/endpoint_notices.cpp
@@ -9,6 +9,7 @@
 #include "gateway/http/response_head.hpp"
 #include "gateway/limit_watch.hpp"
 #include "gateway/request_fields.hpp"
+#include "gateway/speed_watch.hpp"
 #include "gateway/types/sent_request.hpp"
 #include "kernel/parse_number.hpp"
 #include "kernel/types/result.hpp"
@@ -37,6 +38,7 @@
     auto const answering = answering_endpoint(head, request);
     if (answering == nullptr)
         return;
+    apply_work_figure(head, *answering);
     apply_leaving(head, *answering);
     apply_pause(head, *answering);
     apply_limit(head, *answering, request);
@@ -56,6 +58,17 @@
     }
 }
 
+void endpoint_notices::apply_work_figure(response_head const& head,
+                                         endpoint_record& answering) const
+{
+    auto const& field = services_.names.load;
+    auto const* const text = head.headers.find(field);
+    if (text == nullptr)
+        return;
+    if (auto const sample = parse_load(*text))
+        services_.speeds.on_figure(answering, sample->figure, field, *text);
+}
+
 void endpoint_notices::apply_weights(response_head const& head,
                                      sent_request const& request) const
 {
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -56,6 +56,7 @@
         ++generation_;
         pause_.reset();
         limit_.reset();
+        speed_.reset();
         leaving_ = false;
         // A connected agent may have reported on the new incarnation already.
         reported_leaving_ = reported_leaving_ && linked_ &&
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -17,6 +17,7 @@
 #include "gateway/request_fields.hpp"
 #include "gateway/retry_budgets.hpp"
 #include "gateway/routing_table.hpp"
+#include "gateway/speed_watch.hpp"
 #include "gateway/types/sent_request.hpp"
 #include "gateway/types/unserved_request.hpp"
 #include "gateway/unavailability_policy.hpp"
@@ -201,6 +202,8 @@
     }
     expires_ = arrived_ + limit;
     caller_expires_ = arrived_ + caller_limit;
+    requirements_.target_latency = route_->target_latency;
+    requirements_.due = arrived_ + route_->target_latency;
     requirements_.seed = XXH3_64bits(id_.data(), id_.size());
     if (route_->has_prompt || is_stream(route_->kind))
         requirements_.prompt = parse_prompt(request_.headers, services_.names);
@@ -432,6 +435,7 @@
     resumes_ = requirements_.software.has_value();
     note_origin();
     expected_first_byte_ = choice.time_to_first_byte;
+    work_ = choice.work;
     response_started_ = false;
     has_output_ = false;
     refused_ = false;
@@ -499,7 +503,7 @@
 
 sent_request exchange::describe_sent() const
 {
-    sent_request res{endpoint_, sent_generation_, sent_at_, {}};
+    sent_request res{endpoint_, sent_generation_, sent_at_, {}, work_};
     if (requirements_.prompt)
         res.model = requirements_.prompt->model;
     return res;
@@ -558,7 +562,7 @@
         // counts.
         if (refused_ || head_forwarded_)
             return discard(bytes.size());
-        has_output_ = true;
+        note_output();
         body_ += bytes;
         if (body_.size() > max_collected_bytes)
             begin_relay();
@@ -574,6 +578,13 @@
         upstream_->pause();
 }
 
+void exchange::note_output()
+{
+    if (!std::exchange(has_output_, true) &&
+        head_.status < status_multiple_choices)
+        services_.speeds.on_first_output(describe_sent());
+}
+
 void exchange::discard(std::size_t n)
 {
     discarded_bytes_ += n;
@@ -623,7 +634,7 @@
     {
         if (!check_software())
             return;
-        has_output_ = true;
+        note_output();
         // A resumed stream may begin with events that were already forwarded.
         if (event->id && last_event_ && *event->id <= *last_event_)
             continue;
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -10,6 +10,7 @@
 #include "gateway/part_watch.hpp"
 #include "gateway/retry_budgets.hpp"
 #include "gateway/routing_table.hpp"
+#include "gateway/speed_watch.hpp"
 #include "gateway/weights_view.hpp"
 #include "observe/decision_log.hpp"
 
@@ -77,10 +78,12 @@
     origins_ =
         std::make_unique<origin_watch>(context_, clock_, *metrics_, log_);
     facts_ = std::make_unique<fact_exchange>(context_, clock_, settings_.seed);
-    services_ = std::make_unique<exchange_services>(
-        exchange_services{context_, clock_, names_, *endpoints_, *chooser_,
-                          overload_, unavailability_, *weights_, *budgets_,
-                          *parts_, *limits_, *origins_, *metrics_, log_});
+    speeds_ = std::make_unique<speed_watch>(clock_, *endpoints_, *facts_,
+                                            *metrics_, log_);
+    services_ = std::make_unique<exchange_services>(exchange_services{
+        context_, clock_, names_, *endpoints_, *chooser_, overload_,
+        unavailability_, *weights_, *budgets_, *parts_, *limits_, *origins_,
+        *speeds_, *metrics_, log_});
     update_limits();
     update_limit_share();
 }
@@ -115,6 +118,7 @@
                    it.str());
     update_limits();
     origins_->on_endpoints(*endpoints_);
+    speeds_->on_endpoints();
 }
 
 void gateway::update_stream_lifetime()
@@ -300,6 +304,7 @@
             endpoints_->for_each([](endpoint_record&, upstream_pool& pool)
                                  { pool.close_expired(); });
             limits_->update_share();
+            speeds_->update(processes_);
             tick();
         });
 }
--- a/packages/gateway/internal/gateway_metrics.cpp
+++ b/packages/gateway/internal/gateway_metrics.cpp
@@ -59,6 +59,20 @@
     , attempts_(counters(registry, "endiveward_gateway_attempts_total",
                          "Requests sent to endpoints")
                     .Add({}))
+    , speed_samples_(counters(registry,
+                              "endiveward_gateway_speed_samples_total",
+                              "Answers from which the speed of an endpoint "
+                              "was learned")
+                         .Add({}))
+    , work_figures_ignored_(
+          counters(registry, "endiveward_gateway_work_figures_ignored_total",
+                   "Unreadable fourth numbers of the load field")
+              .Add({}))
+    , speeds_(prometheus::BuildGauge()
+                  .Name("endiveward_gateway_endpoint_speed")
+                  .Help("Learned factors to the nominal speed of a service's "
+                        "endpoints: the slowest, the mean, the fastest")
+                  .Register(registry))
     , prompt_tokens_(counters(registry,
                               "endiveward_gateway_prompt_tokens_total",
                               "Tokens of the prompts sent to engines")
@@ -101,6 +115,14 @@
     taken_up_.Add({{"source", source}}).Increment();
 }
 
+void gateway_metrics::set_speeds(std::string const& service, double slowest,
+                                 double mean, double fastest)
+{
+    speeds_.Add({{"service", service}, {"of", "slowest"}}).Set(slowest);
+    speeds_.Add({{"service", service}, {"of", "mean"}}).Set(mean);
+    speeds_.Add({{"service", service}, {"of", "fastest"}}).Set(fastest);
+}
+
 void gateway_metrics::on_prompt(std::uint32_t tokens,
                                 std::uint32_t expected_uncached)
 {
--- a/packages/gateway/types/endpoint_requirements.hpp
+++ b/packages/gateway/types/endpoint_requirements.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEWARD_GATEWAY_TYPES_ENDPOINT_REQUIREMENTS_HPP
 
 #include "gateway/types/prompt_info.hpp"
+#include "kernel/i_clock.hpp"
 #include "kernel/types/identifiers.hpp"
 
 #include <chrono>
@@ -28,6 +29,10 @@
     /// If the expected wait at the cheapest endpoint is longer, an idle one is
     /// preferred.
     std::chrono::milliseconds max_wait = std::chrono::milliseconds::max();
+    /// When the first output is wanted, and the target for the time until then;
+    /// zero if there is none.
+    kernel::steady_time due{};
+    std::chrono::milliseconds target_latency{0};
     /// The software version at which a stream that goes on began. What two
     /// versions write does not fit together.
     std::optional<kernel::software_version> software;
--- a/packages/gateway/types/header_field_names.hpp
+++ b/packages/gateway/types/header_field_names.hpp
@@ -43,7 +43,8 @@
     std::string not_run;
     std::string endpoint;
     /// Numbers of running requests, waiting requests and slots,
-    /// comma-separated.
+    /// comma-separated. A fourth one, on some services, tells how long work
+    /// takes now, in percent of the usual time.
     std::string load;
     /// `1` if the endpoint is going to exit.
     std::string leaving;
--- a/packages/gateway/types/placement_choice.hpp
+++ b/packages/gateway/types/placement_choice.hpp
@@ -4,6 +4,7 @@
 #include "gateway/endpoint_record.hpp"
 #include "gateway/prefix_cache_estimate.hpp"
 #include "gateway/types/kv_route.hpp"
+#include "gateway/types/request_work.hpp"
 #include "gateway/types/weights_status.hpp"
 #include "weights/types/weight_version.hpp"
 
@@ -33,6 +34,8 @@
     /// Prefix tokens that are estimated to be cached at the endpoint or the
     /// source.
     std::uint32_t reusable_tokens = 0;
+    /// The work until the first output.
+    request_work work;
     /// Estimated time until the endpoint starts the request.
     std::chrono::milliseconds wait{0};
     /// Estimated time until the first byte of a response.
--- a/packages/gateway/types/sent_request.hpp
+++ b/packages/gateway/types/sent_request.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEWARD_GATEWAY_TYPES_SENT_REQUEST_HPP
 #define ENDIVEWARD_GATEWAY_TYPES_SENT_REQUEST_HPP
 
+#include "gateway/types/request_work.hpp"
 #include "kernel/i_clock.hpp"
 #include "kernel/types/identifiers.hpp"
 
@@ -22,6 +23,7 @@
     kernel::steady_time at{};
     /// The model that the request names.
     std::optional<kernel::model_id> model;
+    request_work work;
 };
 
 } // namespace endiveward::gateway
