--- a/packages/gateway/exchange_services.hpp
+++ b/packages/gateway/exchange_services.hpp
@@ -34,6 +34,7 @@
 class quota_watch;
 class retry_budgets;
 class routing_table;
+class speed_watch;
 class unavailability_policy;
 class weights_view;
 
@@ -53,6 +54,7 @@
     limit_watch& limits;
     origin_watch& origins;
     quota_watch& quotas;
+    speed_watch& speeds;
     gateway_metrics& metrics;
     observe::decision_log& log;
 };
--- a/packages/gateway/gateway_metrics.hpp
+++ b/packages/gateway/gateway_metrics.hpp
@@ -44,6 +44,11 @@
     void on_limited_use(double amount) { limited_use_.Increment(amount); }
     /// Share of the limits of workspaces that this router uses.
     void set_limit_share(double share) { limit_share_.Set(share); }
+    void on_speed_sample() { speed_samples_.Increment(); }
+    void on_work_figure_ignored() { work_figures_ignored_.Increment(); }
+    /// Factors of a service's endpoints to the nominal speed.
+    void set_speeds(std::string const& service, double slowest, double mean,
+                    double fastest);
     void on_prompt(std::uint32_t tokens, std::uint32_t expected_uncached);
 
 private:
@@ -58,6 +63,9 @@
     prometheus::Counter& over_limit_;
     prometheus::Counter& limited_use_;
     prometheus::Gauge& limit_share_;
+    prometheus::Counter& speed_samples_;
+    prometheus::Counter& work_figures_ignored_;
+    prometheus::Family<prometheus::Gauge>& speeds_;
     prometheus::Counter& prompt_tokens_;
     prometheus::Counter& uncached_tokens_;
     prometheus::Histogram& duration_;
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -11,6 +11,7 @@
 #include "gateway/quota_watch.hpp"
 #include "gateway/retry_budgets.hpp"
 #include "gateway/routing_table.hpp"
+#include "gateway/speed_watch.hpp"
 #include "gateway/weights_view.hpp"
 #include "observe/decision_log.hpp"
 
@@ -81,10 +82,12 @@
     quotas_ = std::make_unique<quota_watch>(context_, clock_, *facts_,
                                             *metrics_, log_, settings_.seed);
     quotas_->set_processes(processes_);
+    speeds_ = std::make_unique<speed_watch>(clock_, *endpoints_, *facts_,
+                                            *metrics_, log_);
     services_ = std::make_unique<exchange_services>(exchange_services{
         context_, clock_, names_, *endpoints_, *chooser_, overload_,
         unavailability_, *weights_, *budgets_, *parts_, *limits_, *origins_,
-        *quotas_, *metrics_, log_});
+        *quotas_, *speeds_, *metrics_, log_});
     update_limits();
     update_limit_share();
 }
@@ -120,6 +123,7 @@
                    it.str());
     update_limits();
     origins_->on_endpoints(*endpoints_);
+    speeds_->on_endpoints();
 }
 
 void gateway::apply(resumption::recorded_versions const& versions)
@@ -311,6 +315,7 @@
             endpoints_->for_each([](endpoint_record&, upstream_pool& pool)
                                  { pool.close_expired(); });
             limits_->update_share();
+            speeds_->update(processes_);
             tick();
         });
 }
