gateway: Compare all endpoints before a request lacks capacity

Cause: a request is refused for overload by the expected wait at the best of three sampled endpoints, although one outside the sample may be idle, and endpoints without memory for it count as usable and reject it.

With endpoint_requirements::compares_all, all endpoints are compared if no sampled one has capacity; an endpoint whose memory does not fit the request has none. Among those that do, the choice is weighted by headroom, so that routers with the same reports do not choose the same endpoint.

--- a/packages/gateway/endpoint_chooser.hpp
+++ b/packages/gateway/endpoint_chooser.hpp
@@ -43,6 +43,10 @@
 
     static candidate* cheapest(std::vector<candidate>& candidates,
                                std::chrono::milliseconds max_wait);
+    static candidate* with_capacity(std::vector<candidate>& candidates,
+                                    endpoint_requirements const& requirements);
+    static candidate* by_headroom(std::vector<candidate>& candidates,
+                                  endpoint_requirements const& requirements);
     record_set sample(selection_context const& context) const;
     std::vector<candidate> make_candidates(record_set const& sampled,
                                            selection_context& context) const;
@@ -59,8 +63,7 @@
                           selection_context& context) const;
     double transfer_ms(endpoint_record const& to, endpoint_record const& from,
                        std::uint32_t tokens, service const& target) const;
-    double memory_cost(endpoint_record const& endpoint,
-                       request_footprint const& footprint,
+    double memory_cost(placement_choice& choice,
                        selection_context const& context) const;
 
     placement_settings settings_;
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 
 namespace endiveward::gateway
@@ -26,6 +27,10 @@
 constexpr std::chrono::milliseconds idle_wait{50};
 /// One in this many prompts that are mostly their own is saved.
 constexpr std::uint64_t own_prompts_per_save = 8;
+/// Share of an engine's memory that is left for requests that other routers
+/// have sent since its last report. In bursts of the documented deployments
+/// some 13,000 tokens arrive at an engine between two reports, 200 ms.
+constexpr double unreported_memory_share = 0.06;
 /// Fewer tokens than this are not worth the cost of a transfer.
 constexpr std::uint32_t min_fetch_tokens = 48;
 
@@ -178,7 +183,19 @@
     auto* best = cheapest(candidates, std::chrono::milliseconds::max());
     if (best == nullptr)
         return std::nullopt;
-    if (best->choice.wait > requirements.max_wait)
+    if (requirements.compares_all)
+    {
+        auto* capable = with_capacity(candidates, requirements);
+        if (capable == nullptr)
+        {
+            candidates = make_candidates({}, context);
+            capable = by_headroom(candidates, requirements);
+            best = cheapest(candidates, std::chrono::milliseconds::max());
+        }
+        if (capable != nullptr)
+            best = capable;
+    }
+    else if (best->choice.wait > requirements.max_wait)
     {
         if (auto* const idle = cheapest(candidates, idle_wait))
             best = idle;
@@ -221,6 +238,55 @@
     return res;
 }
 
+/// Returns the cheapest candidate that has capacity for the request, or null.
+endpoint_chooser::candidate*
+endpoint_chooser::with_capacity(std::vector<candidate>& candidates,
+                                endpoint_requirements const& requirements)
+{
+    candidate* res = nullptr;
+    for (auto& it : candidates)
+    {
+        if (it.choice.wait <= requirements.max_wait && it.choice.fits_memory &&
+            (res == nullptr || it.cost < res->cost))
+            res = &it;
+    }
+    return res;
+}
+
+// Load pattern: most endpoints are full, and all routers find the same few with
+// capacity in the same reports. If each chose the cheapest of them, it would be
+// overloaded before the next report. Weighted rendezvous hashing sends each
+// endpoint a share in proportion to its headroom.
+/// Chooses pseudo-randomly among the candidates that have capacity for the
+/// request; null if there is none.
+endpoint_chooser::candidate*
+endpoint_chooser::by_headroom(std::vector<candidate>& candidates,
+                              endpoint_requirements const& requirements)
+{
+    constexpr int mantissa_bits = 53;
+    candidate* res = nullptr;
+    double best = 0;
+    for (auto& it : candidates)
+    {
+        if (it.choice.wait > requirements.max_wait || !it.choice.fits_memory)
+            continue;
+        auto const& id = it.choice.endpoint->entry().id.str();
+        auto const rank = rendezvous_rank(id, requirements.seed);
+        auto const u =
+            std::ldexp(static_cast<double>(rank >> (64 - mantissa_bits)) + 0.5,
+                       -mantissa_bits);
+        auto const headroom =
+            1 + ms(requirements.max_wait - it.choice.wait).count();
+        auto const delay = -std::log(u) * (1 + it.cost) / headroom;
+        if (res == nullptr || delay < best)
+        {
+            res = &it;
+            best = delay;
+        }
+    }
+    return res;
+}
+
 /// Selects a pseudo-random sample of the endpoints that can take the request,
 /// seeded by its id. Load reports are delayed; if all processes chose the least
 /// loaded of all endpoints, they would overload it together.
@@ -439,7 +505,7 @@
         static_cast<std::int64_t>(choice.footprint.uncached_tokens /
                                   settings_.prefill_tokens_per_ms));
     if (context.target.engine)
-        evaluated.cost += memory_cost(endpoint, choice.footprint, context);
+        evaluated.cost += memory_cost(choice, context);
 }
 
 double endpoint_chooser::transfer_ms(endpoint_record const& to,
@@ -455,10 +521,12 @@
            factor * bytes / settings_.transfer_bytes_per_ms;
 }
 
-double endpoint_chooser::memory_cost(endpoint_record const& endpoint,
-                                     request_footprint const& footprint,
+/// Also sets whether the request fits.
+double endpoint_chooser::memory_cost(placement_choice& choice,
                                      selection_context const& context) const
 {
+    auto const& endpoint = *choice.endpoint;
+    auto const& footprint = choice.footprint;
     auto const capacity =
         static_cast<double>(context.target.engine->kv_capacity_tokens);
     if (capacity <= 0)
@@ -472,8 +540,10 @@
                               : static_cast<double>(footprint.memory_tokens);
         external = endpoint.external_requests(context.now) * mean;
     }
-    auto const used = static_cast<double>(endpoint.memory_tokens()) + external +
-                      footprint.memory_tokens;
+    auto const held = static_cast<double>(endpoint.memory_tokens()) + external;
+    auto const used = held + footprint.memory_tokens;
+    choice.fits_memory =
+        used + std::min(held, unreported_memory_share * capacity) <= capacity;
     return used > capacity
                ? ms(settings_.memory_full_cost).count() * used / capacity
                : 0;
--- a/packages/gateway/tests/endpoint_chooser_test.cpp
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -375,4 +375,99 @@
     }
 }
 
+// Load pattern: nearly all engines have queues. Guards against a request that
+// is refused for overload although an engine outside its sample is idle.
+TEST_CASE("all engines are compared if the sampled ones have no capacity")
+{
+    chooser_fixture fixture(48);
+    for (std::size_t k = 0; k < 48; ++k)
+    {
+        for (int n = 0; k != 31 && n < 4; ++n)
+            fixture.records[k]->on_sent({11500, 11800}, start);
+    }
+    std::size_t missed = 0;
+    for (std::uint64_t n = 0; n < 40; ++n)
+    {
+        auto requirements =
+            chooser_fixture::make_requirements("file" + std::to_string(n), n);
+        requirements.max_wait = milliseconds(180);
+        auto const sampled = fixture.choose(requirements);
+        REQUIRE(sampled);
+        missed += sampled->wait > requirements.max_wait ? 1 : 0;
+        requirements.compares_all = true;
+        auto const choice = fixture.choose(requirements);
+        REQUIRE(choice);
+        CHECK(choice->endpoint == fixture.records[31]);
+    }
+    // Without the comparison, most are sent to a queue or refused.
+    CHECK(missed > 30);
+}
+
+// Load pattern: 28 routers find the same few engines with capacity in the same
+// reports. Guards against all of them choosing the same one.
+TEST_CASE("routers that find the same idle engines spread over them")
+{
+    chooser_fixture fixture(48);
+    for (std::size_t k = 8; k < 48; ++k)
+    {
+        for (int n = 0; n < 4; ++n)
+            fixture.records[k]->on_sent({11500, 11800}, start);
+    }
+    std::map<std::string, int> requests_by_endpoint;
+    for (std::uint64_t n = 0; n < 800; ++n)
+    {
+        auto requirements = chooser_fixture::make_requirements("hot", n * 7919);
+        requirements.prompt->parts.clear();
+        requirements.max_wait = milliseconds(180);
+        requirements.compares_all = true;
+        auto const choice = fixture.choose(requirements);
+        REQUIRE(choice);
+        CHECK(choice->wait <= requirements.max_wait);
+        ++requests_by_endpoint[choice->endpoint->entry().id.str()];
+    }
+    CHECK(requests_by_endpoint.size() == 8);
+    for (auto const& [id, n] : requests_by_endpoint)
+        CHECK(n < 2 * 800 / 8);
+}
+
+// Load pattern: engines reject requests for which they have no memory, or crash
+// under them. Guards against sending a request where it does not fit.
+TEST_CASE("an engine without memory for the request has no capacity")
+{
+    chooser_fixture fixture(6);
+    wire::engine_state state;
+    state.endpoint_incarnation = 1;
+    state.memory_used = 190000;
+    for (std::size_t k = 0; k < 5; ++k)
+        fixture.records[k]->on_state(state, start);
+    auto requirements = chooser_fixture::make_requirements("file1", 1);
+    requirements.max_wait = milliseconds(180);
+    requirements.compares_all = true;
+    for (std::uint64_t n = 0; n < 20; ++n)
+    {
+        requirements.seed = n;
+        auto const choice = fixture.choose(requirements);
+        REQUIRE(choice);
+        CHECK(choice->endpoint == fixture.records[5]);
+        CHECK(choice->fits_memory);
+    }
+    fixture.records[5]->on_state(state, start);
+    auto const choice = fixture.choose(requirements);
+    REQUIRE(choice);
+    CHECK_FALSE(choice->fits_memory);
+}
+
+// Guards against a prompt that no engine would ever get because of the memory
+// that is left for the requests of other routers.
+TEST_CASE("a prompt of nearly all memory fits an engine that holds nothing")
+{
+    chooser_fixture fixture(1);
+    auto requirements = chooser_fixture::make_requirements("file1", 1);
+    requirements.compares_all = true;
+    requirements.prompt->prompt_tokens = 199000;
+    auto const choice = fixture.choose(requirements);
+    REQUIRE(choice);
+    CHECK(choice->fits_memory);
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/types/endpoint_requirements.hpp
+++ b/packages/gateway/types/endpoint_requirements.hpp
@@ -28,6 +28,9 @@
     /// If the expected wait at the cheapest endpoint is longer, an idle one is
     /// preferred.
     std::chrono::milliseconds max_wait = std::chrono::milliseconds::max();
+    /// Whether all endpoints are compared, and their memory counts, if the
+    /// sampled ones have no capacity.
+    bool compares_all = false;
     /// The software version at which a stream that goes on began. What two
     /// versions write does not fit together.
     std::optional<kernel::software_version> software;
--- a/packages/gateway/types/placement_choice.hpp
+++ b/packages/gateway/types/placement_choice.hpp
@@ -33,6 +33,8 @@
     /// Prefix tokens that are estimated to be cached at the endpoint or the
     /// source.
     std::uint32_t reusable_tokens = 0;
+    /// Whether the endpoint is expected to have memory for the request.
+    bool fits_memory = true;
     /// Estimated time until the endpoint starts the request.
     std::chrono::milliseconds wait{0};
     /// Estimated time until the first byte of a response.
