gateway: Hold requests for which no endpoint has capacity

Cause: a router refused a request at once when the sampled endpoints were busy, although capacity becomes free within the slack of most requests.

room_queue joins exchange and packages/room: a request that finds no capacity waits, and asks again in order when an answer begins or ends or a report arrives. Events within 10 ms are served by one pass that ends after three requests in vain, so the cost does not grow with waiting requests times endpoints; nothing is done while nothing waits. The wait ends with the caller or the deadline. report_share gives each router its share of what a report shows as free. ENDIVEWARD_ROOM=on|off|auto (default auto: where routing_table::shares_capacity, which is false until limits of workspaces are decoded); a bad value ends the start with exit code 2 and a message. Not in force, decisions are as before.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -49,9 +49,11 @@
 } // namespace
 
 gateway_process::gateway_process(gateway::process_settings settings,
-                                 std::string path, wire::cluster_key key)
+                                 std::string path, wire::cluster_key key,
+                                 room::room_switch room)
     : settings_(std::move(settings))
     , path_(std::move(path))
+    , room_(room)
     , signals_(control_, SIGTERM, SIGINT, SIGHUP)
     , timer_(control_)
     , metrics_(std::make_shared<prometheus::Registry>())
@@ -421,6 +423,7 @@
     res.retry_budget_ratio = settings_.retry_budget_ratio;
     res.retry_budget_extra = settings_.retry_budget_extra;
     res.version_deadline = settings_.version_deadline;
+    res.room = room_;
     auto const& name = settings_.name.str();
     res.seed = XXH3_64bits(name.data(), name.size());
     return res;
--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -11,6 +11,7 @@
 #include "observe/decision_log.hpp"
 #include "platform/entry_decoder.hpp"
 #include "platform/store_rows.hpp"
+#include "room/types/room_switch.hpp"
 #include "router/drain_sequence.hpp"
 #include "wire/types/cluster_key.hpp"
 
@@ -67,7 +68,7 @@
 {
 public:
     gateway_process(gateway::process_settings settings, std::string path,
-                    wire::cluster_key key);
+                    wire::cluster_key key, room::room_switch room);
     ~gateway_process() override;
     gateway_process(gateway_process const&) = delete;
     gateway_process& operator=(gateway_process const&) = delete;
@@ -112,6 +113,7 @@
 
     gateway::process_settings settings_;
     std::string path_;
+    room::room_switch room_;
     kernel::system_clock clock_;
     kernel::secure_random_source random_;
     asio::io_context control_{1};
--- a/apps/endiveward/run_command.cpp
+++ b/apps/endiveward/run_command.cpp
@@ -9,6 +9,7 @@
 #include "kernel/system_clock.hpp"
 #include "observe/logging.hpp"
 #include "platform/boot_file.hpp"
+#include "room/types/room_switch.hpp"
 #include "router/drain_sequence.hpp"
 #include "router/router_module.hpp"
 
@@ -20,7 +21,9 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
+#include <optional>
 
 namespace endiveward::app
 {
@@ -31,6 +34,7 @@
 constexpr int exit_failure = 1;
 constexpr int exit_usage = 2;
 constexpr std::chrono::milliseconds tick_interval{50};
+constexpr char const* room_variable = "ENDIVEWARD_ROOM";
 
 log4cplus::Logger logger()
 {
@@ -184,6 +188,19 @@
     return code;
 }
 
+/// Returns no value, and says why, if the variable has another value than
+/// `on`, `off` or `auto`.
+std::optional<room::room_switch> read_room_switch()
+{
+    char const* const text =
+        std::getenv(room_variable); // NOLINT(concurrency-mt-unsafe)
+    auto const res = room::parse_room_switch(text == nullptr ? "auto" : text);
+    if (!res)
+        std::cerr << "the environment variable " << room_variable
+                  << " must be on, off or auto, not \"" << text << "\"\n";
+    return res;
+}
+
 /// Runs on the users' platform, which names the settings file.
 int run_on_platform(std::string const& level, std::string const& key_env)
 {
@@ -193,6 +210,9 @@
         std::cerr << kernel::failure(key).message << '\n';
         return exit_usage;
     }
+    auto const room = read_room_switch();
+    if (!room)
+        return exit_usage;
     auto const loaded = platform::load_boot_file();
     if (!kernel::ok(loaded))
     {
@@ -209,7 +229,8 @@
     try
     {
         code = gateway_process(kernel::value(loaded).settings,
-                               kernel::value(loaded).path, kernel::value(key))
+                               kernel::value(loaded).path, kernel::value(key),
+                               *room)
                    .run();
     }
     catch (std::exception const& ex)
--- a/packages/gateway/endpoint_chooser.hpp
+++ b/packages/gateway/endpoint_chooser.hpp
@@ -45,6 +45,10 @@
                                std::chrono::milliseconds max_wait);
     static candidate* with_capacity(std::vector<candidate>& candidates,
                                     endpoint_requirements const& requirements);
+    static bool has_capacity(candidate const& it,
+                             endpoint_requirements const& requirements);
+    static void describe_shortage(std::vector<candidate> const& candidates,
+                                  placement_choice& choice);
     static candidate* by_headroom(std::vector<candidate>& candidates,
                                   endpoint_requirements const& requirements);
     record_set sample(selection_context const& context) const;
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -157,6 +157,16 @@
     std::uint32_t unanswered() const { return unanswered_; }
     std::uint64_t pending_tokens() const { return pending_tokens_; }
     std::uint64_t memory_tokens() const { return memory_tokens_; }
+    /// What this process has sent since the agent's last report.
+    request_footprint const& sent_since_report() const
+    {
+        return sent_since_report_;
+    }
+    /// The time of the last load report.
+    std::optional<kernel::steady_time> reported_at() const
+    {
+        return load_ ? std::optional(load_->at) : std::nullopt;
+    }
     /// Estimated number of requests of other processes at the endpoint, based
     /// on the last load report.
     double external_requests(kernel::steady_time now) const;
@@ -178,6 +188,7 @@
     std::uint32_t unanswered_ = 0;
     std::uint64_t pending_tokens_ = 0;
     std::uint64_t memory_tokens_ = 0;
+    request_footprint sent_since_report_;
     kernel::steady_time last_bytes_{};
     kernel::steady_time waiting_since_{};
     kernel::steady_time avoided_until_{};
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -30,10 +30,12 @@
 
 class i_response_writer;
 class retry_budget;
+class room_place;
 class routing_table;
 class upstream_connection;
 class upstream_pool;
 struct exchange_services;
+struct held_request;
 struct sent_request;
 struct unserved_request;
 
@@ -94,10 +96,10 @@
     void note_origin();
     void attempt();
     bool refuse_if_overloaded(placement_choice const& choice);
+    bool hold_if_overloaded(placement_choice const& choice);
+    held_request describe_held() const;
     void send(placement_choice choice);
     sent_request describe_sent() const;
-    bool is_refusal(response_head const& head) const;
-    bool is_valid_response(response_head const& head) const;
     void discard(std::size_t n);
     void reject_response(std::string_view reason);
     void forward_events();
@@ -134,7 +136,6 @@
     std::chrono::milliseconds time_left() const;
     std::chrono::milliseconds since_sent() const;
     std::chrono::milliseconds elapsed() const;
-    header_list answer_headers(response_head const& head) const;
 
     exchange_services const& services_;
     std::shared_ptr<routing_table const> table_;
@@ -155,6 +156,8 @@
     /// When the caller stops trying. The route may allow less time.
     kernel::steady_time caller_expires_{};
     asio::steady_timer timer_;
+    /// Set while the request waits for capacity.
+    std::unique_ptr<room_place> place_;
 
     progress progress_ = progress::choosing;
     std::shared_ptr<endpoint_record> endpoint_;
--- a/packages/gateway/exchange_services.hpp
+++ b/packages/gateway/exchange_services.hpp
@@ -32,6 +32,7 @@
 class overload_policy;
 class part_watch;
 class retry_budgets;
+class room_queue;
 class routing_table;
 class unavailability_policy;
 class weights_view;
@@ -51,6 +52,7 @@
     part_watch& parts;
     limit_watch& limits;
     origin_watch& origins;
+    room_queue& room;
     gateway_metrics& metrics;
     observe::decision_log& log;
 };
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -38,6 +38,7 @@
 {
 
 class fact_exchange;
+class room_queue;
 
 /// Serves callers' requests according to the current configuration and list of
 /// endpoints. All methods must be called on the traffic thread, which runs
@@ -134,6 +135,7 @@
     std::unique_ptr<limit_watch> limits_;
     std::unique_ptr<origin_watch> origins_;
     std::unique_ptr<fact_exchange> facts_;
+    std::shared_ptr<room_queue> room_;
     std::unique_ptr<exchange_services> services_;
     std::shared_ptr<routing_table const> table_;
     caller_server caller_server_;
--- a/packages/gateway/gateway_metrics.hpp
+++ b/packages/gateway/gateway_metrics.hpp
@@ -3,9 +3,11 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -36,6 +38,12 @@
     /// `source` tells how it became known where a stream that a caller takes up
     /// began.
     void on_taken_up(std::string const& source);
+    /// A request that waited for capacity has been sent or refused, or has
+    /// left.
+    void on_room_left(std::string const& outcome,
+                      std::chrono::milliseconds waited);
+    void on_room_refusal(std::string const& reason);
+    void set_room_waiting(std::size_t number);
     void on_pause() { pauses_.Increment(); }
     void on_part_quarantined() { quarantines_.Increment(); }
     void on_request_quarantined() { request_quarantines_.Increment(); }
@@ -46,6 +54,8 @@
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Counter>& leaving_;
     prometheus::Family<prometheus::Counter>& taken_up_;
+    prometheus::Family<prometheus::Counter>& room_left_;
+    prometheus::Family<prometheus::Counter>& room_refusals_;
     prometheus::Counter& pauses_;
     prometheus::Counter& quarantines_;
     prometheus::Counter& request_quarantines_;
@@ -54,6 +64,8 @@
     prometheus::Counter& uncached_tokens_;
     prometheus::Histogram& duration_;
     prometheus::Histogram& first_byte_;
+    prometheus::Histogram& room_wait_;
+    prometheus::Gauge& room_waiting_;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -1,5 +1,6 @@
 #include "gateway/endpoint_chooser.hpp"
 
+#include "gateway/report_share.hpp"
 #include "gateway/weights_view.hpp"
 
 #include <fmt/format.h>
@@ -8,6 +9,8 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
+#include <utility>
 
 namespace endiveward::gateway
 {
@@ -194,6 +197,8 @@
         }
         if (capable != nullptr)
             best = capable;
+        else
+            describe_shortage(candidates, best->choice);
     }
     else if (best->choice.wait > requirements.max_wait)
     {
@@ -238,6 +243,32 @@
     return res;
 }
 
+bool endpoint_chooser::has_capacity(candidate const& it,
+                                    endpoint_requirements const& requirements)
+{
+    return it.choice.wait <= requirements.max_wait && it.choice.fits_memory &&
+           it.choice.has_share;
+}
+
+/// Notes what the endpoints lack if none of them has capacity.
+void endpoint_chooser::describe_shortage(
+    std::vector<candidate> const& candidates, placement_choice& choice)
+{
+    candidate const* shortest = nullptr;
+    for (auto const& it : candidates)
+    {
+        auto const rank = [](candidate const& a)
+        { return std::pair(!a.choice.fits_memory, a.choice.wait); };
+        if (shortest == nullptr || rank(it) < rank(*shortest))
+            shortest = &it;
+    }
+    auto const [wait, fits] =
+        std::pair(shortest->choice.wait, shortest->choice.fits_memory);
+    choice.wait = wait;
+    choice.fits_memory = fits;
+    choice.has_share = false;
+}
+
 /// Returns the cheapest candidate that has capacity for the request, or null.
 endpoint_chooser::candidate*
 endpoint_chooser::with_capacity(std::vector<candidate>& candidates,
@@ -246,7 +277,7 @@
     candidate* res = nullptr;
     for (auto& it : candidates)
     {
-        if (it.choice.wait <= requirements.max_wait && it.choice.fits_memory &&
+        if (has_capacity(it, requirements) &&
             (res == nullptr || it.cost < res->cost))
             res = &it;
     }
@@ -268,7 +299,7 @@
     double best = 0;
     for (auto& it : candidates)
     {
-        if (it.choice.wait > requirements.max_wait || !it.choice.fits_memory)
+        if (!has_capacity(it, requirements))
             continue;
         auto const& id = it.choice.endpoint->entry().id.str();
         auto const rank = rendezvous_rank(id, requirements.seed);
@@ -521,7 +552,7 @@
            factor * bytes / settings_.transfer_bytes_per_ms;
 }
 
-/// Also sets whether the request fits.
+/// Also sets whether the request fits, and has a share in what is free.
 double endpoint_chooser::memory_cost(placement_choice& choice,
                                      selection_context const& context) const
 {
@@ -529,8 +560,16 @@
     auto const& footprint = choice.footprint;
     auto const capacity =
         static_cast<double>(context.target.engine->kv_capacity_tokens);
+    auto const wait_left = std::max(context.requirements.max_wait - choice.wait,
+                                    std::chrono::milliseconds(0));
+    free_capacity free{ms(wait_left).count() * settings_.prefill_tokens_per_ms,
+                       std::numeric_limits<double>::infinity()};
     if (capacity <= 0)
+    {
+        choice.has_share =
+            has_report_share(endpoint, footprint, free, context.requirements);
         return 0;
+    }
     auto external = static_cast<double>(endpoint.external_memory());
     if (!endpoint.linked())
     {
@@ -544,6 +583,9 @@
     auto const used = held + footprint.memory_tokens;
     choice.fits_memory =
         used + std::min(held, unreported_memory_share * capacity) <= capacity;
+    free.memory_tokens = (1 - unreported_memory_share) * capacity - held;
+    choice.has_share =
+        has_report_share(endpoint, footprint, free, context.requirements);
     return used > capacity
                ? ms(settings_.memory_full_cost).count() * used / capacity
                : 0;
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -109,6 +109,8 @@
     ++unanswered_;
     pending_tokens_ += footprint.uncached_tokens;
     memory_tokens_ += footprint.memory_tokens;
+    sent_since_report_.uncached_tokens += footprint.uncached_tokens;
+    sent_since_report_.memory_tokens += footprint.memory_tokens;
 }
 
 void endpoint_record::on_response_started(request_footprint const& footprint,
@@ -158,6 +160,7 @@
         reported_weights_ = state.weights;
     for (auto const& it : reported_weights_)
         set_version(it.model, it.version);
+    sent_since_report_ = {};
     load_ = load_sample{state.running, state.waiting, entry_.slots, now,
                         in_flight_};
     external_unanswered_ =
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -15,8 +15,11 @@
 #include "gateway/part_watch.hpp"
 #include "gateway/request_builder.hpp"
 #include "gateway/request_fields.hpp"
+#include "gateway/response_rules.hpp"
 #include "gateway/retry_budgets.hpp"
+#include "gateway/room_queue.hpp"
 #include "gateway/routing_table.hpp"
+#include "gateway/types/held_request.hpp"
 #include "gateway/types/sent_request.hpp"
 #include "gateway/types/unserved_request.hpp"
 #include "gateway/unavailability_policy.hpp"
@@ -287,8 +290,11 @@
         return;
     auto const& target = *table_->find_service(requirements_.service);
     if (target.engine)
+    {
         requirements_.max_wait =
             services_.overload.max_wait(route_->target_latency, time_left());
+        services_.room.prepare(requirements_, describe_held());
+    }
     auto choice = services_.chooser.choose(
         services_.endpoints.of_service(requirements_.service), target,
         requirements_, services_.weights, services_.clock.now());
@@ -329,7 +335,12 @@
 /// request that may already have run is not refused.
 bool exchange::refuse_if_overloaded(placement_choice const& choice)
 {
-    if (runs_ > 0 || choice.wait <= requirements_.max_wait)
+    if (runs_ > 0)
+        return false;
+    if (requirements_.compares_all)
+        return hold_if_overloaded(choice);
+    place_.reset();
+    if (choice.wait <= requirements_.max_wait)
         return false;
     services_.log.write(
         "overloaded", "id={} endpoint={} wait_ms={} limit_ms={} target_ms={}",
@@ -342,6 +353,44 @@
     return true;
 }
 
+/// Lets the request wait or refuses it, and returns true, unless there is
+/// capacity for it.
+bool exchange::hold_if_overloaded(placement_choice const& choice)
+{
+    progress_ = progress::choosing;
+    auto const decision = services_.room.decide(
+        place_, describe_held(), choice,
+        [weak = weak_from_this()]
+        {
+            auto const self = weak.lock();
+            if (self != nullptr && self->progress_ == progress::choosing)
+                self->attempt();
+        });
+    if (auto const* const it = std::get_if<room::wait_for_capacity>(&decision))
+        arm(it->until);
+    if (auto const* const it = std::get_if<room::refuse_now>(&decision))
+        refuse(services_.unavailability.retry_after(describe_unserved(),
+                                                    it->time_to_capacity),
+               it->reason);
+    return !std::holds_alternative<room::send_now>(decision);
+}
+
+held_request exchange::describe_held() const
+{
+    auto const weight =
+        workspace_ != nullptr ? table_->weight_of(*workspace_) : 1;
+    return {id_,
+            *route_,
+            workspace_,
+            weight,
+            requirements_,
+            arrived_,
+            expires_,
+            *keys_.request,
+            request_.body.size(),
+            services_.overload.max_wait(route_->target_latency, time_left())};
+}
+
 /// Waits a short time for an available endpoint, or ends the request.
 void exchange::handle_unavailable()
 {
@@ -511,35 +560,19 @@
     auto const now = services_.clock.now();
     response_started_ = true;
     endpoint_->on_response_started(footprint_, now);
+    services_.room.on_capacity();
     endpoint_notices(services_).apply(head, describe_sent());
     head_ = head;
     progress_ = progress::collecting;
-    refused_ = is_refusal(head);
+    refused_ = is_refusal(head, services_.names);
     if (refused_ || head.status >= status_multiple_choices)
         return;
-    if (!is_valid_response(head))
+    if (!is_valid_response(head, services_.names))
         return reject_response("improper_answer");
     if (is_stream(route_->kind))
         progress_ = progress::streaming;
 }
 
-/// Whether a successful response is proven to be the endpoint's answer to this
-/// request: it must carry the signature and the request id, and no content
-/// encoding.
-bool exchange::is_valid_response(response_head const& head) const
-{
-    return head.headers.find(services_.names.signature) != nullptr &&
-           head.headers.find(services_.names.request_id) != nullptr &&
-           head.headers.find("Content-Encoding") == nullptr;
-}
-
-bool exchange::is_refusal(response_head const& head) const
-{
-    return head.status == status_misdirected ||
-           (head.status >= status_bad_request &&
-            head.headers.find(services_.names.not_run) != nullptr);
-}
-
 void exchange::on_body(std::string_view bytes)
 {
     auto const keep = shared_from_this();
@@ -644,7 +677,8 @@
     if (!requirements_.software)
         requirements_.software = sent_software_;
     services_.metrics.on_first_byte(elapsed());
-    writer_->begin(head_.status, answer_headers(head_), std::nullopt);
+    writer_->begin(head_.status, answer_headers(head_, services_.names),
+                   std::nullopt);
 }
 
 /// Starts to forward a response that is too long to buffer.
@@ -655,7 +689,8 @@
     head_forwarded_ = true;
     progress_ = progress::relaying;
     services_.metrics.on_first_byte(elapsed());
-    writer_->begin(head_.status, answer_headers(head_), length);
+    writer_->begin(head_.status, answer_headers(head_, services_.names),
+                   length);
     writer_->write(body_);
     body_.clear();
 }
@@ -761,7 +796,8 @@
     services_.log.write_routine(
         "answered", "id={} endpoint={} status={} bytes={} took_ms={}", id_,
         endpoint_->entry().id.str(), status, body_.size(), elapsed().count());
-    writer_->answer(status, answer_headers(head_), std::move(body_));
+    writer_->answer(status, answer_headers(head_, services_.names),
+                    std::move(body_));
     finish(fmt::format("{}xx", status / 100));
 }
 
@@ -910,6 +946,7 @@
     if (upstream_ == nullptr)
         return;
     endpoint_->on_finished(footprint_, response_started_);
+    services_.room.on_capacity();
     auto conn = std::exchange(upstream_, nullptr);
     if (!ended)
         conn->abandon();
@@ -971,6 +1008,7 @@
 {
     progress_ = progress::ended;
     timer_.cancel();
+    place_.reset();
     services_.metrics.on_request_end(outcome, elapsed());
     if (outcome == "complete")
         services_.log.write_routine(
@@ -1092,22 +1130,4 @@
                                                     arrived_);
 }
 
-header_list exchange::answer_headers(response_head const& head) const
-{
-    header_list res;
-    for (auto const& it : head.headers)
-    {
-        if (is_connection_field(it.name, head.headers))
-            continue;
-        if (equal_names(it.name, services_.names.load) ||
-            equal_names(it.name, services_.names.endpoint) ||
-            equal_names(it.name, services_.names.leaving) ||
-            equal_names(it.name, services_.names.request_limit) ||
-            equal_names(it.name, retry_after_field))
-            continue;
-        res.add(it.name, it.value);
-    }
-    return res;
-}
-
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/origin_watch.hpp"
 #include "gateway/part_watch.hpp"
 #include "gateway/retry_budgets.hpp"
+#include "gateway/room_queue.hpp"
 #include "gateway/routing_table.hpp"
 #include "gateway/weights_view.hpp"
 #include "observe/decision_log.hpp"
@@ -77,10 +78,14 @@
     origins_ =
         std::make_unique<origin_watch>(context_, clock_, *metrics_, log_);
     facts_ = std::make_unique<fact_exchange>(context_, clock_, settings_.seed);
-    services_ = std::make_unique<exchange_services>(
-        exchange_services{context_, clock_, names_, *endpoints_, *chooser_,
-                          overload_, unavailability_, *weights_, *budgets_,
-                          *parts_, *limits_, *origins_, *metrics_, log_});
+    room_ = std::make_shared<room_queue>(
+        context_, clock_, *endpoints_,
+        settings_.placement.prefill_tokens_per_ms, *metrics_, log_);
+    room_->set_switch(settings_.room);
+    services_ = std::make_unique<exchange_services>(exchange_services{
+        context_, clock_, names_, *endpoints_, *chooser_, overload_,
+        unavailability_, *weights_, *budgets_, *parts_, *limits_, *origins_,
+        *room_, *metrics_, log_});
     update_limits();
     update_limit_share();
 }
@@ -101,6 +106,7 @@
     if (table_ != nullptr && table->version() <= table_->version())
         return;
     table_ = std::move(table);
+    room_->apply(*table_);
     update_limits();
     update_stream_lifetime();
     log_.write("configuration_in_force", "version={} routes={} workspaces={}",
@@ -150,6 +156,7 @@
     auto const was_reloading = found->reloading();
     auto const was_leaving = found->leaving();
     found->on_state(state, clock_.now());
+    room_->on_capacity();
     limits_->on_agent_report(*found, state.request_limit);
     limits_->set_processes(processes_, true);
     update_process_count(state.routers);
@@ -274,6 +281,7 @@
     budgets_->set_limits(settings_.retry_budget_ratio * budget_fraction,
                          settings_.retry_budget_extra * budget_fraction /
                              processes);
+    room_->set_processes(processes_, settings_.seed);
     if (table_ == nullptr)
         return;
     endpoints_->for_each(
--- a/packages/gateway/internal/gateway_metrics.cpp
+++ b/packages/gateway/internal/gateway_metrics.cpp
@@ -43,6 +43,11 @@
     , taken_up_(counters(registry, "endiveward_gateway_taken_up_streams_total",
                          "Streams that callers take up, by how it became known "
                          "where they began"))
+    , room_left_(counters(registry, "endiveward_gateway_room_left_total",
+                          "Requests that waited for capacity, by outcome"))
+    , room_refusals_(
+          counters(registry, "endiveward_gateway_room_refusals_total",
+                   "Requests refused for lack of capacity, by reason"))
     , pauses_(counters(registry, "endiveward_gateway_endpoint_pauses_total",
                        "Pauses that endpoints asked for with Retry-After")
                   .Add({}))
@@ -71,6 +76,13 @@
                         "Time from a request to the end of its answer"))
     , first_byte_(latency(registry, "endiveward_gateway_first_byte_seconds",
                           "Time from a request to the begin of its answer"))
+    , room_wait_(latency(registry, "endiveward_gateway_room_wait_seconds",
+                         "Time for which requests waited for capacity"))
+    , room_waiting_(prometheus::BuildGauge()
+                        .Name("endiveward_gateway_room_waiting")
+                        .Help("Requests that wait for capacity")
+                        .Register(registry)
+                        .Add({}))
 {
 }
 
@@ -101,6 +113,23 @@
     taken_up_.Add({{"source", source}}).Increment();
 }
 
+void gateway_metrics::on_room_left(std::string const& outcome,
+                                   std::chrono::milliseconds waited)
+{
+    room_left_.Add({{"outcome", outcome}}).Increment();
+    room_wait_.Observe(seconds(waited));
+}
+
+void gateway_metrics::on_room_refusal(std::string const& reason)
+{
+    room_refusals_.Add({{"reason", reason}}).Increment();
+}
+
+void gateway_metrics::set_room_waiting(std::size_t number)
+{
+    room_waiting_.Set(static_cast<double>(number));
+}
+
 void gateway_metrics::on_prompt(std::uint32_t tokens,
                                 std::uint32_t expected_uncached)
 {
--- a/packages/gateway/internal/routing_table.cpp
+++ b/packages/gateway/internal/routing_table.cpp
@@ -67,6 +67,17 @@
     return found == by_key_.end() ? nullptr : found->second;
 }
 
+// No configuration names limits of workspaces yet.
+bool routing_table::shares_capacity() const
+{
+    return false;
+}
+
+double routing_table::weight_of(workspace_entry const& /*workspace*/) const
+{
+    return 1;
+}
+
 service const* routing_table::find_service(kernel::service_id const& id) const
 {
     for (auto const& it : config_.services)
--- /dev/null
+++ b/packages/gateway/response_rules.hpp
@@ -0,0 +1,27 @@
+#ifndef ENDIVEWARD_GATEWAY_RESPONSE_RULES_HPP
+#define ENDIVEWARD_GATEWAY_RESPONSE_RULES_HPP
+
+#include "gateway/http/header_list.hpp"
+
+namespace endiveward::gateway
+{
+
+struct header_field_names;
+struct response_head;
+
+/// Whether a successful response is proven to be the endpoint's answer to this
+/// request: it must carry the signature and the request id, and no content
+/// encoding.
+bool is_valid_response(response_head const& head,
+                       header_field_names const& names);
+
+/// Whether the endpoint states that it did not run the request.
+bool is_refusal(response_head const& head, header_field_names const& names);
+
+/// Returns the fields of an endpoint's answer that its caller gets.
+header_list answer_headers(response_head const& head,
+                           header_field_names const& names);
+
+} // namespace endiveward::gateway
+
+#endif
--- a/packages/gateway/routing_table.hpp
+++ b/packages/gateway/routing_table.hpp
@@ -29,6 +29,11 @@
     bool needs_keys() const { return !config_.workspaces.empty(); }
     /// Returns the workspace of the key, or null.
     workspace_entry const* workspace_of(std::string_view key) const;
+    /// Whether workspaces share capacity that is scarce, so that requests wait
+    /// for it in order.
+    bool shares_capacity() const;
+    /// The workspace's share of capacity relative to others.
+    double weight_of(workspace_entry const& workspace) const;
     service const* find_service(kernel::service_id const& id) const;
     /// The KV cache stores as `IP:PORT`.
     std::vector<std::string> const& kv_stores() const { return kv_stores_; }
--- a/packages/gateway/tests/support/test_gateway.hpp
+++ b/packages/gateway/tests/support/test_gateway.hpp
@@ -24,11 +24,11 @@
 class test_gateway
 {
 public:
-    test_gateway()
+    explicit test_gateway(room::room_switch room = room::room_switch::automatic)
         : log_(clock_, "test", 0)
         , pool_(1)
-        , gateway_(pool_.context(0), clock_, test_names(), settings(), metrics_,
-                   log_)
+        , gateway_(pool_.context(0), clock_, test_names(), settings(room),
+                   metrics_, log_)
     {
         port_ = kernel::value(gateway_.listen("127.0.0.1", 0));
         pool_.start();
@@ -133,9 +133,10 @@
     gateway& get() { return gateway_; }
 
 private:
-    static gateway_settings settings()
+    static gateway_settings settings(room::room_switch room)
     {
         gateway_settings res;
+        res.room = room;
         res.processes = 1;
         return res;
     }
--- a/packages/gateway/types/endpoint_requirements.hpp
+++ b/packages/gateway/types/endpoint_requirements.hpp
@@ -5,6 +5,7 @@
 #include "kernel/types/identifiers.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -31,6 +32,11 @@
     /// Whether all endpoints are compared, and their memory counts, if the
     /// sampled ones have no capacity.
     bool compares_all = false;
+    /// Number of processes that probably have requests for whatever a report
+    /// shows as free; each takes its share. One if capacity is not scarce.
+    std::size_t contenders = 1;
+    /// Differs between processes; seeds their shares.
+    std::uint64_t process_seed = 0;
     /// The software version at which a stream that goes on began. What two
     /// versions write does not fit together.
     std::optional<kernel::software_version> software;
--- a/packages/gateway/types/gateway_settings.hpp
+++ b/packages/gateway/types/gateway_settings.hpp
@@ -4,6 +4,7 @@
 #include "gateway/types/overload_settings.hpp"
 #include "gateway/types/placement_settings.hpp"
 #include "kernel/types/identifiers.hpp"
+#include "room/types/room_switch.hpp"
 #include "weights/types/rollout_options.hpp"
 
 #include <chrono>
@@ -28,6 +29,8 @@
     weights::rollout_options rollout;
     placement_settings placement;
     overload_settings overload;
+    /// Whether requests wait for capacity.
+    room::room_switch room = room::room_switch::automatic;
     std::size_t max_caller_connections = 2000;
     /// Should differ between processes, so that they do not return to an
     /// endpoint at the same time after a pause.
--- a/packages/gateway/types/placement_choice.hpp
+++ b/packages/gateway/types/placement_choice.hpp
@@ -35,7 +35,11 @@
     std::uint32_t reusable_tokens = 0;
     /// Whether the endpoint is expected to have memory for the request.
     bool fits_memory = true;
-    /// Estimated time until the endpoint starts the request.
+    /// Whether the process has a share in what is free there.
+    bool has_share = true;
+    /// Estimated time until the endpoint starts the request. If all endpoints
+    /// were compared and none has capacity, the shortest of those with memory
+    /// for it.
     std::chrono::milliseconds wait{0};
     /// Estimated time until the first byte of a response.
     std::chrono::milliseconds time_to_first_byte{0};
--- a/packages/room/waiting_room.hpp
+++ b/packages/room/waiting_room.hpp
@@ -55,6 +55,7 @@
     /// Requests that gave their place to others since the last call. They are
     /// to ask again, and are refused then.
     std::vector<std::uint64_t> take_displaced();
+    bool has_displaced() const { return !displaced_.empty(); }
     bool empty() const { return entries_.empty(); }
     std::size_t size() const { return entries_.size(); }
 
