gateway: Keep long prompts on a share of the endpoints

Cause: 28 routers place prompts by reports 200 ms old. Short prompts that miss their target were mostly sent behind a long prompt that no report had told of. They also waited up to 400 ms at the home of a prefix that takes 13 ms to read.

Change: with ENDIVEWARD_PROMPT_MIX=on, prompts whose own part takes over 250 ms to prefill prefer the first endpoints by rendezvous hash, in proportion to their part of the prefill work; others avoid these. Leaving a home costs in proportion to the missing tokens. The default is off; auto waits for the conditions of contended services, which are not connected yet.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -49,9 +49,11 @@
 } // namespace
 
 gateway_process::gateway_process(gateway::process_settings settings,
-                                 std::string path, wire::cluster_key key)
+                                 std::string path, wire::cluster_key key,
+                                 gateway::prompt_mix_mode prompt_mix)
     : settings_(std::move(settings))
     , path_(std::move(path))
+    , prompt_mix_(prompt_mix)
     , signals_(control_, SIGTERM, SIGINT, SIGHUP)
     , timer_(control_)
     , metrics_(std::make_shared<prometheus::Registry>())
@@ -422,6 +424,7 @@
     res.retry_budget_extra = settings_.retry_budget_extra;
     res.version_deadline = settings_.version_deadline;
     auto const& name = settings_.name.str();
+    res.placement.prompt_mix = prompt_mix_;
     res.seed = XXH3_64bits(name.data(), name.size());
     return res;
 }
--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -5,6 +5,7 @@
 #include "follower/i_cluster_observer.hpp"
 #include "follower/row_exchange.hpp"
 #include "gateway/types/process_settings.hpp"
+#include "gateway/types/prompt_mix_mode.hpp"
 #include "kernel/secure_random_source.hpp"
 #include "kernel/system_clock.hpp"
 #include "kernel/thread_pool.hpp"
@@ -67,7 +68,7 @@
 {
 public:
     gateway_process(gateway::process_settings settings, std::string path,
-                    wire::cluster_key key);
+                    wire::cluster_key key, gateway::prompt_mix_mode prompt_mix);
     ~gateway_process() override;
     gateway_process(gateway_process const&) = delete;
     gateway_process& operator=(gateway_process const&) = delete;
@@ -112,6 +113,7 @@
 
     gateway::process_settings settings_;
     std::string path_;
+    gateway::prompt_mix_mode prompt_mix_;
     kernel::system_clock clock_;
     kernel::secure_random_source random_;
     asio::io_context control_{1};
--- a/apps/endiveward/run_command.cpp
+++ b/apps/endiveward/run_command.cpp
@@ -5,6 +5,7 @@
 #include "endiveward/gateway_process.hpp"
 #include "endiveward/process_services_module.hpp"
 #include "enginelink/link_options.hpp"
+#include "gateway/prompt_mix_setting.hpp"
 #include "kernel/application.hpp"
 #include "kernel/system_clock.hpp"
 #include "observe/logging.hpp"
@@ -30,6 +31,7 @@
 
 constexpr int exit_failure = 1;
 constexpr int exit_usage = 2;
+constexpr char const* prompt_mix_variable = "ENDIVEWARD_PROMPT_MIX";
 constexpr std::chrono::milliseconds tick_interval{50};
 
 log4cplus::Logger logger()
@@ -193,6 +195,12 @@
         std::cerr << kernel::failure(key).message << '\n';
         return exit_usage;
     }
+    auto const prompt_mix = gateway::read_prompt_mix(prompt_mix_variable);
+    if (!kernel::ok(prompt_mix))
+    {
+        std::cerr << kernel::failure(prompt_mix).message << '\n';
+        return exit_usage;
+    }
     auto const loaded = platform::load_boot_file();
     if (!kernel::ok(loaded))
     {
@@ -209,7 +217,8 @@
     try
     {
         code = gateway_process(kernel::value(loaded).settings,
-                               kernel::value(loaded).path, kernel::value(key))
+                               kernel::value(loaded).path, kernel::value(key),
+                               kernel::value(prompt_mix))
                    .run();
     }
     catch (std::exception const& ex)
--- a/packages/gateway/endpoint_chooser.hpp
+++ b/packages/gateway/endpoint_chooser.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEWARD_GATEWAY_ENDPOINT_CHOOSER_HPP
 
 #include "gateway/endpoint_record.hpp"
+#include "gateway/prompt_mix.hpp"
 #include "gateway/types/endpoint_requirements.hpp"
 #include "gateway/types/placement_choice.hpp"
 #include "gateway/types/placement_settings.hpp"
@@ -64,6 +65,7 @@
                        selection_context const& context) const;
 
     placement_settings settings_;
+    prompt_mix mix_;
     kernel::zone_id own_zone_;
 };
 
--- a/packages/gateway/endpoint_record.hpp
+++ b/packages/gateway/endpoint_record.hpp
@@ -4,6 +4,7 @@
 #include "availability/endpoint_pause.hpp"
 #include "availability/request_limit.hpp"
 #include "gateway/prefix_cache_estimate.hpp"
+#include "gateway/prompt_demand.hpp"
 #include "gateway/types/endpoint_entry.hpp"
 #include "gateway/types/load_sample.hpp"
 #include "kernel/i_clock.hpp"
@@ -26,6 +27,8 @@
     std::uint32_t uncached_tokens = 0;
     /// KV cache memory for prompt and output.
     std::uint32_t memory_tokens = 0;
+    /// Whether `prompt_mix` counts the prompt as long.
+    bool is_long = false;
 };
 
 /// The state of one endpoint as estimated by this process from its own
@@ -165,6 +168,7 @@
     /// KV cache tokens held for requests of other processes, from the agent's
     /// last report.
     std::uint64_t external_memory() const { return external_memory_; }
+    prompt_demand const& demand() const { return demand_; }
     prefix_cache_estimate& cache() { return cache_; }
     prefix_cache_estimate const& cache() const { return cache_; }
 
@@ -173,6 +177,7 @@
 
     endpoint_entry entry_;
     prefix_cache_estimate cache_;
+    prompt_demand demand_;
     std::optional<load_sample> load_;
     std::uint32_t in_flight_ = 0;
     std::uint32_t unanswered_ = 0;
--- a/packages/gateway/gateway_metrics.hpp
+++ b/packages/gateway/gateway_metrics.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace prometheus
 {
@@ -28,7 +29,8 @@
     /// request ended otherwise.
     void on_request_end(std::string const& outcome,
                         std::chrono::milliseconds took);
-    void on_first_byte(std::chrono::milliseconds took);
+    /// `is_long` tells whether `prompt_mix` counts the prompt as long.
+    void on_first_byte(std::chrono::milliseconds took, bool is_long = false);
     void on_attempt() { attempts_.Increment(); }
     void on_retry(std::string const& reason);
     /// `source` tells who reported that an endpoint is leaving.
@@ -40,12 +42,15 @@
     void on_part_quarantined() { quarantines_.Increment(); }
     void on_request_quarantined() { request_quarantines_.Increment(); }
     void on_prompt(std::uint32_t tokens, std::uint32_t expected_uncached);
+    /// `placement` is one of the texts of `prompt_mix::describe`.
+    void on_mixed(std::string_view placement);
 
 private:
     prometheus::Family<prometheus::Counter>& requests_;
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Counter>& leaving_;
     prometheus::Family<prometheus::Counter>& taken_up_;
+    prometheus::Family<prometheus::Counter>& mixed_;
     prometheus::Counter& pauses_;
     prometheus::Counter& quarantines_;
     prometheus::Counter& request_quarantines_;
@@ -54,6 +59,7 @@
     prometheus::Counter& uncached_tokens_;
     prometheus::Histogram& duration_;
     prometheus::Histogram& first_byte_;
+    prometheus::Histogram& long_first_byte_;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -145,11 +145,14 @@
     /// yet.
     double tokens_per_request = 0;
     std::map<weights::weight_version, prefix_lookup> lookups;
+    /// No value if the prompt is placed without regard to others.
+    std::optional<prompt_mix_plan> mix;
 };
 
 endpoint_chooser::endpoint_chooser(placement_settings settings,
                                    kernel::zone_id own_zone)
     : settings_(settings)
+    , mix_(settings)
     , own_zone_(std::move(own_zone))
 {
 }
@@ -160,8 +163,10 @@
                          weights_view const& weights,
                          kernel::steady_time now) const
 {
-    selection_context context{endpoints, target, requirements, weights, now,
-                              0,         {}};
+    selection_context context{endpoints, target, requirements, weights,
+                              now,       0,      {},           {}};
+    if (target.engine)
+        context.mix = mix_.make_plan(endpoints, requirements, now);
     double pending = 0;
     double unanswered = 0;
     for (auto const& it : endpoints)
@@ -186,6 +191,8 @@
     if (requirements.prompt)
         best->choice.levels =
             lookup_prefix(best->choice.version, context).levels;
+    best->choice.mix =
+        prompt_mix::describe(context.mix, *best->choice.endpoint);
     return std::move(best->choice);
 }
 
@@ -237,13 +244,26 @@
             ranked.emplace_back(
                 rendezvous_rank(id.str(), context.requirements.seed), it.get());
     }
-    auto const n = std::min(ranked.size(), settings_.sampled_endpoints);
-    std::partial_sort(ranked.begin(),
-                      ranked.begin() + static_cast<std::ptrdiff_t>(n),
-                      ranked.end(), std::greater<>());
     record_set res;
-    for (std::size_t k = 0; k < n; ++k)
-        res.push_back(ranked[k].second);
+    auto const take = [&](auto first, auto last, std::size_t n)
+    {
+        auto const end =
+            first + std::min(last - first, static_cast<std::ptrdiff_t>(n));
+        std::partial_sort(first, end, last, std::greater<>());
+        for (; first != end; ++first)
+            res.push_back(first->second);
+    };
+    // One endpoint for prompts of the other kind is compared in case that all
+    // of this kind are busy.
+    auto const others = !context.mix
+                            ? ranked.end()
+                            : std::partition(ranked.begin(), ranked.end(),
+                                             [&](auto const& it) {
+                                                 return prompt_mix::prefers(
+                                                     *context.mix, *it.second);
+                                             });
+    take(ranked.begin(), others, settings_.sampled_endpoints);
+    take(others, ranked.end(), 1);
     return res;
 }
 
@@ -425,8 +445,10 @@
         // Requests that share an uncached prefix are directed to its home, so
         // that it is computed only once.
         if (lookup.home != &endpoint && reusable < shared)
-            evaluated.cost += ms(settings_.away_from_home_cost).count() *
-                              (shared - reusable) / shared;
+            evaluated.cost += context.mix
+                                  ? mix_.away_from_home_ms(shared - reusable)
+                                  : ms(settings_.away_from_home_cost).count() *
+                                        (shared - reusable) / shared;
         else if (lookup.home != &endpoint && cached_tokens < shared)
             evaluated.cost += ms(settings_.fetch_cost).count();
     }
@@ -440,6 +462,11 @@
                                   settings_.prefill_tokens_per_ms));
     if (context.target.engine)
         evaluated.cost += memory_cost(endpoint, choice.footprint, context);
+    if (!context.mix)
+        return;
+    choice.footprint.is_long = context.mix->is_long;
+    evaluated.cost += mix_.misplacement_ms(*context.mix, endpoint,
+                                           choice.footprint.uncached_tokens);
 }
 
 double endpoint_chooser::transfer_ms(endpoint_record const& to,
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -109,6 +109,7 @@
     ++unanswered_;
     pending_tokens_ += footprint.uncached_tokens;
     memory_tokens_ += footprint.memory_tokens;
+    demand_.on_sent(footprint.uncached_tokens, footprint.is_long, now);
 }
 
 void endpoint_record::on_response_started(request_footprint const& footprint,
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -424,6 +424,7 @@
         endpoint_->cache().expect(choice.levels, now);
         services_.metrics.on_prompt(requirements_.prompt->prompt_tokens,
                                     choice.footprint.uncached_tokens);
+        services_.metrics.on_mixed(choice.mix);
     }
     footprint_ = choice.footprint;
     sent_generation_ = endpoint_->generation();
@@ -452,14 +453,15 @@
     services_.log.write_routine(
         "sent",
         "id={} route={} endpoint={} zone={} attempt={} version={} weights={} "
-        "prefix={:x} shared={} known={} uncached={} source={} expect_ms={} "
+        "prefix={:x} shared={} known={} uncached={} mix={} source={} "
+        "expect_ms={} "
         "in_flight={} left_ms={} limit={} request={:x} software={} resumes={} "
         "after_event={}",
         id_, route_->name, entry.id.str(), entry.zone.str(),
         runs_ + refusals_ + failed_connects_, requested_version_,
         to_text(choice.weights), choice.shared.key, choice.shared.tokens,
-        choice.reusable_tokens, footprint_.uncached_tokens, choice.kv.source,
-        expected_first_byte_.count(), endpoint_->in_flight(),
+        choice.reusable_tokens, footprint_.uncached_tokens, choice.mix,
+        choice.kv.source, expected_first_byte_.count(), endpoint_->in_flight(),
         time_left().count(), to_text(endpoint_->limit().rate()), *keys_.request,
         entry.software.str(),
         request_.headers.value_or(services_.names.resumed_request, ""),
@@ -643,7 +645,7 @@
         return;
     if (!requirements_.software)
         requirements_.software = sent_software_;
-    services_.metrics.on_first_byte(elapsed());
+    services_.metrics.on_first_byte(elapsed(), footprint_.is_long);
     writer_->begin(head_.status, answer_headers(head_), std::nullopt);
 }
 
--- a/packages/gateway/internal/gateway_metrics.cpp
+++ b/packages/gateway/internal/gateway_metrics.cpp
@@ -43,6 +43,9 @@
     , taken_up_(counters(registry, "endiveward_gateway_taken_up_streams_total",
                          "Streams that callers take up, by how it became known "
                          "where they began"))
+    , mixed_(counters(registry, "endiveward_gateway_mixed_prompts_total",
+                      "Prompts by length and endpoint: long or short, at an "
+                      "endpoint for this kind or for the other"))
     , pauses_(counters(registry, "endiveward_gateway_endpoint_pauses_total",
                        "Pauses that endpoints asked for with Retry-After")
                   .Add({}))
@@ -71,6 +74,9 @@
                         "Time from a request to the end of its answer"))
     , first_byte_(latency(registry, "endiveward_gateway_first_byte_seconds",
                           "Time from a request to the begin of its answer"))
+    , long_first_byte_(
+          latency(registry, "endiveward_gateway_long_prompt_first_byte_seconds",
+                  "The same for streams whose prompts count as long"))
 {
 }
 
@@ -81,9 +87,12 @@
     duration_.Observe(seconds(took));
 }
 
-void gateway_metrics::on_first_byte(std::chrono::milliseconds took)
+void gateway_metrics::on_first_byte(std::chrono::milliseconds took,
+                                    bool is_long)
 {
     first_byte_.Observe(seconds(took));
+    if (is_long)
+        long_first_byte_.Observe(seconds(took));
 }
 
 void gateway_metrics::on_retry(std::string const& reason)
@@ -101,6 +110,11 @@
     taken_up_.Add({{"source", source}}).Increment();
 }
 
+void gateway_metrics::on_mixed(std::string_view placement)
+{
+    mixed_.Add({{"placement", std::string(placement)}}).Increment();
+}
+
 void gateway_metrics::on_prompt(std::uint32_t tokens,
                                 std::uint32_t expected_uncached)
 {
--- a/packages/gateway/types/endpoint_requirements.hpp
+++ b/packages/gateway/types/endpoint_requirements.hpp
@@ -31,6 +31,9 @@
     /// The software version at which a stream that goes on began. What two
     /// versions write does not fit together.
     std::optional<kernel::software_version> software;
+    /// Whether workspaces have limits or an endpoint of the service reports how
+    /// long work takes.
+    bool contended = false;
     /// Endpoints that have failed or refused the request.
     std::vector<kernel::endpoint_id> excluded;
 };
--- a/packages/gateway/types/placement_choice.hpp
+++ b/packages/gateway/types/placement_choice.hpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace endiveward::gateway
@@ -33,6 +34,9 @@
     /// Prefix tokens that are estimated to be cached at the endpoint or the
     /// source.
     std::uint32_t reusable_tokens = 0;
+    /// How the prompt was placed among long and short ones; see
+    /// `prompt_mix::describe`.
+    std::string_view mix = "unmixed";
     /// Estimated time until the endpoint starts the request.
     std::chrono::milliseconds wait{0};
     /// Estimated time until the first byte of a response.
--- a/packages/gateway/types/placement_settings.hpp
+++ b/packages/gateway/types/placement_settings.hpp
@@ -1,6 +1,8 @@
 #ifndef ENDIVEWARD_GATEWAY_TYPES_PLACEMENT_SETTINGS_HPP
 #define ENDIVEWARD_GATEWAY_TYPES_PLACEMENT_SETTINGS_HPP
 
+#include "gateway/types/prompt_mix_mode.hpp"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -55,6 +57,8 @@
     /// free only when a running request ends, so the wait takes about as long
     /// as a typical request.
     std::chrono::milliseconds memory_full_cost{600};
+    /// Whether long prompts are kept apart from short ones.
+    prompt_mix_mode prompt_mix = prompt_mix_mode::off;
 };
 
 } // namespace endiveward::gateway
