--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -52,10 +52,12 @@
 
 gateway_process::gateway_process(gateway::process_settings settings,
                                  std::string path, wire::cluster_key key,
-                                 room::room_switch room)
+                                 room::room_switch room,
+                                 gateway::prompt_mix_mode prompt_mix)
     : settings_(std::move(settings))
     , path_(std::move(path))
     , room_(room)
+    , prompt_mix_(prompt_mix)
     , signals_(control_, SIGTERM, SIGINT, SIGHUP)
     , timer_(control_)
     , metrics_(std::make_shared<prometheus::Registry>())
@@ -457,6 +459,7 @@
     res.version_deadline = settings_.version_deadline;
     res.room = room_;
     auto const& name = settings_.name.str();
+    res.placement.prompt_mix = prompt_mix_;
     res.seed = XXH3_64bits(name.data(), name.size());
     return res;
 }
--- a/packages/gateway/gateway_metrics.hpp
+++ b/packages/gateway/gateway_metrics.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace prometheus
 {
@@ -30,7 +31,8 @@
     /// request ended otherwise.
     void on_request_end(std::string const& outcome,
                         std::chrono::milliseconds took);
-    void on_first_byte(std::chrono::milliseconds took);
+    /// `is_long` tells whether `prompt_mix` counts the prompt as long.
+    void on_first_byte(std::chrono::milliseconds took, bool is_long = false);
     void on_attempt() { attempts_.Increment(); }
     void on_retry(std::string const& reason);
     /// `source` tells who reported that an endpoint is leaving.
@@ -57,6 +59,8 @@
     void set_speeds(std::string const& service, double slowest, double mean,
                     double fastest);
     void on_prompt(std::uint32_t tokens, std::uint32_t expected_uncached);
+    /// `placement` is one of the texts of `prompt_mix::describe`.
+    void on_mixed(std::string_view placement);
 
 private:
     prometheus::Family<prometheus::Counter>& requests_;
@@ -65,6 +69,7 @@
     prometheus::Family<prometheus::Counter>& taken_up_;
     prometheus::Family<prometheus::Counter>& room_left_;
     prometheus::Family<prometheus::Counter>& room_refusals_;
+    prometheus::Family<prometheus::Counter>& mixed_;
     prometheus::Counter& pauses_;
     prometheus::Counter& quarantines_;
     prometheus::Counter& request_quarantines_;
@@ -81,6 +86,7 @@
     prometheus::Histogram& first_byte_;
     prometheus::Histogram& room_wait_;
     prometheus::Gauge& room_waiting_;
+    prometheus::Histogram& long_first_byte_;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/endpoint_record.cpp
+++ b/packages/gateway/internal/endpoint_record.cpp
@@ -112,6 +112,7 @@
     memory_tokens_ += footprint.memory_tokens;
     sent_since_report_.uncached_tokens += footprint.uncached_tokens;
     sent_since_report_.memory_tokens += footprint.memory_tokens;
+    demand_.on_sent(footprint.uncached_tokens, footprint.is_long, now);
 }
 
 void endpoint_record::on_response_started(request_footprint const& footprint,
--- a/packages/gateway/internal/gateway_metrics.cpp
+++ b/packages/gateway/internal/gateway_metrics.cpp
@@ -48,6 +48,9 @@
     , room_refusals_(
           counters(registry, "endiveward_gateway_room_refusals_total",
                    "Requests refused for lack of capacity, by reason"))
+    , mixed_(counters(registry, "endiveward_gateway_mixed_prompts_total",
+                      "Prompts by length and endpoint: long or short, at an "
+                      "endpoint for this kind or for the other"))
     , pauses_(counters(registry, "endiveward_gateway_endpoint_pauses_total",
                        "Pauses that endpoints asked for with Retry-After")
                   .Add({}))
@@ -110,6 +113,9 @@
                         .Help("Requests that wait for capacity")
                         .Register(registry)
                         .Add({}))
+    , long_first_byte_(
+          latency(registry, "endiveward_gateway_long_prompt_first_byte_seconds",
+                  "The same for streams whose prompts count as long"))
 {
 }
 
@@ -120,9 +126,12 @@
     duration_.Observe(seconds(took));
 }
 
-void gateway_metrics::on_first_byte(std::chrono::milliseconds took)
+void gateway_metrics::on_first_byte(std::chrono::milliseconds took,
+                                    bool is_long)
 {
     first_byte_.Observe(seconds(took));
+    if (is_long)
+        long_first_byte_.Observe(seconds(took));
 }
 
 void gateway_metrics::on_retry(std::string const& reason)
@@ -165,6 +174,11 @@
     room_waiting_.Set(static_cast<double>(number));
 }
 
+void gateway_metrics::on_mixed(std::string_view placement)
+{
+    mixed_.Add({{"placement", std::string(placement)}}).Increment();
+}
+
 void gateway_metrics::on_prompt(std::uint32_t tokens,
                                 std::uint32_t expected_uncached)
 {
--- a/packages/gateway/internal/routing_table.cpp
+++ b/packages/gateway/internal/routing_table.cpp
@@ -67,10 +67,10 @@
     return found == by_key_.end() ? nullptr : found->second;
 }
 
-// No configuration names limits of workspaces yet.
 bool routing_table::shares_capacity() const
 {
-    return false;
+    return std::any_of(config_.workspaces.begin(), config_.workspaces.end(),
+                       [](auto const& it) { return it.limit.has_value(); });
 }
 
 double routing_table::weight_of(workspace_entry const& /*workspace*/) const
--- a/packages/gateway/types/placement_choice.hpp
+++ b/packages/gateway/types/placement_choice.hpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace endiveward::gateway
@@ -40,6 +41,9 @@
     bool fits_memory = true;
     /// Whether the process has a share in what is free there.
     bool has_share = true;
+    /// How the prompt was placed among long and short ones; see
+    /// `prompt_mix::describe`.
+    std::string_view mix = "unmixed";
     /// Estimated time until the endpoint starts the request. If all endpoints
     /// were compared and none has capacity, the shortest of those with memory
     /// for it.
