gateway: Place requests by the speed of endpoints

Cause: with times that differ by endpoint the cheapest endpoint is the fast one, also for requests that are in time anywhere, while a long prompt whose home is slow comes late. A sample of three may hold no endpoint that is in time.

Change, only where endpoints name the fourth number of the load field: speed_costs adds the target latency to the cost of an endpoint as the expected first output approaches it; a request with ample time counts its own work as at an endpoint of mean speed. If a sampled endpoint is expected to be late, all are compared, with a spread of one mean request's work, so that routers with the same reports do not choose the same one. Homes of prefixes are weighted by the learned factor in steps of 2^(1/4).

--- a/packages/gateway/endpoint_chooser.hpp
+++ b/packages/gateway/endpoint_chooser.hpp
@@ -46,6 +46,7 @@
     record_set sample(selection_context const& context) const;
     std::vector<candidate> make_candidates(record_set const& sampled,
                                            selection_context& context) const;
+    std::vector<candidate> compare_all(selection_context& context) const;
     bool is_candidate(endpoint_record const& it, record_set const& sampled,
                       selection_context& context) const;
     std::optional<candidate>
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -1,5 +1,6 @@
 #include "gateway/endpoint_chooser.hpp"
 
+#include "gateway/speed_costs.hpp"
 #include "gateway/weights_view.hpp"
 
 #include <fmt/format.h>
@@ -91,6 +92,8 @@
     double cost = 0;
     /// Factor to the nominal speed.
     double speed = 1;
+    /// Whether the first output is expected after the target latency.
+    bool late = false;
 };
 
 /// The prefix levels of the prompt, and where they are cached, for one model
@@ -149,6 +152,7 @@
     endpoint_requirements const& requirements;
     weights_view const& weights;
     kernel::steady_time now;
+    speed_costs costs;
     /// Average number of uncached prompt tokens of a request that has no output
     /// yet.
     double tokens_per_request = 0;
@@ -168,8 +172,15 @@
                          weights_view const& weights,
                          kernel::steady_time now) const
 {
-    selection_context context{endpoints, target, requirements, weights, now,
-                              0,         {}};
+    selection_context context{
+        endpoints,
+        target,
+        requirements,
+        weights,
+        now,
+        {endpoints, requirements.due - now, requirements.target_latency},
+        0,
+        {}};
     double pending = 0;
     double unanswered = 0;
     for (auto const& it : endpoints)
@@ -183,6 +194,9 @@
     // The weights of all sampled endpoints may have expired.
     if (candidates.empty())
         candidates = make_candidates({}, context);
+    else if (std::any_of(candidates.begin(), candidates.end(),
+                         [](candidate const& it) { return it.late; }))
+        candidates = compare_all(context);
     auto* best = cheapest(candidates, std::chrono::milliseconds::max());
     if (best == nullptr)
         return std::nullopt;
@@ -213,6 +227,25 @@
     return res;
 }
 
+/// Evaluates all endpoints for a request that some of the sampled ones would
+/// answer too late.
+std::vector<endpoint_chooser::candidate>
+endpoint_chooser::compare_all(selection_context& context) const
+{
+    auto res = make_candidates({}, context);
+    auto const scale =
+        context.target.engine
+            ? context.tokens_per_request / settings_.prefill_tokens_per_ms
+            : plain_call_ms;
+    for (auto& it : res)
+        it.cost +=
+            spread_cost(rendezvous_rank(it.choice.endpoint->entry().id.str(),
+                                        ~context.requirements.seed),
+                        ms(scale))
+                .count();
+    return res;
+}
+
 /// Returns the cheapest candidate whose wait does not exceed `max_wait`,
 /// or null.
 endpoint_chooser::candidate*
@@ -316,6 +349,8 @@
             return std::nullopt;
         add_prompt_costs(res, context);
     }
+    res.late = context.costs.late(res.choice.work, res.speed);
+    res.cost += context.costs.cost(*it, res.choice.work, res.speed).count();
     if (it->entry().zone != own_zone_)
         res.cost += ms(settings_.cross_zone_cost).count();
     res.cost += it->failure_rate(now) * ms(settings_.failure_cost).count();
@@ -359,7 +394,7 @@
     if (lookup.levels.empty())
         return lookup;
     auto const& shared = shared_level(lookup.levels);
-    std::uint64_t best = 0;
+    std::pair<double, std::uint64_t> best_home;
     for (auto const& it : context.endpoints)
     {
         if (it->version_of(prompt.model) != version)
@@ -376,14 +411,15 @@
         if (it->reloading() || !it->available(context.now) ||
             it->limit().rate())
             continue;
-        auto const rank = rendezvous_rank(it->entry().id.str(), shared.key);
-        if (lookup.home == nullptr || rank > best)
+        auto const rank =
+            home_rank(*it, rendezvous_rank(it->entry().id.str(), shared.key));
+        if (lookup.home == nullptr || rank > best_home)
         {
             lookup.home = it.get();
-            best = rank;
+            best_home = rank;
         }
     }
-    best = 0;
+    std::uint64_t best = 0;
     for (auto const& it : context.requirements.kv_stores)
     {
         auto const rank = rendezvous_rank(it, shared.key);
--- a/packages/gateway/tests/speed_placement_test.cpp
+++ b/packages/gateway/tests/speed_placement_test.cpp
@@ -4,7 +4,9 @@
 #include <catch2/catch.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cmath>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -151,4 +153,192 @@
     CHECK(slow->work.total() == nominal->work.total());
 }
 
+namespace
+{
+
+/// Idle endpoints, every third one faster, whose speeds are known.
+struct speeds_fixture
+{
+    speeds_fixture()
+        : chooser({}, kernel::zone_id("z"))
+        , weights({}, std::chrono::seconds(10))
+        , target(make_service(true))
+    {
+        for (std::size_t n = 0; n < 52; ++n)
+        {
+            auto entry = make_entry(n);
+            entry.zone = kernel::zone_id("z");
+            records.push_back(std::make_shared<endpoint_record>(entry, n));
+            set_speed(n, is_fast(n) ? 1.7 : 0.7);
+        }
+    }
+
+    static bool is_fast(std::size_t n) { return n % 3 == 2; }
+
+    void set_speed(std::size_t n, double factor)
+    {
+        auto& speed = records[n]->speed();
+        speed.enable();
+        for (std::uint64_t source = 1; source <= 30; ++source)
+            speed.on_shared(source, factor, start);
+        speed.refresh(1, start);
+    }
+
+    std::size_t choose(endpoint_requirements requirements,
+                       bool send = true) const
+    {
+        requirements.due = start + requirements.target_latency;
+        auto const choice =
+            chooser.choose(records, target, requirements, weights, start);
+        REQUIRE(choice);
+        if (send)
+            choice->endpoint->on_sent(choice->footprint, start);
+        return static_cast<std::size_t>(
+            std::find(records.begin(), records.end(), choice->endpoint) -
+            records.begin());
+    }
+
+    /// The home of a prefix while all endpoints are idle.
+    std::size_t home(std::uint64_t prefix) const
+    {
+        endpoint_requirements requirements = make_requirements(1, 5000, 1000);
+        requirements.prompt->parts[0].id = "p" + std::to_string(prefix);
+        auto const choice =
+            chooser.choose(records, target, requirements, weights, start);
+        REQUIRE(choice);
+        return choice->endpoint->entry().port - 1000U;
+    }
+
+    endpoint_chooser chooser;
+    weights_view weights;
+    service target;
+    std::vector<std::shared_ptr<endpoint_record>> records;
+};
+
+} // namespace
+
+// Guards against slow engines that are the home of as many prefixes as fast
+// ones.
+TEST_CASE("endpoints are homes of prefixes in proportion to their speed")
+{
+    speeds_fixture fixture;
+    int fast = 0;
+    std::vector<std::size_t> homes;
+    for (std::uint64_t n = 0; n < 2000; ++n)
+    {
+        homes.push_back(fixture.home(n));
+        fast += speeds_fixture::is_fast(homes.back()) ? 1 : 0;
+    }
+    // 17 engines of 1.7 and 35 of 0.7 times the usual speed.
+    CHECK(fast > 2000 * 0.48);
+    CHECK(fast < 2000 * 0.60);
+    // Only homes of the changed endpoint move.
+    fixture.set_speed(2, 0.7);
+    int moved = 0;
+    for (std::uint64_t n = 0; n < 2000; ++n)
+    {
+        auto const home = fixture.home(n);
+        if (home == homes[n])
+            continue;
+        ++moved;
+        CHECK(homes[n] == 2);
+    }
+    CHECK(moved > 0);
+}
+
+// Load pattern: long prompts that reach their target at fast engines only.
+// Guards against the home of a prefix, or one of three sampled engines, at
+// which they are certainly late.
+TEST_CASE("long prompts go to the engines at which they are in time")
+{
+    std::vector<int> requests(52);
+    for (std::uint64_t n = 0; n < 200; ++n)
+    {
+        speeds_fixture const fixture;
+        auto requirements = make_requirements(n, 5382, 49218);
+        requirements.target_latency = milliseconds(1000);
+        auto const chosen = fixture.choose(requirements);
+        CHECK(speeds_fixture::is_fast(chosen));
+        ++requests[chosen];
+    }
+    // 17 engines are fast.
+    CHECK(*std::max_element(requests.begin(), requests.end()) <= 36);
+}
+
+// Guards against the idle home of a prefix, at which a long prompt is late,
+// while busier engines elsewhere are fast enough.
+TEST_CASE("being late costs more than computing a prefix away from its home")
+{
+    int slow_homes = 0;
+    for (std::uint64_t n = 0; n < 40; ++n)
+    {
+        speeds_fixture const fixture;
+        for (std::size_t k = 2; k < 52; k += 3)
+        {
+            wire::engine_state state;
+            state.endpoint_incarnation = 1;
+            state.weights = {{model, 1}};
+            state.running = state.unanswered = 6;
+            fixture.records[k]->on_state(state, start);
+        }
+        auto requirements = make_requirements(n, 5000, 30000);
+        // Without a target only the time and the prefix count.
+        auto const home = fixture.choose(requirements, false);
+        requirements.target_latency = milliseconds(1000);
+        if (speeds_fixture::is_fast(home))
+            continue;
+        ++slow_homes;
+        CHECK(speeds_fixture::is_fast(fixture.choose(requirements)));
+    }
+    CHECK(slow_homes > 10);
+}
+
+// Guards against fast engines that are taken up by prompts that are in time
+// anywhere.
+TEST_CASE("short prompts leave fast engines to long ones")
+{
+    int fast = 0;
+    for (std::uint64_t n = 0; n < 200; ++n)
+    {
+        speeds_fixture const fixture;
+        auto requirements = make_requirements(n, 0, 1800);
+        requirements.prompt->parts.clear();
+        requirements.target_latency = milliseconds(500);
+        fast += speeds_fixture::is_fast(fixture.choose(requirements)) ? 1 : 0;
+    }
+    CHECK(fast < 200 * 0.45);
+}
+
+// Load pattern: 28 routers with the same reports, 200 ms old, a few idle
+// engines and 56 long prompts until the next report. Guards against a herd on
+// the best engine.
+TEST_CASE("routers with the same reports do not all choose the same engine")
+{
+    std::vector<int> requests(52);
+    for (std::uint64_t router = 0; router < 28; ++router)
+    {
+        speeds_fixture const fixture;
+        for (std::size_t n = 0; n < 52; ++n)
+        {
+            wire::engine_state state;
+            state.endpoint_incarnation = 1;
+            state.weights = {{model, 1}};
+            auto const idle = speeds_fixture::is_fast(n) && n < 24;
+            state.running = state.unanswered = idle ? 0 : 20;
+            fixture.records[n]->on_state(state, start);
+        }
+        for (std::uint64_t n = 0; n < 2; ++n)
+        {
+            auto requirements = make_requirements(router * 2 + n, 0, 15000);
+            requirements.prompt->parts.clear();
+            requirements.target_latency = milliseconds(1000);
+            auto const chosen = fixture.choose(requirements);
+            CHECK((speeds_fixture::is_fast(chosen) && chosen < 24));
+            ++requests[chosen];
+        }
+    }
+    // Seven for each of the eight idle engines on average.
+    CHECK(*std::max_element(requests.begin(), requests.end()) <= 14);
+}
+
 } // namespace endiveward::gateway
