--- a/packages/room/internal/waiting_room.cpp
+++ b/packages/room/internal/waiting_room.cpp
@@ -25,6 +25,11 @@
 
 } // namespace
 
+waiting_room::waiting_room()
+    : waiting_room(room_settings())
+{
+}
+
 waiting_room::waiting_room(room_settings settings)
     : settings_(settings)
 {
--- a/packages/room/tests/load_patterns_test.cpp
+++ b/packages/room/tests/load_patterns_test.cpp
@@ -14,8 +14,7 @@
 
 using std::chrono::seconds;
 
-constexpr std::size_t routers = 8;
-constexpr std::size_t engines = 12;
+constexpr std::size_t fleet_size = 12;
 constexpr std::uint64_t workspaces = 8;
 /// Of what the engines process, on a usual day.
 constexpr double usual_share = 0.75;
@@ -76,7 +75,9 @@
 
 /// Returns the fleet after the replay, without and with a waiting room.
 template <typename Replay>
-std::pair<fleet_replay, fleet_replay> compare(Replay replay)
+std::pair<fleet_replay, fleet_replay> compare(Replay replay,
+                                              std::size_t routers = 8,
+                                              std::size_t engines = fleet_size)
 {
     std::pair res{fleet_replay(routers, engines, false),
                   fleet_replay(routers, engines, true)};
@@ -204,7 +205,7 @@
                 seconds(20), [&](milliseconds) { return load(0.85); },
                 [&](milliseconds now)
                 {
-                    for (std::size_t k = 0; k < engines / 4; ++k)
+                    for (std::size_t k = 0; k < fleet_size / 4; ++k)
                         it.set_available(k, now < seconds(2) ||
                                                 now >= seconds(18));
                 });
@@ -273,4 +274,62 @@
     CHECK(with.total().value() > without.total().value());
 }
 
+// Load pattern: callers of one workspace return at once, again and again, after
+// each refusal. Guards against other workspaces that pay for it.
+TEST_CASE("abusive retries of one workspace do not starve the others")
+{
+    auto const [without, with] = compare(
+        [](fleet_replay& it)
+        {
+            mixed_load load(it);
+            it.run(seconds(20),
+                   [&](milliseconds)
+                   {
+                       auto res = load(1.2);
+                       for (auto& a : res)
+                       {
+                           a.abusive = a.workspace == 0;
+                           a.returns = a.abusive ? 20 : 1;
+                       }
+                       return res;
+                   });
+        });
+    auto const others = [](fleet_replay fleet)
+    {
+        replay_result res;
+        for (std::uint64_t n = 1; n < workspaces; ++n)
+        {
+            res.in_time += fleet.of_workspace(n).in_time;
+            res.late += fleet.of_workspace(n).late;
+            res.refused += fleet.of_workspace(n).refused;
+        }
+        return res;
+    };
+    INFO(describe(without) << describe(with));
+    CHECK(others(with).value() > 1.02 * others(without).value());
+    CHECK(others(with).refused < others(without).refused);
+    CHECK(with.total().value() > without.total().value());
+}
+
+// Load pattern: all routers are killed together and restart without knowing the
+// engines' load. Callers that were cut off return together.
+TEST_CASE("routers that restart together do not overload engines")
+{
+    auto const [without, with] = compare(
+        [](fleet_replay& it)
+        {
+            mixed_load load(it);
+            it.run(seconds(5), [&](milliseconds) { return load(0.9); });
+            it.restart();
+            // Callers that found no router for a second return within 200 ms.
+            it.run(milliseconds(200), [&](milliseconds) { return load(5.4); });
+            it.run(seconds(4), [&](milliseconds) { return load(0.9); });
+        },
+        28, 24);
+    INFO(describe(without) << describe(with));
+    CHECK(with.total().value() > without.total().value());
+    CHECK(with.total().rejected_by_engine < without.total().rejected_by_engine);
+    CHECK(with.of_short().refused < without.of_short().refused);
+}
+
 } // namespace endiveward::room
--- a/packages/room/tests/support/fleet_replay.hpp
+++ b/packages/room/tests/support/fleet_replay.hpp
@@ -61,6 +61,10 @@
         std::uint64_t workspace = 0;
         /// Its routers get the request.
         std::size_t zone = 0;
+        /// Times that the caller returns after refusals.
+        int returns = 1;
+        /// Whether the caller returns at once instead of after `Retry-After`.
+        bool abusive = false;
     };
     /// Returns the arrivals of the step at this time.
     using load = std::function<std::vector<arrival>(milliseconds)>;
@@ -89,6 +93,19 @@
         engines_[engine].available = value;
     }
 
+    /// Kills all routers. Each knows nothing of the engines until their next
+    /// reports. Callers whose requests waited return as if refused.
+    void restart()
+    {
+        for (auto& it : routers_)
+        {
+            for (auto const& [ticket, who] : it.waiting)
+                refuse(who.who, step);
+            it = router();
+            it.views.resize(engines_.size());
+        }
+    }
+
     void run(milliseconds duration, load const& arrivals,
              std::function<void(milliseconds)> const& on_step = {})
     {
@@ -324,12 +341,10 @@
                 refuse(it, milliseconds(300));
             return;
         }
+        auto const rate = tokens_per_ms * static_cast<double>(engines_.size()) /
+                          static_cast<double>(routers_.size());
         auto const decision = by.room.decide(
-            request,
-            {found.wait, found.fits, found.has_share,
-             tokens_per_ms * static_cast<double>(engines_.size()) /
-                 static_cast<double>(routers_.size())},
-            at(now_));
+            request, {found.wait, found.fits, found.has_share, rate}, at(now_));
         if (auto const* const wait = std::get_if<wait_for_capacity>(&decision))
         {
             who.until = std::chrono::duration_cast<milliseconds>(
@@ -339,9 +354,8 @@
         }
         by.waiting.erase(ticket);
         if (auto const* const no = std::get_if<refuse_now>(&decision))
-            refuse(it, no->time_to_capacity);
-        else
-            send(by, found.engine, it);
+            return refuse(it, no->time_to_capacity);
+        send(by, found.engine, it);
     }
 
     void dispatch(router& by)
@@ -403,7 +417,9 @@
         delay = std::min<milliseconds>(
             delay * (75 + static_cast<int>(random_() % 50)) / 100, accepted);
         longest_retry_after_ = std::max(longest_retry_after_, delay);
-        if (it.attempts > 1)
+        if (it.abusive)
+            delay = milliseconds(50);
+        if (it.attempts > it.returns)
             return count(it, &replay_result::refused);
         returning_.emplace(now_ + delay, it);
     }
--- a/packages/room/waiting_room.hpp
+++ b/packages/room/waiting_room.hpp
@@ -30,7 +30,8 @@
 class waiting_room
 {
 public:
-    explicit waiting_room(room_settings settings = {});
+    waiting_room();
+    explicit waiting_room(room_settings settings);
 
     /// Returns the longest expected wait at an endpoint to which a request is
     /// sent now. `own` is the longest that its target latency allows.
