--- a/packages/gateway/tests/prompt_mix_test.cpp
+++ b/packages/gateway/tests/prompt_mix_test.cpp
@@ -1,10 +1,13 @@
 #include "gateway/prompt_mix.hpp"
 
 #include "gateway/endpoint_chooser.hpp"
+#include "gateway/gateway_metrics.hpp"
 #include "gateway/prompt_mix_setting.hpp"
 #include "gateway/weights_view.hpp"
 
 #include <catch2/catch.hpp>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -301,6 +304,45 @@
     CHECK_FALSE(fixture.mix.make_plan(fixture.records, requirements, start));
 }
 
+// Guards against a log and metrics that do not tell whether the mix works.
+TEST_CASE("log and metrics tell where a prompt was placed")
+{
+    mix_fixture fixture(12);
+    auto const share = fixture.long_share();
+    auto const is_long = GENERATE(false, true);
+    auto const request =
+        mix_fixture::make_request(is_long ? long_prompt : short_prompt);
+    auto const placement_of = [&]
+    {
+        return fixture.chooser
+            .choose(fixture.records, fixture.target, request, fixture.weights,
+                    start)
+            ->mix;
+    };
+    CHECK(placement_of() == (is_long ? "long" : "short"));
+    prometheus::Registry registry;
+    gateway_metrics metrics(registry);
+    metrics.on_mixed(placement_of());
+    metrics.on_first_byte(milliseconds(900), is_long);
+    prometheus::TextSerializer const serializer;
+    auto const text = serializer.Serialize(registry.Collect());
+    CHECK_THAT(text,
+               Catch::Contains(
+                   is_long ? "mixed_prompts_total{placement=\"long\"} 1"
+                           : "mixed_prompts_total{placement=\"short\"} 1"));
+    CHECK_THAT(text, Catch::Contains(
+                         is_long ? "long_prompt_first_byte_seconds_count 1"
+                                 : "long_prompt_first_byte_seconds_count 0"));
+    constexpr std::uint32_t busy = 20;
+    for (std::size_t k = 0; k < fixture.records.size(); ++k)
+    {
+        auto const& id = fixture.records[k]->entry().id.str();
+        if (share.contains(id) == is_long)
+            fixture.report(k, busy);
+    }
+    CHECK(placement_of() == (is_long ? "long_outside" : "short_inside"));
+}
+
 TEST_CASE("the setting of the prompt mix is on, off or auto")
 {
     CHECK(kernel::value(parse_prompt_mix("")) == prompt_mix_mode::off);
