gateway: Connect quotas, queueing and prompt mix

A configuration with limits of workspaces shares capacity, its limits weight the shares, and requests count as contended there and where endpoints name how long work takes.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -88,6 +88,7 @@
 
     bool admit();
     void prepare_requirements();
+    bool is_contended() const;
     bool takes_up_stream() const;
     void locate_stream();
     void on_located(resumption::resumption_decision const& decision,
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -217,12 +217,20 @@
     if (workspace_ != nullptr && workspace_->isolated)
         requirements_.cache_group = workspace_->id.str();
     requirements_.kv_stores = table_->kv_stores();
+    requirements_.contended = is_contended();
     quota_ = services_.quotas.ticket_for(workspace_, request_.headers,
                                          services_.names);
     budget_ = &services_.budgets.of(requirements_.service);
     budget_->on_request(arrived_);
 }
 
+bool exchange::is_contended() const
+{
+    auto const& list = services_.endpoints.of_service(requirements_.service);
+    return table_->shares_capacity() ||
+           (!list.empty() && list.front()->speed().enabled());
+}
+
 bool exchange::takes_up_stream() const
 {
     return route_->kind == route_kind::resumable_stream &&
--- a/packages/gateway/internal/routing_table.cpp
+++ b/packages/gateway/internal/routing_table.cpp
@@ -73,9 +73,9 @@
                        [](auto const& it) { return it.limit.has_value(); });
 }
 
-double routing_table::weight_of(workspace_entry const& /*workspace*/) const
+double routing_table::weight_of(workspace_entry const& workspace) const
 {
-    return 1;
+    return workspace.limit ? workspace.limit->rate_per_s : 1;
 }
 
 service const* routing_table::find_service(kernel::service_id const& id) const
