--- a/packages/gateway/tests/version_history_test.cpp
+++ b/packages/gateway/tests/version_history_test.cpp
@@ -48,7 +48,8 @@
 struct all_killed
 {
     /// `list_both`: the routers that were killed listed v2, too.
-    void begin(bool list_both, std::function<void(test_gateway&)> connect)
+    void begin(bool list_both,
+               std::function<void(test_gateway&)> const& connect)
     {
         test_gateway first;
         if (connect)
--- a/packages/resumption/internal/version_history.cpp
+++ b/packages/resumption/internal/version_history.cpp
@@ -162,15 +162,20 @@
 void version_history::replace(entry& it, table_row const* row)
 {
     it.row_version = row == nullptr ? 0 : row->position.version;
-    if (row != nullptr)
-        it.row = decode_version_row(row->value);
+    if (row == nullptr)
+        return;
+    // One that cannot be read is replaced.
+    if (auto const known = decode_version_row(row->value))
+        it.row = known;
 }
 
 void version_history::replace_start(table_row const* row)
 {
     start_version_ = row == nullptr ? 0 : row->position.version;
-    if (row != nullptr)
-        start_ = decode_record_start(row->value);
+    if (row == nullptr)
+        return;
+    if (auto const known = decode_record_start(row->value))
+        start_ = known;
 }
 
 /// The row that the store should have; none if it needs no change.
@@ -370,7 +375,7 @@
     auto const& it = found->second;
     if (now - it.seen >= max_withheld)
         return true;
-    return loaded_ && it.row_version > 0 &&
+    return loaded_ && it.row && it.row_version > 0 &&
            (!it.row->gone || now - local_time(*it.row->gone) < max_stale_mark);
 }
 
--- a/packages/resumption/internal/version_row_codec.cpp
+++ b/packages/resumption/internal/version_row_codec.cpp
@@ -32,7 +32,7 @@
 std::string row_key(kernel::service_id const& service,
                     kernel::software_version const& software)
 {
-    auto const res = service.str() + "/" + software.str();
+    auto res = service.str() + "/" + software.str();
     if (res.size() <= max_key)
         return res;
     return fmt::format("/{:016x}", XXH3_64bits(res.data(), res.size()));
--- a/packages/resumption/tests/version_history_test.cpp
+++ b/packages/resumption/tests/version_history_test.cpp
@@ -471,6 +471,28 @@
     CHECK(counted(*all.routers[3], all.clock.now()) == versions{v1, v2});
 }
 
+// Guards against rows of another program in the table.
+TEST_CASE("rows that cannot be read are replaced")
+{
+    version_history it(false, 0.5);
+    it.set_services({service});
+    kernel::steady_time now{seconds(100)};
+    it.on_listed({{service, v1}}, now);
+    storage::row_batch batch;
+    batch.rows = {{record_start_key, "x", {1, 3}, false},
+                  {"s/v1", "x", {1, 4}, false}};
+    it.on_read(batch, now);
+    now += seconds(3);
+    REQUIRE(it.next(now));
+    it.on_conflict(batch.rows, now);
+    CHECK(it.may_send(service, v1, now));
+    auto const next = it.next(now);
+    REQUIRE(next);
+    REQUIRE(next->conditions.size() == 1);
+    CHECK(next->conditions[0].version == 4);
+    CHECK(counted(it, now) == versions{v1});
+}
+
 // Guards against a table that grows with each release.
 TEST_CASE("rows of versions that are long gone are removed with the next write")
 {
