gateway: Leave more endpoints to short prompts in bursts

Cause: at twice K's rates, a share of long prompts of 1.5 times their part of the work made 6940 short streams late in place of 6368 without the prompt mix.

Change: the margin is 1.35. With 1.2, the 95th percentile of long streams was over the 5 % allowed when half of the endpoints leave.

--- a/packages/gateway/internal/prompt_mix.cpp
+++ b/packages/gateway/internal/prompt_mix.cpp
@@ -30,9 +30,9 @@
 constexpr double assumed_share = 0.15;
 constexpr double assumed_tokens = 300000;
 /// Long prompts of several routers meet at an endpoint before reports tell of
-/// them. Twice the endpoints that make both kinds equally busy leave too few to
-/// short prompts at high load.
-constexpr double share_margin = 1.5;
+/// them. With 1.2, more of them were late than with this; with 1.5, other
+/// prompts were later at twice the usual load.
+constexpr double share_margin = 1.35;
 /// Seed of the order in which endpoints join the share of long prompts. It is
 /// the same for all routers.
 constexpr std::uint64_t share_seed = 0x6c6f6e67;
--- a/packages/gateway/tests/prompt_mix_load_test.cpp
+++ b/packages/gateway/tests/prompt_mix_load_test.cpp
@@ -443,6 +443,25 @@
     check_both_meet_their_targets(load);
 }
 
+// Load pattern: bursts of 1.6 and 2 times K's rates. Guards against too large a
+// share of endpoints for long prompts, with which others wait for each other.
+TEST_CASE("in a burst, neither kind is late over 5 % more often")
+{
+    auto const factor = GENERATE(1.6, 2.0);
+    auto const seed = GENERATE(1U, 2U, 3U);
+    load_pattern load;
+    load.speeds = {0.7, 0.7, 1.7};
+    load.long_per_second *= factor;
+    load.short_per_second *= factor;
+    comparison const both(load, seed);
+    INFO("factor " << factor << ", seed " << seed << "\n" << both.text());
+    CHECK(static_cast<double>(late(both.on.short_ms, short_target_ms)) <
+          1.05 * static_cast<double>(late(both.off.short_ms, short_target_ms)));
+    CHECK(static_cast<double>(late(both.on.long_ms, long_target_ms)) <
+          1.05 * static_cast<double>(late(both.off.long_ms, long_target_ms)));
+    CHECK(percentile(both.on.short_ms, 99) < percentile(both.off.short_ms, 99));
+}
+
 // Load pattern: a batch of 20 long prompts arrives at one router each second.
 TEST_CASE("a group of long prompts at one router does not delay short ones")
 {
