--- a/packages/quota/internal/quota_table.cpp
+++ b/packages/quota/internal/quota_table.cpp
@@ -29,6 +29,8 @@
 /// Debt may take this share of the tolerance. The rest is for use that is
 /// reported late and for requests that arrive at endpoints later than sent.
 constexpr double debt_share = 0.75;
+/// The same while the use of the window is not known.
+constexpr double unknown_debt_share = 0.25;
 /// The share of a window's bound that one request may fill up if the level can
 /// never suffice for it.
 constexpr double window_share = 0.9;
@@ -117,7 +119,7 @@
     {
         state.last_over = now;
         auto const needed = std::max(std::min(weighted, it->burst),
-                                     weighted - debt_share * tolerance(*it));
+                                     weighted - max_debt(*it, now));
         return over_limit{plan_return(*it, state, weighted,
                                       time_for(needed - level, it->rate_per_s),
                                       now)};
@@ -160,7 +162,7 @@
 bool quota_table::fits(limit const& it, workspace_state const& state,
                        double weighted, double level, steady_time now) const
 {
-    auto const max_debt = debt_share * tolerance(it);
+    auto const max_debt = this->max_debt(it, now);
     if (level >= std::min(weighted, it.burst) && level - weighted >= -max_debt)
         return true;
     return weighted > it.burst + max_debt && known_since_ <= now - window &&
@@ -169,6 +171,14 @@
                window_share * (window_use(it) + tolerance(it));
 }
 
+/// If all routers and agents were killed, the tolerance may have been used up
+/// before.
+double quota_table::max_debt(limit const& it, steady_time now) const
+{
+    auto const known = known_since_ <= now - window;
+    return tolerance(it) * (known ? debt_share : unknown_debt_share);
+}
+
 /// Whether the routers that send requests of this workspace may all do what
 /// this one does now, before they know of each other.
 bool quota_table::may_take_turn(workspace_key workspace, limit const& it,
@@ -179,7 +189,7 @@
         return true;
     auto const recent = state.own.used_since(now - report_delay);
     auto const senders = this->senders(state, now);
-    auto const room = level + debt_share * tolerance(it);
+    auto const room = level + max_debt(it, now);
     // A request that is larger than this router's part is left to chance.
     if (recent + weighted <= room / 2 / senders)
         return true;
@@ -205,7 +215,7 @@
     auto& state = states_[workspace];
     charge const res{workspace, cost, 1 / census_.share(now), now,
                      source_at(now)};
-    state.all.add(now, res.cost * res.weight);
+    add_use(state, now, cost, 1 / res.weight);
     state.own.add(now, res.cost * res.weight);
     auto const [found, added] = state.own_by_source.try_emplace(res.source);
     if (added)
@@ -224,7 +234,9 @@
     // After the horizon it counts nowhere.
     if (source == state.own_by_source.end())
         return;
-    state.all.add(it.at, -it.cost * it.weight);
+    // Others may have been heard again since.
+    auto const share = std::max(1 / it.weight, state.assumed_at_share);
+    add_use(state, it.at, -it.cost, share);
     state.own.add(it.at, -it.cost * it.weight);
     source->second.change(-it.cost, now);
 }
@@ -254,7 +266,7 @@
     if (state.own_by_source.contains(it.source))
         return;
     auto& known = state.others[it.source];
-    state.all.add(stated_at, (it.value - known.amount) / census_.share(now));
+    add_use(state, stated_at, it.value - known.amount, census_.share(now));
     known = {it.value, now};
 }
 
@@ -321,31 +333,45 @@
 
 // Load pattern: links fail while a workspace is over its limit. Until that is
 // noticed, each router uses the whole limit. The others are then taken to have
-// used as much as this one in the meantime; if they are heard again, they state
-// what they used.
+// used as much as this one in the meantime. When they are heard again, they
+// state what they used in fact.
 void quota_table::update_share(steady_time now)
 {
     auto const share = census_.share(now);
     auto const before = std::exchange(share_, share);
-    if (share == before)
-        return;
     auto const since = now - census_.unnoticed_time();
     for (auto& [workspace, state] : states_)
     {
-        if (share > before)
+        if (share < before)
         {
-            state.all.add(state.assumed_at, -state.assumed);
-            state.assumed = 0;
-            continue;
+            auto const unnoticed =
+                state.all.used_since(since) * (before / share - 1);
+            state.all.add(now, unnoticed);
+            state.assumed.add(now, unnoticed);
+            state.assumed_at_share = std::min(state.assumed_at_share, share);
+        }
+        if (share > state.assumed_at_share)
+        {
+            auto const kept =
+                (1 / share - 1) / (1 / state.assumed_at_share - 1);
+            state.all.add(state.assumed, kept - 1);
+            state.assumed.scale(kept);
+            state.assumed_at_share = share;
         }
-        if (state.assumed > 0)
-            state.all.add(state.assumed_at, -state.assumed);
-        state.assumed = state.all.used_since(since) * (before / share - 1);
-        state.assumed_at = now;
-        state.all.add(now, state.assumed);
     }
 }
 
+/// Routers that are not heard are taken to use as much as those that are.
+void quota_table::add_use(workspace_state& state, steady_time at, double amount,
+                          double share)
+{
+    state.all.add(at, amount / share);
+    if (share == 1)
+        return;
+    state.assumed.add(at, amount * (1 / share - 1));
+    state.assumed_at_share = std::min(state.assumed_at_share, share);
+}
+
 double quota_table::level(workspace_key workspace, steady_time now) const
 {
     auto const* const it = find(workspace);
@@ -388,6 +414,7 @@
         auto const& it = limits_.at(workspace);
         state.all.forget_expired(it, known_since_, now);
         state.own.forget_expired(it, known_since_, now);
+        state.assumed.forget_expired(it, known_since_, now);
         std::erase_if(state.own_by_source,
                       [&](auto const& it) { return it.second.first < end; });
         std::erase_if(state.others,
--- a/packages/quota/internal/use_history.cpp
+++ b/packages/quota/internal/use_history.cpp
@@ -38,6 +38,18 @@
         entries_.insert(found, {start, amount});
 }
 
+void use_history::add(use_history const& other, double factor)
+{
+    for (auto const& it : other.entries_)
+        add(it.at, it.amount * factor);
+}
+
+void use_history::scale(double factor)
+{
+    for (auto& it : entries_)
+        it.amount *= factor;
+}
+
 // The bucket is drained by all use since its level was last certain, so that
 // use that is reported late counts when it happened.
 double use_history::level(limit const& it, steady_time known_since,
--- a/packages/quota/quota_table.hpp
+++ b/packages/quota/quota_table.hpp
@@ -90,15 +90,17 @@
         double drawn = 0;
         /// When the next refused caller may return.
         kernel::steady_time next_return{};
-        /// Part of `all`: use of routers that are not heard any more.
-        double assumed = 0;
-        kernel::steady_time assumed_at{};
+        /// Part of `all`: what routers that are not heard are taken to use.
+        use_history assumed;
+        /// The smallest share of the limits when it was added.
+        double assumed_at_share = 1;
     };
 
     double level(limit const& it, workspace_state const& state,
                  kernel::steady_time now) const;
     bool fits(limit const& it, workspace_state const& state, double weighted,
               double level, kernel::steady_time now) const;
+    double max_debt(limit const& it, kernel::steady_time now) const;
     bool may_take_turn(workspace_key workspace, limit const& it,
                        workspace_state& state, double weighted, double level,
                        kernel::steady_time now);
@@ -108,6 +110,8 @@
                                           std::chrono::milliseconds earliest,
                                           kernel::steady_time now) const;
     double senders(workspace_state const& state, kernel::steady_time now) const;
+    static void add_use(workspace_state& state, kernel::steady_time at,
+                        double amount, double share);
     void update_share(kernel::steady_time now);
     double draw(std::uint64_t seed);
     std::uint64_t source_at(kernel::steady_time now) const;
--- a/packages/quota/use_history.hpp
+++ b/packages/quota/use_history.hpp
@@ -22,6 +22,9 @@
 
     /// Use may be added late. A negative amount takes use back.
     void add(kernel::steady_time at, double amount);
+    /// Adds this multiple of all use of another history.
+    void add(use_history const& other, double factor);
+    void scale(double factor);
     /// Level of the bucket. Nothing is known from before `known_since`, when it
     /// may have been empty.
     double level(limit const& it, kernel::steady_time known_since,
--- a/packages/wire/types/fact_report.hpp
+++ b/packages/wire/types/fact_report.hpp
@@ -14,7 +14,7 @@
     workspace_use = 1,
     /// Key: endpoint and incarnation. Value: factor to the nominal speed.
     endpoint_speed = 2,
-    /// Key: zero. The source is a router that is in service.
+    /// Key: a router that is in service. Source: its start.
     process_alive = 3
 };
 
