--- a/packages/quota/tests/model_test.cpp
+++ b/packages/quota/tests/model_test.cpp
@@ -131,6 +131,17 @@
     }
 }
 
+// Guards against the same in deployments that have exceeded the rule before.
+TEST_CASE("the rule is kept under failures that have exceeded it")
+{
+    for (std::uint64_t const seed :
+         {128, 172, 181, 202, 274, 275, 284, 340, 394})
+    {
+        CAPTURE(seed);
+        CHECK(run_random(seed, planted_fault::none) <= 1);
+    }
+}
+
 // Guards against a model that would not notice that the rule is broken.
 TEST_CASE("the model finds planted faults")
 {
