--- a/packages/gateway/internal/speed_costs.cpp
+++ b/packages/gateway/internal/speed_costs.cpp
@@ -58,7 +58,7 @@
 
 bool speed_costs::late(request_work const& work, double speed) const
 {
-    return enabled_ && target_.count() > 0 && work.total() / speed > left_;
+    return enabled_ && target_.count() > 0 && work.own / speed > left_;
 }
 
 // Load pattern: prompts of up to 54,600 tokens, which reach their target of
--- a/packages/gateway/internal/speed_watch.cpp
+++ b/packages/gateway/internal/speed_watch.cpp
@@ -25,7 +25,7 @@
 /// Factors that all processes together share in a second, so that their number
 /// does not grow with processes times endpoints. Agents pass each on to all
 /// routers.
-constexpr std::size_t max_shared_per_second = 500;
+constexpr std::size_t max_shared_per_second = 100;
 /// An endpoint with an unreadable figure repeats it with each answer.
 constexpr std::chrono::milliseconds ignored_log_interval{1000};
 
