quota: Admit up to half of the tolerance beyond the limit

Change: requests are admitted up to the limit and half of its tolerance; the other half is for use that a router does not know of yet.

--- a/packages/quota/internal/quota_table.cpp
+++ b/packages/quota/internal/quota_table.cpp
@@ -70,6 +70,8 @@
 
 void quota_table::set_limits(limits_by_workspace limits, steady_time now)
 {
+    for (auto& [workspace, it] : limits)
+        it = admitted_limit(it);
     for (auto it = states_.begin(); it != states_.end();)
     {
         auto const found = limits.find(it->first);
@@ -168,7 +170,7 @@
     return weighted > it.burst + max_debt && known_since_ <= now - window &&
            !state.all.restarted_since(now - window) &&
            state.all.used_since(now - window) + weighted <=
-               window_share * (window_use(it) + tolerance(it));
+               window_share * (window_use(it) + remaining_tolerance(it));
 }
 
 /// If all routers and agents were killed, the tolerance may have been used up
@@ -176,7 +178,7 @@
 double quota_table::max_debt(limit const& it, steady_time now) const
 {
     auto const known = known_since_ <= now - window;
-    return tolerance(it) * (known ? debt_share : unknown_debt_share);
+    return remaining_tolerance(it) * (known ? debt_share : unknown_debt_share);
 }
 
 /// Whether the routers that send requests of this workspace may all do what
--- a/packages/quota/types/limit.hpp
+++ b/packages/quota/types/limit.hpp
@@ -27,6 +27,10 @@
 /// What may run in a window beyond this, since routers learn of each other's
 /// use with a delay.
 double tolerance(limit const& it);
+/// The somewhat higher limit up to which requests are admitted.
+limit admitted_limit(limit const& it);
+/// What may run in a window beyond an admitted limit.
+double remaining_tolerance(limit const& admitted);
 
 } // namespace endiveward::quota
 
