--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -67,14 +67,13 @@
     if (!world.wait_ready(1) || !world.wait_ready(2))
         return 2;
     std::this_thread::sleep_for(milliseconds(4500));
-    auto const send = [&](channel& conn, std::string const& id,
-                          std::size_t bytes)
+    auto const send =
+        [&](channel& conn, std::string const& id, std::size_t bytes)
     {
-        return send_request(log, conn, "POST", "/lepu270/2f",
-                            {{"Host", "jepu9.example"},
-                             {"Attempt-Id", id},
-                             {"Key", "key1"}},
-                            std::string(bytes, 'x'), milliseconds(3000));
+        return send_request(
+            log, conn, "POST", "/lepu270/2f",
+            {{"Host", "jepu9.example"}, {"Attempt-Id", id}, {"Key", "key1"}},
+            std::string(bytes, 'x'), milliseconds(3000));
     };
     int requests = 0;
     std::vector<channel_ptr> kept;
