review: ORDER with three workers whose heartbeats leave their entries as they are

Cause: an entry changes only when more than its count changes, so that the earlier stand-in wrote more often than a sound worker.

--- a/review/stand_ins/worker.h
+++ b/review/stand_ins/worker.h
@@ -75,22 +75,11 @@
                   { return serve(request, conn); })
     {
         write_entry();
-        heartbeat_ = std::thread(
-            [this]
-            {
-                for (int n = 0; !stopped_; ++n)
-                {
-                    std::this_thread::sleep_for(milliseconds(100));
-                    if (n % 12 == 11)
-                        write_entry();
-                }
-            });
     }
     ~worker()
     {
         stopped_ = true;
         freed_.notify_all();
-        heartbeat_.join();
         server_.stop();
     }
 
@@ -106,6 +95,7 @@
                              {"adapters", json::array()}}});
     }
 
+    /// A heartbeat that changes only `sequence` does not change the entry.
     void write_entry()
     {
         json entry{
@@ -346,7 +336,6 @@
     std::map<std::string, std::string> cache_;
     std::vector<json> cache_events_;
     http_server server_;
-    std::thread heartbeat_;
 };
 
 } // namespace review
