gateway: Log and count retries that the budget denies

It could not be told from logs or metrics whether a request was not retried since its endpoint failed it for good or since the retry budget was used up, nor what the budget was. retry_budgets now logs each retry (retry) and each denied one (retry_denied) with the requests, the retries and the fixed part of the window, and counts denied ones (endiveward_gateway_repeats_denied_total). The calls of exchange go through it; decisions are unchanged.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -30,7 +30,6 @@
 {
 
 class i_response_writer;
-class retry_budget;
 class room_place;
 class routing_table;
 class upstream_connection;
@@ -151,7 +150,6 @@
     route const* route_ = nullptr;
     workspace_entry const* workspace_ = nullptr;
     quota_ticket quota_;
-    retry_budget* budget_ = nullptr;
     endpoint_requirements requirements_;
     /// Keys of the request and of the prompt parts that others may have, too.
     availability::request_keys keys_;
--- a/packages/gateway/gateway_metrics.hpp
+++ b/packages/gateway/gateway_metrics.hpp
@@ -35,6 +35,7 @@
     void on_first_byte(std::chrono::milliseconds took, bool is_long = false);
     void on_attempt() { attempts_.Increment(); }
     void on_retry(std::string const& reason);
+    void on_retry_denied() { retries_denied_.Increment(); }
     /// `source` tells who reported that an endpoint is leaving.
     void on_leaving(std::string const& source);
     /// `source` tells how it became known where a stream that a caller takes up
@@ -70,6 +71,7 @@
     prometheus::Family<prometheus::Counter>& room_left_;
     prometheus::Family<prometheus::Counter>& room_refusals_;
     prometheus::Family<prometheus::Counter>& mixed_;
+    prometheus::Counter& retries_denied_;
     prometheus::Counter& pauses_;
     prometheus::Counter& quarantines_;
     prometheus::Counter& request_quarantines_;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -220,8 +220,7 @@
     requirements_.contended = is_contended();
     quota_ = services_.quotas.ticket_for(workspace_, request_.headers,
                                          services_.names);
-    budget_ = &services_.budgets.of(requirements_.service);
-    budget_->on_request(arrived_);
+    services_.budgets.on_request(requirements_.service);
 }
 
 bool exchange::is_contended() const
@@ -281,7 +280,6 @@
                               describe_unserved(), retry_not_served),
                           "stream_service_gone");
         requirements_.service = *service;
-        budget_ = &services_.budgets.of(*service);
     }
     attempt();
 }
@@ -905,9 +903,9 @@
         endpoint_->version_of(requirements_.prompt->model) > requested_version_;
     if (!renewed)
         requirements_.excluded.push_back(entry.id);
-    if (refusals_ > max_refusals || !budget_->try_retry(now))
+    if (refusals_ > max_refusals ||
+        !services_.budgets.try_retry(requirements_.service, id_, "refused"))
         return give_up("refused_by_endpoint");
-    services_.metrics.on_retry("refused");
     attempt();
 }
 
@@ -938,10 +936,9 @@
         return false;
     if (time_left() < min_time_left)
         return false;
-    if (!budget_->try_retry(services_.clock.now()))
+    if (!services_.budgets.try_retry(requirements_.service, id_, reason))
         return false;
     requirements_.excluded.push_back(endpoint_->entry().id);
-    services_.metrics.on_retry(std::string(reason));
     return true;
 }
 
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -61,7 +61,7 @@
     , unavailability_(clock)
     , weights_(std::make_unique<weights_view>(settings_.rollout,
                                               settings_.version_deadline))
-    , budgets_(std::make_unique<retry_budgets>(0, 0))
+    , budgets_(std::make_unique<retry_budgets>(clock, *metrics_, log))
     , parts_(std::make_unique<part_watch>(context, clock, *metrics_, log,
                                           settings_.seed))
     , caller_server_(context, clock, *this, settings_.max_caller_connections)
--- a/packages/gateway/internal/gateway_metrics.cpp
+++ b/packages/gateway/internal/gateway_metrics.cpp
@@ -51,6 +51,11 @@
     , mixed_(counters(registry, "endiveward_gateway_mixed_prompts_total",
                       "Prompts by length and endpoint: long or short, at an "
                       "endpoint for this kind or for the other"))
+    , retries_denied_(
+          counters(registry, "endiveward_gateway_repeats_denied_total",
+                   "Requests that were not sent to another endpoint since the "
+                   "retry budget was used up")
+              .Add({}))
     , pauses_(counters(registry, "endiveward_gateway_endpoint_pauses_total",
                        "Pauses that endpoints asked for with Retry-After")
                   .Add({}))
--- a/packages/gateway/internal/retry_budget.cpp
+++ b/packages/gateway/internal/retry_budget.cpp
@@ -35,17 +35,23 @@
     ++buckets_[static_cast<std::size_t>(second_) % buckets_.size()].requests;
 }
 
-double retry_budget::remaining(kernel::steady_time now)
+retry_budget::window_use retry_budget::use(kernel::steady_time now)
 {
     advance(now);
-    double requests = 0;
-    double retries = 0;
+    window_use res;
     for (auto const& it : buckets_)
     {
-        requests += it.requests;
-        retries += it.retries;
+        res.requests += it.requests;
+        res.retries += it.retries;
     }
-    return ratio_ * requests + extra_ - retries;
+    res.fixed = extra_;
+    return res;
+}
+
+double retry_budget::remaining(kernel::steady_time now)
+{
+    auto const it = use(now);
+    return ratio_ * it.requests + it.fixed - it.retries;
 }
 
 bool retry_budget::try_retry(kernel::steady_time now)
--- a/packages/gateway/retry_budget.hpp
+++ b/packages/gateway/retry_budget.hpp
@@ -26,6 +26,17 @@
     bool try_retry(kernel::steady_time now);
     double remaining(kernel::steady_time now);
 
+    struct window_use
+    {
+        std::uint32_t requests = 0;
+        std::uint32_t retries = 0;
+        /// Retries that are allowed in addition to the share of the requests.
+        double fixed = 0;
+    };
+
+    /// What the window that ends now holds.
+    window_use use(kernel::steady_time now);
+
 private:
     struct bucket
     {
--- a/packages/gateway/retry_budgets.hpp
+++ b/packages/gateway/retry_budgets.hpp
@@ -2,39 +2,48 @@
 #define ENDIVEWARD_GATEWAY_RETRY_BUDGETS_HPP
 
 #include "gateway/retry_budget.hpp"
+#include "kernel/i_clock.hpp"
 #include "kernel/types/identifiers.hpp"
 
+#include <string>
+#include <string_view>
 #include <unordered_map>
 
+namespace endiveward::observe
+{
+class decision_log;
+}
+
 namespace endiveward::gateway
 {
 
-/// The retry budgets, one per service.
+class gateway_metrics;
+
+/// The retry budgets, one per service. Logs and counts the retries that they
+/// allow and deny. Used on the traffic thread.
 class retry_budgets
 {
 public:
-    retry_budgets(double ratio, double extra)
-        : ratio_(ratio)
-        , extra_(extra)
-    {
-    }
-
-    void set_limits(double ratio, double extra)
-    {
-        ratio_ = ratio;
-        extra_ = extra;
-        for (auto& [id, it] : budgets_)
-            it.set_limits(ratio, extra);
-    }
-
-    retry_budget& of(kernel::service_id const& id)
-    {
-        return budgets_.try_emplace(id, ratio_, extra_).first->second;
-    }
+    retry_budgets(kernel::i_clock const& clock, gateway_metrics& metrics,
+                  observe::decision_log& log);
+
+    /// Share of the requests, and fixed number, of retries of each service in a
+    /// window.
+    void set_limits(double ratio, double extra);
+    void on_request(kernel::service_id const& service);
+    /// Counts one retry of the request `id`, or returns false if the budget of
+    /// the service is used up.
+    bool try_retry(kernel::service_id const& service, std::string const& id,
+                   std::string_view reason);
 
 private:
-    double ratio_;
-    double extra_;
+    retry_budget& of(kernel::service_id const& service);
+
+    kernel::i_clock const& clock_;
+    gateway_metrics& metrics_;
+    observe::decision_log& log_;
+    double ratio_ = 0;
+    double extra_ = 0;
     std::unordered_map<kernel::service_id, retry_budget> budgets_;
 };
 
