gateway: Do not begin the retry budget anew with each start of a router

Cause: the fixed part of the budget is divided among the routers, but each life of a router began with a whole part of it. n kills in a window allowed n + 1 fixed parts.

A router that starts now has the share of its own requests at once, and the fixed part only after a window, in which whatever its predecessor used has left it. By then the number of routers is known, too: a router that started beside others divided the fixed part by the first number that an agent reported.

--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -93,6 +93,8 @@
         context_, clock_, names_, *endpoints_, *chooser_, overload_,
         unavailability_, *weights_, *budgets_, *parts_, *limits_, *origins_,
         *quotas_, *speeds_, *room_, *metrics_, log_});
+    if (!settings_.may_be_restarted)
+        budgets_->begin_full();
     update_limits();
     update_limit_share();
 }
--- a/packages/gateway/internal/retry_budget.cpp
+++ b/packages/gateway/internal/retry_budget.cpp
@@ -5,9 +5,11 @@
 namespace endiveward::gateway
 {
 
-retry_budget::retry_budget(double ratio, double extra)
+retry_budget::retry_budget(double ratio, double extra,
+                           kernel::steady_time extra_from)
     : ratio_(ratio)
     , extra_(extra)
+    , extra_from_(extra_from)
 {
 }
 
@@ -44,7 +46,7 @@
         res.requests += it.requests;
         res.retries += it.retries;
     }
-    res.fixed = extra_;
+    res.fixed = now < extra_from_ ? 0 : extra_;
     return res;
 }
 
--- a/packages/gateway/internal/retry_budgets.cpp
+++ b/packages/gateway/internal/retry_budgets.cpp
@@ -12,6 +12,7 @@
     : clock_(clock)
     , metrics_(metrics)
     , log_(log)
+    , extra_from_(clock.now() + retry_budget::window)
 {
 }
 
@@ -23,6 +24,11 @@
         it.set_limits(ratio, extra);
 }
 
+void retry_budgets::begin_full()
+{
+    extra_from_ = kernel::steady_time::min();
+}
+
 void retry_budgets::on_request(kernel::service_id const& service)
 {
     of(service).on_request(clock_.now());
@@ -50,9 +56,14 @@
     return true;
 }
 
+// Load pattern: all routers are killed again and again while endpoints refuse
+// or fail requests. Each life would use a whole fixed part, and routers that
+// start together may share it by a number of routers that is still too low. The
+// share of the requests needs neither: a life earns it by its own requests.
 retry_budget& retry_budgets::of(kernel::service_id const& service)
 {
-    return budgets_.try_emplace(service, ratio_, extra_).first->second;
+    return budgets_.try_emplace(service, ratio_, extra_, extra_from_)
+        .first->second;
 }
 
 } // namespace endiveward::gateway
--- a/packages/gateway/retry_budget.hpp
+++ b/packages/gateway/retry_budget.hpp
@@ -13,12 +13,14 @@
 /// Limits the number of retries within a sliding window to a share of the
 /// requests in it plus a fixed number. Each process applies its part of the
 /// limit to its own traffic, so that the total is kept without coordination.
+/// The fixed number may be used from a given time on; the share at once.
 class retry_budget
 {
 public:
     static constexpr std::chrono::seconds window{10};
 
-    retry_budget(double ratio, double extra);
+    retry_budget(double ratio, double extra,
+                 kernel::steady_time extra_from = kernel::steady_time::min());
 
     void set_limits(double ratio, double extra);
     void on_request(kernel::steady_time now);
@@ -48,6 +50,7 @@
 
     double ratio_;
     double extra_;
+    kernel::steady_time extra_from_;
     /// One bucket per second, and one more than the window has seconds, since
     /// the window covers the oldest second only in part.
     std::array<bucket, window.count() + 1> buckets_{};
--- a/packages/gateway/retry_budgets.hpp
+++ b/packages/gateway/retry_budgets.hpp
@@ -20,7 +20,8 @@
 class gateway_metrics;
 
 /// The retry budgets, one per service. Logs and counts the retries that they
-/// allow and deny. Used on the traffic thread.
+/// allow and deny. The fixed part is available after one window, since an
+/// earlier process of this router may have used it. Used on the traffic thread.
 class retry_budgets
 {
 public:
@@ -30,6 +31,9 @@
     /// Share of the requests, and fixed number, of retries of each service in a
     /// window.
     void set_limits(double ratio, double extra);
+    /// No earlier process can have used the fixed part. To be called before the
+    /// first request.
+    void begin_full();
     void on_request(kernel::service_id const& service);
     /// Counts one retry of the request `id`, or returns false if the budget of
     /// the service is used up.
@@ -44,6 +48,7 @@
     observe::decision_log& log_;
     double ratio_ = 0;
     double extra_ = 0;
+    kernel::steady_time extra_from_;
     std::unordered_map<kernel::service_id, retry_budget> budgets_;
 };
 
--- a/packages/gateway/tests/retry_budgets_test.cpp
+++ b/packages/gateway/tests/retry_budgets_test.cpp
@@ -37,6 +37,10 @@
             start(it);
     }
 
+    /// How many routers the first reports of agents tell, which routers believe
+    /// until they get the next ones.
+    void set_reported(std::size_t n) { reported_ = n; }
+
     void restart_all()
     {
         for (auto& it : routers_)
@@ -48,6 +52,9 @@
         for (milliseconds passed{0}; passed < time; passed += step)
         {
             clock_.advance(step);
+            if (passed == report_delay)
+                std::for_each(routers_.begin(), routers_.end(),
+                              [](router& it) { set_limits(it, count); });
             for (auto& it : routers_)
             {
                 it.budgets->on_request(service_);
@@ -77,10 +84,17 @@
         return res;
     }
 
-    std::size_t retries() const { return retries_.size(); }
+    /// Retries since this long ago.
+    std::size_t retries_since(milliseconds age) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            retries_.begin(), retries_.end(),
+            [&](kernel::steady_time at) { return at > clock_.now() - age; }));
+    }
 
 private:
     static constexpr milliseconds step{100};
+    static constexpr milliseconds report_delay{500};
 
     struct router
     {
@@ -95,13 +109,20 @@
         it.registry = std::make_unique<prometheus::Registry>();
         it.metrics = std::make_unique<gateway_metrics>(*it.registry);
         it.budgets = std::make_unique<retry_budgets>(clock_, *it.metrics, log_);
-        it.budgets->set_limits(ratio * fraction, fixed * fraction / count);
+        set_limits(it, reported_);
+    }
+
+    static void set_limits(router& it, std::size_t routers)
+    {
+        it.budgets->set_limits(ratio * fraction,
+                               fixed * fraction / static_cast<double>(routers));
     }
 
     kernel::manual_clock clock_;
     observe::decision_log log_{clock_, "test", 0};
     kernel::service_id const service_{"s"};
     std::vector<router> routers_{count};
+    std::size_t reported_ = count;
     std::vector<kernel::steady_time> requests_;
     std::vector<kernel::steady_time> retries_;
 };
@@ -122,4 +143,34 @@
     CHECK(all.worst_excess() <= 0);
 }
 
+// Guards against a fixed part that is divided by the number of routers that
+// have already started when the first agent reports.
+TEST_CASE(
+    "routers that start together keep to the retry budget although agents "
+    "report few of them")
+{
+    routers all;
+    all.set_reported(1);
+    all.restart_all();
+    all.run(milliseconds(12000));
+    CHECK(all.worst_excess() <= 0);
+}
+
+// Guards against a budget that is kept by not retrying at all.
+TEST_CASE("a router that starts retries within the share of its requests, and "
+          "with the fixed part after a window")
+{
+    routers all;
+    all.run(milliseconds(5000));
+    constexpr double requests_in_5_s = 50.0 * routers::count;
+    constexpr double share =
+        routers::ratio * routers::fraction * requests_in_5_s;
+    CHECK(static_cast<double>(all.retries_since(milliseconds(5000))) >=
+          share - routers::count);
+    all.run(milliseconds(7000));
+    constexpr double fixed = routers::fixed * routers::fraction;
+    CHECK(static_cast<double>(all.retries_since(milliseconds(10000))) >=
+          2 * share + fixed - 2 * routers::count);
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/tests/support/test_gateway.hpp
+++ b/packages/gateway/tests/support/test_gateway.hpp
@@ -157,6 +157,7 @@
         gateway_settings res;
         res.room = room;
         res.processes = 1;
+        res.may_be_restarted = false;
         return res;
     }
 
