resumption: Read the recorded versions again after a router was out of step

During a release, a router that is cut off from the others or stands still while endpoints of a new software version join may know the old version only. A stream that began at the new version through another router, broke and is taken up there went on at the old one: the history of versions counted as complete, since the notice of the new row came through agents that the router did not hear.

Cause: what a process believed before it was out of step was used as proof after it. A router now counts as out of step when it loses a link to an agent, hears no agent for 1.5 s, or did not run for 400 ms. A stream of unknown origin that is taken up then waits, for at most the 200 ms that agents are waited for, until the table of versions has been read anew (one read for all that wait); without an answer it is refused as not run. Routers in step read nothing, nor do streams whose origin is known.

Tests: in the simulated deployment, a router that is cut off while a version joins counts its history as complete with the old version only (required by the test before it tells the router that it was out of step); it no longer proves anything until it has read the row.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -45,6 +45,11 @@
 /// How often agents are asked for the operators' table while the store does
 /// not answer.
 constexpr milliseconds ask_interval{500};
+/// A process that gets its share of the processor runs its timers later than
+/// planned by less than this.
+constexpr milliseconds max_standstill{400};
+/// Agents of engines with traffic report several times a second.
+constexpr milliseconds max_agent_silence{1500};
 /// Operators change the configuration seldom, and it must be in force soon.
 constexpr milliseconds operators_pause{200};
 
@@ -122,6 +127,7 @@
         return exit_failure;
     start_followers();
     wait_for_signal();
+    checked_at_ = heard_at_ = clock_.now();
     tick();
     traffic_.start();
     control_.run();
@@ -265,6 +271,7 @@
 void gateway_process::on_engine_state(kernel::endpoint_id const& endpoint,
                                       wire::engine_state const& state)
 {
+    heard_at_ = clock_.now();
     pass_on_report([this, endpoint, state]
                    { gateway_->on_engine_state(endpoint, state); });
 }
@@ -299,14 +306,29 @@
 
 void gateway_process::ask_for_origin(wire::origin_query const& query)
 {
+    check_contact();
+    auto const reads = recorder_->confirm();
     auto const asked = links_->send_origin_query(query);
     pass_on_report(
-        [this, id = query.id, asked, current = endpoints_->reachable()]
-        { gateway_->on_origin_asked(id, asked, current); });
+        [this, id = query.id, asked, current = endpoints_->reachable(), reads]
+        { gateway_->on_origin_asked(id, asked, current, reads); });
+}
+
+/// Notices of software versions that other routers have recorded come through
+/// agents. Without contact to these, or while the process stands still, they
+/// are missed.
+void gateway_process::check_contact()
+{
+    auto const now = clock_.now();
+    if (now - std::exchange(checked_at_, now) > max_standstill)
+        recorder_->on_out_of_step("standstill");
+    if (now - heard_at_ > max_agent_silence)
+        recorder_->on_out_of_step("agents_silent");
 }
 
 void gateway_process::on_link_lost(kernel::endpoint_id const& endpoint)
 {
+    recorder_->on_out_of_step("link_lost");
     pass_on_report([this, endpoint] { gateway_->on_link_lost(endpoint); });
 }
 
@@ -398,6 +420,7 @@
             if (ec)
                 return;
             observe::flush_logging();
+            check_contact();
             ask_agents();
             recorder_->on_tick(endpoints_->newest_era());
             update_readiness();
--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -111,6 +111,7 @@
     void ask_for_origin(wire::origin_query const& query);
     /// Asks agents for what the store does not tell.
     void ask_agents();
+    void check_contact();
     void reload();
     /// The settings file may change without a signal.
     void reload_if_changed();
@@ -148,6 +149,10 @@
     std::atomic<std::size_t> connections_{0};
     kernel::steady_time stop_at_{};
     kernel::steady_time asked_at_{};
+    /// When this process last looked whether it hears of the other routers.
+    kernel::steady_time checked_at_{};
+    /// When an agent last reported.
+    kernel::steady_time heard_at_{};
     kernel::steady_time looked_at_{};
     std::filesystem::file_time_type file_time_{};
     int exit_code_ = 0;
--- a/apps/endiveward/version_recorder.cpp
+++ b/apps/endiveward/version_recorder.cpp
@@ -108,6 +108,22 @@
     proceed();
 }
 
+void version_recorder::on_out_of_step(char const* reason)
+{
+    if (!published_versions_.known_until)
+        log_.write("versions_unconfirmed", "reason={}", reason);
+    history_.on_out_of_step(clock_.now());
+    proceed();
+}
+
+bool version_recorder::confirm()
+{
+    auto const res = history_.confirm(clock_.now());
+    if (res)
+        proceed();
+    return res;
+}
+
 void version_recorder::proceed()
 {
     auto const now = clock_.now();
--- a/apps/endiveward/version_recorder.hpp
+++ b/apps/endiveward/version_recorder.hpp
@@ -58,6 +58,11 @@
     void on_report(wire::fact_report const& report);
     /// `era` is the newest one of the store that is known.
     void on_tick(std::uint64_t era);
+    /// This process was cut off from the other routers, or stood still.
+    void on_out_of_step(char const* reason);
+    /// A stream of unknown origin is taken up. Returns true if the versions
+    /// are read again for this, since some may have been missed.
+    bool confirm();
     /// Whether requests could be sent to all endpoints at some time.
     bool settled() const { return settled_; }
 
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -98,9 +98,10 @@
     set_origin_handlers(std::function<void(wire::stream_origins)> on_origins,
                         std::function<void(wire::origin_query)> on_query);
     /// So many agents were asked. `list_is_current` tells whether the list of
-    /// endpoints is read from the store.
+    /// endpoints is read from the store, `reads_versions` whether the recorded
+    /// software versions are read for this.
     void on_origin_asked(std::uint64_t query, std::size_t agents,
-                         bool list_is_current);
+                         bool list_is_current, bool reads_versions = false);
     void on_origin_answer(wire::origin_answer const& answer);
     void set_settings(gateway_settings settings);
 
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -272,9 +272,9 @@
 }
 
 void gateway::on_origin_asked(std::uint64_t query, std::size_t agents,
-                              bool list_is_current)
+                              bool list_is_current, bool reads_versions)
 {
-    origins_->on_asked(query, agents, list_is_current);
+    origins_->on_asked(query, agents, list_is_current, reads_versions);
 }
 
 void gateway::on_origin_answer(wire::origin_answer const& answer)
--- a/packages/gateway/internal/origin_watch.cpp
+++ b/packages/gateway/internal/origin_watch.cpp
@@ -12,6 +12,7 @@
 #include <iterator>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace endiveward::gateway
 {
@@ -82,6 +83,19 @@
 {
     recorded_ = std::move(recorded);
     update_reported();
+    std::vector<std::uint64_t> known;
+    for (auto& it : inquiries_)
+    {
+        it.awaits_versions =
+            it.awaits_versions && !recorded_.known_at(it.asked_at);
+        if (it.is_answered())
+            known.push_back(it.query.id);
+    }
+    for (auto const id : known)
+    {
+        if (auto const it = find(id); it != inquiries_.end())
+            finish(it, std::nullopt);
+    }
 }
 
 std::set<kernel::software_version>
@@ -161,6 +175,7 @@
     it.query = {++last_query_, resumption::stream_key(begun_by), service};
     it.request_id = request_id;
     it.begun_by = begun_by;
+    it.asked_at = now;
     it.until = now + max_inquiry;
     it.on_done = std::move(on_done);
     auto const own = own_.find(it.query.stream, now);
@@ -177,11 +192,11 @@
     if (on_query_)
         on_query_(query);
     else
-        on_asked(query.id, 0, true);
+        on_asked(query.id, 0, true, false);
 }
 
 void origin_watch::on_asked(std::uint64_t query, std::size_t agents,
-                            bool list_is_current)
+                            bool list_is_current, bool reads_versions)
 {
     auto const it = find(query);
     if (it == inquiries_.end())
@@ -189,7 +204,9 @@
     it->open_answers = agents;
     it->facts.linked = agents > 0;
     it->facts.list_is_current = list_is_current;
-    if (agents == 0)
+    it->was_sent = true;
+    it->awaits_versions = reads_versions && !recorded_.known_at(it->asked_at);
+    if (it->is_answered())
         finish(it, std::nullopt);
 }
 
@@ -202,7 +219,7 @@
     it->facts.versions.insert(answer.versions.begin(), answer.versions.end());
     if (it->open_answers > 0)
         --it->open_answers;
-    if (answer.origin || it->open_answers == 0)
+    if (answer.origin || it->is_answered())
         finish(it, answer.origin);
 }
 
@@ -233,7 +250,8 @@
         facts.origin = origin->software;
     facts.versions.merge(versions_of(it.query.service));
     facts.history_complete =
-        recorded_.complete(it.query.service, lifetime_, clock_.now());
+        recorded_.complete(it.query.service, lifetime_, clock_.now()) &&
+        recorded_.known_at(it.asked_at);
     return resumption::decide_resumption(facts);
 }
 
--- a/packages/gateway/origin_watch.hpp
+++ b/packages/gateway/origin_watch.hpp
@@ -67,9 +67,11 @@
     void locate(std::string const& request_id, std::string const& begun_by,
                 kernel::service_id const& service, decision_handler on_done);
     /// A query was sent to so many agents. Without connections to any, the
-    /// list of endpoints must be `list_is_current` to count.
-    void on_asked(std::uint64_t query, std::size_t agents,
-                  bool list_is_current);
+    /// list of endpoints must be `list_is_current` to count. `reads_versions`:
+    /// the recorded versions are read again, since this router may have missed
+    /// some.
+    void on_asked(std::uint64_t query, std::size_t agents, bool list_is_current,
+                  bool reads_versions);
     void on_answer(wire::origin_answer const& answer);
 
 private:
@@ -78,10 +80,18 @@
         wire::origin_query query;
         std::string request_id;
         std::string begun_by;
+        kernel::steady_time asked_at{};
         kernel::steady_time until{};
         resumption::resumption_facts facts;
+        bool was_sent = false;
         std::size_t open_answers = 0;
+        bool awaits_versions = false;
         decision_handler on_done;
+
+        bool is_answered() const
+        {
+            return was_sent && open_answers == 0 && !awaits_versions;
+        }
     };
 
     std::deque<inquiry>::iterator find(std::uint64_t query);
--- a/packages/gateway/tests/version_history_test.cpp
+++ b/packages/gateway/tests/version_history_test.cpp
@@ -188,6 +188,74 @@
     check_refused();
 }
 
+// Guards against a router that was cut off or stood still during a release: it
+// takes a stream that began at a new version through another router for one of
+// the only version that it knows. Agents that it reaches know nothing.
+TEST_CASE("a stream that is taken up at a router that was out of step goes on "
+          "only with the versions read again")
+{
+    auto const now_recorded = GENERATE(std::size_t{1}, std::size_t{2});
+    auto const agents = GENERATE(std::size_t{0}, std::size_t{3});
+    two_versions endpoints;
+    test_gateway gate;
+    gate.apply();
+    gate.set_entries({entry(0, endpoints.old_one.port(), "v1")});
+    auto const recorded = [](std::size_t count)
+    {
+        resumption::recorded_versions res;
+        res.complete_since = kernel::steady_time::min();
+        for (std::size_t n = 1; n <= count; ++n)
+            res.items.push_back(
+                {kernel::service_id("s"),
+                 kernel::software_version("v" + std::to_string(n)),
+                 {}});
+        res.known_until = kernel::system_clock().now();
+        return res;
+    };
+    gate.run(
+        [&]
+        {
+            gate.get().apply(recorded(1));
+            gate.get().set_origin_handlers(
+                [](wire::stream_origins const&) {},
+                [&](wire::origin_query const& query)
+                {
+                    gate.post(
+                        [&, id = query.id]
+                        {
+                            gate.get().on_origin_asked(id, agents, true, true);
+                            for (std::size_t n = 0; n < agents; ++n)
+                                gate.get().on_origin_answer({id, {}, {}});
+                            gate.get().apply(recorded(now_recorded));
+                        });
+                });
+        });
+    auto const text = take_up(gate, "id1");
+    if (now_recorded == 1)
+        CHECK(text.ends_with("0\r\n\r\n"));
+    else
+        CHECK(text.starts_with("HTTP/1.1 503"));
+}
+
+// As above, while the store does not answer.
+TEST_CASE(
+    "a router that was out of step refuses streams of unknown origin while "
+    "it cannot read the versions")
+{
+    two_versions endpoints;
+    test_gateway gate;
+    gate.apply();
+    gate.set_entries({entry(0, endpoints.old_one.port(), "v1")});
+    resumption::recorded_versions recorded;
+    recorded.complete_since = kernel::steady_time::min();
+    recorded.items.push_back(
+        {kernel::service_id("s"), kernel::software_version("v1"), {}});
+    recorded.known_until = kernel::system_clock().now();
+    gate.run([&] { gate.get().apply(recorded); });
+    set_agents(gate, 3, {{}, {}, {}});
+    CHECK(take_up(gate, "id1").starts_with("HTTP/1.1 503"));
+}
+
 // Guards against streams at a version that a router that starts later cannot
 // know of.
 TEST_CASE("no request is sent to an endpoint whose version is being recorded")
--- a/packages/resumption/internal/recorded_versions.cpp
+++ b/packages/resumption/internal/recorded_versions.cpp
@@ -35,4 +35,9 @@
            !outdated.contains(service);
 }
 
+bool recorded_versions::known_at(kernel::steady_time at) const
+{
+    return !known_until || *known_until >= at;
+}
+
 } // namespace endiveward::resumption
--- a/packages/resumption/internal/version_history.cpp
+++ b/packages/resumption/internal/version_history.cpp
@@ -22,6 +22,10 @@
 // - Engines restart together: their version is missing for some seconds and
 //   comes back. It is marked as gone only after these.
 // - The store is restored from a copy: routers write again what they know.
+// - A router is cut off from the others or stands still while endpoints of a
+// new
+//   version join: it does not hear of their row, and its list may be old. When
+//   a stream of unknown origin is taken up there, it reads the table first.
 
 namespace
 {
@@ -122,11 +126,19 @@
                          write_spread * std::sqrt(share_));
 }
 
+bool version_history::confirm(kernel::steady_time now)
+{
+    if (!out_of_step_at_)
+        return false;
+    confirm_from_ = now;
+    return true;
+}
+
 bool version_history::needs_read(kernel::steady_time now) const
 {
     if (now < retry_at_)
         return false;
-    return (read_at_ && *read_at_ <= now) ||
+    return (read_at_ && *read_at_ <= now) || confirm_from_ ||
            std::any_of(unexplained_.begin(), unexplained_.end(),
                        [&](auto const& it)
                        { return now - it.arrived >= explain_time; });
@@ -137,6 +149,12 @@
 {
     loaded_ = true;
     read_at_.reset();
+    known_until_ = read_begun_;
+    if (out_of_step_at_ && *out_of_step_at_ <= read_begun_)
+        out_of_step_at_.reset();
+    // One that was asked for meanwhile needs another read.
+    if (confirm_from_ && *confirm_from_ <= read_begun_)
+        confirm_from_.reset();
     backoff_ = milliseconds(0);
     era_ = batch.position.era;
     store_offset_ = batch.store_time - steady_ms(now);
@@ -320,6 +338,8 @@
 void version_history::on_failed(kernel::steady_time now)
 {
     in_flight_.clear();
+    // Nobody waits until the next attempt.
+    confirm_from_.reset();
     backoff_ = std::clamp(2 * backoff_, first_backoff, max_backoff);
     retry_at_ =
         now + std::chrono::duration_cast<milliseconds>(backoff_ * (1 + share_));
@@ -382,6 +402,8 @@
 recorded_versions version_history::snapshot(kernel::steady_time now) const
 {
     recorded_versions res;
+    if (out_of_step_at_)
+        res.known_until = known_until_;
     for (auto const& [name, it] : entries_)
     {
         std::optional<kernel::steady_time> gone;
--- a/packages/resumption/recorded_versions.hpp
+++ b/packages/resumption/recorded_versions.hpp
@@ -33,6 +33,9 @@
     /// Services of which another router has recorded a version that this one
     /// does not know yet.
     std::set<kernel::service_id> outdated;
+    /// While this router may miss what others record: when the last read of the
+    /// rows began. None while it hears of all rows.
+    std::optional<kernel::steady_time> known_until;
 
     /// Versions at which streams that began within the lifetime may have
     /// begun.
@@ -45,6 +48,9 @@
                   std::chrono::milliseconds lifetime,
                   kernel::steady_time now) const;
 
+    /// Whether no version is missing that others recorded before this time.
+    bool known_at(kernel::steady_time at) const;
+
     bool operator==(recorded_versions const&) const = default;
 };
 
--- a/packages/resumption/tests/version_history_test.cpp
+++ b/packages/resumption/tests/version_history_test.cpp
@@ -130,8 +130,11 @@
         listed_.clear();
         for (auto const& it : versions)
             listed_.emplace(service, it);
-        for (auto& it : routers)
-            it->on_listed(listed_, clock.now());
+        for (std::size_t n = 0; n < routers.size(); ++n)
+        {
+            if (n != cut_off)
+                routers[n]->on_listed(listed_, clock.now());
+        }
     }
 
     void run(milliseconds time)
@@ -148,6 +151,8 @@
 
     kernel::manual_clock clock;
     test_store store;
+    /// A router that neither hears notices nor sees changes of the list.
+    std::optional<std::size_t> cut_off;
     std::vector<std::unique_ptr<version_history>> routers;
 
 private:
@@ -167,6 +172,15 @@
         }
     }
 
+    void deliver(version_notice const& notice)
+    {
+        for (std::size_t n = 0; n < routers.size(); ++n)
+        {
+            if (n != cut_off)
+                routers[n]->on_notice(notice, clock.now());
+        }
+    }
+
     void deliver()
     {
         run_due(calls_, clock.now());
@@ -181,12 +195,8 @@
         for (auto const& notice : it.take_notices())
         {
             if (with_agents_)
-                notices_.push_back({now + notice_time, [this, notice]
-                                    {
-                                        for (auto& other : routers)
-                                            other->on_notice(notice,
-                                                             clock.now());
-                                    }});
+                notices_.push_back(
+                    {now + notice_time, [this, notice] { deliver(notice); }});
         }
         if (busy_[n])
             return;
@@ -319,6 +329,65 @@
     CHECK(complete(*all.routers[0], all.clock.now()));
 }
 
+// Load pattern: a router is cut off from the others, or stands still, while
+// endpoints of a new version join. Guards against streams that began at them
+// through other routers and that it takes for streams of the old version.
+TEST_CASE("a router that was out of step knows all versions only after it has "
+          "read them again")
+{
+    deployment all(4);
+    all.list({v1});
+    all.run(seconds(5));
+    all.cut_off = 3;
+    auto& it = *all.routers[3];
+    all.list({v1, v2});
+    all.run(seconds(5));
+    REQUIRE(counted(it, all.clock.now()) == versions{v1});
+    REQUIRE(all.store.size() == 3);
+    it.on_out_of_step(all.clock.now());
+    auto const asked = all.clock.now();
+    CHECK_FALSE(it.snapshot(asked).known_at(asked));
+    CHECK(it.confirm(asked));
+    all.run(2 * call_time);
+    CHECK(it.snapshot(all.clock.now()).known_at(asked));
+    CHECK(counted(it, all.clock.now()) == versions{v1, v2});
+    // It is in step again.
+    CHECK_FALSE(it.confirm(all.clock.now()));
+    auto const reads = all.store.reads;
+    all.run(seconds(5));
+    CHECK(all.store.reads == reads);
+}
+
+// Guards against a read that began before a stream was taken up and that counts
+// for it, and against reads that go on without a need.
+TEST_CASE("versions are read for a decision only after it was asked for")
+{
+    deployment all(1);
+    all.list({v1});
+    all.run(seconds(5));
+    auto& it = *all.routers[0];
+    auto const reads = all.store.reads;
+    CHECK_FALSE(it.confirm(all.clock.now()));
+    it.on_out_of_step(all.clock.now());
+    CHECK(it.confirm(all.clock.now()));
+    all.run(2 * step);
+    // Cut off until now: the read that is open may miss a row.
+    it.on_out_of_step(all.clock.now());
+    auto const asked = all.clock.now();
+    CHECK(it.confirm(asked));
+    all.run(step);
+    CHECK_FALSE(it.snapshot(all.clock.now()).known_at(asked));
+    all.run(2 * call_time);
+    CHECK(it.snapshot(all.clock.now()).known_at(asked));
+    CHECK(all.store.reads == reads + 2);
+    all.store.silent = true;
+    it.on_out_of_step(all.clock.now());
+    CHECK(it.confirm(all.clock.now()));
+    all.run(seconds(30));
+    CHECK_FALSE(it.snapshot(all.clock.now()).known_at(all.clock.now()));
+    CHECK(all.store.reads <= reads + 4);
+}
+
 // Guards against streams at a version that a router that starts later cannot
 // know, and against a service that does not serve while the store is silent.
 TEST_CASE("requests go to a version once it is recorded or has waited")
--- a/packages/resumption/version_history.hpp
+++ b/packages/resumption/version_history.hpp
@@ -42,6 +42,12 @@
     /// The store was restored from a copy and may lack rows.
     void on_era(std::uint64_t era, kernel::steady_time now);
     void on_notice(version_notice const& notice, kernel::steady_time now);
+    /// This process was cut off or stood still until now and may have missed
+    /// notices.
+    void on_out_of_step(kernel::steady_time now) { out_of_step_at_ = now; }
+    /// A decision needs all rows that others have written until now. Returns
+    /// true if the table has to be read for it.
+    bool confirm(kernel::steady_time now);
 
     /// Whether the table is to be read now.
     bool needs_read(kernel::steady_time now) const;
@@ -114,6 +120,12 @@
     /// When the table is to be read.
     std::optional<kernel::steady_time> read_at_ = kernel::steady_time::min();
     kernel::steady_time read_begun_{};
+    /// When the last read that was answered began.
+    kernel::steady_time known_until_{};
+    /// Since then the table has not been read.
+    std::optional<kernel::steady_time> out_of_step_at_;
+    /// When the last decision needed the table.
+    std::optional<kernel::steady_time> confirm_from_;
     /// The store's clock less this process's one.
     std::chrono::milliseconds store_offset_{0};
     kernel::steady_time retry_at_ = kernel::steady_time::min();
