gateway: Close a connection after a refusal that may be repeated there

A request that an endpoint refused with 421 for its weights goes to the same endpoint once more when this has newer ones. If a faulty endpoint wrote the earlier refusal once more on the kept connection, it named this very request and refused the second attempt, which the endpoint ran.

The connection is closed after 421, so that the second attempt has one of its own. Other refusals exclude the endpoint for this request. The test failed before (503 to the caller, and the endpoint had run the request).

--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -726,7 +726,9 @@
 {
     auto const keep = shared_from_this();
     auto const now = services_.clock.now();
-    release_upstream(true);
+    // After this status the request may go to the same endpoint once more. On
+    // the same connection, a copy of this answer would refuse it.
+    release_upstream(!refused_ || head_.status != status_misdirected);
     if (refused_)
         return handle_refusal();
     switch (progress_)
--- a/packages/gateway/tests/repeated_refusal_test.cpp
+++ b/packages/gateway/tests/repeated_refusal_test.cpp
@@ -84,4 +84,47 @@
     CHECK(runs == 1);
 }
 
+// Guards against the same if the next request on the connection is the refused
+// one itself, which goes to an endpoint with newer weights once more.
+TEST_CASE("a request that is sent again to an endpoint that refused it is not "
+          "refused by the earlier answer")
+{
+    std::mutex mutex;
+    std::map<std::thread::id, std::string> refused;
+    std::atomic<int> runs{0};
+    scripted_endpoint endpoint(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            auto const id = std::string(request.headers.value_or("X-Id", ""));
+            auto const refusal = "HTTP/1.1 421 X\r\nX-Id: " + id +
+                                 "\r\nX-Not-Run: 1\r\nX-Endpoint: e0\r\n"
+                                 "X-Version: 2\r\nContent-Length: 0\r\n\r\n";
+            std::lock_guard const lock(mutex);
+            // Each connection has a thread of its own.
+            auto const found = refused.find(std::this_thread::get_id());
+            if (refused.empty())
+            {
+                refused[std::this_thread::get_id()] = refusal;
+                conn.send(refusal);
+                return true;
+            }
+            ++runs;
+            if (found != refused.end())
+                conn.send(found->second);
+            conn.begin_stream(request);
+            conn.event(1);
+            conn.end_stream();
+            return true;
+        });
+    test_gateway gate;
+    gate.apply();
+    auto first = test_gateway::entry(0, endpoint.port());
+    first.models[kernel::model_id("m")] = 1;
+    gate.set_entries({first});
+    test_caller caller(gate.port());
+    caller.send(get_request("/stream/", "id1", prompt));
+    CHECK(caller.read_until("0\r\n\r\n").starts_with("HTTP/1.1 200"));
+    CHECK(runs == 1);
+}
+
 } // namespace endiveward::gateway
