follower: Let tests wait for timers that are due

Cause: asio learns of due timers from a timer descriptor, which the system reports a moment after it was set, and poll() looks once without waiting. On x86-64 that moment had passed. The programs block for their timers and are not concerned. run_due waits for a timer that is set last.

--- a/packages/follower/tests/restored_store_property_test.cpp
+++ b/packages/follower/tests/restored_store_property_test.cpp
@@ -1,6 +1,7 @@
 #include "follower/cluster_view.hpp"
 #include "follower/i_cluster_observer.hpp"
 #include "follower/table_follower.hpp"
+#include "follower/tests/support/run_due.hpp"
 #include "follower/tests/support/versioned_decoder.hpp"
 #include "gateway/routing_table.hpp"
 #include "kernel/manual_clock.hpp"
@@ -341,11 +342,7 @@
     process(process const&) = delete;
     process& operator=(process const&) = delete;
 
-    void run()
-    {
-        context.restart();
-        context.poll();
-    }
+    void run() { tests::run_due(context); }
 
     asio::io_context context;
     observe::decision_log log;
--- a/packages/follower/tests/row_exchange_test.cpp
+++ b/packages/follower/tests/row_exchange_test.cpp
@@ -2,6 +2,7 @@
 #include "follower/i_cluster_observer.hpp"
 #include "follower/row_exchange.hpp"
 #include "follower/table_follower.hpp"
+#include "follower/tests/support/run_due.hpp"
 #include "follower/tests/support/versioned_decoder.hpp"
 #include "kernel/manual_clock.hpp"
 #include "kernel/seeded_random_source.hpp"
@@ -87,10 +88,8 @@
         auto const after = exchange.position();
         exchange.merge(other.exchange.rows_after(after));
         other.exchange.on_named_era(after.era);
-        context.restart();
-        context.poll();
-        other.context.restart();
-        other.context.poll();
+        tests::run_due(context);
+        tests::run_due(other.context);
     }
 
     asio::io_context context;
@@ -122,7 +121,7 @@
     if (noticed)
     {
         old.exchange.on_named_era(2);
-        old.context.poll();
+        tests::run_due(old.context);
         old.read(copy, {2, 20});
     }
     process young;
@@ -146,7 +145,7 @@
     process old;
     old.read(before, {1, 40});
     old.exchange.on_named_era(2);
-    old.context.poll();
+    tests::run_due(old.context);
     old.read(copy, {2, 20});
     CHECK(old.exchange.rows_after({2, 20}).size() == 2);
     old.feed.polls.back()(row_batch{
--- a/packages/follower/tests/table_follower_test.cpp
+++ b/packages/follower/tests/table_follower_test.cpp
@@ -1,6 +1,7 @@
 #include "follower/i_table_listener.hpp"
 #include "follower/row_exchange.hpp"
 #include "follower/table_follower.hpp"
+#include "follower/tests/support/run_due.hpp"
 #include "kernel/manual_clock.hpp"
 #include "kernel/seeded_random_source.hpp"
 
@@ -298,11 +299,7 @@
         run();
     }
 
-    void run()
-    {
-        context.restart();
-        context.poll();
-    }
+    void run() { tests::run_due(context); }
 
     asio::io_context context;
     kernel::manual_clock clock;
@@ -538,7 +535,7 @@
     for (auto const& it : all)
         it->on_named_era(2);
     if (expected == 0)
-        context.poll();
+        tests::run_due(context);
     else
         context.run_for(std::chrono::seconds(20));
     CHECK(feed.full_reads.size() == expected);
--- a/packages/gateway/types/gateway_settings.hpp
+++ b/packages/gateway/types/gateway_settings.hpp
@@ -24,8 +24,8 @@
     double retry_budget_extra = 50;
     /// Number of router processes that is assumed until the agents report it.
     std::size_t processes = 32;
-    /// Whether an earlier process of this router may have ended just before this
-    /// one started, and have used its part of the retry budget.
+    /// Whether an earlier process of this router may have ended just before
+    /// this one started, and have used its part of the retry budget.
     bool may_be_restarted = true;
     /// Time within which a new target version must be in use.
     std::chrono::milliseconds version_deadline{10000};
