--- a/apps/endiveward/gateway_process.hpp
+++ b/apps/endiveward/gateway_process.hpp
@@ -111,6 +111,7 @@
     void ask_for_origin(wire::origin_query const& query);
     /// Asks agents for what the store does not tell.
     void ask_agents();
+    /// Notes whether this process may have missed what other routers tell.
     void check_contact();
     void reload();
     /// The settings file may change without a signal.
--- a/packages/gateway/internal/retry_budgets.cpp
+++ b/packages/gateway/internal/retry_budgets.cpp
@@ -57,9 +57,9 @@
 }
 
 // Load pattern: all routers are killed again and again while endpoints refuse
-// or fail requests. Each life would use a whole fixed part, and routers that
-// start together may share it by a number of routers that is still too low. The
-// share of the requests needs neither: a life earns it by its own requests.
+// or fail requests. Each new process would use a whole fixed part, and routers
+// that start together may divide it by a number of routers that is still too
+// low. The share of the requests is safe: a process earns it by its own ones.
 retry_budget& retry_budgets::of(kernel::service_id const& service)
 {
     return budgets_.try_emplace(service, ratio_, extra_, extra_from_)
--- a/packages/gateway/tests/retry_budgets_test.cpp
+++ b/packages/gateway/tests/retry_budgets_test.cpp
@@ -129,8 +129,8 @@
 
 } // namespace
 
-// Guards against lives of a process that use the whole budget each: all routers
-// are killed again and again while endpoints refuse requests.
+// Guards against processes that each use the whole budget after a restart: all
+// routers are killed again and again while endpoints refuse requests.
 TEST_CASE("routers that are restarted keep to the retry budget of the window")
 {
     routers all;
