--- a/review/common-2/worker.h
+++ b/review/common-2/worker.h
@@ -92,11 +92,41 @@
             (!version.empty() && version != "1"))
             return refuse(fd, m, 421);
         note("runs " + id);
+        if (it_.engine)
+            use_cache(m);
         ++running_;
         auto const kept = it_.engine ? stream(fd, m) : call(fd, m);
         --running_;
         return kept;
     }
+    // The worker finds parts under the same text and model, if all parts before
+    // them are cached too, and keeps those that it reads.
+    void use_cache(message const& m)
+    {
+        auto const salt = m.field("Cache-Salt");
+        auto const tenant = m.field("Tenant");
+        auto const at = std::chrono::duration_cast<ms>(
+                            std::chrono::system_clock::now().time_since_epoch())
+                            .count();
+        auto const prefix = "kv " + std::to_string(at) + " " + it_.id +
+                            " " + m.field("Attempt-Id") + " " + tenant + " " +
+                            (salt.empty() ? "-" : salt);
+        std::lock_guard const lock(mutex_);
+        auto& cached = cache_[salt + "|" + m.field("Model")];
+        std::istringstream parts(m.field("Prompt-Prefix"));
+        std::string part;
+        bool found = true;
+        while (std::getline(parts, part, ','))
+        {
+            part = part.substr(0, part.find(':'));
+            auto const known = cached.find(part);
+            found = found && known != cached.end();
+            if (found)
+                note(prefix + " uses " + part + " of " + known->second);
+            else if (cached.emplace(part, tenant).second)
+                note(prefix + " makes " + part + " of " + tenant);
+        }
+    }
     bool call(int fd, message const& m)
     {
         nap(it_.call_ms);
@@ -125,7 +155,8 @@
             head += name + ": " + value + "\r\n";
         if (!send_all(fd, head + "Transfer-Encoding: chunked\r\n\r\n"))
             return false;
-        for (int n = 1; n <= it_.events; ++n)
+        auto const after = std::atoi(m.field("Last-Event-Id").c_str());
+        for (int n = after + 1; n <= it_.events; ++n)
         {
             auto const event = "id: " + std::to_string(n) + "\ndata: " +
                                std::string(40, 'e') + "\n\n";
@@ -163,6 +194,8 @@
     std::atomic<int> made_{0};
     std::mutex mutex_;
     int unanswered_ = 0;
+    // Which tenant's request made a part, by text and model.
+    std::map<std::string, std::map<std::string, std::string>> cache_;
 };
 
 } // namespace rv
