--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -9,7 +9,8 @@
 
 constexpr long config_apply_ms = 2000;
 constexpr long crash_after_ms = 3500; // after the configuration
-constexpr int streams = 8;
+constexpr long down_ms = 1000;
+constexpr int streams = 14;
 
 std::string config(int version, bool isolated)
 {
@@ -40,13 +41,6 @@
            std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-long wall_ms()
-{
-    return std::chrono::duration_cast<ms>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 struct cache_line
 {
     long at = 0;
@@ -84,6 +78,7 @@
     std::ofstream record(argv[1]);
     deployment_options options;
     options.plain = 0;
+    options.engines = 7;
     options.engine.prefill_ms = 60;
     options.engine.events = 160;
     options.engine.event_ms = 50;
@@ -98,7 +93,7 @@
     // Requests of beta read the shared instructions at every worker. They are
     // left after their first events.
     int n = 0;
-    for (int k = 0; k < 48; ++k)
+    for (int k = 0; k < 84; ++k)
     {
         attempt(f.edge_ip(k % 2), f.front_port, request("beta", ++n, 100 + k),
                 250);
@@ -118,7 +113,8 @@
         f.configure(config(8, true));
     confirmed = wall_ms();
     nap(crash_after_ms);
-    // One of four workers: the one that runs most of these streams.
+    auto crashed = wall_ms();
+    // One of seven workers: the one that runs most of these streams.
     if (trouble != "0" && trouble != "change")
     {
         std::map<std::string, int> runs;
@@ -130,9 +126,11 @@
             if (runs[f.engine_ids[k]] > runs[f.engine_ids[most]])
                 most = k;
         }
+        crashed = wall_ms();
         f.engines[most].end();
+        nap(down_ms);
+        f.start_engine(static_cast<int>(most));
     }
-    auto const crashed = wall_ms();
     for (auto& it : threads)
         it.join();
     // New requests of both after the change.
@@ -149,7 +147,12 @@
     {
         auto const& it = results[k];
         complete += it.status == 200 && it.complete;
-        record << "stream " << k << " of alpha: " << it.status
+        record << "stream " << k << " of alpha, sent at 0 ms as "
+               << request("alpha", 1000 + k, 200 + k).substr(
+                      request("alpha", 1000 + k, 200 + k).find("Attempt-Id: ") +
+                          12,
+                      16)
+               << ": answered " << it.status
                << (it.complete ? ", complete" : ", not complete") << ", "
                << it.took_ms << " ms\n";
     }
--- a/review/common-2/fleet.h
+++ b/review/common-2/fleet.h
@@ -61,9 +61,11 @@
         waitpid(pid_, nullptr, 0);
         pid_ = -1;
     }
-    bool running() const
+    bool running()
     {
-        return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == 0;
+        if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) != 0)
+            pid_ = -1;
+        return pid_ > 0;
     }
 
 private:
@@ -323,6 +325,32 @@
     unsigned last_id_ = 0;
 };
 
+// Writes what the workers ran: the time since `begun`, the worker, and the id.
+inline void record_runs(fleet const& f, std::ostream& record, long begun)
+{
+    for (char const* const kind : {"engine", "plain"})
+    {
+        std::ifstream log(f.folder + "/" + kind + "s.log");
+        std::string line;
+        while (std::getline(log, line))
+        {
+            std::istringstream in(line);
+            std::string what, worker, id;
+            long at = 0;
+            if (in >> what >> at >> worker >> id && what == "runs")
+                record << at - begun << " ms " << worker << " runs " << id
+                       << "\n";
+        }
+    }
+}
+
+inline long wall_ms()
+{
+    return std::chrono::duration_cast<ms>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 // What a consumer saw of one attempt.
 struct attempt_result
 {
--- a/review/common-2/worker.h
+++ b/review/common-2/worker.h
@@ -53,6 +53,12 @@
         fields["Not-Executed"] = "1";
         return send_all(fd, answer(status, fields, ""));
     }
+    static long now_ms()
+    {
+        return std::chrono::duration_cast<ms>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
     static void note(std::string const& line)
     {
         static std::mutex mutex;
@@ -91,7 +97,7 @@
         if ((!expected.empty() && expected != it_.id) ||
             (!version.empty() && version != "1"))
             return refuse(fd, m, 421);
-        note("runs " + id);
+        note("runs " + std::to_string(now_ms()) + " " + it_.id + " " + id);
         if (it_.engine)
             use_cache(m);
         ++running_;
@@ -105,10 +111,7 @@
     {
         auto const salt = m.field("Cache-Salt");
         auto const tenant = m.field("Tenant");
-        auto const at = std::chrono::duration_cast<ms>(
-                            std::chrono::system_clock::now().time_since_epoch())
-                            .count();
-        auto const prefix = "kv " + std::to_string(at) + " " + it_.id +
+        auto const prefix = "kv " + std::to_string(now_ms()) + " " + it_.id +
                             " " + m.field("Attempt-Id") + " " + tenant + " " +
                             (salt.empty() ? "-" : salt);
         std::lock_guard const lock(mutex_);
