gateway: Do not take a reset during an upload for the end of an answer

Callers saw: a part of an answer that looked complete. The endpoint had answered a long upload at once, with a 200 without a length, and reset the connection while the upload was still being written.

Cause: the system reports a reset once. The write of the request, which was pending, took the error, and its handler dropped it; the read after it ended without an error, as if the endpoint had ended the connection in order, which ends a body without a length.

Change: the connection keeps that a write has failed; the end of reading is then no orderly one. A broken pipe does not count: the system reports it only when the endpoint had ended its side before, so that early answers of sound endpoints stay complete. A connection whose write failed is not used again either.

Evidence: packages/gateway/tests/early_response_test.cpp.

--- a/packages/gateway/http/upstream_connection.hpp
+++ b/packages/gateway/http/upstream_connection.hpp
@@ -103,6 +103,8 @@
     bool reading_ = false;
     bool paused_ = false;
     bool writing_ = false;
+    /// Whether a write has found the connection broken.
+    bool lost_ = false;
     bool sent_ = false;
     bool skipping_ = false;
     bool keep_alive_ = false;
--- a/packages/gateway/internal/upstream_connection.cpp
+++ b/packages/gateway/internal/upstream_connection.cpp
@@ -140,14 +140,17 @@
 {
     writing_ = true;
     sent_ = true;
-    asio::async_write(socket_, asio::buffer(out_),
-                      [self = shared_from_this()](std::error_code, std::size_t)
-                      {
-                          // The pending read reports a failed write, after it
-                          // has delivered any response that the peer still
-                          // sent.
-                          self->writing_ = false;
-                      });
+    asio::async_write(
+        socket_, asio::buffer(out_),
+        [self = shared_from_this()](std::error_code ec, std::size_t)
+        {
+            // The pending read ends the exchange, after it has delivered any
+            // response that the peer still sent. The system reports the loss of
+            // a connection once, here or there. A broken pipe is none: the peer
+            // had ended its side in order before.
+            self->writing_ = false;
+            self->lost_ = ec && ec != asio::error::broken_pipe;
+        });
 }
 
 void upstream_connection::read()
@@ -165,7 +168,8 @@
             if (self->closed_)
                 return;
             if (ec)
-                return self->on_read_error(ec == asio::error::eof);
+                return self->on_read_error(ec == asio::error::eof &&
+                                           !self->lost_);
             self->on_bytes(n);
         });
 }
@@ -244,7 +248,7 @@
     auto* const observer = std::exchange(observer_, nullptr);
     // A peer that answered before it had read the whole request still expects
     // the rest.
-    if (must_close || writing_ || !keep_alive_)
+    if (must_close || writing_ || lost_ || !keep_alive_)
         close();
     else
         become_idle();
