gateway: Reject responses that are not valid HTTP

Callers saw: answers with a header field whose name holds a blank, such a field passed on, and bodies that were not the endpoint's (a length behind a blank is no length, so that the body went on to the end of the connection). A status of 000 was taken for an informational response: it was skipped, and a response that stood behind it became the answer.

Cause: http_parser, as Debian builds it, accepts blanks in names, one byte of any value behind a carriage return, control bytes at the begin of a value and in the reason, statuses of any number of digits, versions 0.x and 2.x, and any two bytes behind a chunk. It ignores codings that it does not know and lengths without digits, and joins folded values.

Change: kernel::response_head_checker checks the bytes of a head against RFC 9110 and 9112 before the parser gets its last one, so that nothing is reported of an invalid head: neither an answer nor a refusal, a limit or a notice. chunk_line_checker checks what stands between chunks, and a body needs a length, the coding "chunked" alone, or neither. Statuses outside 100 to 599 are invalid, and 101, which nothing asks for. Lines may still end with a line feed only, and empty lines before a response are skipped. All responses that the gateway and platform/ read go through this reader.

A field name with a control byte was refused before.

--- a/packages/gateway/http/response_reader.hpp
+++ b/packages/gateway/http/response_reader.hpp
@@ -1,9 +1,11 @@
 #ifndef ENDIVEWARD_GATEWAY_HTTP_RESPONSE_READER_HPP
 #define ENDIVEWARD_GATEWAY_HTTP_RESPONSE_READER_HPP
 
+#include "gateway/http/chunk_line_checker.hpp"
 #include "gateway/http/header_collector.hpp"
 #include "gateway/http/message_limits.hpp"
 #include "gateway/http/response_head.hpp"
+#include "kernel/response_head_checker.hpp"
 
 #include <http_parser.h>
 
@@ -15,7 +17,8 @@
 
 class i_response_sink;
 
-/// Reads one final response from a byte stream; 1xx responses are skipped.
+/// Reads one final response from a byte stream; 1xx responses are skipped. What
+/// http_parser accepts although it is no valid response is a failure.
 class response_reader
 {
 public:
@@ -44,10 +47,18 @@
     static int on_complete(http_parser* parser);
     static response_reader& self(http_parser* parser);
 
-    void execute(char const* at, std::size_t n, std::size_t& taken);
+    void execute(std::string_view bytes, std::size_t& taken);
+    bool has_known_length() const;
+    /// Checks what stands between chunks, up to this place.
+    bool check_lines(char const* end);
 
     http_parser parser_{};
     http_parser_settings settings_{};
+    kernel::response_head_checker head_checker_;
+    chunk_line_checker line_checker_;
+    /// First byte that has been passed to the parser and is neither data of the
+    /// body nor checked.
+    char const* unchecked_ = nullptr;
     response_head head_;
     header_collector fields_;
     i_response_sink* sink_ = nullptr;
--- a/packages/gateway/internal/response_reader.cpp
+++ b/packages/gateway/internal/response_reader.cpp
@@ -39,6 +39,8 @@
 {
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
+    head_checker_.reset();
+    line_checker_.reset();
     head_ = {};
     fields_.reset();
     head_request_ = head_request;
@@ -55,19 +57,31 @@
     while (!complete_ && !failed_ && taken < bytes.size())
     {
         std::size_t n = 0;
-        execute(bytes.data() + taken, bytes.size() - taken, n);
+        execute(bytes.substr(taken), n);
         taken += n;
     }
     sink_ = nullptr;
     return taken;
 }
 
-void response_reader::execute(char const* at, std::size_t n, std::size_t& taken)
+void response_reader::execute(std::string_view bytes, std::size_t& taken)
 {
     started_ = true;
-    taken = http_parser_execute(&parser_, &settings_, at, n);
-    if (complete_)
-        return;
+    if (!head_checker_.complete())
+    {
+        // The parser gets the rest of the head at most, so that nothing is
+        // reported before the whole head has been checked.
+        bytes = bytes.substr(0, head_checker_.check(bytes));
+        if (head_checker_.failed())
+        {
+            failed_ = true;
+            return;
+        }
+    }
+    auto const in_head = !fields_.finished();
+    unchecked_ = bytes.data();
+    taken =
+        http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
     if (informational_)
     {
         // The final response follows on the same connection.
@@ -75,8 +89,24 @@
         started_ = true;
         return;
     }
-    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0)
+    auto const lines_valid = in_head || check_lines(bytes.data() + taken);
+    auto const head_missing = head_checker_.complete() && !fields_.finished();
+    if (!lines_valid || head_missing ||
+        (!complete_ &&
+         (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0)))
         failed_ = true;
+    if (failed_)
+        complete_ = false;
+    if (complete_)
+        sink_->on_end();
+}
+
+bool response_reader::check_lines(char const* end)
+{
+    if ((parser_.flags & F_CHUNKED) == 0)
+        return true;
+    auto const n = static_cast<std::size_t>(end - unchecked_);
+    return line_checker_.check({std::exchange(unchecked_, end), n});
 }
 
 void response_reader::finish(i_response_sink& sink)
@@ -86,7 +116,9 @@
     sink_ = &sink;
     http_parser_execute(&parser_, &settings_, nullptr, 0);
     sink_ = nullptr;
-    if (!complete_)
+    if (complete_)
+        sink.on_end();
+    else
         failed_ = true;
 }
 
@@ -117,6 +149,8 @@
         reader.informational_ = true;
         return skip_body;
     }
+    if (!reader.has_known_length())
+        return -1;
     reader.head_.keep_alive = http_should_keep_alive(parser) != 0;
     reader.head_.ends_with_connection =
         !reader.head_request_ && may_have_body(reader.head_.status) &&
@@ -125,9 +159,29 @@
     return reader.head_request_ ? skip_body : 0;
 }
 
+/// Whether the end of the body is certain. The parser ignores codings that it
+/// does not know, and a length without digits.
+bool response_reader::has_known_length() const
+{
+    auto const& headers = head_.headers;
+    auto const chunked = (parser_.flags & F_CHUNKED) != 0;
+    auto const has_length = (parser_.flags & F_CONTENTLENGTH) != 0;
+    auto const* const coding = headers.find("Transfer-Encoding");
+    if (coding != nullptr)
+        return chunked && !has_length && equal_names(*coding, "chunked") &&
+               headers.count("Transfer-Encoding") == 1;
+    return has_length || headers.find("Content-Length") == nullptr;
+}
+
 int response_reader::on_body(http_parser* parser, char const* at, std::size_t n)
 {
-    self(parser).sink_->on_body({at, n});
+    auto& reader = self(parser);
+    if (!reader.check_lines(at))
+        return -1;
+    reader.unchecked_ = at + n;
+    if (parser->content_length == 0)
+        reader.line_checker_.on_chunk_end();
+    reader.sink_->on_body({at, n});
     return 0;
 }
 
@@ -138,7 +192,6 @@
     if (reader.informational_)
         return 0;
     reader.complete_ = true;
-    reader.sink_->on_end();
     return 0;
 }
 
