agent: Reject responses that are not valid HTTP

Callers of the product's own front saw the same as those of the gateway: answers of an endpoint whose head is not valid, and with two lengths or a coding other than "chunked" a body whose end is not certain.

Cause: libcurl passes on header lines of any bytes, accepts statuses from 600 to 999 and HTTP/2.0 in a status line, and takes one of two lengths. The transport took any Transfer-Encoding for a length.

Change: the transport checks each header line with kernel::response_head_checker, which the gateway uses, and ends the transfer at an invalid one. Only one length, or the coding "chunked" alone, makes a body complete. Trailer fields are ignored.

--- a/packages/agent/internal/http_transport.cpp
+++ b/packages/agent/internal/http_transport.cpp
@@ -1,5 +1,7 @@
 #include "agent/internal/http_transport.hpp"
 
+#include "kernel/response_head_checker.hpp"
+
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <curl/curl.h>
@@ -136,8 +138,10 @@
         bool started = false;
         bool paused = false;
         bool head_sent = false;
+        kernel::response_head_checker head_checker;
         /// Whether the blank line after the header fields has arrived.
         bool head_complete = false;
+        bool has_two_lengths = false;
     };
 
     /// Accessed on the context's thread only.
@@ -268,21 +272,35 @@
     {
         auto& it = *static_cast<transfer*>(user);
         std::string_view const line(data, size * n);
-        if (line.starts_with("HTTP/"))
-        {
-            it.head = {};
-            it.head_complete = false;
-        }
-        // libcurl takes a head that breaks off for the end of the response.
-        if (trim(line).empty())
+        // Trailer fields of a chunked body are ignored.
+        if (it.head_complete)
+            return size * n;
+        if (it.head_checker.complete())
+            begin_next_head(it);
+        // libcurl accepts heads that are not valid.
+        if (it.head_checker.check(line) < line.size())
+            return 0;
+        // It takes a head that breaks off for the end of the response.
+        if (it.head_checker.complete())
             it.head_complete = is_final(it);
         auto const colon = line.find(':');
-        if (colon != std::string_view::npos)
-            it.head.headers[to_lower(line.substr(0, colon))] =
-                std::string(trim(line.substr(colon + 1)));
+        if (colon == std::string_view::npos)
+            return size * n;
+        auto const name = to_lower(line.substr(0, colon));
+        it.has_two_lengths |=
+            name == "content-length" && it.head.headers.contains(name);
+        it.head.headers[name] = std::string(trim(line.substr(colon + 1)));
         return size * n;
     }
 
+    /// Another head follows an informational one.
+    static void begin_next_head(transfer& it)
+    {
+        it.head = {};
+        it.head_checker.reset();
+        it.has_two_lengths = false;
+    }
+
     static bool is_final(transfer const& it)
     {
         constexpr long first_final_status = 200;
@@ -348,7 +366,9 @@
         http_end end;
         end.started = it.started;
         end.complete = whole && has_delimited_body(it);
-        if (code != CURLE_OK)
+        if (it.head_checker.failed())
+            end.reason = "the head of the response is invalid";
+        else if (code != CURLE_OK)
             end.reason = curl_easy_strerror(code);
         else if (!it.head_complete)
             end.reason = "the head of the response is incomplete";
@@ -367,9 +387,13 @@
 
     static bool has_delimited_body(transfer const& it)
     {
-        return it.head.headers.contains("content-length") ||
-               it.head.headers.contains("transfer-encoding") ||
-               it.head.status == 204 || it.request.method == "HEAD";
+        auto const& headers = it.head.headers;
+        auto const coding = headers.find("transfer-encoding");
+        auto const has_length = headers.contains("content-length");
+        if (coding != headers.end())
+            return !has_length && to_lower(coding->second) == "chunked";
+        return (has_length && !it.has_two_lengths) || it.head.status == 204 ||
+               it.request.method == "HEAD";
     }
 
     void deliver_head(transfer& it)
--- a/packages/agent/tests/http_endpoint_client_test.cpp
+++ b/packages/agent/tests/http_endpoint_client_test.cpp
@@ -341,6 +341,84 @@
     }
 }
 
+// Guards against a caller that gets what is no answer of the endpoint, or a
+// part of one that looks complete.
+TEST_CASE("what is no valid response is a failure")
+{
+    std::string const end = "Content-Length: 2\r\n\r\nok";
+    std::string const responses[]{
+        "HTTP/1.1 000 X\r\n" + end,
+        "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + end,
+        "HTTP/1.1 099 X\r\n" + end,
+        "HTTP/1.1 101 X\r\n" + end,
+        "HTTP/1.1 600 X\r\n" + end,
+        "HTTP/1.1 999 X\r\n" + end,
+        "HTTP/1.1 20 X\r\n" + end,
+        "HTTP/2.0 200 OK\r\n" + end,
+        "HTTP/1.1 200 O\x01K\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX Field: b\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX-Field : b\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX\x01: b\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX: a\x01\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX\r\n" + end,
+        "HTTP/1.1 200 OK\r\n: b\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX: a\r\n b\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX: a\rContent-Length: 1\r\n" + end,
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + end,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + end,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nokxx0\r\n\r\n"};
+    for (auto const& bytes : responses)
+    {
+        CAPTURE(bytes);
+        fake_engine engine({{bytes}});
+        client_under_test test(engine.url());
+        endpoint_request request;
+        request.target = wire::target_kind::service;
+        request.method = "POST";
+        request.path = "/gate";
+        test.client.start(1, request, test.observer);
+        test.run_to_end();
+        CHECK(test.observer.end->failure);
+        CHECK(engine.requests().size() == 1);
+    }
+}
+
+// Guards against an upload whose reset ends an answer without a length.
+TEST_CASE("an early answer without a length is a failure")
+{
+    fake_engine engine({{"HTTP/1.1 200 OK\r\n\r\npart"}});
+    client_under_test test(engine.url());
+    endpoint_request request;
+    request.target = wire::target_kind::service;
+    request.method = "POST";
+    request.path = "/gate";
+    request.body = std::string(24U << 20U, 'x');
+    test.client.start(1, request, test.observer);
+    test.run_to_end();
+    CHECK(test.observer.end->failure);
+}
+
+// Guards against memory that is filled by a head without end.
+TEST_CASE("a head that is too long is a failure")
+{
+    std::string bytes = "HTTP/1.1 200 OK\r\n";
+    for (int n = 0; n < 2000; ++n)
+        bytes +=
+            "X-" + std::to_string(n) + ": " + std::string(10000, 'x') + "\r\n";
+    fake_engine engine({{bytes + "Content-Length: 2\r\n\r\nok"}});
+    client_under_test test(engine.url());
+    endpoint_request request;
+    request.target = wire::target_kind::service;
+    request.method = "POST";
+    request.path = "/gate";
+    test.client.start(1, request, test.observer);
+    test.run_to_end();
+    CHECK(test.observer.end->failure);
+}
+
 // Guards against an agent that hides or retries error responses of an engine.
 TEST_CASE("an error response of the endpoint is a complete response")
 {
