storage: Reject responses that are not valid HTTP

Evidence: "what is no valid response is no object" fails on the code before (an object whose response began with HTTP/2.0; the test ends there) and passes now, with 16 responses.

--- a/packages/storage/internal/http_client.cpp
+++ b/packages/storage/internal/http_client.cpp
@@ -1,6 +1,7 @@
 #include "storage/http_client.hpp"
 
 #include "kernel/parse_number.hpp"
+#include "kernel/response_head_checker.hpp"
 
 #include <curl/curl.h>
 #include <fmt/format.h>
@@ -30,6 +31,7 @@
     http_response response;
     CURL* easy = nullptr;
     curl_slist* headers = nullptr;
+    kernel::response_head_checker head_checker;
     /// Whether the blank line after the header fields has arrived.
     bool head_complete = false;
 
@@ -58,22 +60,29 @@
     return bytes;
 }
 
-/// libcurl takes a head that breaks off for the end of the response.
+/// libcurl accepts heads that are not valid, and takes one that breaks off for
+/// the end of the response.
 std::size_t take_header(char* data, std::size_t size, std::size_t count,
                         void* user)
 {
     constexpr long first_final_status = 200;
     auto& it = *static_cast<transfer*>(user);
     std::string_view const line(data, size * count);
-    if (line.starts_with("HTTP/"))
-        it.head_complete = false;
-    if (line == "\r\n" || line == "\n")
+    // Trailer fields of a chunked body are ignored.
+    if (it.head_complete)
+        return line.size();
+    // Another head follows an informational one.
+    if (it.head_checker.complete())
+        it.head_checker.reset();
+    if (it.head_checker.check(line) < line.size())
+        return 0;
+    if (it.head_checker.complete())
     {
         long status = 0;
         curl_easy_getinfo(it.easy, CURLINFO_RESPONSE_CODE, &status);
         it.head_complete = status >= first_final_status;
     }
-    return size * count;
+    return line.size();
 }
 
 void prepare(transfer& it)
@@ -125,18 +134,26 @@
 bool has_delimited_body(transfer const& it, long status)
 {
     constexpr long status_no_content = 204;
-    curl_header* field = nullptr;
-    auto const has = [&](char const* name)
+    auto const find = [&](char const* name)
     {
-        return curl_easy_header(it.easy, name, 0, CURLH_HEADER, -1, &field) ==
-               CURLHE_OK;
+        curl_header* field = nullptr;
+        auto const found = curl_easy_header(it.easy, name, 0, CURLH_HEADER, -1,
+                                            &field) == CURLHE_OK;
+        return found ? field : nullptr;
     };
-    return status == status_no_content || has("Content-Length") ||
-           has("Transfer-Encoding");
+    auto const* const length = find("Content-Length");
+    auto const* const coding = find("Transfer-Encoding");
+    if (coding != nullptr)
+        return length == nullptr && coding->amount == 1 &&
+               curl_strequal(coding->value, "chunked") != 0;
+    return status == status_no_content ||
+           (length != nullptr && length->amount == 1);
 }
 
 kernel::result<http_response> outcome_of(transfer& it, CURLcode code)
 {
+    if (it.head_checker.failed())
+        return transfer_error(it, "the head of the response is invalid");
     if (code != CURLE_OK)
         return transfer_error(it, curl_easy_strerror(code));
     if (!it.head_complete)
--- a/packages/storage/tests/http_clients_test.cpp
+++ b/packages/storage/tests/http_clients_test.cpp
@@ -242,6 +242,39 @@
     CHECK(kernel::failure(res).run == kernel::run_state::unknown);
 }
 
+// Guards against bytes that are no response and are taken for an object.
+TEST_CASE("what is no valid response is no object", "[http_client]")
+{
+    clients it;
+    std::string const end = "Content-Length: 2\r\n\r\nok";
+    std::string const responses[]{
+        "HTTP/1.1 000 X\r\n" + end,
+        "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + end,
+        "HTTP/1.1 101 X\r\n" + end,
+        "HTTP/1.1 999 X\r\n" + end,
+        "HTTP/2.0 200 OK\r\n" + end,
+        "HTTP/1.1 200 O\x01K\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX Field: b\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX-Field : b\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX\x01: b\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX: a\x01\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX: a\r\n b\r\n" + end,
+        "HTTP/1.1 200 OK\r\nX: a\rContent-Length: 1\r\n" + end,
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + end,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok"};
+    for (auto const& bytes : responses)
+    {
+        CAPTURE(bytes);
+        it.server.push({bytes, true, false});
+        auto const res = await<std::optional<std::string>>(
+            [&](auto on_done) { it.objects.get("k", long_timeout, on_done); });
+        REQUIRE_FALSE(kernel::ok(res));
+        CHECK(kernel::failure(res).run == kernel::run_state::unknown);
+    }
+}
+
 TEST_CASE("rows are read and scanned", "[http_table]")
 {
     // Guards against keys that are not encoded and rows that are not found.
