gateway: Limit the memory of unfinished responses together

A faulty endpoint that begins an event to each of its callers and never ends one could take up the memory of a whole router, and with it the requests of all other callers.

Cause: heads, bodies and events are limited for each request (64 KiB, 256 KiB, 1 MiB), but not together: 150 requests took 150 MB, and entry VMs have from 110 MB.

Change: response_memory counts what all requests buffer. Above 16 MiB an unfinished event of more than 64 KiB is given up, and a body of more than 64 KiB is forwarded while it arrives. Events and bodies of usual size are not concerned.

Heads, bodies and single events without end were limited before: tests in endless_response_test.cpp and call_client_test.cpp.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -8,6 +8,7 @@
 #include "gateway/http/i_upstream_observer.hpp"
 #include "gateway/http/response_head.hpp"
 #include "gateway/i_exchange.hpp"
+#include "gateway/response_memory.hpp"
 #include "gateway/types/endpoint_requirements.hpp"
 #include "gateway/types/placement_choice.hpp"
 #include "gateway/types/quota_ticket.hpp"
@@ -195,6 +196,8 @@
     std::string body_;
     std::size_t discarded_bytes_ = 0;
     event_splitter events_;
+    /// Of `body_` and `events_`.
+    response_memory::share buffered_;
     std::optional<std::uint64_t> last_event_;
     bool head_forwarded_ = false;
 
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "gateway/exchange_services.hpp"
 #include "gateway/i_request_handler.hpp"
 #include "gateway/overload_policy.hpp"
+#include "gateway/response_memory.hpp"
 #include "gateway/types/endpoint_entry.hpp"
 #include "gateway/types/gateway_settings.hpp"
 #include "gateway/types/header_field_names.hpp"
@@ -143,6 +144,7 @@
     std::unique_ptr<endpoint_chooser> chooser_;
     overload_policy overload_;
     unavailability_policy unavailability_;
+    response_memory memory_;
     std::unique_ptr<weights_view> weights_;
     std::unique_ptr<retry_budgets> budgets_;
     std::unique_ptr<part_watch> parts_;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -109,6 +109,7 @@
     , request_(std::move(request))
     , writer_(&writer)
     , timer_(services.context)
+    , buffered_(services.memory)
 {
 }
 
@@ -515,6 +516,7 @@
     discarded_bytes_ = 0;
     body_.clear();
     events_.clear();
+    buffered_.set(0);
     progress_ = progress::sent;
     sent_at_ = now;
     last_event_at_ = now;
@@ -613,7 +615,8 @@
     case progress::streaming:
         events_.feed(bytes);
         forward_events();
-        if (events_.pending() > max_event_bytes)
+        if (!buffered_.set(events_.pending()) ||
+            events_.pending() > max_event_bytes)
             return reject_response("event_too_long");
         break;
     case progress::collecting:
@@ -623,7 +626,7 @@
             return discard(bytes.size());
         note_output();
         body_ += bytes;
-        if (body_.size() > max_collected_bytes)
+        if (!buffered_.set(body_.size()) || body_.size() > max_collected_bytes)
             begin_relay();
         break;
     case progress::relaying:
@@ -730,6 +733,7 @@
                    length);
     writer_->write(body_);
     body_.clear();
+    buffered_.set(0);
 }
 
 void exchange::on_end()
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -92,7 +92,7 @@
     services_ = std::make_unique<exchange_services>(exchange_services{
         context_, clock_, names_, *endpoints_, *chooser_, overload_,
         unavailability_, *weights_, *budgets_, *parts_, *limits_, *origins_,
-        *quotas_, *speeds_, *room_, *metrics_, log_, stop_});
+        *quotas_, *speeds_, *room_, memory_, *metrics_, log_, stop_});
     if (!settings_.may_be_restarted)
         budgets_->begin_full();
     update_limits();
