storage: Read the other VMs of a list with an unreadable entry

Routers of the product's own front would see: no agent and no other router, for as long as one entry of the platform's VM list cannot be read. A port above 65535 was converted to another one.

Cause: the first entry with a missing field, or one of another type, ended the reading of the whole list; the JSON library converts numbers silently.

Change: such an entry is left out, and the number of them is logged when it changes. A port is a whole number from 1 to 65535.

--- a/packages/storage/http_vm_list.hpp
+++ b/packages/storage/http_vm_list.hpp
@@ -3,6 +3,8 @@
 
 #include "storage/i_vm_list.hpp"
 
+#include <atomic>
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -11,7 +13,8 @@
 
 class http_client;
 
-/// The platform's list of VMs over HTTP.
+/// The platform's list of VMs over HTTP. Entries that cannot be read are left
+/// out and logged.
 class http_vm_list : public i_vm_list
 {
 public:
@@ -22,6 +25,8 @@
 private:
     std::shared_ptr<http_client> client_;
     std::string base_url_;
+    /// Unreadable entries of the last list; shared with calls in progress.
+    std::shared_ptr<std::atomic<std::size_t>> ignored_;
 };
 
 } // namespace endiveward::storage
--- a/packages/storage/internal/http_vm_list.cpp
+++ b/packages/storage/internal/http_vm_list.cpp
@@ -3,8 +3,15 @@
 #include "storage/http_client.hpp"
 #include "storage/internal/store_answer.hpp"
 
+#include <fmt/format.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
+#include <cstddef>
+#include <limits>
+#include <stdexcept>
 #include <utility>
 
 namespace endiveward::storage
@@ -15,6 +22,15 @@
 
 using nlohmann::json;
 
+/// The library converts other numbers silently to some port.
+std::uint16_t parse_port(json const& value)
+{
+    constexpr auto max_port = std::numeric_limits<std::uint16_t>::max();
+    if (!value.is_number_unsigned() || value == 0 || value > max_port)
+        throw std::invalid_argument("port is not a number from 1 to 65535");
+    return value.get<std::uint16_t>();
+}
+
 vm parse_vm(json const& value)
 {
     vm res;
@@ -23,7 +39,7 @@
     res.role = parse_vm_role(value.at("role").get<std::string>())
                    .value_or(vm_role::other);
     res.address = value.at("address").get<std::string>();
-    res.port = value.at("port").get<std::uint16_t>();
+    res.port = parse_port(value.at("port"));
     res.region = kernel::region_id(value.at("region").get<std::string>());
     res.zone = kernel::zone_id(value.at("zone").get<std::string>());
     if (auto const it = value.find("endpoint");
@@ -33,12 +49,41 @@
     return res;
 }
 
+/// An entry that cannot be read names no VM; the others hold. `ignored` is the
+/// number of such entries in the list before, which have been logged.
+std::vector<vm> parse_vms(json const& list, std::atomic<std::size_t>& ignored)
+{
+    std::vector<vm> res;
+    std::size_t n = 0;
+    std::string reason;
+    for (auto const& it : list)
+    {
+        try
+        {
+            res.push_back(parse_vm(it));
+        }
+        catch (std::exception const& ex)
+        {
+            ++n;
+            reason = ex.what();
+        }
+    }
+    if (ignored.exchange(n) != n && n > 0)
+        LOG4CPLUS_WARN(log4cplus::Logger::getInstance(
+                           LOG4CPLUS_TEXT("endiveward.vm_list")),
+                       fmt::format("{} of {} entries of the VM list cannot be "
+                                   "read and are ignored; the last one: {}",
+                                   n, list.size(), reason));
+    return res;
+}
+
 } // namespace
 
 http_vm_list::http_vm_list(std::shared_ptr<http_client> client,
                            std::string base_url)
     : client_(std::move(client))
     , base_url_(std::move(base_url))
+    , ignored_(std::make_shared<std::atomic<std::size_t>>(0))
 {
 }
 
@@ -50,13 +95,10 @@
     client_->send(std::move(request),
                   store_handler<std::vector<vm>>(
                       {200},
-                      [](http_response& it)
+                      [ignored = ignored_](http_response& it)
                       {
                           auto const body = json::parse(it.body);
-                          std::vector<vm> res;
-                          for (auto const& value : body.at("vms"))
-                              res.push_back(parse_vm(value));
-                          return res;
+                          return parse_vms(body.at("vms"), *ignored);
                       },
                       std::move(on_done)));
 }
--- a/packages/storage/tests/http_clients_test.cpp
+++ b/packages/storage/tests/http_clients_test.cpp
@@ -351,6 +351,53 @@
 // Guards against the end of the process with "Resource deadlock avoided": a
 // handler held the last reference to the client, whose thread then waited for
 // itself. `endiveward config show` ended that way now and then.
+// Guards against a list that fails as a whole, or an address that was never
+// listed, because of one entry that cannot be read.
+TEST_CASE("an entry that cannot be read does not hide other VMs",
+          "[http_vm_list]")
+{
+    std::string const sound =
+        R"({"id":"v1","role":"agent","address":"127.0.0.1","port":7000,
+            "region":"r","zone":"z","endpoint":"e"})";
+    auto const with_port = [](std::string const& port)
+    {
+        return R"({"id":"v2","role":"agent","address":"127.0.0.1","port":)" +
+               port + R"(,"region":"r","zone":"z","endpoint":"e2"})";
+    };
+    std::string const odd[]{with_port("70000"),
+                            with_port("0"),
+                            with_port("-1"),
+                            with_port("1.5"),
+                            with_port("\"1\""),
+                            with_port("null"),
+                            "null",
+                            "7",
+                            "[]",
+                            "{}",
+                            R"({"id":"v2"})",
+                            R"({"id":7,"role":"agent","address":"127.0.0.1",
+                                "port":7,"region":"r","zone":"z"})",
+                            R"({"id":"v2","role":[],"address":"127.0.0.1",
+                                "port":7,"region":"r","zone":"z"})",
+                            R"({"id":"v2","role":"agent","address":"127.0.0.1",
+                                "port":7,"region":"r","zone":"z",
+                                "leaving":"x"})"};
+    clients it;
+    for (auto const& entry : odd)
+    {
+        CAPTURE(entry);
+        it.server.push_response(200, R"({"vms":[)" + entry + "," + sound + "," +
+                                         entry + "]}");
+        auto const res = await<std::vector<storage::vm>>(
+            [&](auto on_done) { it.vms.list(long_timeout, on_done); });
+        CHECK(kernel::ok(res));
+        if (!kernel::ok(res))
+            continue;
+        CHECK(kernel::value(res).size() == 1);
+        CHECK(kernel::value(res).front().id.str() == "v1");
+    }
+}
+
 TEST_CASE("a client may be destroyed by its last handler", "[http_client]")
 {
     auto client = std::make_shared<storage::http_client>();
