--- a/packages/agent/tests/http_endpoint_client_test.cpp
+++ b/packages/agent/tests/http_endpoint_client_test.cpp
@@ -346,6 +346,7 @@
 TEST_CASE("what is no valid response is a failure")
 {
     std::string const end = "Content-Length: 2\r\n\r\nok";
+    std::string const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked";
     std::string const responses[]{
         "HTTP/1.1 000 X\r\n" + end,
         "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + end,
@@ -367,9 +368,8 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + end,
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nok",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + end,
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-        "2\r\nokxx0\r\n\r\n"};
+        chunked + "\r\n" + end,
+        chunked + "\r\n\r\n2\r\nokxx0\r\n\r\n"};
     for (auto const& bytes : responses)
     {
         CAPTURE(bytes);
--- a/packages/storage/tests/http_clients_test.cpp
+++ b/packages/storage/tests/http_clients_test.cpp
@@ -5,6 +5,7 @@
 #include "storage/tests/support/scripted_server.hpp"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <future>
@@ -386,8 +387,9 @@
     for (auto const& entry : odd)
     {
         CAPTURE(entry);
-        it.server.push_response(200, R"({"vms":[)" + entry + "," + sound + "," +
-                                         entry + "]}");
+        auto const list =
+            fmt::format(R"({{"vms":[{},{},{}]}})", entry, sound, entry);
+        it.server.push_response(200, list);
         auto const res = await<std::vector<storage::vm>>(
             [&](auto on_done) { it.vms.list(long_timeout, on_done); });
         CHECK(kernel::ok(res));
