gateway: Count what slow callers have not read with unfinished responses

Callers that do not read could fill a router's memory with the events of a faulty endpoint, each of which is whole: 64 KiB and one event (1 MiB) for each caller were not counted together.

Change: response_memory counts what a caller has not read, too. What waits for a slow caller of a sound endpoint, up to 96 KiB, is never given up.

Evidence: "events that wait for slow callers take a limited amount of memory" (150 callers, events of 1,000 KiB) fails on the code before: 123 of the expected 130 streams were given up within 30 s, those of an event that had not ended. Now it passes within a second. "streams of the usual events are never given up for slow callers" (300 callers) passes.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -100,6 +100,7 @@
     held_request describe_held() const;
     void send(placement_choice choice);
     sent_request describe_sent() const;
+    bool count_buffered();
     void note_output();
     void discard(std::size_t n);
     void reject_response(std::string_view reason);
@@ -196,7 +197,7 @@
     std::string body_;
     std::size_t discarded_bytes_ = 0;
     event_splitter events_;
-    /// Of `body_` and `events_`.
+    /// Of `body_`, `events_` and what the caller has not read yet.
     response_memory::share buffered_;
     std::optional<std::uint64_t> last_event_;
     bool head_forwarded_ = false;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -515,7 +515,7 @@
     discarded_bytes_ = 0;
     body_.clear();
     events_.clear();
-    buffered_.set(0);
+    count_buffered();
     progress_ = progress::sent;
     sent_at_ = now;
     last_event_at_ = now;
@@ -614,9 +614,10 @@
     case progress::streaming:
         events_.feed(bytes);
         forward_events();
-        if (!buffered_.set(events_.pending()) ||
-            events_.pending() > max_event_bytes)
+        if (events_.pending() > max_event_bytes)
             return reject_response("event_too_long");
+        if (writer_ != nullptr && !count_buffered())
+            return reject_response("buffers_full");
         break;
     case progress::collecting:
         // Of an error in the place of the rest of a stream only the status
@@ -625,11 +626,12 @@
             return discard(bytes.size());
         note_output();
         body_ += bytes;
-        if (!buffered_.set(body_.size()) || body_.size() > max_collected_bytes)
+        if (!count_buffered() || body_.size() > max_collected_bytes)
             begin_relay();
         break;
     case progress::relaying:
         writer_->write(bytes);
+        count_buffered();
         break;
     default:
         return;
@@ -639,6 +641,12 @@
         upstream_->pause();
 }
 
+/// Returns false if this request buffers too much beside the others.
+bool exchange::count_buffered()
+{
+    return buffered_.set(body_.size() + events_.pending() + writer_->queued());
+}
+
 void exchange::note_output()
 {
     if (!std::exchange(has_output_, true) &&
@@ -737,7 +745,7 @@
                    length);
     writer_->write(body_);
     body_.clear();
-    buffered_.set(0);
+    count_buffered();
 }
 
 void exchange::on_end()
@@ -1059,8 +1067,10 @@
 
 void exchange::on_caller_ready()
 {
-    if (upstream_ != nullptr && writer_ != nullptr &&
-        writer_->queued() <= max_queued_bytes)
+    if (writer_ == nullptr)
+        return;
+    count_buffered();
+    if (upstream_ != nullptr && writer_->queued() <= max_queued_bytes)
         upstream_->resume();
 }
 
--- a/packages/gateway/internal/response_memory.cpp
+++ b/packages/gateway/internal/response_memory.cpp
@@ -8,8 +8,9 @@
 
 /// Entry VMs may have little more than 100 MB for everything.
 constexpr std::size_t max_total_bytes = 16U << 20U;
-/// Above the events and responses of sound endpoints, which are never refused.
-constexpr std::size_t free_bytes = 64U << 10U;
+/// Above the events of sound endpoints and what waits for a slow caller until
+/// reading from its endpoint is suspended; so much is never refused.
+constexpr std::size_t free_bytes = 96U << 10U;
 
 } // namespace
 
--- a/packages/gateway/response_memory.hpp
+++ b/packages/gateway/response_memory.hpp
@@ -6,8 +6,9 @@
 namespace endiveward::gateway
 {
 
-/// Counts the bytes of unfinished responses that are buffered, so that the
-/// responses of faulty endpoints do not fill the memory together. Each request
+/// Counts the bytes of unfinished responses that are buffered, also for callers
+/// that do not read, so that the responses of faulty endpoints do not fill the
+/// memory together. Each request
 /// may buffer a little in any case. Must be used from one thread.
 class response_memory
 {
--- a/packages/gateway/tests/support/scripted_endpoint.hpp
+++ b/packages/gateway/tests/support/scripted_endpoint.hpp
@@ -35,8 +35,12 @@
         // Errors are ignored: the gateway may have closed the connection, which
         // the test checks by other means.
         asio::write(socket_, asio::buffer(text), ec);
+        broken_ = broken_ || ec;
     }
 
+    /// Whether the gateway has closed the connection while something was sent.
+    bool is_broken() const { return broken_; }
+
     /// Sends the text again and again until the gateway closes the connection
     /// or `limit` bytes were sent. Returns their number.
     std::size_t send_until_closed(std::string const& text, std::size_t limit)
@@ -92,6 +96,7 @@
 
 private:
     asio::ip::tcp::socket& socket_;
+    bool broken_ = false;
 };
 
 /// An endpoint that runs a script for each request. The script returns false to
--- a/packages/gateway/tests/unfinished_responses_test.cpp
+++ b/packages/gateway/tests/unfinished_responses_test.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <list>
 #include <string>
+#include <thread>
 
 namespace endiveward::gateway
 {
@@ -17,7 +18,7 @@
 constexpr std::size_t requests = 150;
 /// Of an event that does not end, below the limit of one event.
 constexpr std::size_t long_bytes = 1000U << 10U;
-constexpr std::size_t short_bytes = 48U << 10U;
+constexpr std::size_t short_bytes = 80U << 10U;
 /// Of all events that have not ended.
 constexpr std::size_t max_bytes = 20U << 20U;
 
@@ -43,11 +44,12 @@
 
 struct many_requests
 {
-    explicit many_requests(std::uint16_t endpoint)
+    explicit many_requests(std::uint16_t endpoint,
+                           std::size_t number = requests)
     {
         gate.apply(1, std::chrono::seconds(60));
         gate.set_endpoints({endpoint});
-        for (std::size_t n = 0; n < requests; ++n)
+        for (std::size_t n = 0; n < number; ++n)
         {
             callers.emplace_back(gate.port());
             callers.back().send("GET /stream/ HTTP/1.1\r\nHost: h\r\nX-Id: id" +
@@ -101,6 +103,67 @@
     sound.stopped = true;
 }
 
+// Guards against memory that is filled by endless events, each of which is
+// whole, for callers that do not read.
+TEST_CASE("events that wait for slow callers take a limited amount of memory")
+{
+    std::atomic<std::size_t> closed{0};
+    scripted_endpoint faulty(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            conn.begin_stream(request);
+            auto const event = "data: " + std::string(long_bytes, 'x') + "\n\n";
+            // More than the buffers of the sockets on the way hold.
+            for (int n = 0; n < 64; ++n)
+            {
+                conn.chunk(event);
+                if (conn.is_broken())
+                    break;
+            }
+            ++closed;
+            return false;
+        });
+    many_requests it(faulty.port());
+    constexpr auto expected = requests - max_bytes / long_bytes;
+    auto const end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (closed < expected && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    CHECK(closed >= expected);
+    it.callers.clear();
+}
+
+// Guards against a limit that slow callers of sound endpoints reach together.
+TEST_CASE("streams of the usual events are never given up for slow callers")
+{
+    constexpr std::size_t number = 300;
+    std::atomic<std::size_t> begun{0};
+    std::atomic<std::size_t> broken{0};
+    std::atomic<bool> stopped{false};
+    scripted_endpoint sound(
+        [&](http_request const& request, scripted_connection& conn)
+        {
+            conn.begin_stream(request);
+            ++begun;
+            auto const event = "data: " + std::string(4096, 'x') + "\n\n";
+            for (int n = 0; n < 5000 && !conn.is_broken() && !stopped; ++n)
+                conn.chunk(event);
+            if (!stopped)
+                ++broken;
+            return false;
+        });
+    many_requests it(sound.port(), number);
+    auto const end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (begun < number && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    REQUIRE(begun == number);
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    CHECK(broken == 0);
+    stopped = true;
+    it.callers.clear();
+}
+
 // Guards against a limit that stays reached after the faulty answers have
 // ended.
 TEST_CASE("memory of events that were given up can be used again")
