--- a/packages/gateway/tests/support/scripted_endpoint.hpp
+++ b/packages/gateway/tests/support/scripted_endpoint.hpp
@@ -157,7 +157,7 @@
 
     void serve(asio::ip::tcp::socket socket)
     {
-        request_reader reader({1U << 16U, 1U << 20U});
+        request_reader reader({1U << 16U, 8U << 20U});
         scripted_connection conn(socket);
         // A reset would discard events that wait for an acknowledgement.
         std::error_code ec;
