wire: Limit handshakes of peers that are not authenticated

Anyone who reaches the internal port of an agent or a router could hold connections without a number until their handshakes timed out, each with 64 KiB for a frame of which twelve bytes had arrived: memory and descriptors for other processes ran out.

Change: more than 512 handshakes (connection_options::max_handshakes) make the oldest one give way; a hello has at most 16 KiB; the memory for a frame grows with what has arrived of it. A process that has the key is accepted while a crowd holds all places, since its handshake is the newest.

--- a/packages/wire/connection_options.hpp
+++ b/packages/wire/connection_options.hpp
@@ -29,6 +29,9 @@
     std::shared_ptr<i_connection_observer> observer;
     /// Limit for TCP connect and handshake together.
     std::chrono::milliseconds handshake_timeout{5000};
+    /// Accepted connections whose peers are not authenticated yet. A peer takes
+    /// up to 16 KiB; after a restart all processes connect at the same time.
+    std::size_t max_handshakes = 512;
     /// Frames above this size close the connection.
     std::size_t max_frame_bytes = 16U << 20U;
     /// A receiver that lets this much pile up is disconnected.
--- a/packages/wire/internal/acceptor.cpp
+++ b/packages/wire/internal/acceptor.cpp
@@ -8,6 +8,9 @@
 #include <asio/steady_timer.hpp>
 #include <fmt/format.h>
 
+#include <deque>
+#include <memory>
+
 namespace endiveward::wire
 {
 
@@ -76,13 +79,32 @@
                     return;
                 if (ec)
                     return self->accept_later();
-                std::make_shared<connection>(
-                    std::move(socket), connection::side::server, self->options_)
-                    ->start({});
+                self->start(std::move(socket));
                 self->accept();
             });
     }
 
+    /// The oldest handshake gives way if there are too many.
+    void start(asio::ip::tcp::socket socket)
+    {
+        std::erase_if(handshakes_,
+                      [](auto const& it)
+                      {
+                          auto const conn = it.lock();
+                          return conn == nullptr || conn->is_open();
+                      });
+        if (handshakes_.size() >= options_->max_handshakes)
+        {
+            if (auto const oldest = handshakes_.front().lock())
+                oldest->abandon_handshake();
+            handshakes_.pop_front();
+        }
+        auto const conn = std::make_shared<connection>(
+            std::move(socket), connection::side::server, options_);
+        handshakes_.push_back(conn);
+        conn->start({});
+    }
+
     void accept_later()
     {
         timer_.expires_after(accept_retry);
@@ -107,6 +129,7 @@
 
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer timer_;
+    std::deque<std::weak_ptr<connection>> handshakes_;
 };
 
 acceptor::acceptor(kernel::thread_pool& pool,
--- a/packages/wire/internal/connection.cpp
+++ b/packages/wire/internal/connection.cpp
@@ -27,7 +27,7 @@
 /// Data that a peer has not acknowledged for this long ends the connection.
 constexpr std::chrono::milliseconds peer_timeout{5000};
 // A peer that is not authenticated yet gets little memory.
-constexpr std::size_t max_hello_bytes = 64U << 10U;
+constexpr std::size_t max_hello_bytes = 16U << 10U;
 constexpr std::size_t max_batch_frames = 64;
 /// A process has a connection to each engine, so that the buffers are small;
 /// most frames have a few hundred bytes.
@@ -258,7 +258,9 @@
         std::memmove(inbox_.data(), inbox_.data() + inbox_begin_, n);
     inbox_begin_ = 0;
     inbox_end_ = n;
-    auto const wanted = std::max(min_inbox_bytes, incoming_frame_bytes_);
+    // A peer gets the memory for a long frame as the frame arrives.
+    auto const wanted =
+        std::max(min_inbox_bytes, std::min(incoming_frame_bytes_, 2 * n));
     // The memory of a long frame is released after it.
     if (n == 0 && inbox_.size() > wanted)
         inbox_ = std::vector<std::uint8_t>(wanted);
@@ -407,6 +409,20 @@
                });
 }
 
+void connection::abandon_handshake()
+{
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()]
+               {
+                   if (self->was_open_)
+                       return;
+                   self->fail({kernel::error_kind::connection_lost,
+                               "gave way to a newer handshake",
+                               kernel::run_state::not_run,
+                               {}});
+               });
+}
+
 void connection::reject(std::string reason)
 {
     ++options_->counters->frames_rejected;
--- a/packages/wire/internal/connection.hpp
+++ b/packages/wire/internal/connection.hpp
@@ -46,6 +46,8 @@
     bool is_open() const override { return open_.load(); }
     void send(message const& msg, write_handler handler) override;
     void close() override;
+    /// Closes the connection unless the peer is authenticated.
+    void abandon_handshake();
 
 private:
     static constexpr std::size_t prefix_size = 12;
--- a/packages/wire/tests/connection_test.cpp
+++ b/packages/wire/tests/connection_test.cpp
@@ -14,10 +14,12 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <future>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 namespace endiveward::wire
 {
@@ -312,4 +314,50 @@
     CHECK(outcome.get_future().get() == write_outcome::not_started);
 }
 
+// Guards against peers without a key that hold a connection each, with the
+// memory for a frame that they only announce.
+TEST_CASE("handshakes that do not end give way to newer ones")
+{
+    process_under_test server('k');
+    // Longer than the test, so that none ends by its time.
+    server.options->handshake_timeout = std::chrono::minutes(5);
+    constexpr std::size_t most = 20;
+    server.options->max_handshakes = most;
+    acceptor listener(server.pool, server.options);
+    auto const port = kernel::value(listener.listen("127.0.0.1", 0));
+    constexpr std::size_t number = 60;
+    // Of a frame of 8000 bytes.
+    std::vector<std::uint8_t> const begin{0x40, 0x1f, 0, 0, 0, 0, 0,
+                                          0,    0,    0, 0, 0, 1};
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (std::size_t n = 0; n < number; ++n)
+    {
+        auto& it = sockets.emplace_back(context);
+        it.connect({asio::ip::make_address("127.0.0.1"), port});
+        asio::write(it, asio::buffer(begin));
+    }
+    process_under_test client('k');
+    CHECK(kernel::ok(connect(client, port)));
+    auto const closed = [](asio::ip::tcp::socket& it)
+    {
+        std::error_code ec;
+        it.non_blocking(true);
+        std::uint8_t byte = 0;
+        it.read_some(asio::buffer(&byte, 1), ec);
+        return ec && ec != asio::error::would_block;
+    };
+    auto const end = std::chrono::steady_clock::now() + patience;
+    std::size_t open = number;
+    while (open > most && std::chrono::steady_clock::now() < end)
+    {
+        open = static_cast<std::size_t>(
+            std::count_if(sockets.begin(), sockets.end(),
+                          [&](auto& it) { return !closed(it); }));
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    CHECK(open <= most);
+    listener.stop();
+}
+
 } // namespace endiveward::wire
