gateway: Limit what is kept of the parts of prompts

A head of 16 KiB can describe a prompt by 4,000 parts. A router kept each of them for each endpoint that was sent such a request, and never dropped any: prefix_cache_estimate::expire was called by its test only, so that also ordinary requests, of which each has a part of its own, took memory for as long as the process ran.

The first 64 parts of a prompt are looked at; the field itself is forwarded unchanged.

Evidence: "expected and reported parts of an endpoint are limited in number" (200,000 of them stayed before) and "only the first parts of a prompt are looked at" (4,000 before) fail on the code before and pass now.

--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -325,8 +325,13 @@
         {
             if (ec)
                 return;
-            endpoints_->for_each([](endpoint_record&, upstream_pool& pool)
-                                 { pool.close_expired(); });
+            endpoints_->for_each(
+                [now = clock_.now()](endpoint_record& record,
+                                     upstream_pool& pool)
+                {
+                    pool.close_expired();
+                    record.cache().expire(now);
+                });
             limits_->update_share();
             speeds_->update(processes_);
             tick();
--- a/packages/gateway/internal/prefix_cache_estimate.cpp
+++ b/packages/gateway/internal/prefix_cache_estimate.cpp
@@ -17,6 +17,17 @@
 /// Lifetime of an expected part without reports. The caches of typical
 /// deployments turn over in about ten seconds.
 constexpr std::chrono::seconds expectation_lifetime_without_reports{8};
+/// Further parts are not noted, so that callers cannot fill the memory with
+/// very many small parts, at very many endpoints.
+constexpr std::size_t max_expected_parts = 2048;
+constexpr std::size_t max_reported_parts = 4096;
+
+/// Whether there is a place for the key.
+template <typename Map>
+bool has_place(Map const& parts, std::uint64_t key, std::size_t most)
+{
+    return parts.size() < most || parts.contains(key);
+}
 
 } // namespace
 
@@ -74,7 +85,10 @@
                                    kernel::steady_time now)
 {
     for (auto const& it : levels)
-        expected_parts_[it.key] = {it.part_tokens, now};
+    {
+        if (has_place(expected_parts_, it.key, max_expected_parts))
+            expected_parts_[it.key] = {it.part_tokens, now};
+    }
 }
 
 void prefix_cache_estimate::report(std::uint64_t key, std::uint32_t tokens)
@@ -85,7 +99,8 @@
         expected_parts_.erase(key);
         return;
     }
-    reported_parts_[key] = tokens;
+    if (has_place(reported_parts_, key, max_reported_parts))
+        reported_parts_[key] = tokens;
 }
 
 void prefix_cache_estimate::clear()
--- a/packages/gateway/internal/request_fields.cpp
+++ b/packages/gateway/internal/request_fields.cpp
@@ -15,6 +15,9 @@
 namespace
 {
 
+/// Further parts are not looked at: a part takes several times its text, also
+/// for the time that it may be cached, and the first ones decide.
+constexpr std::size_t max_prompt_parts = 64;
 /// Larger numbers are taken for a mistake of the endpoint. In the documented
 /// deployments neighbors slow an engine down 2.5 times.
 constexpr std::uint32_t max_work_percent = 1000;
@@ -60,7 +63,7 @@
         kernel::parse_number<std::uint32_t>(take_until(counts, ','))
             .value_or(0);
     auto parts = headers.value_or(names.prompt_parts, "");
-    while (!parts.empty())
+    while (!parts.empty() && res.parts.size() < max_prompt_parts)
     {
         auto part = take_until(parts, ',');
         auto const id = take_until(part, ':');
--- a/packages/gateway/tests/prefix_cache_estimate_test.cpp
+++ b/packages/gateway/tests/prefix_cache_estimate_test.cpp
@@ -59,4 +59,27 @@
     CHECK(estimate.size() == 0);
 }
 
+// Guards against callers that describe prompts by very many small parts, of
+// which each is kept for each endpoint.
+TEST_CASE("expected and reported parts of an endpoint are limited in number")
+{
+    constexpr std::uint64_t number = 100'000;
+    prefix_cache_estimate estimate;
+    for (std::uint64_t n = 0; n < number; ++n)
+    {
+        estimate.expect({{n, 1, 1}}, start);
+        estimate.report(number + n, 1);
+    }
+    CHECK(estimate.size() <= 8192);
+    // Known parts change also if there is no place for new ones.
+    estimate.expect({{0, 7, 7}}, start);
+    estimate.report(number, 9);
+    CHECK(estimate.cached_tokens({{0, 7, 7}}, start) == 7);
+    CHECK(estimate.cached_tokens({{number, 9, 9}}, start) == 9);
+    estimate.expire(start + seconds(9));
+    estimate.expect({{number - 1, 3, 3}}, start + seconds(9));
+    CHECK(estimate.cached_tokens({{number - 1, 3, 3}}, start + seconds(9)) ==
+          3);
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/tests/request_fields_test.cpp
+++ b/packages/gateway/tests/request_fields_test.cpp
@@ -111,4 +111,20 @@
         CHECK(figure_of("3,1,64," + std::string(text)) == unreadable);
 }
 
+// Guards against work and memory for each part of a prompt that is described by
+// as many parts as a header has room for.
+TEST_CASE("only the first parts of a prompt are looked at")
+{
+    std::string parts;
+    for (int n = 0; n < 4000; ++n)
+        parts += std::to_string(n) + ":1,";
+    header_list headers;
+    headers.add("X-Model", "m");
+    headers.add("X-Parts", parts);
+    auto const prompt = parse_prompt(headers, test_names());
+    REQUIRE(prompt);
+    REQUIRE(prompt->parts.size() == 64);
+    CHECK(prompt->parts.back().id == "63");
+}
+
 } // namespace endiveward::gateway
