gateway: Store header fields by the bytes that they take

For each field, forwarding looked through all fields for a Connection field that names it.

Change: header_list keeps the text of all fields in one string with twelve bytes for each field; a field counts at least two bytes of separators, which no head of legal size exceeds; a collector releases what a long field took; names in Connection fields are sorted once (connection_fields). Values are passed as views, also to the readers of Retry-After, limit and leaving.

"separators of fields count" and "a request takes a small multiple of its size" are unit tests of the same.

--- a/cmake/endiveward.cmake
+++ b/cmake/endiveward.cmake
@@ -36,8 +36,8 @@
   cmake_parse_arguments(ARG "" "ENVIRONMENT" "DEPENDS" ${ARGN})
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS
        ${CMAKE_CURRENT_SOURCE_DIR}/*_test.cpp)
-  # A soak is a program of its own.
-  list(FILTER sources EXCLUDE REGEX "/tests/soak/")
+  # Soak and crowds are programs of their own.
+  list(FILTER sources EXCLUDE REGEX "/tests/(soak|crowd)/")
   if(NOT sources)
     return()
   endif()
--- a/packages/agent/internal/endpoint_exchange.cpp
+++ b/packages/agent/internal/endpoint_exchange.cpp
@@ -31,10 +31,13 @@
 
 endpoint_notices read_notices(http_head const& head)
 {
-    auto const find = [&](char const* name)
+    auto const find =
+        [&](char const* name) -> std::optional<std::string_view>
     {
         auto const it = head.headers.find(name);
-        return it == head.headers.end() ? nullptr : &it->second;
+        if (it == head.headers.end())
+            return std::nullopt;
+        return it->second;
     };
     endpoint_notices res;
     res.limit = availability::read_limit_notice(find("x-request-limit"));
--- a/packages/availability/internal/leaving_notice_reader.cpp
+++ b/packages/availability/internal/leaving_notice_reader.cpp
@@ -5,9 +5,9 @@
 namespace endiveward::availability
 {
 
-leaving_notice read_leaving_notice(std::string const* value)
+leaving_notice read_leaving_notice(std::optional<std::string_view> value)
 {
-    if (value == nullptr)
+    if (!value)
         return leaving_notice::none;
     auto const text = trimmed(*value);
     if (text == "1")
--- a/packages/availability/internal/limit_notice_reader.cpp
+++ b/packages/availability/internal/limit_notice_reader.cpp
@@ -6,9 +6,9 @@
 namespace endiveward::availability
 {
 
-limit_notice read_limit_notice(std::string const* value)
+limit_notice read_limit_notice(std::optional<std::string_view> value)
 {
-    if (value == nullptr)
+    if (!value)
         return no_limit();
     auto const n = parse_decimal(trimmed(*value));
     if (!n)
--- a/packages/availability/internal/retry_after_reader.cpp
+++ b/packages/availability/internal/retry_after_reader.cpp
@@ -25,9 +25,9 @@
 /// The time from the answer to the date. The clock of this machine is not used:
 /// it may differ from that of the endpoint.
 std::optional<seconds> parse_date(std::string_view text,
-                                  std::string const* date)
+                                  std::optional<std::string_view> date)
 {
-    if (date == nullptr)
+    if (!date)
         return std::nullopt;
     auto const until = parse_http_date(text);
     auto const sent = parse_http_date(trimmed(*date));
@@ -38,9 +38,10 @@
 
 } // namespace
 
-retry_after read_retry_after(std::string const* value, std::string const* date)
+retry_after read_retry_after(std::optional<std::string_view> value,
+                             std::optional<std::string_view> date)
 {
-    if (value == nullptr)
+    if (!value)
         return no_pause();
     auto const text = trimmed(*value);
     auto time = parse_seconds(text);
--- a/packages/availability/limit_notice_reader.hpp
+++ b/packages/availability/limit_notice_reader.hpp
@@ -3,7 +3,8 @@
 
 #include "availability/types/limit_notice.hpp"
 
-#include <string>
+#include <optional>
+#include <string_view>
 
 namespace endiveward::availability
 {
@@ -11,7 +12,7 @@
 /// Reads the value of the field, null if an answer has none: a decimal number
 /// of requests a second, which may be zero. Any other value, also a negative
 /// number, is unreadable.
-limit_notice read_limit_notice(std::string const* value);
+limit_notice read_limit_notice(std::optional<std::string_view> value);
 
 } // namespace endiveward::availability
 
--- a/packages/availability/retry_after_reader.hpp
+++ b/packages/availability/retry_after_reader.hpp
@@ -4,7 +4,8 @@
 #include "availability/types/retry_after.hpp"
 
 #include <chrono>
-#include <string>
+#include <optional>
+#include <string_view>
 
 namespace endiveward::availability
 {
@@ -19,7 +20,8 @@
 /// the value of the same answer's `Date`, is subtracted. Zero and a date that
 /// is not later ask for no pause. Any other value, also a negative number and a
 /// date without a readable `Date`, is unreadable.
-retry_after read_retry_after(std::string const* value, std::string const* date);
+retry_after read_retry_after(std::optional<std::string_view> value,
+                             std::optional<std::string_view> date);
 
 } // namespace endiveward::availability
 
--- a/packages/availability/tests/leaving_notice_reader_test.cpp
+++ b/packages/availability/tests/leaving_notice_reader_test.cpp
@@ -10,7 +10,7 @@
 
 leaving_notice read(std::string const& value)
 {
-    return read_leaving_notice(&value);
+    return read_leaving_notice(value);
 }
 
 } // namespace
@@ -19,7 +19,7 @@
 // value that does not say that it leaves.
 TEST_CASE("only the value 1 says that an endpoint is leaving")
 {
-    CHECK(read_leaving_notice(nullptr) == leaving_notice::none);
+    CHECK(read_leaving_notice(std::nullopt) == leaving_notice::none);
     CHECK(read("1") == leaving_notice::leaving);
     CHECK(read(" 1\t") == leaving_notice::leaving);
     CHECK(read("0") == leaving_notice::none);
--- a/packages/availability/tests/limit_notice_reader_test.cpp
+++ b/packages/availability/tests/limit_notice_reader_test.cpp
@@ -13,7 +13,7 @@
 
 limit_notice read(std::string const& value)
 {
-    return read_limit_notice(&value);
+    return read_limit_notice(value);
 }
 
 } // namespace
@@ -22,7 +22,7 @@
 // none.
 TEST_CASE("the limit of an endpoint is read as a decimal number")
 {
-    CHECK(read_limit_notice(nullptr) == limit_notice(no_limit()));
+    CHECK(read_limit_notice(std::nullopt) == limit_notice(no_limit()));
     CHECK(read("1.1") == limit_notice(named_limit{1.1}));
     CHECK(read(" 12 ") == limit_notice(named_limit{12}));
     CHECK(read("0") == limit_notice(named_limit{0}));
--- a/packages/availability/tests/retry_after_reader_test.cpp
+++ b/packages/availability/tests/retry_after_reader_test.cpp
@@ -12,12 +12,12 @@
 
 retry_after read(std::string const& value)
 {
-    return read_retry_after(&value, nullptr);
+    return read_retry_after(value, std::nullopt);
 }
 
 retry_after read(std::string const& value, std::string const& date)
 {
-    return read_retry_after(&value, &date);
+    return read_retry_after(value, date);
 }
 
 retry_after pause(int ms)
@@ -43,7 +43,7 @@
 
 TEST_CASE("an absent field and zero ask for no pause")
 {
-    CHECK(read_retry_after(nullptr, nullptr) == retry_after(no_pause()));
+    CHECK(read_retry_after(std::nullopt, std::nullopt) == retry_after(no_pause()));
     for (auto const* it : {"0", "0.0", "000"})
         CHECK(read(it) == retry_after(no_pause()));
 }
--- a/packages/gateway/http/header_collector.hpp
+++ b/packages/gateway/http/header_collector.hpp
@@ -11,7 +11,8 @@
 {
 
 /// Assembles header fields from the fragments that http_parser reports, up to a
-/// limit on their total size.
+/// limit on their total size. A field counts at least a separator and a line
+/// end, also if it has no value; no head of legal size exceeds the limit.
 class header_collector
 {
 public:
@@ -25,12 +26,15 @@
     bool add_name(std::string_view piece);
     bool add_value(std::string_view piece);
     /// Returns the fields. Later ones, the trailer of a chunked body, are
-    /// ignored.
+    /// ignored, but count.
     header_list finish();
     bool finished() const { return finished_; }
+    /// Bytes that are allocated for unfinished fields.
+    std::size_t memory() const;
 
 private:
     void flush();
+    void release();
 
     std::size_t max_bytes_;
     std::size_t bytes_ = 0;
--- a/packages/gateway/http/request_reader.hpp
+++ b/packages/gateway/http/request_reader.hpp
@@ -53,6 +53,8 @@
 
     /// Returns the complete request and resets the reader for the next one.
     http_request take();
+    /// Bytes that are allocated for the request that has begun.
+    std::size_t memory() const;
 
 private:
     static int on_url(http_parser* parser, char const* at, std::size_t n);
--- a/packages/gateway/internal/endpoint_notices.cpp
+++ b/packages/gateway/internal/endpoint_notices.cpp
@@ -62,8 +62,8 @@
             endpoint.on_refusal(now, refusal_pause);
         return;
     }
-    auto const* const instance = head.headers.find(services_.names.endpoint);
-    if (instance != nullptr && *instance != endpoint.entry().id.str())
+    auto const instance = head.headers.find(services_.names.endpoint);
+    if (instance && *instance != endpoint.entry().id.str())
         return endpoint.mark_replaced();
     auto const version =
         request.model ? endpoint.version_of(*request.model) : 0;
@@ -77,8 +77,8 @@
 void endpoint_notices::apply_load(response_head const& head,
                                   sent_request const& request) const
 {
-    auto const* const text = head.headers.find(services_.names.load);
-    if (text == nullptr)
+    auto const text = head.headers.find(services_.names.load);
+    if (!text)
         return;
     if (auto sample = parse_load(*text))
     {
@@ -92,8 +92,8 @@
                                          endpoint_record& answering) const
 {
     auto const& field = services_.names.load;
-    auto const* const text = head.headers.find(field);
-    if (text == nullptr)
+    auto const text = head.headers.find(field);
+    if (!text)
         return;
     if (auto const sample = parse_load(*text))
         services_.speeds.on_figure(answering, sample->figure, field, *text);
@@ -104,8 +104,8 @@
 {
     if (!request.model)
         return;
-    auto const* const text = head.headers.find(services_.names.weight_version);
-    if (text == nullptr)
+    auto const text = head.headers.find(services_.names.weight_version);
+    if (!text)
         return;
     if (auto const n = kernel::parse_number<weights::weight_version>(*text))
         request.endpoint->set_version(*request.model, *n);
@@ -114,7 +114,7 @@
 void endpoint_notices::apply_leaving(response_head const& head,
                                      endpoint_record& answering) const
 {
-    auto const* const text = head.headers.find(services_.names.leaving);
+    auto const text = head.headers.find(services_.names.leaving);
     auto const notice = availability::read_leaving_notice(text);
     if (notice == availability::leaving_notice::none)
         return;
@@ -139,8 +139,8 @@
 {
     if (head.status != status_unavailable)
         return;
-    auto const* const text = head.headers.find(retry_after_field);
-    if (text == nullptr)
+    auto const text = head.headers.find(retry_after_field);
+    if (!text)
         return;
     auto const value =
         availability::read_retry_after(text, head.headers.find("Date"));
@@ -188,9 +188,9 @@
 endpoint_notices::answering_endpoint(response_head const& head,
                                      sent_request const& request) const
 {
-    auto const* const id = head.headers.find(services_.names.endpoint);
-    if (id != nullptr && *id != request.endpoint->entry().id.str())
-        return services_.endpoints.find(kernel::endpoint_id(*id));
+    auto const id = head.headers.find(services_.names.endpoint);
+    if (id && *id != request.endpoint->entry().id.str())
+        return services_.endpoints.find(kernel::endpoint_id(std::string(*id)));
     return request.endpoint->generation() == request.generation
                ? request.endpoint
                : nullptr;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -161,11 +161,11 @@
             return false;
         }
     }
-    auto const* const resumed =
+    auto const resumed =
         request_.headers.find(services_.names.resumed_request);
     auto const is_resumable = route_->kind == route_kind::resumable_stream;
-    begun_by_ = is_resumable && resumed != nullptr && !resumed->empty()
-                    ? *resumed
+    begun_by_ = is_resumable && resumed && !resumed->empty()
+                    ? std::string(*resumed)
                     : id_;
     // A stream goes on at the service at which it began.
     auto const* const chosen = service_for(*route_, begun_by_);
@@ -218,8 +218,8 @@
 bool exchange::takes_up_stream() const
 {
     return route_->kind == route_kind::resumable_stream &&
-           (request_.headers.find(services_.names.last_event_id) != nullptr ||
-            request_.headers.find(services_.names.resumed_request) != nullptr);
+           (request_.headers.find(services_.names.last_event_id) ||
+            request_.headers.find(services_.names.resumed_request));
 }
 
 void exchange::locate_stream()
--- a/packages/gateway/internal/header_collector.cpp
+++ b/packages/gateway/internal/header_collector.cpp
@@ -14,8 +14,7 @@
 {
     bytes_ = 0;
     fields_ = {};
-    name_.clear();
-    value_.clear();
+    release();
     in_value_ = false;
     finished_ = false;
 }
@@ -28,10 +27,13 @@
 
 bool header_collector::add_name(std::string_view piece)
 {
+    // The least that stands between two fields: a colon and a line feed.
+    constexpr std::size_t separator_bytes = 2;
+    auto const begins_field = !finished_ && (in_value_ || name_.empty());
+    if (!count(piece.size() + (begins_field ? separator_bytes : 0)))
+        return false;
     if (finished_)
         return true;
-    if (!count(piece.size()))
-        return false;
     if (in_value_)
         flush();
     in_value_ = false;
@@ -41,10 +43,10 @@
 
 bool header_collector::add_value(std::string_view piece)
 {
-    if (finished_)
-        return true;
     if (!count(piece.size()))
         return false;
+    if (finished_)
+        return true;
     in_value_ = true;
     value_ += piece;
     return true;
@@ -53,17 +55,30 @@
 header_list header_collector::finish()
 {
     flush();
+    release();
     finished_ = true;
     return std::exchange(fields_, {});
 }
 
+std::size_t header_collector::memory() const
+{
+    return name_.capacity() + value_.capacity() + fields_.memory();
+}
+
 void header_collector::flush()
 {
     if (name_.empty())
         return;
-    fields_.add(std::move(name_), std::string(trimmed(value_)));
+    fields_.add(name_, trimmed(value_));
     name_.clear();
     value_.clear();
 }
 
+/// An idle connection keeps its collector, but not what a long field took.
+void header_collector::release()
+{
+    name_ = {};
+    value_ = {};
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/header_list.cpp
+++ b/packages/gateway/internal/header_list.cpp
@@ -21,53 +21,85 @@
     return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
-void header_list::add(std::string name, std::string value)
+void header_list::add(std::string_view name, std::string_view value)
 {
-    fields_.push_back({std::move(name), std::move(value)});
+    // Enough for the heads of usual requests.
+    constexpr std::size_t usual_bytes = 512;
+    constexpr std::size_t usual_fields = 16;
+    if (fields_.empty())
+    {
+        text_.reserve(usual_bytes);
+        fields_.reserve(usual_fields);
+    }
+    fields_.push_back({static_cast<std::uint32_t>(text_.size()),
+                       static_cast<std::uint32_t>(name.size()),
+                       static_cast<std::uint32_t>(value.size())});
+    text_ += name;
+    text_ += value;
+}
+
+header header_list::operator[](std::size_t n) const
+{
+    auto const& at = fields_[n];
+    std::string_view const text(text_);
+    return {text.substr(at.begin, at.name_size),
+            text.substr(at.begin + at.name_size, at.value_size)};
 }
 
-std::string const* header_list::find(std::string_view name) const
+header_list::const_iterator header_list::begin() const
 {
-    for (auto const& it : fields_)
+    return {*this, 0};
+}
+
+header_list::const_iterator header_list::end() const
+{
+    return {*this, fields_.size()};
+}
+
+void header_list::clear()
+{
+    text_.clear();
+    fields_.clear();
+}
+
+std::size_t header_list::memory() const
+{
+    return text_.capacity() + fields_.capacity() * sizeof(position);
+}
+
+std::optional<std::string_view> header_list::find(std::string_view name) const
+{
+    for (auto const it : *this)
     {
         if (equal_names(it.name, name))
-            return &it.value;
+            return it.value;
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 std::string_view header_list::value_or(std::string_view name,
                                        std::string_view fallback) const
 {
-    auto const* text = find(name);
-    return text == nullptr ? fallback : std::string_view(*text);
+    return find(name).value_or(fallback);
 }
 
 std::size_t header_list::count(std::string_view name) const
 {
     return static_cast<std::size_t>(std::count_if(
-        fields_.begin(), fields_.end(),
+        begin(), end(),
         [&](header const& it) { return equal_names(it.name, name); }));
 }
 
 bool header_list::lists(std::string_view name, std::string_view token) const
 {
-    for (auto const& it : fields_)
-    {
-        if (!equal_names(it.name, name))
-            continue;
-        std::string_view rest = it.value;
-        while (!rest.empty())
-        {
-            auto const comma = rest.find(',');
-            if (equal_names(trimmed(rest.substr(0, comma)), token))
-                return true;
-            if (comma == std::string_view::npos)
-                break;
-            rest.remove_prefix(comma + 1);
-        }
-    }
-    return false;
+    auto found = false;
+    for_each_token(name,
+                   [&](std::string_view it)
+                   {
+                       found = equal_names(it, token);
+                       return !found;
+                   });
+    return found;
 }
 
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/limit_watch.cpp
+++ b/packages/gateway/internal/limit_watch.cpp
@@ -65,7 +65,7 @@
 
 void limit_watch::on_response(endpoint_record& endpoint,
                               kernel::steady_time sent, std::string_view field,
-                              std::string const* value)
+                              std::optional<std::string_view> value)
 {
     auto const now = clock_.now();
     auto& limit = endpoint.limit();
--- a/packages/gateway/internal/request_builder.cpp
+++ b/packages/gateway/internal/request_builder.cpp
@@ -1,9 +1,10 @@
 #include "gateway/request_builder.hpp"
 
+#include "gateway/http/connection_fields.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <iterator>
 #include <string_view>
 
@@ -13,11 +14,6 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 9> connection_fields{
-    "Connection",    "Keep-Alive",         "Proxy-Connection",  "TE",
-    "Trailer",       "Proxy-Authenticate", "Transfer-Encoding", "Upgrade",
-    "Content-Length"};
-
 bool is_reserved(std::string_view name, header_field_names const& names)
 {
     return std::any_of(names.reserved.begin(), names.reserved.end(),
@@ -54,18 +50,12 @@
 
 } // namespace
 
-bool is_connection_field(std::string_view name, header_list const& headers)
-{
-    return std::any_of(connection_fields.begin(), connection_fields.end(),
-                       [name](auto it) { return equal_names(it, name); }) ||
-           headers.lists("Connection", name);
-}
-
 std::string build_request(http_request const& request,
                           forward_fields const& fields,
                           header_field_names const& names)
 {
     request_writer writer(request.body.size());
+    connection_fields const hop_by_hop(request.headers);
     auto& out = writer.text();
     fmt::format_to(std::back_inserter(out), "{} {} HTTP/1.1\r\n",
                    request.method, request.target);
@@ -79,10 +69,10 @@
                equal_names(name, names.token_counts) ||
                equal_names(name, names.prompt_parts);
     };
-    for (auto const& it : request.headers)
+    for (auto const it : request.headers)
     {
         if (!is_kept(it.name) &&
-            (is_connection_field(it.name, request.headers) ||
+            (hop_by_hop.contains(it.name) ||
              is_reserved(it.name, names) || equal_names(it.name, "Expect")))
             continue;
         if (equal_names(it.name, names.last_event_id) &&
--- a/packages/gateway/internal/request_fields.cpp
+++ b/packages/gateway/internal/request_fields.cpp
@@ -50,11 +50,11 @@
 std::optional<prompt_info> parse_prompt(header_list const& headers,
                                         header_field_names const& names)
 {
-    auto const* const model = headers.find(names.model);
-    if (model == nullptr || model->empty())
+    auto const model = headers.find(names.model);
+    if (!model || model->empty())
         return std::nullopt;
     prompt_info res;
-    res.model = kernel::model_id(*model);
+    res.model = kernel::model_id(std::string(*model));
     auto counts = headers.value_or(names.token_counts, "");
     res.prompt_tokens =
         kernel::parse_number<std::uint32_t>(take_until(counts, ','))
--- a/packages/gateway/internal/request_reader.cpp
+++ b/packages/gateway/internal/request_reader.cpp
@@ -72,6 +72,12 @@
     return res;
 }
 
+std::size_t request_reader::memory() const
+{
+    return request_.target.capacity() + request_.headers.memory() +
+           request_.body.capacity() + fields_.memory();
+}
+
 request_reader& request_reader::self(http_parser* parser)
 {
     return *static_cast<request_reader*>(parser->data);
--- a/packages/gateway/internal/response_reader.cpp
+++ b/packages/gateway/internal/response_reader.cpp
@@ -166,11 +166,11 @@
     auto const& headers = head_.headers;
     auto const chunked = (parser_.flags & F_CHUNKED) != 0;
     auto const has_length = (parser_.flags & F_CONTENTLENGTH) != 0;
-    auto const* const coding = headers.find("Transfer-Encoding");
-    if (coding != nullptr)
+    auto const coding = headers.find("Transfer-Encoding");
+    if (coding)
         return chunked && !has_length && equal_names(*coding, "chunked") &&
                headers.count("Transfer-Encoding") == 1;
-    return has_length || headers.find("Content-Length") == nullptr;
+    return has_length || !headers.find("Content-Length");
 }
 
 int response_reader::on_body(http_parser* parser, char const* at, std::size_t n)
--- a/packages/gateway/internal/response_rules.cpp
+++ b/packages/gateway/internal/response_rules.cpp
@@ -1,7 +1,7 @@
 #include "gateway/response_rules.hpp"
 
+#include "gateway/http/connection_fields.hpp"
 #include "gateway/http/response_head.hpp"
-#include "gateway/request_builder.hpp"
 #include "gateway/types/header_field_names.hpp"
 
 #include <fmt/format.h>
@@ -24,18 +24,18 @@
 bool is_valid_response(response_head const& head,
                        header_field_names const& names)
 {
-    return head.headers.find(names.signature) != nullptr &&
-           head.headers.find(names.request_id) != nullptr &&
-           head.headers.find("Content-Encoding") == nullptr;
+    return head.headers.find(names.signature) &&
+           head.headers.find(names.request_id) &&
+           !head.headers.find("Content-Encoding");
 }
 
 bool is_refusal(response_head const& head, header_field_names const& names)
 {
-    if (head.headers.find(names.request_id) == nullptr)
+    if (!head.headers.find(names.request_id))
         return false;
     return head.status == status_misdirected ||
            (head.status >= status_bad_request &&
-            head.headers.find(names.not_run) != nullptr);
+            head.headers.find(names.not_run));
 }
 
 bool promises_not_run(int status)
@@ -48,10 +48,10 @@
                            header_field_names const& names)
 {
     header_list res;
-    for (auto const& it : head.headers)
+    connection_fields const hop_by_hop(head.headers);
+    for (auto const it : head.headers)
     {
-        if (is_connection_field(it.name, head.headers) ||
-            equal_names(it.name, names.load) ||
+        if (hop_by_hop.contains(it.name) || equal_names(it.name, names.load) ||
             equal_names(it.name, names.endpoint) ||
             equal_names(it.name, names.leaving) ||
             equal_names(it.name, names.request_limit) ||
--- a/packages/gateway/internal/upstream_connection.cpp
+++ b/packages/gateway/internal/upstream_connection.cpp
@@ -27,12 +27,12 @@
 /// The `timeout` parameter of a `Keep-Alive` field.
 std::optional<std::chrono::seconds> keep_alive_timeout(header_list const& list)
 {
-    auto const* text = list.find("Keep-Alive");
-    if (text == nullptr)
+    auto const text = list.find("Keep-Alive");
+    if (!text)
         return std::nullopt;
     constexpr std::string_view name = "timeout=";
     auto const at = text->find(name);
-    if (at == std::string::npos)
+    if (at == std::string_view::npos)
         return std::nullopt;
     unsigned n = 0;
     auto const* const first = text->data() + at + name.size();
@@ -226,10 +226,10 @@
             *timeout - idle_margin, min_idle_limit);
     if (!options_->id_field.empty())
     {
-        auto const* const id = head.headers.find(options_->id_field);
+        auto const id = head.headers.find(options_->id_field);
         // A late response to an earlier request arrives before the one to this
         // request.
-        skipping_ = id != nullptr && *id != request_id_;
+        skipping_ = id && *id != request_id_;
     }
     if (!skipping_ && observer_ != nullptr)
         observer_->on_head(head);
--- a/packages/gateway/limit_watch.hpp
+++ b/packages/gateway/limit_watch.hpp
@@ -47,7 +47,8 @@
     /// A response to a request that was sent at `sent` has this value of the
     /// field with the name `field`; null if it has none.
     void on_response(endpoint_record& endpoint, kernel::steady_time sent,
-                     std::string_view field, std::string const* value);
+                     std::string_view field,
+                     std::optional<std::string_view> value);
     /// The agent reports the limit that its engine names to it.
     void on_agent_report(endpoint_record& endpoint,
                          std::optional<double> per_second);
--- a/packages/gateway/request_builder.hpp
+++ b/packages/gateway/request_builder.hpp
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
 
 namespace endiveward::gateway
 {
@@ -40,9 +39,6 @@
                           forward_fields const& fields,
                           header_field_names const& names);
 
-/// Whether a header field is hop-by-hop.
-bool is_connection_field(std::string_view name, header_list const& headers);
-
 } // namespace endiveward::gateway
 
 #endif
--- a/packages/gateway/tests/gateway_test.cpp
+++ b/packages/gateway/tests/gateway_test.cpp
@@ -56,7 +56,7 @@
     CHECK(seen[0].target == "/safe/a?b=c");
     CHECK(seen[0].headers.value_or("X-Workspace", "") == "w1");
     CHECK(seen[0].headers.value_or("X-Endpoint-Wanted", "") == "e0");
-    CHECK(seen[0].headers.find("X-Key") == nullptr);
+    CHECK(seen[0].headers.find("X-Key") == std::nullopt);
 }
 
 TEST_CASE("requests that the configuration does not allow are refused")
--- a/packages/gateway/tests/limit_watch_test.cpp
+++ b/packages/gateway/tests/limit_watch_test.cpp
@@ -34,8 +34,7 @@
         watch.set_processes(5, true);
         watch.on_agent_report(*endpoint, std::nullopt);
         watch.update_share();
-        std::string const one_a_second("1");
-        watch.on_response(*endpoint, clock.now(), "X-Limit", &one_a_second);
+        watch.on_response(*endpoint, clock.now(), "X-Limit", "1");
     }
 
     milliseconds until_next() const
--- a/packages/gateway/tests/request_reader_test.cpp
+++ b/packages/gateway/tests/request_reader_test.cpp
@@ -83,7 +83,7 @@
     REQUIRE(reader.state() == read_state::complete);
     auto const request = reader.take();
     CHECK(request.body == "body");
-    CHECK(request.headers.find("X-Evil") == nullptr);
+    CHECK(request.headers.find("X-Evil") == std::nullopt);
 }
 
 TEST_CASE("bytes after a request are left for the next one")
@@ -99,4 +99,38 @@
     CHECK(reader.take().target == "/2");
 }
 
+// Guards against heads whose lines have little text but many separators, and
+// against a limit that a head of legal size exceeds.
+TEST_CASE("separators of fields count, at least two bytes for each field")
+{
+    std::string const end = "\r\n";
+    std::string legal = "GET / HTTP/1.1\r\n";
+    while (legal.size() + 4 + end.size() <= limits.header_bytes)
+        legal += "a:\r\n";
+    request_reader reader(limits);
+    feed_all(reader, legal + end);
+    REQUIRE(reader.state() == read_state::complete);
+
+    std::string const text = "GET / HTTP/1.1\r\n";
+    std::string lines;
+    for (std::size_t n = 0; n < limits.header_bytes; ++n)
+        lines += "a:\r\n";
+    request_reader too_many(limits);
+    feed_all(too_many, text + lines);
+    CHECK(too_many.failure_status() == 431);
+}
+
+// Guards against memory that is many times the size of what was sent.
+TEST_CASE("a request takes a small multiple of its size")
+{
+    message_limits const large{16U << 10U, 1U << 20U};
+    request_reader reader(large);
+    std::string text = "POST / HTTP/1.1\r\n";
+    while (text.size() + 4 < large.header_bytes)
+        text += "a:\r\n";
+    feed_all(reader, text);
+    REQUIRE(reader.state() == read_state::partial);
+    CHECK(reader.memory() <= 8 * text.size());
+}
+
 } // namespace endiveward::gateway
