gateway: Keep one copy of a request's body

A body took up to twice its length while it arrived, since strings double, and its length once more for each attempt: it was copied behind the head for the endpoint, while the caller's request was kept for a repeat. 150 callers with 1 MiB each, whose endpoint did not answer, took 364 MB.

Change: a body grows in steps that end with its length, or with the limit if it comes in chunks; upstream_connection sends head and body from two buffers and shares the body with the exchange. build_request became build_request_head; that bodies are forwarded is tested by the gateway's tests.

"a request takes a small multiple of its size" holds the reader to twice of what has arrived, and to the length where it is known.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -143,7 +143,8 @@
 
     exchange_services const& services_;
     std::shared_ptr<routing_table const> table_;
-    http_request request_;
+    /// Shared with connections that are sending its body.
+    std::shared_ptr<http_request const> request_;
     i_response_writer* writer_;
     std::string id_;
     /// The request that began the stream: this one, or another one whose stream
--- a/packages/gateway/http/request_reader.hpp
+++ b/packages/gateway/http/request_reader.hpp
@@ -67,6 +67,7 @@
 
     void reset();
     int fail(int status);
+    void grow_body(std::size_t n);
 
     message_limits limits_;
     http_parser parser_{};
@@ -77,6 +78,8 @@
     int failure_status_ = 0;
     bool started_ = false;
     bool wants_continue_ = false;
+    /// From the head, or the limit if the body comes in chunks.
+    std::size_t expected_body_bytes_ = 0;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/http/upstream_connection.hpp
+++ b/packages/gateway/http/upstream_connection.hpp
@@ -20,6 +20,17 @@
 
 class i_upstream_observer;
 
+struct upstream_request
+{
+    /// Request line and header fields, or the whole request.
+    std::string head;
+    /// Not copied, since a large body would take its memory once more for each
+    /// attempt; may be null.
+    std::shared_ptr<std::string const> body;
+    std::string id;
+    bool is_head_request = false;
+};
+
 struct upstream_options
 {
     std::chrono::milliseconds connect_timeout{400};
@@ -53,8 +64,7 @@
 
     /// Connects if necessary, then sends. The observer must stay valid until
     /// the exchange ends or `abandon` is called.
-    void send(asio::ip::tcp::endpoint const& peer, std::string bytes,
-              std::string request_id, bool head_request,
+    void send(asio::ip::tcp::endpoint const& peer, upstream_request request,
               i_upstream_observer& observer);
     /// Closes the connection without further calls to the observer.
     void abandon();
@@ -94,8 +104,7 @@
     closed_handler idle_closed_;
     response_reader reader_;
     std::vector<char> buffer_;
-    std::string out_;
-    std::string request_id_;
+    upstream_request request_;
     std::chrono::milliseconds idle_limit_{0};
     kernel::steady_time idle_since_{};
     bool connected_ = false;
@@ -108,7 +117,6 @@
     bool sent_ = false;
     bool skipping_ = false;
     bool keep_alive_ = false;
-    bool head_request_ = false;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/call_client.cpp
+++ b/packages/gateway/internal/call_client.cpp
@@ -45,7 +45,8 @@
                     self->on_timeout();
             });
         conn_ = pool_->acquire(max_idle);
-        conn_->send(pool_->peer(), std::move(bytes), {}, head_request, *this);
+        conn_->send(pool_->peer(),
+                    {std::move(bytes), nullptr, {}, head_request}, *this);
     }
 
 private:
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -105,7 +105,7 @@
                    http_request request, i_response_writer& writer)
     : services_(services)
     , table_(std::move(table))
-    , request_(std::move(request))
+    , request_(std::make_shared<http_request const>(std::move(request)))
     , writer_(&writer)
     , timer_(services.context)
     , buffered_(services.memory)
@@ -117,7 +117,7 @@
 bool exchange::start()
 {
     arrived_ = services_.clock.now();
-    id_ = request_.headers.value_or(services_.names.request_id, "");
+    id_ = request_->headers.value_or(services_.names.request_id, "");
     if (!refuse_if_stopping() && admit())
     {
         prepare_requirements();
@@ -145,7 +145,7 @@
         return false;
     }
     route_ =
-        table_->match(request_.headers.value_or("Host", ""), request_.target);
+        table_->match(request_->headers.value_or("Host", ""), request_->target);
     if (route_ == nullptr)
     {
         answer_locally(status_not_found, "no_route");
@@ -154,7 +154,7 @@
     if (table_->needs_keys() && !route_->is_public)
     {
         workspace_ = table_->workspace_of(
-            request_.headers.value_or(services_.names.key, ""));
+            request_->headers.value_or(services_.names.key, ""));
         if (workspace_ == nullptr)
         {
             answer_locally(status_unauthorized, "unknown_key");
@@ -162,7 +162,7 @@
         }
     }
     auto const resumed =
-        request_.headers.find(services_.names.resumed_request);
+        request_->headers.find(services_.names.resumed_request);
     auto const is_resumable = route_->kind == route_kind::resumable_stream;
     begun_by_ = is_resumable && resumed && !resumed->empty()
                     ? std::string(*resumed)
@@ -182,7 +182,8 @@
 {
     auto limit = route_->timeout;
     auto caller_limit = limit;
-    if (auto const deadline = parse_deadline(request_.headers, services_.names))
+    if (auto const deadline =
+            parse_deadline(request_->headers, services_.names))
     {
         caller_limit = *deadline;
         limit =
@@ -196,14 +197,14 @@
     requirements_.due = arrived_ + route_->target_latency;
     requirements_.seed = XXH3_64bits(id_.data(), id_.size());
     if (route_->has_prompt || is_stream(route_->kind))
-        requirements_.prompt = parse_prompt(request_.headers, services_.names);
+        requirements_.prompt = parse_prompt(request_->headers, services_.names);
     if (requirements_.prompt)
         keys_.parts = shared_part_keys(*requirements_.prompt);
-    keys_.request = request_key(request_, services_.names);
+    keys_.request = request_key(*request_, services_.names);
     requirements_.cache_group = table_->cache_group_of(workspace_);
     requirements_.kv_stores = table_->kv_stores();
     requirements_.contended = is_contended();
-    quota_ = services_.quotas.ticket_for(workspace_, request_.headers,
+    quota_ = services_.quotas.ticket_for(workspace_, request_->headers,
                                          services_.names);
     services_.budgets.on_request(requirements_.service);
 }
@@ -218,8 +219,8 @@
 bool exchange::takes_up_stream() const
 {
     return route_->kind == route_kind::resumable_stream &&
-           (request_.headers.find(services_.names.last_event_id) ||
-            request_.headers.find(services_.names.resumed_request));
+           (request_->headers.find(services_.names.last_event_id) ||
+            request_->headers.find(services_.names.resumed_request));
 }
 
 void exchange::locate_stream()
@@ -395,7 +396,7 @@
             arrived_,
             expires_,
             *keys_.request,
-            request_.body.size(),
+            request_->body.size(),
             services_.overload.max_wait(route_->target_latency, time_left())};
 }
 
@@ -542,11 +543,14 @@
         choice.kv.source, expected_first_byte_.count(), endpoint_->in_flight(),
         time_left().count(), to_text(endpoint_->limit().rate()), *keys_.request,
         entry.software.str(),
-        request_.headers.value_or(services_.names.resumed_request, ""),
+        request_->headers.value_or(services_.names.resumed_request, ""),
         resumed_after());
     upstream_->send(pool_->peer(),
-                    build_request(request_, fields, services_.names), id_,
-                    request_.method == "HEAD", *this);
+                    {build_request_head(*request_, fields, services_.names),
+                     {request_, &request_->body},
+                     id_,
+                     request_->method == "HEAD"},
+                    *this);
     arm(next_check());
 }
 
@@ -557,7 +561,7 @@
     if (last_event_)
         return fmt::to_string(*last_event_);
     return std::string(
-        request_.headers.value_or(services_.names.last_event_id, ""));
+        request_->headers.value_or(services_.names.last_event_id, ""));
 }
 
 /// The endpoint may have asked for no requests, or named a limit, in an answer
--- a/packages/gateway/internal/request_builder.cpp
+++ b/packages/gateway/internal/request_builder.cpp
@@ -30,10 +30,10 @@
 class request_writer
 {
 public:
-    explicit request_writer(std::size_t body_bytes)
+    request_writer()
     {
         constexpr std::size_t usual_head_bytes = 1024;
-        out_.reserve(usual_head_bytes + body_bytes);
+        out_.reserve(usual_head_bytes);
     }
 
     template <typename T>
@@ -50,11 +50,11 @@
 
 } // namespace
 
-std::string build_request(http_request const& request,
-                          forward_fields const& fields,
-                          header_field_names const& names)
+std::string build_request_head(http_request const& request,
+                               forward_fields const& fields,
+                               header_field_names const& names)
 {
-    request_writer writer(request.body.size());
+    request_writer writer;
     connection_fields const hop_by_hop(request.headers);
     auto& out = writer.text();
     fmt::format_to(std::back_inserter(out), "{} {} HTTP/1.1\r\n",
@@ -72,8 +72,8 @@
     for (auto const it : request.headers)
     {
         if (!is_kept(it.name) &&
-            (hop_by_hop.contains(it.name) ||
-             is_reserved(it.name, names) || equal_names(it.name, "Expect")))
+            (hop_by_hop.contains(it.name) || is_reserved(it.name, names) ||
+             equal_names(it.name, "Expect")))
             continue;
         if (equal_names(it.name, names.last_event_id) &&
             (!fields.forwards_last_event_id || fields.resume_after))
@@ -99,7 +99,6 @@
     if (!fields.kv.target.empty())
         writer.field(names.kv_target, fields.kv.target);
     out += "\r\n";
-    out += request.body;
     return std::move(out);
 }
 
--- a/packages/gateway/internal/request_reader.cpp
+++ b/packages/gateway/internal/request_reader.cpp
@@ -1,5 +1,6 @@
 #include "gateway/http/request_reader.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace endiveward::gateway
@@ -11,6 +12,8 @@
 constexpr int status_bad_request = 400;
 constexpr int status_body_too_large = 413;
 constexpr int status_headers_too_large = 431;
+/// Memory that a body takes at first.
+constexpr std::size_t initial_body_bytes = 8U << 10U;
 
 } // namespace
 
@@ -38,6 +41,7 @@
     failure_status_ = 0;
     started_ = false;
     wants_continue_ = false;
+    expected_body_bytes_ = 0;
 }
 
 void request_reader::set_limits(message_limits limits)
@@ -134,6 +138,9 @@
     auto const has_length = (parser->flags & F_CONTENTLENGTH) != 0;
     if (has_length && parser->content_length > reader.limits_.body_bytes)
         return reader.fail(status_body_too_large);
+    reader.expected_body_bytes_ =
+        has_length ? static_cast<std::size_t>(parser->content_length)
+                   : reader.limits_.body_bytes;
     reader.wants_continue_ = request.headers.lists("Expect", "100-continue");
     return 0;
 }
@@ -143,10 +150,27 @@
     auto& reader = self(parser);
     if (reader.request_.body.size() + n > reader.limits_.body_bytes)
         return reader.fail(status_body_too_large);
+    reader.grow_body(n);
     reader.request_.body.append(at, n);
     return 0;
 }
 
+/// A body takes at most twice the memory of what has arrived, and no more than
+/// its whole length.
+void request_reader::grow_body(std::size_t n)
+{
+    auto& body = request_.body;
+    auto const needed = body.size() + n;
+    if (needed <= body.capacity())
+        return;
+    // Strings at least double. Begun with a fraction of the length that is a
+    // power of two, the body ends with its length.
+    auto wanted = std::max(expected_body_bytes_, needed);
+    while (wanted / 2 >= std::max(needed, initial_body_bytes))
+        wanted = wanted / 2 + wanted % 2;
+    body.reserve(wanted);
+}
+
 int request_reader::on_complete(http_parser* parser)
 {
     auto& reader = self(parser);
--- a/packages/gateway/internal/upstream_connection.cpp
+++ b/packages/gateway/internal/upstream_connection.cpp
@@ -8,6 +8,7 @@
 #include <asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -79,14 +80,12 @@
 upstream_connection::~upstream_connection() = default;
 
 void upstream_connection::send(asio::ip::tcp::endpoint const& peer,
-                               std::string bytes, std::string request_id,
-                               bool head_request, i_upstream_observer& observer)
+                               upstream_request request,
+                               i_upstream_observer& observer)
 {
     observer_ = &observer;
-    out_ = std::move(bytes);
-    request_id_ = std::move(request_id);
-    head_request_ = head_request;
-    reader_.reset(head_request);
+    request_ = std::move(request);
+    reader_.reset(request_.is_head_request);
     skipping_ = false;
     sent_ = false;
     paused_ = false;
@@ -140,8 +139,11 @@
 {
     writing_ = true;
     sent_ = true;
+    std::array<asio::const_buffer, 2> bytes{asio::buffer(request_.head)};
+    if (request_.body != nullptr)
+        bytes[1] = asio::buffer(*request_.body);
     asio::async_write(
-        socket_, asio::buffer(out_),
+        socket_, bytes,
         [self = shared_from_this()](std::error_code ec, std::size_t)
         {
             // The pending read ends the exchange, after it has delivered any
@@ -195,7 +197,7 @@
             continue;
         if (!skipping_)
             return finish_exchange(!bytes.empty());
-        reader_.reset(head_request_);
+        reader_.reset(request_.is_head_request);
         skipping_ = false;
     }
     read();
@@ -229,7 +231,7 @@
         auto const id = head.headers.find(options_->id_field);
         // A late response to an earlier request arrives before the one to this
         // request.
-        skipping_ = id && *id != request_id_;
+        skipping_ = id && *id != request_.id;
     }
     if (!skipping_ && observer_ != nullptr)
         observer_->on_head(head);
@@ -258,7 +260,7 @@
 void upstream_connection::become_idle()
 {
     idle_since_ = clock_.now();
-    out_ = {};
+    request_ = {};
     read();
 }
 
--- a/packages/gateway/request_builder.hpp
+++ b/packages/gateway/request_builder.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace endiveward::gateway
 {
@@ -32,12 +33,12 @@
     kv_route kv;
 };
 
-/// Serializes a request for an endpoint. Method, target, body and the caller's
-/// header fields are unchanged, except for hop-by-hop fields and those that
-/// only the gateway sets.
-std::string build_request(http_request const& request,
-                          forward_fields const& fields,
-                          header_field_names const& names);
+/// Serializes the head of a request for an endpoint; the body follows it as it
+/// is. Method, target and the caller's header fields are unchanged, except for
+/// hop-by-hop fields and those that only the gateway sets.
+std::string build_request_head(http_request const& request,
+                               forward_fields const& fields,
+                               header_field_names const& names);
 
 } // namespace endiveward::gateway
 
--- a/packages/gateway/tests/request_reader_test.cpp
+++ b/packages/gateway/tests/request_reader_test.cpp
@@ -131,6 +131,16 @@
     feed_all(reader, text);
     REQUIRE(reader.state() == read_state::partial);
     CHECK(reader.memory() <= 8 * text.size());
+    auto const in_chunks = GENERATE(false, true);
+    std::string const body(100000, 'x');
+    feed_all(reader, in_chunks ? "Transfer-Encoding: chunked\r\n\r\n186A1\r\n"
+                               : "Content-Length: 100001\r\n\r\n");
+    auto const head = reader.memory();
+    feed_all(reader, body);
+    REQUIRE(reader.state() == read_state::partial);
+    CHECK(reader.memory() - head <= 2 * body.size());
+    if (!in_chunks)
+        CHECK(reader.memory() - head <= body.size() + 64);
 }
 
 } // namespace endiveward::gateway
