gateway: Read heads above 80 KiB if the configuration allows them

A caller whose head was within max_header_bytes, but above 80 KiB, was told that its request was malformed (400): http_parser has a limit of its own.

Change: that limit follows the configured one, and a head that exceeds it is refused with 431.

Evidence: "a long head is read if the configuration allows it" (200 KiB of 256 KiB) fails on the code before and passes now.

--- a/packages/gateway/internal/request_reader.cpp
+++ b/packages/gateway/internal/request_reader.cpp
@@ -1,6 +1,9 @@
 #include "gateway/http/request_reader.hpp"
 
 #include <algorithm>
+#include <atomic>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace endiveward::gateway
@@ -15,12 +18,26 @@
 /// Memory that a body takes at first.
 constexpr std::size_t initial_body_bytes = 8U << 10U;
 
+/// http_parser has a limit of its own for the heads of the process, which also
+/// counts spaces that belong to no field.
+void allow_heads_of(std::size_t bytes)
+{
+    static std::atomic<std::size_t> allowed{HTTP_MAX_HEADER_SIZE};
+    auto const wanted = std::min<std::size_t>(
+        2 * bytes, std::numeric_limits<std::uint32_t>::max());
+    if (wanted <= allowed)
+        return;
+    allowed = wanted;
+    http_parser_set_max_header_size(static_cast<std::uint32_t>(wanted));
+}
+
 } // namespace
 
 request_reader::request_reader(message_limits limits)
     : limits_(limits)
     , fields_(limits.header_bytes)
 {
+    allow_heads_of(limits.header_bytes);
     http_parser_settings_init(&settings_);
     settings_.on_url = on_url;
     settings_.on_header_field = on_field;
@@ -47,6 +64,7 @@
 void request_reader::set_limits(message_limits limits)
 {
     limits_ = limits;
+    allow_heads_of(limits.header_bytes);
     fields_.set_max_bytes(limits.header_bytes);
 }
 
@@ -59,8 +77,10 @@
         http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
     if (state_ == read_state::complete)
         return n;
-    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK && state_ != read_state::failed)
-        fail(status_bad_request);
+    auto const ec = HTTP_PARSER_ERRNO(&parser_);
+    if (ec != HPE_OK && state_ != read_state::failed)
+        fail(ec == HPE_HEADER_OVERFLOW ? status_headers_too_large
+                                       : status_bad_request);
     return n;
 }
 
--- a/packages/gateway/tests/request_reader_test.cpp
+++ b/packages/gateway/tests/request_reader_test.cpp
@@ -143,4 +143,15 @@
         CHECK(reader.memory() - head <= body.size() + 64);
 }
 
+// Guards against http_parser's own limit of 80 KiB, above which a head of legal
+// size was refused as malformed.
+TEST_CASE("a long head is read if the configuration allows it")
+{
+    message_limits const large{256U << 10U, 0};
+    request_reader reader(large);
+    feed_all(reader, "GET / HTTP/1.1\r\nX: " + std::string(200U << 10U, 'x') +
+                         "\r\n\r\n");
+    CHECK(reader.state() == read_state::complete);
+}
+
 } // namespace endiveward::gateway
