gateway: Limit what callers make a router hold, in sum

Each body, each head, the requests that a caller sends ahead (64 KiB) and the answers that it does not read had a limit of their own, and only unfinished responses had one together, so that a few hundred connections took more than a machine has. Read buffers (8 KiB) were held by idle connections, too.

Cause: limits for each connection without one for their sum.

Change: buffer_memory counts what is allocated for callers - connections, heads, bodies, requests sent ahead, requests in progress, responses that are unfinished or not read, and what the system receives for a connection that is not read (the listener's receive buffer is limited to 128 KiB). It is a quarter of the machine's memory (limits.memory_mb; 16 MiB if unknown), or what two requests of the largest size need; small requests and small parts of responses may take as much again. When three quarters are in use, connection_policy chooses who gives way: those that have held most bytes for longest, small requests last, requests in progress never. A request that gives way is refused with 503 and Retry-After, which is true, since it has not run, and its caller has a second, or five while it still sends, to read that. Responses for requests that were sent ahead are made only while the caller reads. Idle connections have no buffer; large blocks go back to the system. Connections that gave way are logged (caller_displaced) and counted (endiveward_gateway_displaced_callers_total).

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -7,6 +7,7 @@
 #include "follower/follow_policy.hpp"
 #include "follower/table_follower.hpp"
 #include "gateway/gateway.hpp"
+#include "gateway/process_budget.hpp"
 #include "gateway/routing_table.hpp"
 #include "observe/logging.hpp"
 #include "observe/operator_server.hpp"
@@ -493,6 +494,10 @@
     res.retry_budget_extra = settings_.retry_budget_extra;
     res.version_deadline = settings_.version_deadline;
     res.room = room_;
+    auto const budget =
+        gateway::budget_of(settings_.memory_limit);
+    res.buffer_memory_bytes = budget.buffer_memory;
+    res.max_buffer_memory_bytes = budget.max_buffer_memory;
     auto const& name = settings_.name.str();
     res.placement.prompt_mix = prompt_mix_;
     res.seed = XXH3_64bits(name.data(), name.size());
--- a/apps/endiveward/run_command.cpp
+++ b/apps/endiveward/run_command.cpp
@@ -7,6 +7,7 @@
 #include "enginelink/link_options.hpp"
 #include "gateway/prompt_mix_setting.hpp"
 #include "kernel/application.hpp"
+#include "kernel/process_resources.hpp"
 #include "kernel/system_clock.hpp"
 #include "observe/logging.hpp"
 #include "platform/boot_file.hpp"
@@ -227,6 +228,7 @@
         std::cerr << kernel::failure(loaded).message << '\n';
         return exit_usage;
     }
+    kernel::return_large_blocks();
     auto const logging = observe::init_bounded_logging(level, true);
     if (!kernel::ok(logging))
     {
--- a/packages/gateway/caller_server.hpp
+++ b/packages/gateway/caller_server.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEWARD_GATEWAY_CALLER_SERVER_HPP
 #define ENDIVEWARD_GATEWAY_CALLER_SERVER_HPP
 
+#include "gateway/i_connection_owner.hpp"
 #include "kernel/types/result.hpp"
 
 #include <asio/ip/tcp.hpp>
@@ -24,13 +25,15 @@
 class caller_connection;
 class i_request_handler;
 
-/// Accepts callers' connections. Must be used from one thread.
-class caller_server
+/// Accepts callers' connections. If there are too many, or if they hold too
+/// much memory, those that make no progress give way. Must be used from one
+/// thread.
+class caller_server : private i_connection_owner
 {
 public:
     caller_server(asio::io_context& context, kernel::i_clock const& clock,
                   i_request_handler& handler, std::size_t max_connections);
-    ~caller_server();
+    ~caller_server() override;
     caller_server(caller_server const&) = delete;
     caller_server& operator=(caller_server const&) = delete;
 
@@ -46,7 +49,16 @@
     std::size_t connections() const { return connections_.size(); }
 
 private:
+    std::vector<char>& scratch() override { return scratch_; }
+    void on_memory_full() override;
+    void on_closed(caller_connection& connection) override;
+
     void accept();
+    void on_accepted(asio::ip::tcp::socket socket);
+    void on_accept_failed();
+    void plan_relief();
+    void relieve();
+    void release_freed();
     void tick();
     std::vector<std::shared_ptr<caller_connection>> current() const;
 
@@ -56,6 +68,10 @@
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer timer_;
     asio::steady_timer accept_retry_;
+    asio::steady_timer relief_timer_;
+    bool relief_planned_ = false;
+    bool has_relieved_ = false;
+    std::vector<char> scratch_;
     std::unordered_map<caller_connection*, std::shared_ptr<caller_connection>>
         connections_;
 };
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -2,13 +2,13 @@
 #define ENDIVEWARD_GATEWAY_EXCHANGE_HPP
 
 #include "availability/types/request_keys.hpp"
+#include "gateway/buffer_memory.hpp"
 #include "gateway/endpoint_record.hpp"
 #include "gateway/http/event_splitter.hpp"
 #include "gateway/http/http_request.hpp"
 #include "gateway/http/i_upstream_observer.hpp"
 #include "gateway/http/response_head.hpp"
 #include "gateway/i_exchange.hpp"
-#include "gateway/response_memory.hpp"
 #include "gateway/types/endpoint_requirements.hpp"
 #include "gateway/types/placement_choice.hpp"
 #include "gateway/types/quota_ticket.hpp"
@@ -198,8 +198,8 @@
     std::string body_;
     std::size_t discarded_bytes_ = 0;
     event_splitter events_;
-    /// Of `body_`, `events_` and what the caller has not read yet.
-    response_memory::share buffered_;
+    /// Of `head_`, `body_` and `events_`.
+    buffer_memory::share buffered_;
     std::optional<std::uint64_t> last_event_;
     bool head_forwarded_ = false;
 
--- a/packages/gateway/exchange_services.hpp
+++ b/packages/gateway/exchange_services.hpp
@@ -32,7 +32,7 @@
 class overload_policy;
 class part_watch;
 class quota_watch;
-class response_memory;
+class buffer_memory;
 class retry_budgets;
 class room_queue;
 class routing_table;
@@ -59,7 +59,7 @@
     quota_watch& quotas;
     speed_watch& speeds;
     room_queue& room;
-    response_memory& memory;
+    buffer_memory& memory;
     gateway_metrics& metrics;
     observe::decision_log& log;
     stop_state const& stop;
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -1,11 +1,11 @@
 #ifndef ENDIVEWARD_GATEWAY_GATEWAY_HPP
 #define ENDIVEWARD_GATEWAY_GATEWAY_HPP
 
+#include "gateway/buffer_memory.hpp"
 #include "gateway/caller_server.hpp"
 #include "gateway/exchange_services.hpp"
 #include "gateway/i_request_handler.hpp"
 #include "gateway/overload_policy.hpp"
-#include "gateway/response_memory.hpp"
 #include "gateway/types/endpoint_entry.hpp"
 #include "gateway/types/gateway_settings.hpp"
 #include "gateway/types/header_field_names.hpp"
@@ -123,10 +123,14 @@
                                        i_response_writer& writer) override;
     caller_limits limits() const override;
     bool draining() const override { return draining_; }
+    buffer_memory& memory() override { return memory_; }
+    void on_displaced(connection_load const& load,
+                      std::string_view reason) override;
 
 private:
     void tick();
     void update_limits();
+    void update_memory_limit();
     void update_stream_lifetime();
     void update_limit_share();
     void update_process_count(std::size_t routers);
@@ -144,7 +148,7 @@
     std::unique_ptr<endpoint_chooser> chooser_;
     overload_policy overload_;
     unavailability_policy unavailability_;
-    response_memory memory_;
+    buffer_memory memory_;
     std::unique_ptr<weights_view> weights_;
     std::unique_ptr<retry_budgets> budgets_;
     std::unique_ptr<part_watch> parts_;
--- a/packages/gateway/gateway_metrics.hpp
+++ b/packages/gateway/gateway_metrics.hpp
@@ -37,6 +37,8 @@
     void on_retry(std::string const& reason);
     void on_retry_denied() { retries_denied_.Increment(); }
     /// `source` tells who reported that an endpoint is leaving.
+    /// A caller's connection has given way to others.
+    void on_displaced(std::string const& activity);
     void on_leaving(std::string const& source);
     /// `source` tells how it became known where a stream that a caller takes up
     /// began.
@@ -67,6 +69,7 @@
     prometheus::Family<prometheus::Counter>& requests_;
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Counter>& leaving_;
+    prometheus::Family<prometheus::Counter>& displaced_;
     prometheus::Family<prometheus::Counter>& taken_up_;
     prometheus::Family<prometheus::Counter>& room_left_;
     prometheus::Family<prometheus::Counter>& room_refusals_;
--- a/packages/gateway/http/event_splitter.hpp
+++ b/packages/gateway/http/event_splitter.hpp
@@ -27,6 +27,8 @@
     std::optional<stream_event> next();
     /// Number of buffered bytes of an incomplete event.
     std::size_t pending() const { return buffer_.size() - start_; }
+    /// Bytes that are allocated.
+    std::size_t memory() const { return buffer_.capacity(); }
     void clear();
 
 private:
--- a/packages/gateway/http/request_reader.hpp
+++ b/packages/gateway/http/request_reader.hpp
@@ -53,6 +53,9 @@
 
     /// Returns the complete request and resets the reader for the next one.
     http_request take();
+    /// Gives up the request that has begun and releases its memory. Nothing can
+    /// be read after it.
+    void give_up();
     /// Bytes that are allocated for the request that has begun.
     std::size_t memory() const;
 
--- a/packages/gateway/internal/caller_connection.cpp
+++ b/packages/gateway/internal/caller_connection.cpp
@@ -1,8 +1,11 @@
 #include "gateway/caller_connection.hpp"
 
 #include "gateway/http/reason_phrase.hpp"
+#include "gateway/i_connection_owner.hpp"
 #include "gateway/i_exchange.hpp"
 #include "gateway/i_request_handler.hpp"
+#include "gateway/response_rules.hpp"
+#include "gateway/types/header_field_names.hpp"
 
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
@@ -18,14 +21,29 @@
 namespace
 {
 
-constexpr std::size_t buffer_bytes = 8192;
 /// Limit on buffered input of callers that pipeline requests.
-constexpr std::size_t max_input_bytes = 64U << 10U;
+constexpr std::size_t max_input_bytes = 16U << 10U;
+/// The next request is not served while more than this waits for its caller to
+/// read.
+constexpr std::size_t max_unread_bytes = 64U << 10U;
+/// Buffers for responses that are larger are released after use.
+constexpr std::size_t kept_buffer_bytes = 4U << 10U;
+/// Of the connection itself with its socket.
+constexpr std::size_t connection_bytes = 2U << 10U;
+/// Of a request in progress beside its text: its state, its head for the
+/// endpoint and the connection to the endpoint.
+constexpr std::size_t exchange_bytes = 12U << 10U;
+/// A write or a read that is suspended for longer is the caller's doing.
+constexpr std::chrono::milliseconds stalled_after{200};
 /// How long the connection stays open for the caller to read the last response.
 /// Closing it while the caller still sends would reset it, and the response
 /// could be lost.
 constexpr std::chrono::milliseconds linger_time{1000};
+/// The same for a caller that still sends.
+constexpr std::chrono::milliseconds max_linger_time{5000};
+constexpr std::chrono::milliseconds retry_displaced{1000};
 constexpr int status_request_timeout = 408;
+constexpr int status_unavailable = 503;
 
 message_limits reader_limits(caller_limits const& limits)
 {
@@ -37,13 +55,13 @@
 caller_connection::caller_connection(asio::ip::tcp::socket socket,
                                      kernel::i_clock const& clock,
                                      i_request_handler& handler,
-                                     closed_handler on_closed)
+                                     i_connection_owner& owner)
     : socket_(std::move(socket))
     , clock_(clock)
     , handler_(handler)
-    , on_closed_(std::move(on_closed))
+    , owner_(owner)
     , reader_(reader_limits(handler.limits()))
-    , buffer_(buffer_bytes)
+    , memory_(handler.memory())
 {
 }
 
@@ -54,13 +72,17 @@
     std::error_code ec;
     // Errors are ignored: without the option the connection is only slower.
     socket_.set_option(asio::ip::tcp::no_delay(true), ec);
-    waiting_since_ = clock_.now();
+    socket_.non_blocking(true, ec);
+    if (ec)
+        return close();
+    waiting_since_ = written_at_ = clock_.now();
+    count_memory();
     read();
 }
 
 void caller_connection::close_if_idle()
 {
-    if (!busy() && !reader_.started() && input_.empty() && !writing_)
+    if (!busy() && !reader_.started() && input().empty() && !writing_)
         close();
 }
 
@@ -74,8 +96,7 @@
     socket_.close(ec);
     if (auto exchange = std::exchange(exchange_, nullptr))
         exchange->on_caller_gone();
-    if (auto handler = std::exchange(on_closed_, nullptr))
-        handler(this);
+    owner_.on_closed(*this);
 }
 
 void caller_connection::on_stop()
@@ -85,42 +106,75 @@
         exchange->on_stop();
 }
 
+/// While a request is in progress, reading tells whether its caller is gone.
 void caller_connection::read()
 {
-    if (reading_ || closed_ || input_.size() >= max_input_bytes)
+    if (reading_ || closed_ || !is_read())
         return;
     reading_ = true;
-    socket_.async_read_some(
-        asio::buffer(buffer_),
-        [self = shared_from_this()](std::error_code ec, std::size_t n)
-        {
-            self->reading_ = false;
-            if (self->closed_)
-                return;
-            if (ec)
-                return self->close();
-            self->on_bytes(n);
-        });
+    socket_.async_wait(asio::socket_base::wait_read,
+                       [self = shared_from_this()](std::error_code ec)
+                       {
+                           self->reading_ = false;
+                           if (self->closed_)
+                               return;
+                           if (ec)
+                               return self->close();
+                           self->on_readable();
+                       });
 }
 
-void caller_connection::on_bytes(std::size_t n)
+void caller_connection::on_readable()
 {
-    if (lingering_)
+    std::error_code ec;
+    auto& scratch = owner_.scratch();
+    auto const n = socket_.read_some(asio::buffer(scratch), ec);
+    if (ec == asio::error::would_block)
         return read();
-    if (!reader_.started() && input_.empty())
-        waiting_since_ = clock_.now();
-    if (busy() || !input_.empty())
-        input_.append(buffer_.data(), n);
-    else
+    if (ec)
+        return close();
+    on_bytes({scratch.data(), n});
+    if (!closed_ && !count_memory())
+        owner_.on_memory_full();
+}
+
+void caller_connection::on_bytes(std::string_view bytes)
+{
+    if (lingering_)
     {
-        auto const taken = feed({buffer_.data(), n});
-        if (taken < n)
-            input_.assign(buffer_.data() + taken, n - taken);
+        waiting_since_ = clock_.now();
+        return read();
     }
+    if (!reader_.started() && input().empty())
+        waiting_since_ = clock_.now();
+    if (!busy() && input().empty() && queued() <= max_unread_bytes)
+        bytes.remove_prefix(feed(bytes));
+    keep_input(bytes);
     process();
     read();
 }
 
+std::string_view caller_connection::input() const
+{
+    return std::string_view(input_).substr(input_begin_);
+}
+
+void caller_connection::keep_input(std::string_view bytes)
+{
+    if (bytes.empty())
+        return;
+    input_.erase(0, std::exchange(input_begin_, 0));
+    input_ += bytes;
+    if (!is_read())
+        full_since_ = clock_.now();
+}
+
+/// A caller that sends far ahead is not read until its request has ended.
+bool caller_connection::is_read() const
+{
+    return input().size() < max_input_bytes;
+}
+
 /// The configuration may have changed since the request before.
 std::size_t caller_connection::feed(std::string_view bytes)
 {
@@ -131,12 +185,16 @@
 
 void caller_connection::process()
 {
-    if (busy() || closed_ || close_after_write_)
+    if (busy() || closed_ || close_after_write_ || queued() > max_unread_bytes)
         return;
-    if (reader_.state() == read_state::partial && !input_.empty())
+    if (reader_.state() == read_state::partial && !input().empty())
     {
-        auto const taken = feed(input_);
-        input_.erase(0, taken);
+        input_begin_ += feed(input());
+        if (input().empty())
+        {
+            input_ = {};
+            input_begin_ = 0;
+        }
     }
     if (reader_.take_continue() && reader_.state() == read_state::partial)
     {
@@ -151,7 +209,10 @@
 
 void caller_connection::serve()
 {
+    if (handler_.memory().exhausted())
+        return refuse_for_others();
     http_1_0_ = reader_.is_http_1_0();
+    request_bytes_ = reader_.memory() + exchange_bytes;
     auto request = reader_.take();
     head_request_ = request.method == "HEAD";
     keep_alive_ = request.keep_alive;
@@ -164,9 +225,54 @@
 void caller_connection::refuse(int status)
 {
     keep_alive_ = false;
+    reader_.give_up();
     answer(status, {}, {});
 }
 
+/// Refuses a request that has not run, since others need what it takes.
+void caller_connection::refuse_for_others()
+{
+    handler_.on_displaced(load(), "refused");
+    keep_alive_ = false;
+    reader_.give_up();
+    answer(status_unavailable,
+           local_answer_headers({}, retry_displaced, header_field_names()),
+           "overloaded\n");
+}
+
+void caller_connection::give_way()
+{
+    if (load().activity == connection_activity::receiving)
+        return refuse_for_others();
+    handler_.on_displaced(load(), "closed");
+    close();
+}
+
+connection_load caller_connection::load() const
+{
+    using activity = connection_activity;
+    if (lingering_)
+        return {activity::lingering, lingering_since_, memory_.bytes()};
+    auto const now = clock_.now();
+    if (queued() > 0 && now - written_at_ > stalled_after)
+        return {activity::unread, written_at_, memory_.bytes()};
+    if (!is_read() && now - full_since_ > stalled_after)
+        return {activity::unread, full_since_, memory_.bytes()};
+    if (busy() || queued() > 0)
+        return {activity::serving, waiting_since_, memory_.bytes()};
+    if (reader_.started() || !input().empty())
+        return {activity::receiving, waiting_since_, memory_.bytes()};
+    return {served_ ? activity::idle : activity::silent, waiting_since_,
+            memory_.bytes()};
+}
+
+bool caller_connection::count_memory()
+{
+    return memory_.set(connection_bytes + reader_.memory() + input_.capacity() +
+                       out_.capacity() + write_buffer_.capacity() +
+                       request_bytes_ + (is_read() ? 0 : caller_receive_bytes));
+}
+
 void caller_connection::append_head(int status, header_list const& headers)
 {
     if (handler_.draining())
@@ -218,6 +324,7 @@
     if (chunked_)
         out_ += "\r\n";
     flush();
+    count_memory();
 }
 
 void caller_connection::end()
@@ -231,10 +338,13 @@
 void caller_connection::finish_answer()
 {
     exchange_.reset();
+    request_bytes_ = 0;
+    served_ = true;
     waiting_since_ = clock_.now();
     if (!keep_alive_)
         close_after_write_ = true;
     flush();
+    count_memory();
     if (close_after_write_)
         return;
     // The next request may already be buffered. Serving it from here would
@@ -274,8 +384,8 @@
         return;
     }
     writing_ = true;
+    written_at_ = clock_.now();
     write_buffer_.swap(out_);
-    out_.clear();
     asio::async_write(
         socket_, asio::buffer(write_buffer_),
         [self = shared_from_this()](std::error_code ec, std::size_t)
@@ -285,25 +395,33 @@
 void caller_connection::on_written(std::error_code ec)
 {
     writing_ = false;
-    write_buffer_.clear();
+    if (write_buffer_.capacity() > kept_buffer_bytes)
+        write_buffer_ = {};
+    else
+        write_buffer_.clear();
     if (closed_)
         return;
     if (ec)
         return close();
     flush();
-    if (exchange_ != nullptr && !writing_)
-    {
-        auto const exchange = exchange_;
-        exchange->on_caller_ready();
-    }
+    count_memory();
+    if (writing_)
+        return;
+    if (auto const exchange = exchange_)
+        return exchange->on_caller_ready();
+    // Requests may have waited for the caller to read.
+    process();
+    read();
 }
 
 void caller_connection::close_after_answer()
 {
     if (std::exchange(lingering_, true))
         return;
-    waiting_since_ = clock_.now();
-    input_.clear();
+    waiting_since_ = lingering_since_ = clock_.now();
+    input_ = {};
+    input_begin_ = 0;
+    count_memory();
     std::error_code ec;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     if (ec)
@@ -317,9 +435,15 @@
         return;
     auto const limits = handler_.limits();
     auto const waited = now - waiting_since_;
+    if (close_after_write_ && !lingering_)
+    {
+        if (waited > limits.idle_timeout)
+            close();
+        return;
+    }
     if (lingering_)
     {
-        if (waited > linger_time)
+        if (waited > linger_time || now - lingering_since_ > max_linger_time)
             close();
         return;
     }
--- a/packages/gateway/internal/caller_server.cpp
+++ b/packages/gateway/internal/caller_server.cpp
@@ -1,11 +1,16 @@
 #include "gateway/caller_server.hpp"
 
+#include "gateway/buffer_memory.hpp"
 #include "gateway/caller_connection.hpp"
+#include "gateway/connection_policy.hpp"
+#include "gateway/i_request_handler.hpp"
 #include "kernel/i_clock.hpp"
+#include "kernel/process_resources.hpp"
 
 #include <asio/io_context.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace endiveward::gateway
@@ -17,6 +22,19 @@
 constexpr std::chrono::milliseconds tick_interval{500};
 /// Delay after a failed accept, for example when no file descriptors are left.
 constexpr std::chrono::milliseconds accept_pause{50};
+/// Pause between two reliefs of the memory.
+constexpr std::chrono::milliseconds relief_pause{10};
+constexpr std::size_t scratch_bytes = 16U << 10U;
+
+std::vector<connection_load>
+loads_of(std::vector<std::shared_ptr<caller_connection>> const& connections)
+{
+    std::vector<connection_load> res;
+    res.reserve(connections.size());
+    for (auto const& it : connections)
+        res.push_back(it->load());
+    return res;
+}
 
 } // namespace
 
@@ -30,7 +48,10 @@
     , acceptor_(context)
     , timer_(context)
     , accept_retry_(context)
+    , relief_timer_(context)
+    , scratch_(scratch_bytes)
 {
+    handler_.memory().on_scarce([this] { plan_relief(); });
 }
 
 caller_server::~caller_server() = default;
@@ -45,6 +66,11 @@
         acceptor_.open(local.protocol(), ec);
     if (!ec)
         acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
+    // Connections inherit it. The system doubles it for its own use.
+    if (!ec)
+        acceptor_.set_option(
+            asio::socket_base::receive_buffer_size(caller_receive_bytes / 2),
+            ec);
     if (!ec)
         acceptor_.bind(local, ec);
     if (!ec)
@@ -70,28 +96,80 @@
             if (ec == asio::error::operation_aborted || !acceptor_.is_open())
                 return;
             if (ec)
-            {
-                accept_retry_.expires_after(accept_pause);
-                accept_retry_.async_wait(
-                    [this](std::error_code err)
-                    {
-                        if (!err && acceptor_.is_open())
-                            accept();
-                    });
-                return;
-            }
-            if (connections_.size() < max_connections_)
-            {
-                auto conn = std::make_shared<caller_connection>(
-                    std::move(socket), clock_, handler_,
-                    [this](caller_connection* it) { connections_.erase(it); });
-                connections_.emplace(conn.get(), conn);
-                conn->start();
-            }
+                return on_accept_failed();
+            on_accepted(std::move(socket));
             accept();
         });
 }
 
+void caller_server::on_accepted(asio::ip::tcp::socket socket)
+{
+    if (connections_.size() >= max_connections_)
+        return;
+    i_connection_owner& self = *this;
+    auto conn = std::make_shared<caller_connection>(std::move(socket), clock_,
+                                                    handler_, self);
+    connections_.emplace(conn.get(), conn);
+    conn->start();
+}
+
+/// The process may have no descriptors left.
+void caller_server::on_accept_failed()
+{
+    accept_retry_.expires_after(accept_pause);
+    accept_retry_.async_wait(
+        [this](std::error_code ec)
+        {
+            if (!ec && acceptor_.is_open())
+                accept();
+        });
+}
+
+void caller_server::on_closed(caller_connection& connection)
+{
+    connections_.erase(&connection);
+}
+
+void caller_server::on_memory_full()
+{
+    relieve();
+}
+
+void caller_server::plan_relief()
+{
+    if (std::exchange(relief_planned_, true))
+        return;
+    // Not at once, since a connection must not be closed while it is read.
+    relief_timer_.expires_after(relief_pause);
+    relief_timer_.async_wait(
+        [this](std::error_code ec)
+        {
+            relief_planned_ = false;
+            if (!ec)
+                relieve();
+        });
+}
+
+void caller_server::relieve()
+{
+    auto const& memory = handler_.memory();
+    if (!memory.scarce())
+        return;
+    auto const list = current();
+    for (auto const n :
+         connections_to_relieve(loads_of(list), memory.excess(), clock_.now()))
+        list[n]->give_way();
+    has_relieved_ = true;
+}
+
+/// The allocator keeps what was freed between blocks that are in use.
+void caller_server::release_freed()
+{
+    if (handler_.memory().scarce() || !std::exchange(has_relieved_, false))
+        return;
+    kernel::release_free_memory();
+}
+
 void caller_server::tick()
 {
     timer_.expires_after(tick_interval);
@@ -102,6 +180,7 @@
                 return;
             for (auto const& it : current())
                 it->on_tick(clock_.now());
+            release_freed();
             tick();
         });
 }
@@ -140,6 +219,7 @@
 {
     timer_.cancel();
     accept_retry_.cancel();
+    relief_timer_.cancel();
     for (auto const& it : current())
         it->close();
 }
--- /dev/null
+++ b/packages/gateway/internal/connection_policy.cpp
@@ -0,0 +1,98 @@
+#include "gateway/connection_policy.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <compare>
+#include <functional>
+#include <utility>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+/// Requests of ordinary callers are mostly smaller. They are not given up for
+/// large ones.
+constexpr std::size_t small_request_bytes = 48U << 10U;
+/// What waits for a slow caller until reading from its endpoint is suspended is
+/// smaller.
+constexpr std::size_t small_response_bytes = 160U << 10U;
+
+bool is_large(connection_load const& load)
+{
+    return load.bytes > (load.activity == connection_activity::receiving
+                             ? small_request_bytes
+                             : small_response_bytes);
+}
+
+bool gives_back(connection_load const& load)
+{
+    return load.activity == connection_activity::receiving ||
+           load.activity == connection_activity::unread;
+}
+
+/// A caller that sends or reads fast holds its bytes for a short time only.
+double cost(connection_load const& load, kernel::steady_time now)
+{
+    using seconds = std::chrono::duration<double>;
+    // Of connections of the same moment, the largest one comes first.
+    constexpr seconds least_age{0.001};
+    auto const age = std::max<seconds>(now - load.since, least_age);
+    return static_cast<double>(load.bytes) * age.count();
+}
+
+} // namespace
+
+std::string_view to_text(connection_activity activity)
+{
+    switch (activity)
+    {
+    case connection_activity::lingering:
+        return "lingering";
+    case connection_activity::silent:
+        return "silent";
+    case connection_activity::receiving:
+        return "receiving";
+    case connection_activity::unread:
+        return "unread";
+    case connection_activity::idle:
+        return "idle";
+    case connection_activity::serving:
+        return "serving";
+    }
+    return "unknown";
+}
+
+std::vector<std::size_t>
+connections_to_relieve(std::vector<connection_load> const& loads,
+                       memory_excess const& excess, kernel::steady_time now)
+{
+    struct candidate
+    {
+        bool large;
+        double cost;
+        std::size_t index;
+
+        auto operator<=>(candidate const&) const = default;
+    };
+    std::vector<candidate> candidates;
+    for (std::size_t n = 0; n < loads.size(); ++n)
+    {
+        if (gives_back(loads[n]))
+            candidates.push_back({is_large(loads[n]), cost(loads[n], now), n});
+    }
+    std::sort(candidates.begin(), candidates.end(), std::greater<>());
+    std::vector<std::size_t> res;
+    std::size_t freed = 0;
+    for (auto const& it : candidates)
+    {
+        if (freed >= (it.large ? excess.of_large : excess.of_all))
+            break;
+        freed += loads[it.index].bytes;
+        res.push_back(it.index);
+    }
+    return res;
+}
+
+} // namespace endiveward::gateway
--- a/packages/gateway/internal/event_splitter.cpp
+++ b/packages/gateway/internal/event_splitter.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::size_t compact_above_bytes = 4096;
+constexpr std::size_t kept_bytes = 16U << 10U;
 
 std::optional<std::uint64_t> id_of(std::string_view event)
 {
@@ -84,6 +85,9 @@
 
 void event_splitter::clear()
 {
+    // The memory of a long event is released after it.
+    if (buffer_.capacity() > kept_bytes)
+        buffer_ = {};
     buffer_.clear();
     start_ = 0;
     scanned_ = 0;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -80,7 +80,7 @@
 constexpr milliseconds retry_refused{250};
 /// Reading from the endpoint is suspended while more than this is queued for a
 /// slow caller.
-constexpr std::size_t max_queued_bytes = 64U << 10U;
+constexpr std::size_t max_queued_bytes = 32U << 10U;
 /// A longer response is forwarded while it arrives.
 constexpr std::size_t max_collected_bytes = 256U << 10U;
 /// What follows the head of a refusal, or of an error in the place of the rest
@@ -648,7 +648,9 @@
 /// Returns false if this request buffers too much beside the others.
 bool exchange::count_buffered()
 {
-    return buffered_.set(body_.size() + events_.pending() + writer_->queued());
+    return buffered_.set(head_.headers.memory() + body_.capacity() +
+                             events_.memory(),
+                         writer_->queued());
 }
 
 void exchange::note_output()
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -13,6 +13,7 @@
 #include "gateway/room_queue.hpp"
 #include "gateway/routing_table.hpp"
 #include "gateway/speed_watch.hpp"
+#include "gateway/types/connection_load.hpp"
 #include "gateway/weights_view.hpp"
 #include "observe/decision_log.hpp"
 
@@ -42,6 +43,8 @@
 constexpr int lifetime_factor = 2;
 constexpr std::chrono::seconds min_stream_lifetime{30};
 constexpr std::chrono::minutes max_stream_lifetime{60};
+/// So many are served at the same time.
+constexpr std::size_t requests_of_largest_size = 2;
 
 } // namespace
 
@@ -59,6 +62,7 @@
                                                   settings_.zone))
     , overload_(settings_.overload)
     , unavailability_(clock)
+    , memory_(settings_.buffer_memory_bytes)
     , weights_(std::make_unique<weights_view>(settings_.rollout,
                                               settings_.version_deadline))
     , budgets_(std::make_unique<retry_budgets>(clock, *metrics_, log))
@@ -118,6 +122,7 @@
     quotas_->apply(*table_);
     room_->apply(*table_);
     update_limits();
+    update_memory_limit();
     update_stream_lifetime();
     log_.write("configuration_in_force",
                "version={} routes={} workspaces={} needs_keys={} "
@@ -289,6 +294,7 @@
 {
     settings_ = std::move(settings);
     weights_->set_deadline(settings_.version_deadline);
+    update_memory_limit();
     update_limits();
 }
 
@@ -317,6 +323,18 @@
         });
 }
 
+/// A request of the largest size is served in calm.
+void gateway::update_memory_limit()
+{
+    auto const most = settings_.max_buffer_memory_bytes;
+    auto const sizes = limits();
+    auto const largest = std::min(sizes.body_bytes, most / 4) +
+                         std::min(sizes.header_bytes, most / 4);
+    auto const wanted = requests_of_largest_size * largest;
+    memory_.set_limit(
+        std::max(settings_.buffer_memory_bytes, std::min(wanted, most)));
+}
+
 void gateway::tick()
 {
     timer_.expires_after(tick_interval);
@@ -376,6 +394,19 @@
     return res;
 }
 
+void gateway::on_displaced(connection_load const& load, std::string_view reason)
+{
+    auto const activity = to_text(load.activity);
+    metrics_->on_displaced(std::string(activity));
+    log_.write("caller_displaced",
+               "activity={} by={} bytes={} held_ms={} memory={} connections={}",
+               activity, reason, load.bytes,
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                   clock_.now() - load.since)
+                   .count(),
+               memory_.used(), caller_server_.connections());
+}
+
 caller_limits gateway::limits() const
 {
     return table_ == nullptr ? caller_limits() : table_->limits();
--- a/packages/gateway/internal/gateway_metrics.cpp
+++ b/packages/gateway/internal/gateway_metrics.cpp
@@ -40,6 +40,11 @@
                         "Requests sent to another endpoint, by reason"))
     , leaving_(counters(registry, "endiveward_gateway_leaving_endpoints_total",
                         "Endpoints that announced their exit, by source"))
+    , displaced_(counters(registry,
+                          "endiveward_gateway_displaced_callers_total",
+                          "Connections of callers that were closed, or whose "
+                          "request was refused, for the sake of others, by "
+                          "what they did"))
     , taken_up_(counters(registry, "endiveward_gateway_taken_up_streams_total",
                          "Streams that callers take up, by how it became known "
                          "where they began"))
@@ -144,6 +149,11 @@
     retries_.Add({{"reason", reason}}).Increment();
 }
 
+void gateway_metrics::on_displaced(std::string const& activity)
+{
+    displaced_.Add({{"activity", activity}}).Increment();
+}
+
 void gateway_metrics::on_leaving(std::string const& source)
 {
     leaving_.Add({{"source", source}}).Increment();
--- a/packages/gateway/internal/request_reader.cpp
+++ b/packages/gateway/internal/request_reader.cpp
@@ -96,6 +96,14 @@
     return res;
 }
 
+void request_reader::give_up()
+{
+    request_ = {};
+    fields_.reset();
+    if (state_ == read_state::partial)
+        fail(status_bad_request);
+}
+
 std::size_t request_reader::memory() const
 {
     return request_.target.capacity() + request_.headers.memory() +
--- /dev/null
+++ b/packages/gateway/tests/connection_policy_test.cpp
@@ -0,0 +1,66 @@
+#include "gateway/connection_policy.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace endiveward::gateway
+{
+
+namespace
+{
+
+using activity = connection_activity;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kib = 1024;
+kernel::steady_time const now{std::chrono::seconds(100)};
+
+connection_load load(activity what, milliseconds age, std::size_t bytes)
+{
+    return {what, now - age, bytes};
+}
+
+} // namespace
+
+// Guards against a crowd of large requests that stop short of their end, beside
+// which ordinary requests are given up.
+TEST_CASE("requests that have held most for longest give way first")
+{
+    std::vector<connection_load> const loads{
+        load(activity::receiving, milliseconds(10), 20 * kib),
+        load(activity::receiving, milliseconds(200), 4096 * kib),
+        load(activity::serving, milliseconds(9000), 4096 * kib),
+        load(activity::receiving, milliseconds(5000), 1024 * kib),
+        load(activity::idle, milliseconds(9000), 4 * kib)};
+    CHECK(connections_to_relieve(loads, {500 * kib, 0}, now) ==
+          std::vector<std::size_t>{3});
+    CHECK(connections_to_relieve(loads, {8000 * kib, 0}, now) ==
+          std::vector<std::size_t>{3, 1});
+    CHECK(connections_to_relieve(loads, {8000 * kib, 8000 * kib}, now) ==
+          std::vector<std::size_t>{3, 1, 0});
+    CHECK(connections_to_relieve(loads, {0, 0}, now).empty());
+}
+
+// Guards against a crowd of heads, each of them small, that takes all memory.
+TEST_CASE("small requests give way only for what is exceeded by all")
+{
+    std::vector<connection_load> loads(
+        1000, load(activity::receiving, milliseconds(1000), 30 * kib));
+    CHECK(connections_to_relieve(loads, {20000 * kib, 0}, now).empty());
+    CHECK(
+        connections_to_relieve(loads, {20000 * kib, 3000 * kib}, now).size() ==
+        100);
+}
+
+// Guards against streams that are given up though their callers are only slow.
+TEST_CASE("what waits for a slow caller is small")
+{
+    std::vector<connection_load> const loads{
+        load(activity::unread, milliseconds(3000), 100 * kib),
+        load(activity::unread, milliseconds(300), 1000 * kib)};
+    CHECK(connections_to_relieve(loads, {5000 * kib, 0}, now) ==
+          std::vector<std::size_t>{1});
+}
+
+} // namespace endiveward::gateway
--- a/packages/gateway/types/gateway_settings.hpp
+++ b/packages/gateway/types/gateway_settings.hpp
@@ -9,6 +9,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 
 namespace endiveward::gateway
 {
@@ -35,6 +37,12 @@
     /// Whether requests wait for capacity.
     room::room_switch room = room::room_switch::automatic;
     std::size_t max_caller_connections = 2000;
+    /// What callers' connections, requests and responses may take together.
+    std::size_t buffer_memory_bytes = 16U << 20U;
+    /// The same if the largest request that the configuration allows needs
+    /// more.
+    std::size_t max_buffer_memory_bytes =
+        std::numeric_limits<std::size_t>::max();
     /// Should differ between processes, so that they do not return to an
     /// endpoint at the same time after a pause.
     std::uint64_t seed = 0;
--- a/packages/gateway/types/process_settings.hpp
+++ b/packages/gateway/types/process_settings.hpp
@@ -5,6 +5,7 @@
 #include "kernel/types/socket_address.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -43,6 +44,9 @@
     /// what happened in it.
     std::chrono::milliseconds catch_up_time{3000};
 
+    /// Bytes of memory that the process may use; 0 if the settings name none.
+    std::size_t memory_limit = 0;
+
     bool operator==(process_settings const&) const = default;
 };
 
--- /dev/null
+++ b/packages/kernel/process_resources.hpp
@@ -0,0 +1,16 @@
+#ifndef ENDIVEWARD_KERNEL_PROCESS_RESOURCES_HPP
+#define ENDIVEWARD_KERNEL_PROCESS_RESOURCES_HPP
+
+namespace endiveward::kernel
+{
+
+/// Makes the allocator return large blocks to the system as soon as they are
+/// freed. To be called before other threads are started.
+void return_large_blocks();
+
+/// Returns free memory to the system.
+void release_free_memory();
+
+} // namespace endiveward::kernel
+
+#endif
