gateway: Refuse a body that does not end in time

A request whose body did not end within idle_timeout_ms was ended by closing its connection, which promises nothing, though it had not run.

Change: it is refused with 408, as a head that does not end is.

Evidence: "a body that does not end in time is refused as not run" (a caller that sends a byte now and then) fails on the code before, where the connection is closed without an answer, and passes now.

--- a/packages/gateway/internal/caller_connection.cpp
+++ b/packages/gateway/internal/caller_connection.cpp
@@ -451,7 +451,7 @@
     if (in_headers && waited > limits.header_timeout)
         return refuse(status_request_timeout);
     if (waited > limits.idle_timeout)
-        close();
+        return reader_.started() ? refuse(status_request_timeout) : close();
 }
 
 } // namespace endiveward::gateway
--- a/packages/gateway/tests/caller_crowd_test.cpp
+++ b/packages/gateway/tests/caller_crowd_test.cpp
@@ -120,6 +120,25 @@
     CHECK(it.endpoint.requests() == number + 1);
 }
 
+// Guards against a request that holds its place for as long as its caller sends
+// a byte now and then, and against an end that promises nothing.
+TEST_CASE("a body that does not end in time is refused as not run")
+{
+    caller_limits sizes;
+    sizes.idle_timeout = std::chrono::milliseconds(600);
+    crowded_gateway it(little_memory(), sizes);
+    test_caller caller(it.gate.port());
+    caller.send(upload("id", 1000));
+    std::string text;
+    for (int n = 0; n < 200 && text.empty(); ++n)
+    {
+        caller.send("x");
+        text = caller.read_until("\r\n\r\n", std::chrono::milliseconds(20));
+    }
+    CHECK(text.starts_with("HTTP/1.1 408 "));
+    CHECK(it.endpoint.requests() == 0);
+}
+
 // Guards against a limit below the largest request that operators allow.
 TEST_CASE("a request of the largest size is served in calm")
 {
