observe: Close the oldest connections of operators if there are too many

The listeners for readiness and metrics took connections without a number, each for up to 5 s with up to 1 MB of header fields. A crowd took the descriptors of the whole router; after a failed accept RESTinio does not accept again, so that readiness was not answered until a restart, and callers were not served meanwhile.

Change: listed_socket, as the socket of RESTinio's connections, is listed while it is open; above operator_server_options::max_connections (64) the oldest one is closed. RESTinio's own limit would stop accepting instead. A request has at most 32 fields of 2 KiB.

--- a/packages/observe/internal/operator_server.cpp
+++ b/packages/observe/internal/operator_server.cpp
@@ -1,5 +1,7 @@
 #include "observe/operator_server.hpp"
 
+#include "kernel/listed_socket.hpp"
+#include "kernel/open_sockets.hpp"
 #include "observe/internal/operator_api.hpp"
 
 #include <asio/executor_work_guard.hpp>
@@ -18,12 +20,18 @@
 namespace
 {
 
-using traits = restinio::default_single_thread_traits_t;
+struct traits : restinio::default_single_thread_traits_t
+{
+    using stream_socket_t = kernel::listed_socket;
+};
+
 using server = restinio::http_server_t<traits>;
 
 constexpr std::size_t max_url_bytes = 1024;
-constexpr std::size_t max_headers = 64;
-constexpr std::size_t max_header_bytes = 8192;
+// A connection may hold as much as these allow together.
+constexpr std::size_t max_headers = 32;
+constexpr std::size_t max_header_name_bytes = 128;
+constexpr std::size_t max_header_value_bytes = 2048;
 constexpr std::size_t max_body_bytes = 4096;
 constexpr std::chrono::seconds read_timeout{5};
 
@@ -76,6 +84,7 @@
     explicit impl(operator_server_options options)
         : address_(options.address)
         , port_(options.port)
+        , max_connections_(options.max_connections)
         , api_(std::move(options))
     {
     }
@@ -116,6 +125,8 @@
 private:
     void make_server()
     {
+        asio::use_service<kernel::open_sockets>(context_).set_limit(
+            max_connections_);
         server_ = std::make_unique<server>(
             restinio::external_io_context(context_),
             [this](restinio::server_settings_t<traits>& settings)
@@ -127,8 +138,8 @@
                     .incoming_http_msg_limits(
                         restinio::incoming_http_msg_limits_t()
                             .max_url_size(max_url_bytes)
-                            .max_field_name_size(max_header_bytes)
-                            .max_field_value_size(max_header_bytes)
+                            .max_field_name_size(max_header_name_bytes)
+                            .max_field_value_size(max_header_value_bytes)
                             .max_field_count(max_headers)
                             .max_body_size(max_body_bytes))
                     .acceptor_post_bind_hook(
@@ -141,6 +152,7 @@
 
     std::string address_;
     std::uint16_t port_;
+    std::size_t max_connections_;
     operator_api api_;
     asio::io_context context_{1};
     std::unique_ptr<server> server_;
--- a/packages/observe/operator_server.hpp
+++ b/packages/observe/operator_server.hpp
@@ -3,6 +3,7 @@
 
 #include "kernel/types/result.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -32,6 +33,8 @@
     std::function<bool()> ready;
     /// Answers everything without a token, on a network of its own.
     bool open = false;
+    /// If there are more, those that have been open for longest are closed.
+    std::size_t max_connections = 64;
 };
 
 /// HTTP for operators: `/healthz`, `/readyz`, `/metrics`, `/state` and
--- a/packages/observe/tests/operator_server_test.cpp
+++ b/packages/observe/tests/operator_server_test.cpp
@@ -12,6 +12,7 @@
 #include <prometheus/registry.h>
 
 #include <atomic>
+#include <vector>
 
 namespace endiveward::observe
 {
@@ -149,4 +150,31 @@
     CHECK(kernel::failure(res).kind == kernel::error_kind::invalid_settings);
 }
 
+// Guards against a crowd that holds all connections, or all descriptors of the
+// process: RESTinio would not accept again.
+TEST_CASE("the oldest connections are closed if there are too many")
+{
+    operator_server_options options;
+    options.address = "127.0.0.1";
+    options.open = true;
+    options.ready = [] { return true; };
+    options.max_connections = 4;
+    operator_server server(options);
+    auto const port = kernel::value(server.start());
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> crowd;
+    for (int n = 0; n < 20; ++n)
+        crowd.emplace_back(context).connect(
+            {asio::ip::make_address("127.0.0.1"), port});
+    for (int n = 0; n < 3; ++n)
+        CHECK(has_status(send_request(port, "GET /readyz HTTP/1.1\r\n"
+                                            "Host: test\r\n"
+                                            "Connection: close\r\n\r\n"),
+                         200));
+    std::error_code ec;
+    char byte = 0;
+    CHECK(crowd.front().read_some(asio::buffer(&byte, 1), ec) == 0);
+    CHECK(ec);
+}
+
 } // namespace endiveward::observe
