gateway: Let callers without progress give their places to others

Callers that connected and sent nothing, or part of a head, held all 2000 places of a router until their timeout; new callers were disconnected. On a machine with fewer descriptors than that they held these, too: accepting failed, and neither endpoints nor the store could be reached.

Change: the number of callers follows the descriptors (limits.max_fds or the process's own limit): each may need a connection to an endpoint, and agents, store, operators and files keep theirs. If all places are taken, a new connection takes that of the one without progress for longest: silent ones first, then heads and bodies that do not end, answers that are not read and idle ones, never a request in progress. An eighth more places is for callers that read their last response. If accepting fails, one gives way, too.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -9,6 +9,7 @@
 #include "gateway/gateway.hpp"
 #include "gateway/process_budget.hpp"
 #include "gateway/routing_table.hpp"
+#include "kernel/process_resources.hpp"
 #include "observe/logging.hpp"
 #include "observe/operator_server.hpp"
 #include "platform/boot_file.hpp"
@@ -176,6 +177,7 @@
         options.port = at.port;
         options.metrics = metrics_;
         options.open = true;
+        options.max_connections = gateway::max_operator_connections;
         options.ready = [this] { return ready_.load(); };
         auto server = std::make_unique<observe::operator_server>(options);
         auto const res = server->start();
@@ -495,7 +497,9 @@
     res.version_deadline = settings_.version_deadline;
     res.room = room_;
     auto const budget =
-        gateway::budget_of(settings_.memory_limit);
+        gateway::budget_of(settings_.memory_limit,
+                           kernel::allowed_descriptors(settings_.descriptor_limit));
+    res.max_caller_connections = budget.caller_connections;
     res.buffer_memory_bytes = budget.buffer_memory;
     res.max_buffer_memory_bytes = budget.max_buffer_memory;
     auto const& name = settings_.name.str();
--- a/packages/gateway/caller_server.hpp
+++ b/packages/gateway/caller_server.hpp
@@ -40,6 +40,7 @@
     /// Starts listening; port 0 selects a free port. Returns the port in use.
     kernel::result<std::uint16_t> listen(std::string const& address,
                                          std::uint16_t port);
+    void set_max_connections(std::size_t n) { max_connections_ = n; }
     void stop_listening();
     /// Tells the requests in progress that the process stops.
     void on_stop();
@@ -56,6 +57,8 @@
     void accept();
     void on_accepted(asio::ip::tcp::socket socket);
     void on_accept_failed();
+    bool make_place();
+    bool free_descriptor();
     void plan_relief();
     void relieve();
     void release_freed();
--- a/packages/gateway/internal/caller_server.cpp
+++ b/packages/gateway/internal/caller_server.cpp
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds accept_pause{50};
 /// Pause between two reliefs of the memory.
 constexpr std::chrono::milliseconds relief_pause{10};
+/// Connections for one whose caller still reads its last response.
+constexpr std::size_t lingering_share = 8;
 constexpr std::size_t scratch_bytes = 16U << 10U;
 
 std::vector<connection_load>
@@ -104,7 +106,7 @@
 
 void caller_server::on_accepted(asio::ip::tcp::socket socket)
 {
-    if (connections_.size() >= max_connections_)
+    if (connections_.size() >= max_connections_ && !make_place())
         return;
     i_connection_owner& self = *this;
     auto conn = std::make_shared<caller_connection>(std::move(socket), clock_,
@@ -113,9 +115,11 @@
     conn->start();
 }
 
-/// The process may have no descriptors left.
+/// The process has no descriptors left.
 void caller_server::on_accept_failed()
 {
+    if (free_descriptor())
+        return accept();
     accept_retry_.expires_after(accept_pause);
     accept_retry_.async_wait(
         [this](std::error_code ec)
@@ -125,6 +129,35 @@
         });
 }
 
+/// Returns whether there is a place for one more connection, after the one that
+/// has made no progress for longest has given way.
+bool caller_server::make_place()
+{
+    auto const list = current();
+    auto const loads = loads_of(list);
+    // Callers that read a refusal have places of their own.
+    auto const max_lingering = max_connections_ / lingering_share;
+    if (list.size() < max_connections_ + max_lingering &&
+        list.size() - count_lingering(loads) < max_connections_)
+        return true;
+    auto const found = connection_to_displace(loads, max_lingering);
+    if (found)
+        list[*found]->give_way();
+    return connections_.size() < max_connections_ + max_lingering;
+}
+
+/// Frees a descriptor, if any connection can do without it.
+bool caller_server::free_descriptor()
+{
+    auto const list = current();
+    auto const found = connection_to_displace(loads_of(list), 0);
+    if (!found)
+        return false;
+    list[*found]->give_way();
+    list[*found]->close();
+    return true;
+}
+
 void caller_server::on_closed(caller_connection& connection)
 {
     connections_.erase(&connection);
--- a/packages/gateway/internal/connection_policy.cpp
+++ b/packages/gateway/internal/connection_policy.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <compare>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 namespace endiveward::gateway
@@ -95,4 +96,31 @@
     return res;
 }
 
+std::size_t count_lingering(std::vector<connection_load> const& loads)
+{
+    return static_cast<std::size_t>(std::count_if(
+        loads.begin(), loads.end(),
+        [](auto const& it)
+        { return it.activity == connection_activity::lingering; }));
+}
+
+std::optional<std::size_t>
+connection_to_displace(std::vector<connection_load> const& loads,
+                       std::size_t max_lingering)
+{
+    auto const spares_lingering = count_lingering(loads) <= max_lingering;
+    std::optional<std::size_t> res;
+    for (std::size_t n = 0; n < loads.size(); ++n)
+    {
+        auto const& it = loads[n];
+        if (it.activity == connection_activity::serving ||
+            (spares_lingering && it.activity == connection_activity::lingering))
+            continue;
+        if (!res || std::tie(it.activity, it.since) <
+                        std::tie(loads[*res].activity, loads[*res].since))
+            res = n;
+    }
+    return res;
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -295,6 +295,7 @@
     settings_ = std::move(settings);
     weights_->set_deadline(settings_.version_deadline);
     update_memory_limit();
+    caller_server_.set_max_connections(settings_.max_caller_connections);
     update_limits();
 }
 
--- a/packages/gateway/tests/caller_crowd_test.cpp
+++ b/packages/gateway/tests/caller_crowd_test.cpp
@@ -44,6 +44,14 @@
     test_gateway gate;
 };
 
+gateway_settings few_connections()
+{
+    gateway_settings res;
+    res.processes = 1;
+    res.max_caller_connections = 16;
+    return res;
+}
+
 gateway_settings little_memory()
 {
     gateway_settings res;
@@ -61,6 +69,22 @@
 
 } // namespace
 
+// Guards against callers that connect, send nothing and take all places.
+TEST_CASE("connections on which nothing happens give their places to callers")
+{
+    crowded_gateway it(few_connections());
+    test_caller kept(it.gate.port());
+    REQUIRE(it.serves(kept));
+    std::list<test_caller> crowd;
+    for (int n = 0; n < 60; ++n)
+        crowd.emplace_back(it.gate.port());
+    test_caller caller(it.gate.port());
+    CHECK(it.serves(caller));
+    // Callers whose connections were used before keep them for longer.
+    CHECK(it.serves(kept));
+    it.gate.run([&] { CHECK(it.gate.get().connections() <= 18); });
+}
+
 // Guards against a refusal that is no promise, or that is lost since its caller
 // still sends.
 TEST_CASE("a caller that holds much without progress is told to come back")
--- a/packages/gateway/tests/connection_policy_test.cpp
+++ b/packages/gateway/tests/connection_policy_test.cpp
@@ -63,4 +63,35 @@
           std::vector<std::size_t>{1});
 }
 
+TEST_CASE("a connection without progress gives its place to a new one")
+{
+    std::vector<connection_load> loads{
+        load(activity::serving, milliseconds(9000), kib),
+        load(activity::idle, milliseconds(8000), kib),
+        load(activity::unread, milliseconds(500), kib),
+        load(activity::receiving, milliseconds(700), kib),
+        load(activity::silent, milliseconds(10), kib),
+        load(activity::silent, milliseconds(20), kib)};
+    for (std::size_t const expected : {5, 4, 3, 2, 1})
+    {
+        auto const found = connection_to_displace(loads, 0);
+        REQUIRE(found);
+        CHECK(*found == expected);
+        loads[*found].activity = activity::serving;
+    }
+    CHECK_FALSE(connection_to_displace(loads, 0));
+}
+
+// Guards against a refusal whose caller has no time to read it.
+TEST_CASE("callers that read their last response keep their places first")
+{
+    std::vector<connection_load> const loads{
+        load(activity::lingering, milliseconds(10), kib),
+        load(activity::lingering, milliseconds(20), kib),
+        load(activity::idle, milliseconds(30), kib)};
+    CHECK(count_lingering(loads) == 2);
+    CHECK(connection_to_displace(loads, 2) == std::size_t{2});
+    CHECK(connection_to_displace(loads, 1) == std::size_t{1});
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/types/process_settings.hpp
+++ b/packages/gateway/types/process_settings.hpp
@@ -46,6 +46,8 @@
 
     /// Bytes of memory that the process may use; 0 if the settings name none.
     std::size_t memory_limit = 0;
+    /// Descriptors that the process may use; 0 if the settings name none.
+    std::size_t descriptor_limit = 0;
 
     bool operator==(process_settings const&) const = default;
 };
--- a/packages/kernel/internal/process_resources.cpp
+++ b/packages/kernel/internal/process_resources.cpp
@@ -1,6 +1,9 @@
 #include "kernel/process_resources.hpp"
 
 #include <malloc.h>
+#include <sys/resource.h>
+
+#include <algorithm>
 
 namespace endiveward::kernel
 {
@@ -18,4 +21,14 @@
     malloc_trim(0);
 }
 
+std::size_t allowed_descriptors(std::size_t limit)
+{
+    rlimit allowed{};
+    if (getrlimit(RLIMIT_NOFILE, &allowed) != 0 ||
+        allowed.rlim_cur == RLIM_INFINITY)
+        return limit;
+    return limit == 0 ? allowed.rlim_cur
+                      : std::min<std::size_t>(limit, allowed.rlim_cur);
+}
+
 } // namespace endiveward::kernel
--- a/packages/kernel/process_resources.hpp
+++ b/packages/kernel/process_resources.hpp
@@ -1,6 +1,8 @@
 #ifndef ENDIVEWARD_KERNEL_PROCESS_RESOURCES_HPP
 #define ENDIVEWARD_KERNEL_PROCESS_RESOURCES_HPP
 
+#include <cstddef>
+
 namespace endiveward::kernel
 {
 
@@ -11,6 +13,10 @@
 /// Returns free memory to the system.
 void release_free_memory();
 
+/// Number of descriptors that the system allows the process, or `limit` if that
+/// is lower and not 0.
+std::size_t allowed_descriptors(std::size_t limit);
+
 } // namespace endiveward::kernel
 
 #endif
