--- a/platform/tests/crowd/client_crowd.cpp
+++ b/tests/support/client_crowd.cpp
@@ -1,9 +1,9 @@
-#include "platform/tests/crowd/client_crowd.hpp"
+#include "support/client_crowd.hpp"
 
 #include <sys/socket.h>
 #include <sys/time.h>
 
-namespace endiveward::platform::crowd
+namespace endiveward::test_support
 {
 
 client_crowd::client_crowd(std::uint16_t port)
@@ -39,4 +39,4 @@
     }
 }
 
-} // namespace endiveward::platform::crowd
+} // namespace endiveward::test_support
--- a/platform/tests/crowd/client_crowd.hpp
+++ b/tests/support/client_crowd.hpp
@@ -1,5 +1,5 @@
-#ifndef ENDIVEWARD_PLATFORM_TESTS_CROWD_CLIENT_CROWD_HPP
-#define ENDIVEWARD_PLATFORM_TESTS_CROWD_CLIENT_CROWD_HPP
+#ifndef ENDIVEWARD_TEST_SUPPORT_CLIENT_CROWD_HPP
+#define ENDIVEWARD_TEST_SUPPORT_CLIENT_CROWD_HPP
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace endiveward::platform::crowd
+namespace endiveward::test_support
 {
 
 /// Clients that send something, read nothing and stay connected. That the
@@ -32,6 +32,6 @@
     std::vector<asio::ip::tcp::socket> sockets_;
 };
 
-} // namespace endiveward::platform::crowd
+} // namespace endiveward::test_support
 
 #endif
--- a/platform/tests/crowd/process_usage.cpp
+++ b/tests/support/process_usage.cpp
@@ -1,4 +1,4 @@
-#include "platform/tests/crowd/process_usage.hpp"
+#include "support/process_usage.hpp"
 
 #include <fmt/format.h>
 
@@ -9,7 +9,7 @@
 #include <sstream>
 #include <string>
 
-namespace endiveward::platform::crowd
+namespace endiveward::test_support
 {
 
 namespace
@@ -69,4 +69,4 @@
     return res;
 }
 
-} // namespace endiveward::platform::crowd
+} // namespace endiveward::test_support
--- a/platform/tests/crowd/process_usage.hpp
+++ b/tests/support/process_usage.hpp
@@ -1,12 +1,12 @@
-#ifndef ENDIVEWARD_PLATFORM_TESTS_CROWD_PROCESS_USAGE_HPP
-#define ENDIVEWARD_PLATFORM_TESTS_CROWD_PROCESS_USAGE_HPP
+#ifndef ENDIVEWARD_TEST_SUPPORT_PROCESS_USAGE_HPP
+#define ENDIVEWARD_TEST_SUPPORT_PROCESS_USAGE_HPP
 
 #include <sys/types.h>
 
 #include <cstddef>
 #include <cstdint>
 
-namespace endiveward::platform::crowd
+namespace endiveward::test_support
 {
 
 /// Largest resident memory that the process has had, in bytes; 0 if it is gone.
@@ -17,6 +17,6 @@
 /// the process has not read.
 std::size_t unread_bytes(std::uint16_t port);
 
-} // namespace endiveward::platform::crowd
+} // namespace endiveward::test_support
 
 #endif
