router: Limit what callers of the own interface hold, in sum

Callers of the product's own interface had limits for each request and for their number only: 4096 connections with 16 MiB each. At that number RESTinio stopped accepting, so that connections on which no request ended kept ordinary callers out for read_timeout_ms.

Change: limits.max_request_memory (128 MiB) is for all requests without an answer together, three bytes for each byte received, since RESTinio's strings double and bodies are copied for their calls. Beyond it, and above limits.max_connections (or half of the process's descriptors), listed_socket closes the connection that has made no progress for longest: requests that have not ended first, idle ones last, never one with a request in progress (request_token).

--- a/packages/config/internal/settings_loader.cpp
+++ b/packages/config/internal/settings_loader.cpp
@@ -69,6 +69,7 @@
 
 void read_limits(settings_reader& reader, router_settings& out)
 {
+    constexpr std::size_t memory_per_byte = 3;
     read_count(reader, "limits", "max_body_bytes", 1024, 15LL << 20,
                out.max_body_bytes);
     read_count(reader, "limits", "max_header_bytes", 1024, 1LL << 20,
@@ -77,6 +78,13 @@
                out.max_answer_bytes);
     read_count(reader, "limits", "max_connections", 1, 1'000'000,
                out.max_connections);
+    read_count(reader, "limits", "max_request_memory", 1024, 1LL << 40,
+               out.max_request_memory);
+    if (out.max_request_memory / memory_per_byte <
+        out.max_body_bytes + out.max_header_bytes)
+        reader.fail("limits", "max_request_memory",
+                    "must be at least three times max_body_bytes and "
+                    "max_header_bytes; raise it");
     reader.milliseconds("limits", "read_timeout_ms", 10, hour_ms,
                         out.read_timeout);
     // A drain waits for the last call, so deadlines are limited to 10 min.
--- a/packages/kernel/listed_socket.hpp
+++ b/packages/kernel/listed_socket.hpp
@@ -3,9 +3,13 @@
 
 #include "kernel/open_sockets.hpp"
 
+#include <asio/associated_executor.hpp>
+#include <asio/bind_executor.hpp>
+#include <asio/error.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -20,25 +24,48 @@
     explicit listed_socket(asio::io_context& context)
         : asio::ip::tcp::socket(context)
         , list_(&asio::use_service<open_sockets>(context))
+        , use_(list_->make_use())
     {
     }
-    listed_socket(listed_socket&& other) noexcept
+    listed_socket(listed_socket&& other)
         : asio::ip::tcp::socket(std::move(other))
         , list_(other.list_)
+        , use_(other.use_)
     {
+        // RESTinio accepts the next connection with the other one.
+        other.use_ = list_->make_use();
     }
     ~listed_socket() { unlist(); }
     listed_socket(listed_socket const&) = delete;
     listed_socket& operator=(listed_socket const&) = delete;
     listed_socket& operator=(listed_socket&&) = delete;
 
+    socket_use& use() const { return *use_; }
+
     template <typename Buffers, typename Handler>
     auto async_read_some(Buffers const& buffers, Handler&& handler)
     {
         if (!at_)
             at_ = list_->add(*this);
+        auto const executor =
+            asio::get_associated_executor(handler, get_executor());
         return asio::ip::tcp::socket::async_read_some(
-            buffers, std::forward<Handler>(handler));
+            buffers,
+            asio::bind_executor(executor,
+                                [list = list_, use = use_,
+                                 handler = std::forward<Handler>(handler)](
+                                    std::error_code ec, std::size_t n) mutable
+                                {
+                                    if (!ec)
+                                        list->on_read(*use, n);
+                                    // RESTinio expects that it knows of aborted
+                                    // reads.
+                                    if (use->displaced())
+                                        ec = asio::error::connection_reset;
+                                    list->set_current(use);
+                                    handler(ec, n);
+                                    list->set_current(nullptr);
+                                }));
     }
 
     void close()
@@ -49,6 +76,13 @@
         asio::ip::tcp::socket::close(ec);
     }
 
+    /// Closes the connection for the sake of others.
+    void displace()
+    {
+        use_->displace();
+        close();
+    }
+
 private:
     void unlist()
     {
@@ -57,6 +91,7 @@
     }
 
     open_sockets* list_;
+    std::shared_ptr<socket_use> use_;
     std::optional<open_sockets::position> at_;
 };
 
--- a/packages/router/caller_server.hpp
+++ b/packages/router/caller_server.hpp
@@ -26,7 +26,11 @@
     std::uint16_t port = 0;
     std::size_t max_body_bytes = 8U << 20U;
     std::size_t max_header_bytes = 64U << 10U;
+    /// If there are more, those without progress for longest are closed.
     std::size_t max_connections = 4096;
+    /// Bytes that requests without an answer may take, of all callers together.
+    /// Beyond them, requests that are not complete are given up.
+    std::size_t max_request_memory = 128U << 20U;
     std::chrono::milliseconds read_timeout{10'000};
     std::chrono::milliseconds max_deadline{600'000};
 };
--- a/packages/router/internal/caller_server.cpp
+++ b/packages/router/internal/caller_server.cpp
@@ -1,5 +1,8 @@
 #include "router/caller_server.hpp"
 
+#include "kernel/listed_socket.hpp"
+#include "kernel/open_sockets.hpp"
+#include "kernel/socket_use.hpp"
 #include "router/caller_api.hpp"
 #include "router/i_caller_response.hpp"
 #include "router/types/caller_request.hpp"
@@ -83,7 +86,7 @@
 struct traits : restinio::default_traits_t
 {
     using connection_state_listener_t = connection_listener;
-    static constexpr bool use_connection_count_limiter = true;
+    using stream_socket_t = kernel::listed_socket;
 };
 
 using server = restinio::http_server_t<traits>;
@@ -132,8 +135,10 @@
 class restinio_response : public i_caller_response
 {
 public:
-    explicit restinio_response(restinio::request_handle_t request)
-        : request_(std::move(request))
+    restinio_response(restinio::request_handle_t request,
+                      std::shared_ptr<kernel::socket_use> use)
+        : token_(std::move(use))
+        , request_(std::move(request))
     {
     }
 
@@ -177,6 +182,7 @@
         builder.append_header_date_field();
     }
 
+    kernel::request_token token_;
     restinio::request_handle_t request_;
     std::optional<restinio::response_builder_t<restinio::chunked_output_t>>
         stream_;
@@ -212,12 +218,15 @@
          std::shared_ptr<caller_api> api)
         : options_(std::move(options))
         , api_(std::move(api))
+        , sockets_(asio::use_service<kernel::open_sockets>(context))
         , listener_(std::make_shared<connection_listener>())
         , server_(std::make_unique<server>(
               restinio::external_io_context(context),
               [this](restinio::server_settings_t<traits>& settings)
               { configure(settings); }))
     {
+        sockets_.set_limit(options_.max_connections);
+        sockets_.set_request_limit(options_.max_request_memory);
     }
 
     kernel::result<std::uint16_t> start()
@@ -243,7 +252,6 @@
         settings.address(options_.address)
             .port(options_.port)
             .max_pipelined_requests(max_pipelined_requests)
-            .max_parallel_connections(options_.max_connections)
             .read_next_http_message_timelimit(options_.read_timeout)
             .write_http_response_timelimit(write_timeout)
             .handle_request_timeout(options_.max_deadline + handling_margin)
@@ -265,9 +273,9 @@
     restinio::request_handling_status_t
     handle(restinio::request_handle_t const& request)
     {
-        auto on_disconnect =
-            api_->handle(read_request(request),
-                         std::make_shared<restinio_response>(request));
+        auto on_disconnect = api_->handle(
+            read_request(request),
+            std::make_shared<restinio_response>(request, sockets_.current()));
         if (on_disconnect)
             listener_->add(request->connection_id(), std::move(on_disconnect));
         return restinio::request_accepted();
@@ -294,6 +302,7 @@
 
     caller_server_options const options_;
     std::shared_ptr<caller_api> const api_;
+    kernel::open_sockets& sockets_;
     std::shared_ptr<connection_listener> const listener_;
     std::uint16_t port_ = 0;
     std::unique_ptr<server> server_;
--- a/packages/router/router_module.cpp
+++ b/packages/router/router_module.cpp
@@ -7,6 +7,7 @@
 #include "config/i_configuration.hpp"
 #include "config/types/router_settings.hpp"
 #include "kernel/i_random_source.hpp"
+#include "kernel/process_resources.hpp"
 #include "kernel/service_registry.hpp"
 #include "kernel/thread_pool.hpp"
 #include "observe/operator_server.hpp"
@@ -29,6 +30,7 @@
 #include <asio/steady_timer.hpp>
 #include <prometheus/registry.h>
 
+#include <algorithm>
 #include <atomic>
 #include <stdexcept>
 
@@ -229,6 +231,17 @@
         acceptor_ = std::make_unique<wire::acceptor>(*traffic_, wire_options_);
     }
 
+    /// Other listeners, agents, the table and files need descriptors, too.
+    std::size_t allowed_connections() const
+    {
+        constexpr std::size_t share_of_callers = 2;
+        auto const descriptors = kernel::allowed_descriptors(0);
+        if (descriptors == 0)
+            return settings_.max_connections;
+        return std::min(settings_.max_connections,
+                        descriptors / share_of_callers);
+    }
+
     void make_servers()
     {
         caller_api_options api;
@@ -246,7 +259,8 @@
         callers.port = settings_.listen_callers.port;
         callers.max_body_bytes = settings_.max_body_bytes;
         callers.max_header_bytes = settings_.max_header_bytes;
-        callers.max_connections = settings_.max_connections;
+        callers.max_connections = allowed_connections();
+        callers.max_request_memory = settings_.max_request_memory;
         callers.read_timeout = settings_.read_timeout;
         callers.max_deadline = settings_.max_deadline;
         caller_server_ = std::make_unique<caller_server>(
--- /dev/null
+++ b/tests/crowd/own_front_crowd_test.cpp
@@ -0,0 +1,114 @@
+#include "e2e/callers.hpp"
+#include "support/client_crowd.hpp"
+#include "support/deployment.hpp"
+#include "support/process_usage.hpp"
+#include "support/wait.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace endiveward::e2e
+{
+
+namespace
+{
+
+using test_support::client_crowd;
+using test_support::deployment;
+using test_support::deployment_description;
+using test_support::peak_memory;
+
+constexpr std::size_t megabyte = 1'000'000;
+constexpr std::size_t body_bytes = 1U << 20U;
+/// Of an entry VM of the smallest documented deployment.
+constexpr std::size_t memory_bytes = 110 * megabyte;
+
+deployment_description small_deployment()
+{
+    auto res = quick_deployment(1, {engine("worker-0")});
+    auto& limits = res.router_settings["limits"];
+    limits["max_body_bytes"] = static_cast<std::int64_t>(body_bytes);
+    limits["max_request_memory"] = std::int64_t{16 << 20};
+    limits["max_connections"] = std::int64_t{300};
+    // Longer than a test, so that no connection ends by its time.
+    limits["read_timeout_ms"] = std::int64_t{120'000};
+    return res;
+}
+
+std::uint16_t port_of(std::string const& url)
+{
+    return static_cast<std::uint16_t>(
+        std::stoul(url.substr(url.rfind(':') + 1)));
+}
+
+/// Waits until the peak no longer grows.
+void let_crowd_act(deployment& running)
+{
+    constexpr std::chrono::milliseconds quiet_time{700};
+    auto const process = running.router(0).pid();
+    for (auto last = peak_memory(process);;)
+    {
+        std::this_thread::sleep_for(quiet_time);
+        if (auto const now = peak_memory(process);
+            std::exchange(last, now) == now)
+            return;
+    }
+}
+
+bool serves(deployment& running)
+{
+    auto const body = chat("ordinary", false);
+    return test_support::wait_until(
+        [&] {
+            return is_right(send(chat_call(running.router_url(0), body)), body);
+        });
+}
+
+void play(unsigned clients, std::string const& text)
+{
+    auto const what = small_deployment();
+    deployment running(what);
+    running.commit(first_operations(what));
+    REQUIRE(wait_until_connected(running, 1));
+    REQUIRE(serves(running));
+    client_crowd crowd(port_of(running.router_url(0)));
+    crowd.add(clients, text);
+    let_crowd_act(running);
+    CHECK(serves(running));
+    REQUIRE(running.router(0).running());
+    auto const peak = peak_memory(running.router(0).pid());
+    INFO("peak memory " << peak);
+    CHECK(peak <= memory_bytes);
+}
+
+std::string head(std::string const& ending)
+{
+    return "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n"
+           "Content-Type: application/json\r\n" +
+           ending;
+}
+
+} // namespace
+
+// Guards against a bound for each body without one for all of them.
+TEST_CASE("the own interface bears large bodies that stop short of their end")
+{
+    play(200, head(fmt::format("Content-Length: {}\r\n\r\n", body_bytes)) +
+                  std::string(body_bytes - 1, 'x'));
+}
+
+// Guards against a limit of connections at which RESTinio stops accepting until
+// one of them ends.
+TEST_CASE("the own interface bears connections on which no request ends")
+{
+    play(600, "POST /v1/chat/comp");
+}
+
+} // namespace endiveward::e2e
