gateway: Close idle connections to endpoints while memory is scarce

After a crowd, or beside one, a router may have as many idle connections to endpoints as it had requests, with a buffer each, which buffer_memory does not count. They are closed while it is scarce. Found by reading; no test shows a process that exceeded its memory by them.

The allocator's threshold for large blocks is set for the product's own interface, too.

--- a/apps/endiveward/run_command.cpp
+++ b/apps/endiveward/run_command.cpp
@@ -228,7 +228,6 @@
         std::cerr << kernel::failure(loaded).message << '\n';
         return exit_usage;
     }
-    kernel::return_large_blocks();
     auto const logging = observe::init_bounded_logging(level, true);
     if (!kernel::ok(logging))
     {
@@ -272,6 +271,7 @@
             std::cout << options.help();
             return 0;
         }
+        kernel::return_large_blocks();
         if (parsed.count("platform") > 0)
             return run_on_platform(parsed["log-level"].as<std::string>(),
                                    parsed["key-env"].as<std::string>());
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -345,9 +345,11 @@
             if (ec)
                 return;
             endpoints_->for_each(
-                [now = clock_.now()](endpoint_record& record,
-                                     upstream_pool& pool)
+                [now = clock_.now(), scarce = memory_.scarce()](
+                    endpoint_record& record, upstream_pool& pool)
                 {
+                    if (scarce)
+                        pool.close_idle();
                     pool.close_expired();
                     record.cache().expire(now);
                 });
