kernel, gateway: Follow formatter and linter

listed_socket creates its use with its first read, so that moving it changes nothing else; connection_policy orders tuples. No change of behaviour.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -496,9 +496,9 @@
     res.retry_budget_extra = settings_.retry_budget_extra;
     res.version_deadline = settings_.version_deadline;
     res.room = room_;
-    auto const budget =
-        gateway::budget_of(settings_.memory_limit,
-                           kernel::allowed_descriptors(settings_.descriptor_limit));
+    auto const budget = gateway::budget_of(
+        settings_.memory_limit,
+        kernel::allowed_descriptors(settings_.descriptor_limit));
     res.max_caller_connections = budget.caller_connections;
     res.buffer_memory_bytes = budget.buffer_memory;
     res.max_buffer_memory_bytes = budget.max_buffer_memory;
--- a/packages/agent/internal/endpoint_exchange.cpp
+++ b/packages/agent/internal/endpoint_exchange.cpp
@@ -31,8 +31,7 @@
 
 endpoint_notices read_notices(http_head const& head)
 {
-    auto const find =
-        [&](char const* name) -> std::optional<std::string_view>
+    auto const find = [&](char const* name) -> std::optional<std::string_view>
     {
         auto const it = head.headers.find(name);
         if (it == head.headers.end())
--- a/packages/availability/tests/retry_after_reader_test.cpp
+++ b/packages/availability/tests/retry_after_reader_test.cpp
@@ -43,7 +43,8 @@
 
 TEST_CASE("an absent field and zero ask for no pause")
 {
-    CHECK(read_retry_after(std::nullopt, std::nullopt) == retry_after(no_pause()));
+    CHECK(read_retry_after(std::nullopt, std::nullopt) ==
+          retry_after(no_pause()));
     for (auto const* it : {"0", "0.0", "000"})
         CHECK(read(it) == retry_after(no_pause()));
 }
--- a/packages/config/types/router_settings.hpp
+++ b/packages/config/types/router_settings.hpp
@@ -44,8 +44,8 @@
     /// If there are more, those without progress for longest are closed.
     std::size_t max_connections = 4096;
     /// Bytes that requests without an answer may take, of all callers together:
-    /// three for each byte received. Beyond them, requests that are not complete
-    /// are given up.
+    /// three for each byte received. Beyond them, requests that are not
+    /// complete are given up.
     std::size_t max_request_memory = 128U << 20U;
     /// Time limit for reading a request; slower clients are disconnected.
     std::chrono::milliseconds read_timeout{10'000};
--- a/packages/gateway/buffer_memory.hpp
+++ b/packages/gateway/buffer_memory.hpp
@@ -25,8 +25,8 @@
 public:
     class share;
 
-    /// `limit` is in bytes, for all shares together. Small ones may take as much
-    /// beside it.
+    /// `limit` is in bytes, for all shares together. Small ones may take as
+    /// much beside it.
     explicit buffer_memory(std::size_t limit);
 
     void set_limit(std::size_t limit) { limit_ = limit; }
--- a/packages/gateway/internal/connection_policy.cpp
+++ b/packages/gateway/internal/connection_policy.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <compare>
 #include <functional>
 #include <tuple>
 #include <utility>
@@ -69,29 +68,22 @@
 connections_to_relieve(std::vector<connection_load> const& loads,
                        memory_excess const& excess, kernel::steady_time now)
 {
-    struct candidate
-    {
-        bool large;
-        double cost;
-        std::size_t index;
-
-        auto operator<=>(candidate const&) const = default;
-    };
-    std::vector<candidate> candidates;
+    // Whether it is large, its cost, and its index.
+    std::vector<std::tuple<bool, double, std::size_t>> candidates;
     for (std::size_t n = 0; n < loads.size(); ++n)
     {
         if (gives_back(loads[n]))
-            candidates.push_back({is_large(loads[n]), cost(loads[n], now), n});
+            candidates.emplace_back(is_large(loads[n]), cost(loads[n], now), n);
     }
     std::sort(candidates.begin(), candidates.end(), std::greater<>());
     std::vector<std::size_t> res;
     std::size_t freed = 0;
-    for (auto const& it : candidates)
+    for (auto const& [large, cost, n] : candidates)
     {
-        if (freed >= (it.large ? excess.of_large : excess.of_all))
+        if (freed >= (large ? excess.of_large : excess.of_all))
             break;
-        freed += loads[it.index].bytes;
-        res.push_back(it.index);
+        freed += loads[n].bytes;
+        res.push_back(n);
     }
     return res;
 }
--- a/packages/kernel/listed_socket.hpp
+++ b/packages/kernel/listed_socket.hpp
@@ -24,29 +24,29 @@
     explicit listed_socket(asio::io_context& context)
         : asio::ip::tcp::socket(context)
         , list_(&asio::use_service<open_sockets>(context))
-        , use_(list_->make_use())
     {
     }
-    listed_socket(listed_socket&& other)
+    listed_socket(listed_socket&& other) noexcept
         : asio::ip::tcp::socket(std::move(other))
         , list_(other.list_)
-        , use_(other.use_)
     {
-        // RESTinio accepts the next connection with the other one.
-        other.use_ = list_->make_use();
     }
     ~listed_socket() { unlist(); }
     listed_socket(listed_socket const&) = delete;
     listed_socket& operator=(listed_socket const&) = delete;
     listed_socket& operator=(listed_socket&&) = delete;
 
+    /// Must be listed.
     socket_use& use() const { return *use_; }
 
     template <typename Buffers, typename Handler>
     auto async_read_some(Buffers const& buffers, Handler&& handler)
     {
-        if (!at_)
+        if (use_ == nullptr)
+        {
+            use_ = list_->make_use();
             at_ = list_->add(*this);
+        }
         auto const executor =
             asio::get_associated_executor(handler, get_executor());
         return asio::ip::tcp::socket::async_read_some(
--- a/packages/kernel/tests/open_sockets_test.cpp
+++ b/packages/kernel/tests/open_sockets_test.cpp
@@ -81,6 +81,12 @@
     std::list<connection> connections_;
 };
 
+/// A request of the connection begins and ends.
+void serve_request(reading_server::connection& it)
+{
+    request_token const token(it.use);
+}
+
 } // namespace
 
 // Guards against a limit at which idle connections keep new ones out, or at
@@ -95,7 +101,7 @@
     auto& silent = server.connect();
     auto& idle = server.connect();
     server.send(idle, 10);
-    request_token(idle.use);
+    serve_request(idle);
     auto& newer = server.connect();
     CHECK(silent.ended == asio::error::connection_reset);
     auto& newest = server.connect();
@@ -139,7 +145,7 @@
     CHECK(second.ended == asio::error::connection_reset);
     CHECK_FALSE(small.ended);
     // What is answered no longer counts.
-    request_token(first.use);
+    serve_request(first);
     auto& fourth = server.connect();
     server.send(fourth, request_bytes);
     for (auto const* const it : {&first, &small, &third, &fourth})
