tests: Do not give out a port twice

Cause: free_port draws from 12,000 ports and looks whether the port is free now. A deployment needs about ten before its processes listen, and tests run side by side, so that one port is drawn twice now and then.

Change: a port that is given out stays reserved while the test process runs, by a socket that is bound to it at another loopback address.

--- a/tests/support/support_test.cpp
+++ b/tests/support/support_test.cpp
@@ -3,6 +3,8 @@
 #include "support/wait.hpp"
 
 #include <catch2/catch.hpp>
+
+#include <set>
 #include <toml++/toml.h>
 
 namespace endiveward::test_support
@@ -110,4 +112,15 @@
     CHECK(table["endpoint"]["kind"].value<std::string>() == "service");
 }
 
+// Guards against a port that is given out again before the process for which it
+// was chosen listens on it.
+TEST_CASE("no port is given out twice")
+{
+    constexpr std::size_t number = 500;
+    std::set<std::uint16_t> ports;
+    for (std::size_t n = 0; n < number; ++n)
+        ports.insert(free_port());
+    CHECK(ports.size() == number);
+}
+
 } // namespace endiveward::test_support
--- a/tests/support/wait.cpp
+++ b/tests/support/wait.cpp
@@ -17,7 +17,8 @@
 namespace
 {
 
-bool is_free(std::uint16_t port)
+/// A socket that is bound to an address and port; below 0 if these are in use.
+int bound_socket(in_addr_t address, std::uint16_t port)
 {
     int const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (fd < 0)
@@ -25,11 +26,28 @@
     sockaddr_in local{};
     local.sin_family = AF_INET;
     local.sin_port = htons(port);
-    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bool const bound =
-        ::bind(fd, reinterpret_cast<sockaddr*>(&local), sizeof(local)) == 0;
+    local.sin_addr.s_addr = htonl(address);
+    if (::bind(fd, reinterpret_cast<sockaddr*>(&local), sizeof(local)) == 0)
+        return fd;
     ::close(fd);
-    return bound;
+    return -1;
+}
+
+bool is_free(std::uint16_t port)
+{
+    int const fd = bound_socket(INADDR_LOOPBACK, port);
+    if (fd >= 0)
+        ::close(fd);
+    return fd >= 0;
+}
+
+/// Reserves a port for this process until it ends. Other tests that look for
+/// one, and this one when it looks again, find the port in use at an address at
+/// which nothing listens.
+bool reserve(std::uint16_t port)
+{
+    constexpr in_addr_t reservations = 0x7fff0001; // 127.255.0.1
+    return bound_socket(reservations, port) >= 0;
 }
 
 } // namespace
@@ -64,7 +82,7 @@
     for (int n = 0; n < attempts; ++n)
     {
         auto const port = static_cast<std::uint16_t>(first + source() % count);
-        if (is_free(port))
+        if (is_free(port) && reserve(port))
             return port;
     }
     throw std::runtime_error("no free port from 20000 to 31999");
--- a/tests/support/wait.hpp
+++ b/tests/support/wait.hpp
@@ -20,7 +20,8 @@
 bool wait_until_serving(std::string const& url,
                         std::chrono::milliseconds limit = long_limit);
 
-/// A loopback TCP port that was free a moment ago.
+/// A loopback TCP port that was free a moment ago and that no test gets again
+/// while this process runs.
 std::uint16_t free_port();
 
 } // namespace endiveward::test_support
