router, agent: Limit the levels and values of JSON

A caller of the own interface with a valid key could end a router, and the agent of each endpoint to which its request was sent, with one body of legal size: JSON of very many levels. The router copied the members "stream" and "content", and the agent wrote the whole body anew; the library does both with one call within another for each level, until the thread has no stack left. The router then sent the request on to the next agent. Besides, a list of empty lists takes about twenty times the memory of its text.

Cause: the size of a body had a limit, the shape of its JSON had none.

Change: is_within_json_bounds counts levels and values with the library's event parser, which stores none. Beyond 128 levels or 65,536 values the router refuses a request with 400, and so does the agent, since routers of an earlier version do not check. Texts with too few brackets and commas to exceed a bound are not parsed for it.

Evidence: "the own interface bears JSON of very many levels" (200,000 levels in "stream", in "content" and in a member that the router does not read) failed in all three cases before: the router, the router and the agent had ended. It passes now. "JSON of very many values" (150 bodies of 900 KB) held before, too.

--- a/packages/agent/internal/endpoint_request_builder.cpp
+++ b/packages/agent/internal/endpoint_request_builder.cpp
@@ -1,5 +1,6 @@
 #include "agent/internal/endpoint_request_builder.hpp"
 
+#include "kernel/json_bounds.hpp"
 #include "kernel/types/hash128.hpp"
 #include "wire/types/invoke.hpp"
 
@@ -9,6 +10,7 @@
 #include <array>
 #include <cctype>
 #include <string_view>
+#include <utility>
 
 namespace endiveward::agent
 {
@@ -69,6 +71,14 @@
     return headers;
 }
 
+kernel::error invalid(std::string message)
+{
+    return {kernel::error_kind::invalid_request,
+            std::move(message),
+            kernel::run_state::not_run,
+            {}};
+}
+
 } // namespace
 
 kernel::result<endpoint_request>
@@ -83,13 +93,13 @@
     request.streaming = call.streaming;
     if (call.target == wire::target_kind::service)
         return request;
+    if (!kernel::is_within_json_bounds(call.body))
+        return invalid("the body has too many levels or values; send a simpler "
+                       "one");
     auto body = nlohmann::json::parse(call.body, nullptr, false);
     if (!body.is_object())
-        return kernel::error{kernel::error_kind::invalid_request,
-                             "the body is not a JSON object; send a completion "
-                             "request",
-                             kernel::run_state::not_run,
-                             {}};
+        return invalid("the body is not a JSON object; send a completion "
+                       "request");
     body["cache_salt"] = salt;
     body["priority"] = call.priority;
     request.body = body.dump();
--- a/packages/router/internal/request_parser.cpp
+++ b/packages/router/internal/request_parser.cpp
@@ -2,6 +2,7 @@
 
 #include "config/types/service_entry.hpp"
 #include "config/types/workspace_entry.hpp"
+#include "kernel/json_bounds.hpp"
 #include "kernel/parse_number.hpp"
 #include "router/types/caller_request.hpp"
 
@@ -219,6 +220,10 @@
     if (!kernel::ok(base))
         return base;
     auto call = kernel::value(std::move(base));
+    if (!kernel::is_within_json_bounds(request.body))
+        return invalid(fmt::format(
+            "the body has more than {} levels or {} values; send a simpler one",
+            kernel::max_json_levels, kernel::max_json_values));
     auto const body =
         nlohmann::json::parse(request.body, nullptr, false /* no exceptions */);
     if (!body.is_object())
--- a/packages/router/tests/router_test.cpp
+++ b/packages/router/tests/router_test.cpp
@@ -297,6 +297,10 @@
     check(router.post("/v1/chat/completions", "{"), 400, "invalid_request");
     check(router.post("/v1/completions", R"({"model":"m"})"), 400,
           "invalid_request");
+    check(router.post("/v1/completions",
+                      R"({"model":"m","prompt":"x","metadata":)" +
+                          std::string(200, '[') + std::string(200, ']') + "}"),
+          400, "invalid_request");
     check(router.post("/v1/completions", R"({"model":"no","prompt":"x"})"), 404,
           "model_not_found");
     check(router.post("/v1/other", "{}"), 404, "not_found");
--- a/tests/crowd/own_front_crowd_test.cpp
+++ b/tests/crowd/own_front_crowd_test.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t body_bytes = 1U << 20U;
 /// Of an entry VM of the smallest documented deployment.
 constexpr std::size_t memory_bytes = 110 * megabyte;
+/// Of a VM beside an endpoint.
+constexpr std::size_t agent_memory_bytes = 192 * megabyte;
 
 deployment_description small_deployment()
 {
@@ -86,6 +88,10 @@
     auto const peak = peak_memory(running.router(0).pid());
     INFO("peak memory " << peak);
     CHECK(peak <= memory_bytes);
+    REQUIRE(running.agent(0).running());
+    auto const agent_peak = peak_memory(running.agent(0).pid());
+    INFO("peak memory of the agent " << agent_peak);
+    CHECK(agent_peak <= agent_memory_bytes);
 }
 
 std::string head(std::string const& ending)
@@ -95,6 +101,32 @@
            ending;
 }
 
+/// A request of a known workspace with these members beside those of an
+/// ordinary one.
+std::string completion(std::string const& members)
+{
+    auto body = chat("crowd", false).dump();
+    body.insert(body.size() - 1, "," + members);
+    REQUIRE(body.size() <= body_bytes);
+    return head(fmt::format("Authorization: Bearer {}\r\n"
+                            "Content-Length: {}\r\n\r\n",
+                            api_key(0), body.size())) +
+           body;
+}
+
+std::string nested_list(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string list_of_lists(std::size_t size)
+{
+    std::string res = "[[]";
+    for (std::size_t n = 1; n < size; ++n)
+        res += ",[]";
+    return res + "]";
+}
+
 } // namespace
 
 // Guards against a bound for each body without one for all of them.
@@ -111,4 +143,25 @@
     play(600, "POST /v1/chat/comp");
 }
 
+// Guards against a body that ends a process because each level of its JSON
+// takes a part of the stack: of the router, which reads some members, and of
+// the agent, which writes all of them.
+TEST_CASE("the own interface bears JSON of very many levels")
+{
+    constexpr std::size_t levels = 200'000;
+    auto const nested = nested_list(levels);
+    play(3, GENERATE_COPY(completion("\"stream\":" + nested),
+                          completion("\"messages\":[{\"role\":\"user\","
+                                     "\"content\":" +
+                                     nested + "}]"),
+                          completion("\"metadata\":" + nested)));
+}
+
+// Guards against JSON whose values cost many times as much memory as their
+// text.
+TEST_CASE("the own interface bears JSON of very many values")
+{
+    play(150, completion("\"metadata\":" + list_of_lists(300'000)));
+}
+
 } // namespace endiveward::e2e
