gateway: Close idle connections before those that have just made progress

While idle connections held all places, ordinary callers that connected at the same time were closed before they had sent their request: each new connection took the place of the one before.

Cause: connections gave way by kind first (silent, then receiving, unread, idle) and by age second, so that one that had been silent for a millisecond went before one that had been idle for minutes.

Change: connections that have connected, begun a request or been sent a response less than two seconds ago come after idle ones, as long as they have at most half of the places. A crowd of new connections therefore still cannot take the places of idle callers, as "connections on which nothing happens give their places to callers" demands.

--- a/packages/gateway/internal/caller_server.cpp
+++ b/packages/gateway/internal/caller_server.cpp
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds relief_pause{10};
 /// Connections for one whose caller still reads its last response.
 constexpr std::size_t lingering_share = 8;
+/// The same for one whose caller has just made progress. The others are for
+/// idle connections, which a crowd of new ones must not take.
+constexpr std::size_t recent_share = 2;
 constexpr std::size_t scratch_bytes = 16U << 10U;
 
 std::vector<connection_load>
@@ -140,7 +143,8 @@
     if (list.size() < max_connections_ + max_lingering &&
         list.size() - count_lingering(loads) < max_connections_)
         return true;
-    auto const found = connection_to_displace(loads, max_lingering);
+    auto const found = connection_to_displace(
+        loads, {max_lingering, max_connections_ / recent_share}, clock_.now());
     if (found)
         list[*found]->give_way();
     return connections_.size() < max_connections_ + max_lingering;
@@ -150,7 +154,8 @@
 bool caller_server::free_descriptor()
 {
     auto const list = current();
-    auto const found = connection_to_displace(loads_of(list), 0);
+    auto const found = connection_to_displace(
+        loads_of(list), {0, max_connections_ / recent_share}, clock_.now());
     if (!found)
         return false;
     list[*found]->give_way();
--- a/packages/gateway/internal/connection_policy.cpp
+++ b/packages/gateway/internal/connection_policy.cpp
@@ -32,6 +32,14 @@
            load.activity == connection_activity::unread;
 }
 
+/// Whether the caller probably goes on soon.
+bool is_recent(connection_load const& load, kernel::steady_time now)
+{
+    constexpr std::chrono::seconds usual_pause{2};
+    return (load.activity == connection_activity::silent || gives_back(load)) &&
+           now - load.since < usual_pause;
+}
+
 /// A caller that sends or reads fast holds its bytes for a short time only.
 double cost(connection_load const& load, kernel::steady_time now)
 {
@@ -98,9 +106,20 @@
 
 std::optional<std::size_t>
 connection_to_displace(std::vector<connection_load> const& loads,
-                       std::size_t max_lingering)
+                       spared_connections const& spared,
+                       kernel::steady_time now)
 {
-    auto const spares_lingering = count_lingering(loads) <= max_lingering;
+    auto const spares_lingering = count_lingering(loads) <= spared.lingering;
+    auto const recent =
+        std::count_if(loads.begin(), loads.end(),
+                      [now](auto const& it) { return is_recent(it, now); });
+    auto const spares_recent =
+        static_cast<std::size_t>(recent) <= spared.recent;
+    auto const rank = [&](connection_load const& it)
+    {
+        return std::tuple(spares_recent && is_recent(it, now), it.activity,
+                          it.since);
+    };
     std::optional<std::size_t> res;
     for (std::size_t n = 0; n < loads.size(); ++n)
     {
@@ -108,8 +127,7 @@
         if (it.activity == connection_activity::serving ||
             (spares_lingering && it.activity == connection_activity::lingering))
             continue;
-        if (!res || std::tie(it.activity, it.since) <
-                        std::tie(loads[*res].activity, loads[*res].since))
+        if (!res || rank(it) < rank(loads[*res]))
             res = n;
     }
     return res;
--- a/packages/gateway/tests/connection_policy_test.cpp
+++ b/packages/gateway/tests/connection_policy_test.cpp
@@ -74,12 +74,39 @@
         load(activity::silent, milliseconds(20), kib)};
     for (std::size_t const expected : {5, 4, 3, 2, 1})
     {
-        auto const found = connection_to_displace(loads, 0);
+        auto const found = connection_to_displace(loads, {}, now);
         REQUIRE(found);
         CHECK(*found == expected);
         loads[*found].activity = activity::serving;
     }
-    CHECK_FALSE(connection_to_displace(loads, 0));
+    CHECK_FALSE(connection_to_displace(loads, {}, now));
+}
+
+// Guards against a caller that has just connected, or that sends or reads, and
+// gives its place up while idle connections keep theirs; and against a crowd of
+// new connections that takes the places of all idle ones.
+TEST_CASE("some callers that have just made progress are spared")
+{
+    std::vector<connection_load> loads{
+        load(activity::unread, milliseconds(1900), kib),
+        load(activity::receiving, milliseconds(1800), kib),
+        load(activity::silent, milliseconds(10), kib),
+        load(activity::silent, milliseconds(20), kib),
+        load(activity::idle, milliseconds(30), kib),
+        load(activity::idle, milliseconds(40), kib),
+        load(activity::silent, milliseconds(2100), kib)};
+    auto const few = GENERATE(true, false);
+    std::vector<std::size_t> const expected =
+        few ? std::vector<std::size_t>{6, 5, 4, 3, 2, 1, 0}
+            : std::vector<std::size_t>{6, 3, 5, 4, 2, 1, 0};
+    spared_connections const spared{0, few ? std::size_t{4} : std::size_t{3}};
+    for (auto const n : expected)
+    {
+        auto const found = connection_to_displace(loads, spared, now);
+        REQUIRE(found);
+        CHECK(*found == n);
+        loads[*found].activity = activity::serving;
+    }
 }
 
 // Guards against a refusal whose caller has no time to read it.
@@ -90,8 +117,8 @@
         load(activity::lingering, milliseconds(20), kib),
         load(activity::idle, milliseconds(30), kib)};
     CHECK(count_lingering(loads) == 2);
-    CHECK(connection_to_displace(loads, 2) == std::size_t{2});
-    CHECK(connection_to_displace(loads, 1) == std::size_t{1});
+    CHECK(connection_to_displace(loads, {2, 0}, now) == std::size_t{2});
+    CHECK(connection_to_displace(loads, {1, 0}, now) == std::size_t{1});
 }
 
 } // namespace endiveward::gateway
