wire: Send what has changed during the handshake

Cause: the agent states its load, with the engine's models, in its hello, and reports changes to the connections that are open. Its connection is open once the router's first authenticated frame has arrived. Models that became known between the two reached the router with the next periodic heartbeat only; until then it sent no calls, so that it got no load with a verdict, either.

Change: a connection compares the state that it has sent in the handshake with the present one when it opens, and sends the latter if it differs.

Evidence: "a peer learns what has changed during the handshake" fails before (one message instead of two) and passes now.

--- a/packages/wire/internal/connection.cpp
+++ b/packages/wire/internal/connection.cpp
@@ -358,12 +358,18 @@
     derive_keys();
     peer_ = std::move(*received);
     // The first authenticated frame proves that this side has the key.
+    send_state();
+}
+
+/// Sends the state of this process unless the peer has it from the handshake.
+void connection::send_state()
+{
     auto const own = options_->identity->describe();
-    enqueue({encode(heartbeat{own.config_version, own.load, false}),
-             {},
-             false,
-             {},
-             {}});
+    auto state = encode(heartbeat{own.config_version, own.load, false});
+    if (state == sent_state_)
+        return;
+    sent_state_ = state;
+    enqueue({std::move(state), {}, false, {}, {}});
 }
 
 void connection::derive_keys()
@@ -395,6 +401,10 @@
     options_->observer->on_open(shared_from_this());
     if (auto handler = std::exchange(open_handler_, {}))
         handler(std::nullopt);
+    // The observer reports changes to open connections only.
+    if (open_)
+        send_state();
+    sent_state_ = {};
 }
 
 void connection::close()
--- a/packages/wire/internal/connection.hpp
+++ b/packages/wire/internal/connection.hpp
@@ -69,6 +69,7 @@
     void start_timeout();
     void begin_handshake();
     void send_hello();
+    void send_state();
     void enqueue(outgoing_frame frame);
     void write_next();
     void on_written(std::error_code ec, std::size_t n);
@@ -101,6 +102,8 @@
     bool hello_received_ = false;
 
     std::vector<std::uint8_t> own_hello_;
+    /// What the peer knows of this process; empty once the connection is open.
+    std::vector<std::uint8_t> sent_state_;
     std::optional<frame_authenticator> outbound_;
     std::optional<frame_authenticator> inbound_;
     std::uint64_t next_sent_ = 0;
--- a/packages/wire/tests/connection_test.cpp
+++ b/packages/wire/tests/connection_test.cpp
@@ -15,6 +15,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <future>
 #include <mutex>
@@ -40,6 +41,23 @@
     }
 };
 
+/// A process whose state has changed whenever it is described.
+class changing_identity : public i_local_identity
+{
+public:
+    hello describe() const override
+    {
+        hello own;
+        own.process = kernel::process_id("test");
+        own.config_version = ++looks_;
+        return own;
+    }
+    std::uint64_t looks() const { return looks_; }
+
+private:
+    mutable std::atomic<std::uint64_t> looks_{0};
+};
+
 class recording_observer : public i_connection_observer
 {
 public:
@@ -120,9 +138,13 @@
 
 struct connected_pair
 {
-    connected_pair()
+    /// `of_server` describes the server if it is given.
+    explicit connected_pair(
+        std::shared_ptr<i_local_identity const> of_server = {})
         : accepting(server.pool, server.options)
     {
+        if (of_server)
+            server.options->identity = std::move(of_server);
         auto const port = accepting.listen("127.0.0.1", 0);
         REQUIRE(kernel::ok(port));
         auto res = connect(client, kernel::value(port));
@@ -302,6 +324,21 @@
     kernel::value(conn)->close();
 }
 
+// Guards against a change that no peer learns of because it came after the
+// hello and before the connection was open: a router refused calls for an
+// engine until the next periodic heartbeat, since its models became known in
+// that time.
+TEST_CASE("a peer learns what has changed during the handshake")
+{
+    auto const identity = std::make_shared<changing_identity>();
+    connected_pair pair(identity);
+    REQUIRE(pair.server.observer->wait_for_messages(1).size() == 1);
+    auto const received = pair.client.observer->wait_for_messages(2);
+    REQUIRE(received.size() == 2);
+    CHECK(std::get<heartbeat>(received.back()).config_version ==
+          identity->looks());
+}
+
 // Guards against a false "not run": an unsent message must be reported so.
 TEST_CASE("a message sent on a closed connection is reported as not started")
 {
