gateway: Name the present cache group at each attempt

Cause: the cache group of a request was taken from the configuration with which it began, and every later attempt named it.

Change: each attempt asks the configuration in force. A request whose group changes while its connection is established is withdrawn and placed anew. A workspace that is no longer in the configuration has a group of its own.

--- a/packages/gateway/exchange_services.hpp
+++ b/packages/gateway/exchange_services.hpp
@@ -63,6 +63,8 @@
     gateway_metrics& metrics;
     observe::decision_log& log;
     stop_state const& stop;
+    /// The configuration in force; null while none has been received.
+    std::shared_ptr<routing_table const> const& table;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -201,7 +201,6 @@
     if (requirements_.prompt)
         keys_.parts = shared_part_keys(*requirements_.prompt);
     keys_.request = request_key(*request_, services_.names);
-    requirements_.cache_group = table_->cache_group_of(workspace_);
     requirements_.kv_stores = table_->kv_stores();
     requirements_.contended = is_contended();
     quota_ = services_.quotas.ticket_for(workspace_, request_->headers,
@@ -290,6 +289,8 @@
         return answer_locally(
             status_too_many, "workspace_over_limit",
             services_.unavailability.retry_after(describe_unserved(), *delay));
+    // Workspaces may have become isolated since the request arrived.
+    requirements_.cache_group = services_.table->cache_group_of(workspace_);
     auto const& target = *table_->find_service(requirements_.service);
     if (target.engine)
     {
@@ -564,14 +565,16 @@
         request_->headers.value_or(services_.names.last_event_id, ""));
 }
 
-/// The endpoint may have asked for no requests, or named a limit, in an answer
-/// to another one while the connection was established, or it may have been
-/// replaced.
+/// While the connection was established, the endpoint may have asked for no
+/// requests, or named a limit, in an answer to another one, it may have been
+/// replaced, or the configuration may have changed.
 bool exchange::may_send() const
 {
     return !endpoint_->refuses_requests(services_.clock.now()) &&
            (counted_by_limit_ || !endpoint_->limit().rate()) &&
-           !has_changed_software();
+           !has_changed_software() &&
+           requirements_.cache_group ==
+               services_.table->cache_group_of(workspace_);
 }
 
 bool exchange::has_changed_software() const
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -94,9 +94,10 @@
         settings_.placement.prefill_tokens_per_ms, *metrics_, log_);
     room_->set_switch(settings_.room);
     services_ = std::make_unique<exchange_services>(exchange_services{
-        context_, clock_, names_, *endpoints_, *chooser_, overload_,
-        unavailability_, *weights_, *budgets_, *parts_, *limits_, *origins_,
-        *quotas_, *speeds_, *room_, memory_, *metrics_, log_, stop_});
+        context_,  clock_,          names_,    *endpoints_, *chooser_,
+        overload_, unavailability_, *weights_, *budgets_,   *parts_,
+        *limits_,  *origins_,       *quotas_,  *speeds_,    *room_,
+        memory_,   *metrics_,       log_,      stop_,       table_});
     if (!settings_.may_be_restarted)
         budgets_->begin_full();
     update_limits();
--- a/packages/gateway/internal/routing_table.cpp
+++ b/packages/gateway/internal/routing_table.cpp
@@ -64,6 +64,7 @@
     }
     for (auto const& it : config_.workspaces)
     {
+        by_id_.emplace(it.id.str(), &it);
         for (auto const& key : it.keys)
         {
             // A request without a key has an empty one.
@@ -108,8 +109,13 @@
 std::string
 routing_table::cache_group_of(workspace_entry const* workspace) const
 {
-    return workspace != nullptr && workspace->isolated ? workspace->id.str()
-                                                       : shared_cache_group_;
+    if (workspace == nullptr)
+        return shared_cache_group_;
+    auto const found = by_id_.find(workspace->id.str());
+    // The configuration no longer tells whether a removed workspace is
+    // isolated.
+    auto const is_alone = found == by_id_.end() || found->second->isolated;
+    return is_alone ? workspace->id.str() : shared_cache_group_;
 }
 
 service const* routing_table::find_service(kernel::service_id const& id) const
--- a/packages/gateway/routing_table.hpp
+++ b/packages/gateway/routing_table.hpp
@@ -35,7 +35,8 @@
     /// The workspace's share of capacity relative to others.
     double weight_of(workspace_entry const& workspace) const;
     /// The group of workspaces that share KV cache with this one, as part of a
-    /// cache salt. `workspace` is null for requests without a key.
+    /// cache salt. `workspace` is null for requests without a key, and may be
+    /// an entry of an earlier version of the configuration.
     std::string cache_group_of(workspace_entry const* workspace) const;
     service const* find_service(kernel::service_id const& id) const;
     /// The KV cache stores as `IP:PORT`.
@@ -61,6 +62,7 @@
     std::unordered_map<std::string, workspace_entry const*, text_hash,
                        std::equal_to<>>
         by_key_;
+    std::unordered_map<std::string, workspace_entry const*> by_id_;
 };
 
 /// Selects the service for a request by the weights of the route's shares. The
--- a/packages/gateway/tests/support/test_gateway.hpp
+++ b/packages/gateway/tests/support/test_gateway.hpp
@@ -55,6 +55,20 @@
                std::chrono::milliseconds target_latency =
                    std::chrono::milliseconds(400),
                unsigned max_connections = 1000)
+    {
+        auto const table = make_table(version, timeout, engine, target_latency,
+                                      max_connections);
+        run([&] { gateway_.apply(table); });
+        set_history({});
+    }
+
+    std::shared_ptr<routing_table const>
+    make_table(kernel::config_version version,
+               std::chrono::milliseconds timeout,
+               std::optional<engine_properties> engine,
+               std::chrono::milliseconds target_latency =
+                   std::chrono::milliseconds(400),
+               unsigned max_connections = 1000) const
     {
         routing_config config;
         config.version = version;
@@ -90,9 +104,7 @@
         config.limits = limits_;
         if (has_no_workspace_)
             config.workspaces.clear();
-        run([&]
-            { gateway_.apply(std::make_shared<routing_table const>(config)); });
-        set_history({});
+        return std::make_shared<routing_table const>(config);
     }
 
     /// Sets the limit of workspace `w1` in the next configuration.
