gateway: Free the memory of buffers that are emptied

Callers were refused with 503 by a router that did nothing: connections that had read long answers and were idle held all the memory that callers may make the router hold, and idle connections do not give way for memory.

Cause: buffers were emptied by an assignment of {}. For strings and vectors that is the assignment of an empty list, which keeps the memory, as moving from a short string does. It was counted (capacity), so that the bound held, but never given back: a connection that had received an answer of 200 KB kept up to 400 KB, and a request that gave way kept its body until its caller had read the refusal.

Change: kernel::free_memory moves the old value out and destroys it. Used for the buffers of callers' connections, of heads and bodies, of requests at endpoints' connections, of long events, and for a response once it is relayed.

--- a/packages/gateway/internal/caller_connection.cpp
+++ b/packages/gateway/internal/caller_connection.cpp
@@ -6,6 +6,7 @@
 #include "gateway/i_request_handler.hpp"
 #include "gateway/response_rules.hpp"
 #include "gateway/types/header_field_names.hpp"
+#include "kernel/free_memory.hpp"
 
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
@@ -192,7 +193,7 @@
         input_begin_ += feed(input());
         if (input().empty())
         {
-            input_ = {};
+            kernel::free_memory(input_);
             input_begin_ = 0;
         }
     }
@@ -396,7 +397,7 @@
 {
     writing_ = false;
     if (write_buffer_.capacity() > kept_buffer_bytes)
-        write_buffer_ = {};
+        kernel::free_memory(write_buffer_);
     else
         write_buffer_.clear();
     if (closed_)
@@ -419,7 +420,7 @@
     if (std::exchange(lingering_, true))
         return;
     waiting_since_ = lingering_since_ = clock_.now();
-    input_ = {};
+    kernel::free_memory(input_);
     input_begin_ = 0;
     count_memory();
     std::error_code ec;
--- a/packages/gateway/internal/event_splitter.cpp
+++ b/packages/gateway/internal/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include "gateway/http/event_splitter.hpp"
 
+#include "kernel/free_memory.hpp"
+
 #include <charconv>
 
 namespace endiveward::gateway
@@ -87,7 +89,7 @@
 {
     // The memory of a long event is released after it.
     if (buffer_.capacity() > kept_bytes)
-        buffer_ = {};
+        kernel::free_memory(buffer_);
     buffer_.clear();
     start_ = 0;
     scanned_ = 0;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -28,6 +28,7 @@
 #include "gateway/unavailability_policy.hpp"
 #include "gateway/upstream_pool.hpp"
 #include "gateway/weights_view.hpp"
+#include "kernel/free_memory.hpp"
 #include "kernel/parse_number.hpp"
 #include "kernel/types/result.hpp"
 #include "observe/decision_log.hpp"
@@ -753,7 +754,7 @@
     writer_->begin(head_.status, answer_headers(head_, services_.names),
                    length);
     writer_->write(body_);
-    body_.clear();
+    kernel::free_memory(body_);
     count_buffered();
 }
 
--- a/packages/gateway/internal/header_collector.cpp
+++ b/packages/gateway/internal/header_collector.cpp
@@ -1,5 +1,7 @@
 #include "gateway/http/header_collector.hpp"
 
+#include "kernel/free_memory.hpp"
+
 #include <utility>
 
 namespace endiveward::gateway
@@ -13,7 +15,7 @@
 void header_collector::reset()
 {
     bytes_ = 0;
-    fields_ = {};
+    kernel::free_memory(fields_);
     release();
     in_value_ = false;
     finished_ = false;
@@ -77,8 +79,8 @@
 /// An idle connection keeps its collector, but not what a long field took.
 void header_collector::release()
 {
-    name_ = {};
-    value_ = {};
+    kernel::free_memory(name_);
+    kernel::free_memory(value_);
 }
 
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/request_reader.cpp
+++ b/packages/gateway/internal/request_reader.cpp
@@ -1,5 +1,7 @@
 #include "gateway/http/request_reader.hpp"
 
+#include "kernel/free_memory.hpp"
+
 #include <algorithm>
 #include <atomic>
 #include <cstdint>
@@ -52,7 +54,7 @@
 {
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
-    request_ = {};
+    kernel::free_memory(request_);
     fields_.reset();
     state_ = read_state::partial;
     failure_status_ = 0;
@@ -98,7 +100,7 @@
 
 void request_reader::give_up()
 {
-    request_ = {};
+    kernel::free_memory(request_);
     fields_.reset();
     if (state_ == read_state::partial)
         fail(status_bad_request);
--- a/packages/gateway/internal/response_reader.cpp
+++ b/packages/gateway/internal/response_reader.cpp
@@ -1,6 +1,7 @@
 #include "gateway/http/response_reader.hpp"
 
 #include "gateway/http/i_response_sink.hpp"
+#include "kernel/free_memory.hpp"
 
 #include <utility>
 
@@ -41,7 +42,7 @@
     parser_.data = this;
     head_checker_.reset();
     line_checker_.reset();
-    head_ = {};
+    kernel::free_memory(head_);
     fields_.reset();
     head_request_ = head_request;
     informational_ = false;
--- a/packages/gateway/internal/upstream_connection.cpp
+++ b/packages/gateway/internal/upstream_connection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/http/upstream_connection.hpp"
 
 #include "gateway/http/i_upstream_observer.hpp"
+#include "kernel/free_memory.hpp"
 #include "kernel/tcp_liveness.hpp"
 
 #include <asio/buffer.hpp>
@@ -260,7 +261,7 @@
 void upstream_connection::become_idle()
 {
     idle_since_ = clock_.now();
-    request_ = {};
+    kernel::free_memory(request_);
     read();
 }
 
--- a/packages/wire/internal/connection.cpp
+++ b/packages/wire/internal/connection.cpp
@@ -1,5 +1,6 @@
 #include "wire/internal/connection.hpp"
 
+#include "kernel/free_memory.hpp"
 #include "kernel/i_random_source.hpp"
 #include "kernel/tcp_liveness.hpp"
 #include "kernel/types/result.hpp"
@@ -404,7 +405,7 @@
     // The observer reports changes to open connections only.
     if (open_)
         send_state();
-    sent_state_ = {};
+    kernel::free_memory(sent_state_);
 }
 
 void connection::close()
