agent: Limit the memory of requests, in sum

An agent of the own interface took as many requests as its queue has places, 272 by default, each up to 15 MB, and three copies of each that runs. Routers limit what their callers send, but an agent has several routers: with four of them, and 100 requests of 1 MB at each, it took 209, 223 and 316 MB; a machine beside an endpoint has 192 MB.

Cause: the queue was limited by the number of calls only. Besides, calls that have ended kept their body and answer for the ten seconds in which a router may resume them, since they were emptied without being freed.

Change: limits.max_call_memory (64 MiB) for the requests of all calls, with three copies of each body; a request that is alone is always taken, and small ones may take as much again, so that ordinary callers are served beside large requests. Others are refused with "overloaded" and may go to another endpoint.

"requests of calls take a limited amount of memory together" tests who is refused.

--- a/packages/agent/internal/agent_core.cpp
+++ b/packages/agent/internal/agent_core.cpp
@@ -106,6 +106,7 @@
     dependencies.endpoint = endpoint_;
     dependencies.load = load_;
     dependencies.metrics = metrics_;
+    dependencies.max_call_memory = settings_.max_call_memory;
     dependencies.make_buffer = []
     { return std::make_unique<admission::stream_buffer>(stream_buffer_bytes); };
     dependencies.cache_salt = dependencies_.cache_salt;
--- a/packages/agent/internal/call.hpp
+++ b/packages/agent/internal/call.hpp
@@ -7,6 +7,7 @@
 #include "wire/types/call_end.hpp"
 #include "wire/types/invoke.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -37,6 +38,8 @@
 {
     std::uint64_t id = 0;
     wire::invoke request;
+    /// Memory that the request takes until the call is removed.
+    std::size_t request_bytes = 0;
     kernel::hash128 request_hash;
     call_state state = call_state::pending_admission;
     kernel::steady_time deadline;
--- a/packages/agent/internal/call_executor.cpp
+++ b/packages/agent/internal/call_executor.cpp
@@ -12,6 +12,7 @@
 #include "agent/types/endpoint_result.hpp"
 #include "config/i_config_state.hpp"
 #include "config/i_configuration.hpp"
+#include "kernel/free_memory.hpp"
 #include "wire/i_connection.hpp"
 
 #include <prometheus/counter.h>
@@ -33,6 +34,9 @@
 // `outcome_unknown`.
 constexpr std::size_t max_recorded_response = 1U << 20U;
 constexpr std::size_t replay_chunk_bytes = 64U << 10U;
+/// Requests of ordinary callers are mostly smaller.
+constexpr std::size_t small_request_bytes = 192U << 10U;
+constexpr std::chrono::milliseconds retry_without_memory{1000};
 
 kernel::error not_run(kernel::error_kind kind, std::string message)
 {
@@ -91,9 +95,25 @@
     added.request_hash = hash_request(added.request);
     added.buffer = dependencies_.make_buffer();
     calls_.attach(added, conn, call_id);
+    if (!has_memory_for(added))
+        return refuse(added,
+                      {kernel::error_kind::overloaded,
+                       "the requests that wait or run take all memory "
+                       "that they may; send the request again later",
+                       kernel::run_state::not_run, retry_without_memory});
     admit(added);
 }
 
+/// Beside large requests that wait or run there is room for small ones. A
+/// request that is alone is always taken.
+bool call_executor::has_memory_for(call const& entry) const
+{
+    auto const limit = dependencies_.max_call_memory;
+    auto const used = calls_.request_bytes();
+    return used <= limit || calls_.size() == 1 ||
+           (entry.request_bytes <= small_request_bytes && used <= 2 * limit);
+}
+
 void call_executor::on_duplicate_invoke(call& existing,
                                         connection_ptr const& conn,
                                         wire::invoke const& request)
@@ -398,8 +418,8 @@
     entry.end = std::move(outcome);
     dependencies_.metrics->count_end(entry.end->outcome);
     settle_claim(entry);
-    entry.response.clear();
-    entry.request.body.clear();
+    kernel::free_memory(entry.response);
+    calls_.release_body(entry);
     if (before == call_state::claiming || before == call_state::running)
     {
         auto const measured =
--- a/packages/agent/internal/call_executor.hpp
+++ b/packages/agent/internal/call_executor.hpp
@@ -47,6 +47,9 @@
     std::shared_ptr<load_reporter> load;
     std::shared_ptr<agent_metrics> metrics;
     std::function<std::unique_ptr<admission::i_stream_buffer>()> make_buffer;
+    /// Bytes that requests may take together; small ones may take as much
+    /// again.
+    std::size_t max_call_memory = 64U << 20U;
     /// Computes the `cache_salt` sent to the engine.
     std::function<std::string(wire::invoke const&)> cache_salt;
 };
@@ -96,6 +99,7 @@
 
     void on_duplicate_invoke(call& existing, connection_ptr const& conn,
                              wire::invoke const& request);
+    bool has_memory_for(call const& entry) const;
     void admit(call& entry);
     void request_configuration(call& entry);
     void refuse(call& entry, kernel::error reason);
--- a/packages/agent/internal/call_table.cpp
+++ b/packages/agent/internal/call_table.cpp
@@ -1,13 +1,35 @@
 #include "agent/internal/call_table.hpp"
 
+#include "kernel/free_memory.hpp"
+
 namespace endiveward::agent
 {
 
+namespace
+{
+
+std::size_t memory_of(wire::invoke const& request)
+{
+    // While a call runs, a second copy is kept for a repeat and a third one is
+    // sent to the endpoint.
+    constexpr std::size_t body_copies = 3;
+    auto res = sizeof(call) + body_copies * request.body.capacity() +
+               request.path.capacity() +
+               request.prefix_levels.capacity() * sizeof(wire::prefix_level);
+    for (auto const& it : request.headers)
+        res += sizeof(it) + it.name.capacity() + it.value.capacity();
+    return res;
+}
+
+} // namespace
+
 call& call_table::add(wire::invoke request)
 {
     auto added = std::make_unique<call>();
     added->id = ++last_id_;
     added->request = std::move(request);
+    added->request_bytes = memory_of(added->request);
+    request_bytes_ += added->request_bytes;
     auto& ref = *added;
     calls_by_stream_[ref.request.stream_id] = ref.id;
     calls_[ref.id] = std::move(added);
@@ -20,10 +42,19 @@
     if (entry == nullptr)
         return;
     detach(*entry);
+    request_bytes_ -= entry->request_bytes;
     calls_by_stream_.erase(entry->request.stream_id);
     calls_.erase(id);
 }
 
+void call_table::release_body(call& entry)
+{
+    kernel::free_memory(entry.request.body);
+    request_bytes_ -= entry.request_bytes;
+    entry.request_bytes = memory_of(entry.request);
+    request_bytes_ += entry.request_bytes;
+}
+
 call* call_table::find(std::uint64_t id) const
 {
     auto const it = calls_.find(id);
--- a/packages/agent/internal/call_table.hpp
+++ b/packages/agent/internal/call_table.hpp
@@ -4,6 +4,7 @@
 #include "agent/internal/call.hpp"
 #include "kernel/types/hash128.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -23,6 +24,8 @@
 
     call& add(wire::invoke request);
     void remove(std::uint64_t id);
+    /// Frees the request's body, which is not needed after the call has ended.
+    void release_body(call& entry);
     call* find(std::uint64_t id) const;
     call* find_by_stream(kernel::hash128 const& stream) const;
     call* find_by_connection(connection_ptr const& conn,
@@ -35,6 +38,8 @@
     std::vector<std::uint64_t>
     ids_by_connection(connection_ptr const& conn) const;
     std::size_t size() const { return calls_.size(); }
+    /// Memory that the requests of all calls take.
+    std::size_t request_bytes() const { return request_bytes_; }
 
 private:
     using connection_key = std::pair<wire::i_connection const*, std::uint64_t>;
@@ -43,6 +48,7 @@
     std::unordered_map<kernel::hash128, std::uint64_t> calls_by_stream_;
     std::map<connection_key, std::uint64_t> calls_by_connection_;
     std::uint64_t last_id_ = 0;
+    std::size_t request_bytes_ = 0;
 };
 
 } // namespace endiveward::agent
--- a/packages/agent/tests/call_executor_test.cpp
+++ b/packages/agent/tests/call_executor_test.cpp
@@ -320,6 +320,38 @@
     CHECK(agent.other->all<wire::chunk>().empty());
 }
 
+// Guards against an agent that runs out of memory because its queue is limited
+// by the number of calls only, and against small calls that are refused beside
+// large ones.
+TEST_CASE("requests of calls take a limited amount of memory together")
+{
+    agent_under_test agent;
+    auto const refusal = [&](std::uint64_t call_id, std::size_t body_bytes)
+    {
+        auto request = agent.make_invoke(call_id);
+        request.body.insert(request.body.size() - 1,
+                            ",\"x\":\"" + std::string(body_bytes, 'x') + "\"");
+        agent.executor->on_invoke(agent.router, request);
+        return agent.router->all<wire::verdict>().back().refusal;
+    };
+    constexpr std::size_t large = 1U << 20U;
+    std::uint64_t id = 0;
+    // Of 64 MiB, with three copies of each body.
+    while (id < 21)
+        REQUIRE_FALSE(refusal(++id, large));
+    auto const refused = refusal(++id, large);
+    REQUIRE(refused);
+    CHECK(refused->kind == error_kind::overloaded);
+    CHECK(refused->run == kernel::run_state::not_run);
+    CHECK(refused->retry_after);
+    CHECK_FALSE(refusal(++id, 1000));
+    // A call that has ended gives its memory back.
+    agent.endpoint->finish(0);
+    auto const later = refusal(++id, large);
+    INFO((later ? later->message : "taken"));
+    CHECK_FALSE(later);
+}
+
 // Guards against a truncated response that is reported as complete.
 TEST_CASE("a call whose engine fails does not end as complete")
 {
--- a/packages/config/internal/settings_loader.cpp
+++ b/packages/config/internal/settings_loader.cpp
@@ -142,6 +142,8 @@
     read_count(reader, "endpoint", "max_queue", 0, 1'000'000, out.max_queue);
     read_count(reader, "endpoint", "max_cache_blocks", 0, 100'000'000,
                out.max_cache_blocks);
+    read_count(reader, "limits", "max_call_memory", 1LL << 20, 1LL << 40,
+               out.max_call_memory);
     auto hours = static_cast<std::int64_t>(out.claim_retention.count());
     reader.integer("store", "claim_retention_h", 1, 24LL * 365, hours);
     out.claim_retention = std::chrono::hours(hours);
--- a/packages/config/tests/settings_loader_test.cpp
+++ b/packages/config/tests/settings_loader_test.cpp
@@ -222,6 +222,9 @@
     CHECK_FALSE(kernel::ok(load("capacity = 0\n")));
     CHECK(kernel::value(load("")).max_cache_blocks == 1'000'000);
     CHECK(kernel::value(load("max_cache_blocks = 5\n")).max_cache_blocks == 5);
+    CHECK(kernel::value(load("[limits]\nmax_call_memory = 2097152\n"))
+              .max_call_memory == 2097152);
+    CHECK_FALSE(kernel::ok(load("[limits]\nmax_call_memory = 1024\n")));
     CHECK_FALSE(kernel::ok(load("[listen2]\n")));
 }
 
--- a/packages/config/types/agent_settings.hpp
+++ b/packages/config/types/agent_settings.hpp
@@ -37,6 +37,11 @@
     /// Maximum number of blocks in the cache index.
     std::size_t max_cache_blocks = 1'000'000;
 
+    // [limits]
+    /// Bytes that the requests of calls take together; small ones may take as
+    /// much again.
+    std::size_t max_call_memory = 64U << 20U;
+
     // [store]
     /// Retention period of claims of idempotency keys.
     std::chrono::hours claim_retention{24};
--- a/tests/crowd/own_front_crowd_test.cpp
+++ b/tests/crowd/own_front_crowd_test.cpp
@@ -10,9 +10,11 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace endiveward::e2e
 {
@@ -51,10 +53,10 @@
 }
 
 /// Waits until the peak no longer grows.
-void let_crowd_act(deployment& running)
+void let_crowd_act(test_support::child_process const& process_under_crowd)
 {
     constexpr std::chrono::milliseconds quiet_time{700};
-    auto const process = running.router(0).pid();
+    auto const process = process_under_crowd.pid();
     for (auto last = peak_memory(process);;)
     {
         std::this_thread::sleep_for(quiet_time);
@@ -66,11 +68,25 @@
 
 bool serves(deployment& running)
 {
-    auto const body = chat("ordinary", false);
-    return test_support::wait_until(
-        [&] {
-            return is_right(send(chat_call(running.router_url(0), body)), body);
+    auto const body = chat("ordinary", false, 1);
+    test_support::http_answer answer;
+    auto const res = test_support::wait_until(
+        [&]
+        {
+            answer = send(chat_call(running.router_url(0), body));
+            return is_right(answer, body);
         });
+    if (!res)
+        WARN(describe(answer));
+    return res;
+}
+
+void check_agent(deployment& running)
+{
+    REQUIRE(running.agent(0).running());
+    auto const peak = peak_memory(running.agent(0).pid());
+    INFO("peak memory of the agent " << peak);
+    CHECK(peak <= agent_memory_bytes);
 }
 
 void play(unsigned clients, std::string const& text)
@@ -82,16 +98,13 @@
     REQUIRE(serves(running));
     client_crowd crowd(port_of(running.router_url(0)));
     crowd.add(clients, text);
-    let_crowd_act(running);
+    let_crowd_act(running.router(0));
     CHECK(serves(running));
     REQUIRE(running.router(0).running());
     auto const peak = peak_memory(running.router(0).pid());
     INFO("peak memory " << peak);
     CHECK(peak <= memory_bytes);
-    REQUIRE(running.agent(0).running());
-    auto const agent_peak = peak_memory(running.agent(0).pid());
-    INFO("peak memory of the agent " << agent_peak);
-    CHECK(agent_peak <= agent_memory_bytes);
+    check_agent(running);
 }
 
 std::string head(std::string const& ending)
@@ -103,9 +116,9 @@
 
 /// A request of a known workspace with these members beside those of an
 /// ordinary one.
-std::string completion(std::string const& members)
+std::string completion(std::string const& members, std::size_t tokens = 1)
 {
-    auto body = chat("crowd", false).dump();
+    auto body = chat("crowd", false, tokens).dump();
     body.insert(body.size() - 1, "," + members);
     REQUIRE(body.size() <= body_bytes);
     return head(fmt::format("Authorization: Bearer {}\r\n"
@@ -114,6 +127,11 @@
            body;
 }
 
+std::string filled(std::size_t bytes)
+{
+    return "\"metadata\":\"" + std::string(bytes, 'x') + "\"";
+}
+
 std::string nested_list(std::size_t depth)
 {
     return std::string(depth, '[') + std::string(depth, ']');
@@ -164,4 +182,34 @@
     play(150, completion("\"metadata\":" + list_of_lists(300'000)));
 }
 
+// Guards against an agent whose memory is not limited because that of each
+// router is.
+TEST_CASE("an agent bears large requests of several routers that wait for its "
+          "engine")
+{
+    auto what = small_deployment();
+    what.routers = 4;
+    what.endpoints[0].options.push_back("--token-interval-ms=500");
+    what.router_settings["limits"]["max_request_memory"] =
+        std::int64_t{256 << 20};
+    deployment running(what);
+    running.commit(first_operations(what));
+    REQUIRE(wait_until_connected(running, 1));
+    REQUIRE(serves(running));
+    // Longer than the test.
+    constexpr std::size_t tokens = 200;
+    auto const text = completion(filled(body_bytes - 1000), tokens);
+    std::vector<std::unique_ptr<client_crowd>> crowds;
+    for (std::size_t n = 0; n < what.routers; ++n)
+    {
+        crowds.push_back(
+            std::make_unique<client_crowd>(port_of(running.router_url(n))));
+        crowds.back()->add(100, text);
+    }
+    let_crowd_act(running.agent(0));
+    crowds.clear();
+    CHECK(serves(running));
+    check_agent(running);
+}
+
 } // namespace endiveward::e2e
