tests: Ask for an ordinary request of the usual length beside crowds

The ordinary request of the crowd tests of the own interface was shortened to one token while the memory of agents was limited.

--- a/tests/crowd/own_front_crowd_test.cpp
+++ b/tests/crowd/own_front_crowd_test.cpp
@@ -68,7 +68,7 @@
 
 bool serves(deployment& running)
 {
-    auto const body = chat("ordinary", false, 1);
+    auto const body = chat("ordinary", false);
     test_support::http_answer answer;
     auto const res = test_support::wait_until(
         [&]
