--- a/review/common-3/rig.hpp
+++ b/review/common-3/rig.hpp
@@ -612,10 +612,16 @@
     {
         auto const target = request.target();
         if (target == "/report")
+        {
+            // Each run is [id, tokens in memory, events made, priority].
+            auto runs = json::array();
+            for (int n = 0; n < running; ++n)
+                runs.push_back({"run-" + std::to_string(n), 1000, 5, 5});
             return conn.send(json_answer(
                 200, {{"stage", "unified"}, {"models", models()}, {"busy", busy.load()}, {"sequence", orders.load()},
                       {"queue_depth", waiting.load()}, {"running_count", running.load()}, {"kv_used", 1000 * running},
-                      {"kv_total", 240000}, {"handles", 0}}));
+                      {"kv_total", 240000}, {"handles", 0}, {"runs", runs}}));
+        }
         if (target.starts_with("/kv-events"))
         {
             auto const wait = std::atoi(request.get("Wait-Ms").c_str());
