--- a/review/common-3/rig.hpp
+++ b/review/common-3/rig.hpp
@@ -572,6 +572,7 @@
     std::atomic<int> waiting{0};
     std::atomic<bool> busy{false};
     std::atomic<int> orders{0};
+    std::atomic<int> kv_used{0};
     int const slots = 64;
 
     std::string ip() const { return server_.ip(); }
@@ -607,7 +608,19 @@
     }
     std::function<void(worker&, json const&)> on_order;
 
+    /// A part of a prompt is kept now, or not any more.
+    void cache_event(char const* sign, std::string const& salt, std::string const& part, int tokens)
+    {
+        std::lock_guard const lock(events_mutex_);
+        events_.push_back({events_.size() + 1, sign, salt, part, tokens, model});
+    }
+
 private:
+    std::size_t event_count()
+    {
+        std::lock_guard const lock(events_mutex_);
+        return events_.size();
+    }
     bool handle(channel& conn, message const& request)
     {
         auto const target = request.target();
@@ -619,16 +632,22 @@
                 runs.push_back({"run-" + std::to_string(n), 1000, 5, 5});
             return conn.send(json_answer(
                 200, {{"stage", "unified"}, {"models", models()}, {"busy", busy.load()}, {"sequence", orders.load()},
-                      {"queue_depth", waiting.load()}, {"running_count", running.load()}, {"kv_used", 1000 * running},
+                      {"queue_depth", waiting.load()}, {"running_count", running.load()}, {"kv_used", kv_used.load()},
                       {"kv_total", 240000}, {"handles", 0}, {"runs", runs}}));
         }
         if (target.starts_with("/kv-events"))
         {
+            auto const at = target.find("since=");
+            auto const since = at == std::string::npos ? 0 : std::strtoull(target.c_str() + at + 6, nullptr, 10);
             auto const wait = std::atoi(request.get("Wait-Ms").c_str());
-            for (int n = 0; n < wait / 20 && !ended(); ++n)
+            for (int n = 0; n < wait / 20 && !ended() && event_count() <= since; ++n)
                 std::this_thread::sleep_for(20ms);
+            std::lock_guard const lock(events_mutex_);
+            auto list = json::array();
+            for (auto n = since; n < events_.size(); ++n)
+                list.push_back(events_[n]);
             return conn.send(json_answer(
-                200, {{"boot_epoch", 1}, {"next", 1}, {"lost", false}, {"events", json::array()}}));
+                200, {{"boot_epoch", 1}, {"next", events_.size()}, {"lost", false}, {"events", list}}));
         }
         if (target == "/order")
         {
@@ -660,6 +679,8 @@
 
 private:
     handler handler_;
+    std::mutex events_mutex_;
+    std::vector<json> events_;
     server server_;
 };
 
