--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -24,7 +24,8 @@
 std::atomic<int> closed_under_work{0};
 std::atomic<int> refusals{0};
 
-/// All slots of the other workers run, and the few places behind them are taken.
+/// All slots of the other workers run, and the few places behind them are
+/// taken.
 void fill_others(worker& self)
 {
     preempting = &self;
@@ -44,15 +45,19 @@
     if (chosen != nullptr && chosen != &self)
     {
         ++refusals;
-        record::line("%s is full and refuses %s (Not-Executed)", self.id.c_str(), id.c_str());
+        record::line("%s is full and refuses %s (Not-Executed)",
+                     self.id.c_str(), id.c_str());
         return conn.send(self.refusal(request, 503));
     }
     auto const first = std::atoi(request.get("Last-Event-Id").c_str()) + 1;
     auto const is_long = request.target().starts_with("/tag/long");
-    record::line("%s runs %s from piece %d", self.id.c_str(), id.c_str(), first);
+    record::line("%s runs %s from piece %d", self.id.c_str(), id.c_str(),
+                 first);
     ++self.running;
-    conn.send("HTTP/1.1 200 OK\r\n" + self.fields(request) + self.signature(request) +
-              "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    conn.send("HTTP/1.1 200 OK\r\n" + self.fields(request) +
+              self.signature(request) +
+              "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+              "chunked\r\n\r\n");
     auto const last = is_long ? pieces : 2;
     bool whole = true;
     for (int n = first; n <= last && whole; ++n)
@@ -62,7 +67,8 @@
         {
             fill_others(self);
             self.waiting = 1;
-            record::line("%s preempts %s for %lld ms", self.id.c_str(), id.c_str(),
+            record::line("%s preempts %s for %lld ms", self.id.c_str(),
+                         id.c_str(),
                          static_cast<long long>(preempted_for.count()));
             auto const until = clock::now() + preempted_for;
             while (clock::now() < until && whole)
@@ -71,8 +77,10 @@
                 whole = !conn.peer_closed();
             }
             self.waiting = 0;
-            record::line(whole ? "%s goes on with %s" : "%s: the channel of %s is closed while it is at work",
-                         self.id.c_str(), id.c_str());
+            record::line(
+                whole ? "%s goes on with %s"
+                      : "%s: the channel of %s is closed while it is at work",
+                self.id.c_str(), id.c_str());
             closed_under_work += !whole;
         }
         std::this_thread::sleep_for(is_long ? piece_time : 5ms);
@@ -94,16 +102,21 @@
     double ended = 0;
 };
 
-outcome call(machine const& at, std::string const& path, std::string const& attempt)
+outcome call(machine const& at, std::string const& path,
+             std::string const& attempt)
 {
     outcome res;
     auto const conn = channel::connect(at.ip, at.front);
     if (!conn)
         return res;
     res.sent = seconds();
-    conn->send("POST " + path + " HTTP/1.1\r\nHost: llm.example\r\nAttempt-Id: " + attempt +
-               "\r\nModel: m0\r\nToken-Usage: 800,24\r\nPrompt-Prefix: aa01:300,bb" + attempt.substr(1) +
-               ":500\r\nDeadline-Ms: 15000\r\nKey: key-of-sese880\r\nContent-Length: 2\r\n\r\nhi");
+    conn->send(
+        "POST " + path +
+        " HTTP/1.1\r\nHost: llm.example\r\nAttempt-Id: " + attempt +
+        "\r\nModel: m0\r\nToken-Usage: 800,24\r\nPrompt-Prefix: aa01:300,bb" +
+        attempt.substr(1) +
+        ":500\r\nDeadline-Ms: 15000\r\nKey: key-of-sese880\r\nContent-Length: "
+        "2\r\n\r\nhi");
     message head;
     if (conn->read_head(head, 15000ms))
     {
@@ -131,11 +144,16 @@
     deployment all(bin);
     for (auto const* name : {"i-a1", "i-a2", "i-a3"})
         all.add_worker({name, "llm-pool"}, serve);
-    json const route{{"name", "line-tag"}, {"hostname", "llm.example"}, {"prefix", "/tag/"},
-                     {"route_type", "streaming"}, {"timeout_ms", 15000}, {"target_latency_ms", 600},
-                     {"target_gap_ms", 800}, {"priority", 0}, {"max_attempts", 2}, {"public", false},
-                     {"sticky", true}, {"resumable", true}, {"service", "llm-pool"}};
-    all.rows.put("op", "config", configuration(2, json::array({route}), json::array({engine_service("llm-pool")})));
+    json const route{{"name", "line-tag"},   {"hostname", "llm.example"},
+                     {"prefix", "/tag/"},    {"route_type", "streaming"},
+                     {"timeout_ms", 15000},  {"target_latency_ms", 600},
+                     {"target_gap_ms", 800}, {"priority", 0},
+                     {"max_attempts", 2},    {"public", false},
+                     {"sticky", true},       {"resumable", true},
+                     {"service", "llm-pool"}};
+    all.rows.put("op", "config",
+                 configuration(2, json::array({route}),
+                               json::array({engine_service("llm-pool")})));
     for (auto const& it : all.workers)
     {
         all_workers.push_back(it.get());
@@ -149,7 +167,8 @@
     // Usual traffic, from which the router earns its retries.
     for (int n = 0; n < 60; ++n)
     {
-        if (call(router, "/tag/short", "w" + std::to_string(1000 + n)).status != 200)
+        if (call(router, "/tag/short", "w" + std::to_string(1000 + n)).status !=
+            200)
             cannot_run("usual requests are not served");
         std::this_thread::sleep_for(30ms);
     }
@@ -163,16 +182,22 @@
     consumer.join();
     // The worker looks for a closed channel every 10 ms.
     std::this_thread::sleep_for(200ms);
-    record::line("the stream: status %d, pieces up to %d, %s, sent at %.3f, ended at %.3f", result.status, result.last,
-                 result.complete ? "complete" : "the channel ended before its end", result.sent, result.ended);
+    record::line("the stream: status %d, pieces up to %d, %s, sent at %.3f, "
+                 "ended at %.3f",
+                 result.status, result.last,
+                 result.complete ? "complete"
+                                 : "the channel ended before its end",
+                 result.sent, result.ended);
     if (result.status != 200)
         cannot_run("the stream did not begin");
-    record::line("the preempting worker was cut off at work: %s; refusals of full workers: %d",
+    record::line("the preempting worker was cut off at work: %s; refusals of "
+                 "full workers: %d",
                  closed_under_work > 0 ? "yes" : "no", refusals.load());
     // LOST counts around planned work: from the SIGTERM until 1 s after the
     // grace period; not if the worker broke off, the time was over, or it was
     // still at work in the last sixth of the grace period.
-    auto const in_window = trouble && result.ended - stopped < grace_s * 5.0 / 6;
+    auto const in_window =
+        trouble && result.ended - stopped < grace_s * 5.0 / 6;
     return in_window && !result.complete && closed_under_work > 0 ? 1 : 0;
 }
 
@@ -186,7 +211,8 @@
     auto const* const trouble = std::getenv("TROUBLE");
     try
     {
-        auto const res = play(argv[1], trouble == nullptr || std::string(trouble) != "0");
+        auto const res =
+            play(argv[1], trouble == nullptr || std::string(trouble) != "0");
         record::line(res == 0 ? "LOST held" : "LOST was broken");
         return res;
     }
--- a/review/13/case.cc
+++ b/review/13/case.cc
@@ -37,22 +37,28 @@
     std::size_t place = 0;
     if (is_long)
     {
-        record::line("%s%s runs %s from piece %d", self.id.c_str(), is_slow ? " (slow)" : "", id.c_str(), first);
+        record::line("%s%s runs %s from piece %d", self.id.c_str(),
+                     is_slow ? " (slow)" : "", id.c_str(), first);
         std::lock_guard const lock(runs_mutex);
         place = runs.size();
         runs.push_back({self.id, seconds(), seconds()});
     }
     ++self.running;
-    bool open = conn.send("HTTP/1.1 200 OK\r\n" + self.fields(request) + self.signature(request) +
-                          "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    bool open = conn.send(
+        "HTTP/1.1 200 OK\r\n" + self.fields(request) + self.signature(request) +
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n");
     for (int n = first; n <= (is_long ? pieces : 2) && !self.ended(); ++n)
     {
-        auto const time = is_long ? piece_time * (is_slow ? slow_factor : 1) : 5ms;
+        auto const time =
+            is_long ? piece_time * (is_slow ? slow_factor : 1) : 5ms;
         std::this_thread::sleep_for(n == first ? 20ms : time);
-        open = open && !conn.peer_closed() && conn.send(chunk(event(n, "piece " + std::to_string(n))));
+        open = open && !conn.peer_closed() &&
+               conn.send(chunk(event(n, "piece " + std::to_string(n))));
         if (!is_long)
             continue;
-        record::line("%s makes piece %d of %s%s", self.id.c_str(), n, id.c_str(), open ? "" : " (its channel is closed)");
+        record::line("%s makes piece %d of %s%s", self.id.c_str(), n,
+                     id.c_str(), open ? "" : " (its channel is closed)");
         std::lock_guard const lock(runs_mutex);
         runs[place].last_work = seconds();
     }
@@ -60,19 +66,25 @@
     return open && conn.send("0\r\n\r\n");
 }
 
-int call(machine const& at, std::string const& path, std::string const& attempt, int& last)
+int call(machine const& at, std::string const& path, std::string const& attempt,
+         int& last)
 {
     auto const conn = channel::connect(at.ip, at.front);
     if (!conn)
         return 0;
-    conn->send("POST " + path + " HTTP/1.1\r\nHost: llm.example\r\nAttempt-Id: " + attempt +
-               "\r\nModel: m0\r\nToken-Usage: 800,24\r\nPrompt-Prefix: aa01:300,bb" + attempt.substr(1) +
-               ":500\r\nDeadline-Ms: 15000\r\nKey: key-of-sese880\r\nContent-Length: 2\r\n\r\nhi");
+    conn->send(
+        "POST " + path +
+        " HTTP/1.1\r\nHost: llm.example\r\nAttempt-Id: " + attempt +
+        "\r\nModel: m0\r\nToken-Usage: 800,24\r\nPrompt-Prefix: aa01:300,bb" +
+        attempt.substr(1) +
+        ":500\r\nDeadline-Ms: 15000\r\nKey: key-of-sese880\r\nContent-Length: "
+        "2\r\n\r\nhi");
     message head;
     if (!conn->read_head(head, 15000ms))
         return 0;
     std::string text;
-    while (head.status() == 200 && conn->read_chunk(text, 6400ms) && !text.empty())
+    while (head.status() == 200 && conn->read_chunk(text, 6400ms) &&
+           !text.empty())
     {
         auto const at_id = text.rfind("id: ");
         if (at_id != std::string::npos)
@@ -86,11 +98,16 @@
     deployment all(bin);
     for (auto const* name : {"i-a1", "i-a2"})
         all.add_worker({name, "llm-pool"}, serve);
-    json const route{{"name", "line-tag"}, {"hostname", "llm.example"}, {"prefix", "/tag/"},
-                     {"route_type", "streaming"}, {"timeout_ms", 15000}, {"target_latency_ms", 600},
-                     {"target_gap_ms", 800}, {"priority", 0}, {"max_attempts", 2}, {"public", false},
-                     {"sticky", true}, {"resumable", true}, {"service", "llm-pool"}};
-    all.rows.put("op", "config", configuration(2, json::array({route}), json::array({engine_service("llm-pool")})));
+    json const route{{"name", "line-tag"},   {"hostname", "llm.example"},
+                     {"prefix", "/tag/"},    {"route_type", "streaming"},
+                     {"timeout_ms", 15000},  {"target_latency_ms", 600},
+                     {"target_gap_ms", 800}, {"priority", 0},
+                     {"max_attempts", 2},    {"public", false},
+                     {"sticky", true},       {"resumable", true},
+                     {"service", "llm-pool"}};
+    all.rows.put("op", "config",
+                 configuration(2, json::array({route}),
+                               json::array({engine_service("llm-pool")})));
     for (auto const& it : all.workers)
         all.add_agent(*it);
     auto& router = all.add_router();
@@ -99,7 +116,8 @@
     int last = 0;
     for (int n = 0; n < 40; ++n)
     {
-        if (call(router, "/tag/short", "w" + std::to_string(1000 + n), last) != 200)
+        if (call(router, "/tag/short", "w" + std::to_string(1000 + n), last) !=
+            200)
             cannot_run("usual requests are not served");
     }
     slow = trouble;
@@ -114,8 +132,9 @@
     for (std::size_t n = 0; n + 1 < runs.size(); ++n)
     {
         auto const over = runs[n].last_work - runs[n + 1].begun;
-        record::line("%s still worked %.0f ms after the stream had gone on at %s", runs[n].worker.c_str(), over * 1000,
-                     runs[n + 1].worker.c_str());
+        record::line(
+            "%s still worked %.0f ms after the stream had gone on at %s",
+            runs[n].worker.c_str(), over * 1000, runs[n + 1].worker.c_str());
         broken = broken || over > 0.4;
     }
     return broken ? 1 : 0;
@@ -131,7 +150,8 @@
     auto const* const trouble = std::getenv("TROUBLE");
     try
     {
-        auto const res = play(argv[1], trouble == nullptr || std::string(trouble) != "0");
+        auto const res =
+            play(argv[1], trouble == nullptr || std::string(trouble) != "0");
         record::line(res == 0 ? "TWICE held" : "TWICE was broken");
         return res;
     }
--- a/review/common-3/rig.hpp
+++ b/review/common-3/rig.hpp
@@ -52,7 +52,10 @@
 class record
 {
 public:
-    static void open(std::string const& path) { file() = std::fopen(path.c_str(), "w"); }
+    static void open(std::string const& path)
+    {
+        file() = std::fopen(path.c_str(), "w");
+    }
     static void line(char const* format, ...)
     {
         static std::mutex mutex;
@@ -100,8 +103,14 @@
         }
         return std::nullopt;
     }
-    std::string get(std::string const& name) const { return find(name).value_or(""); }
-    std::string method() const { return first_line.substr(0, first_line.find(' ')); }
+    std::string get(std::string const& name) const
+    {
+        return find(name).value_or("");
+    }
+    std::string method() const
+    {
+        return first_line.substr(0, first_line.find(' '));
+    }
     std::string target() const
     {
         auto const at = first_line.find(' ') + 1;
@@ -141,7 +150,8 @@
     {
         int const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         auto const at = address(ip, port);
-        if (::connect(fd, reinterpret_cast<sockaddr const*>(&at), sizeof at) != 0)
+        if (::connect(fd, reinterpret_cast<sockaddr const*>(&at), sizeof at) !=
+            0)
         {
             ::close(fd);
             return nullptr;
@@ -163,7 +173,8 @@
         std::size_t n = 0;
         while (n < text.size())
         {
-            auto const res = ::send(fd_, text.data() + n, text.size() - n, MSG_NOSIGNAL);
+            auto const res =
+                ::send(fd_, text.data() + n, text.size() - n, MSG_NOSIGNAL);
             if (res <= 0)
                 return false;
             n += static_cast<std::size_t>(res);
@@ -175,7 +186,8 @@
     bool peer_closed() const
     {
         pollfd it{fd_, POLLIN | POLLRDHUP, 0};
-        return ::poll(&it, 1, 0) > 0 && (it.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+        return ::poll(&it, 1, 0) > 0 &&
+               (it.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
     }
 
     /// False at the end of the channel or after the time.
@@ -211,7 +223,8 @@
                 return false;
         }
     }
-    bool read_bytes(std::string& to, std::size_t n, std::chrono::milliseconds limit)
+    bool read_bytes(std::string& to, std::size_t n,
+                    std::chrono::milliseconds limit)
     {
         while (buf_.size() < n)
         {
@@ -236,8 +249,9 @@
             if (colon == std::string::npos)
                 return false;
             auto const from = line.find_first_not_of(' ', colon + 1);
-            res.headers.emplace_back(line.substr(0, colon),
-                                     from == std::string::npos ? "" : line.substr(from));
+            res.headers.emplace_back(
+                line.substr(0, colon),
+                from == std::string::npos ? "" : line.substr(from));
         }
         return false;
     }
@@ -268,7 +282,10 @@
                 res.body += chunk;
             }
         }
-        return read_bytes(res.body, std::strtoul(res.get("Content-Length").c_str(), nullptr, 10), limit);
+        return read_bytes(
+            res.body,
+            std::strtoul(res.get("Content-Length").c_str(), nullptr, 10),
+            limit);
     }
 
 private:
@@ -284,7 +301,8 @@
     return size + text + "\r\n";
 }
 
-inline std::string answer(int status, std::string const& headers, std::string const& body)
+inline std::string answer(int status, std::string const& headers,
+                          std::string const& body)
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -309,7 +327,9 @@
         int on = 1;
         setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         auto at = address(ip_, port);
-        if (::bind(fd_, reinterpret_cast<sockaddr const*>(&at), sizeof at) != 0 || ::listen(fd_, 512) != 0)
+        if (::bind(fd_, reinterpret_cast<sockaddr const*>(&at), sizeof at) !=
+                0 ||
+            ::listen(fd_, 512) != 0)
             cannot_run("no listener at " + ip_);
         socklen_t n = sizeof at;
         getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &n);
@@ -372,19 +392,25 @@
     std::thread thread_;
 };
 
-// --- The platform's store ------------------------------------------------------
+// --- The platform's store
+// ------------------------------------------------------
 
 inline std::string base64(std::string const& text)
 {
-    static char const* const digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    static char const* const digits =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     std::string res;
     for (std::size_t n = 0; n < text.size(); n += 3)
     {
         unsigned bits = 0;
         for (std::size_t k = 0; k < 3; ++k)
-            bits = bits << 8 | (n + k < text.size() ? static_cast<unsigned char>(text[n + k]) : 0);
+            bits = bits << 8 | (n + k < text.size()
+                                    ? static_cast<unsigned char>(text[n + k])
+                                    : 0);
         for (int k = 0; k < 4; ++k)
-            res += n + static_cast<std::size_t>(k) > text.size() ? '=' : digits[bits >> (18 - 6 * k) & 63];
+            res += n + static_cast<std::size_t>(k) > text.size()
+                       ? '='
+                       : digits[bits >> (18 - 6 * k) & 63];
     }
     return res;
 }
@@ -393,7 +419,9 @@
 {
 public:
     explicit store(std::string const& ip)
-        : server_(ip, 0, [this](channel& conn, message const& request) { return handle(conn, request); })
+        : server_(ip, 0,
+                  [this](channel& conn, message const& request)
+                  { return handle(conn, request); })
     {
     }
     ~store()
@@ -404,7 +432,8 @@
 
     std::string at() const { return server_.at(); }
 
-    void put(std::string const& table, std::string const& key, json const& value)
+    void put(std::string const& table, std::string const& key,
+             json const& value)
     {
         std::lock_guard const lock(mutex_);
         rows_[table][key] = {base64(value.dump()), ++version_, false};
@@ -425,18 +454,24 @@
         bool deleted = false;
     };
 
-    static std::string parameter(std::string const& target, std::string const& name)
+    static std::string parameter(std::string const& target,
+                                 std::string const& name)
     {
         auto const query = target.find('?');
-        auto at = query == std::string::npos ? query : target.find(name + "=", query);
+        auto at =
+            query == std::string::npos ? query : target.find(name + "=", query);
         if (at == std::string::npos)
             return "";
         at += name.size() + 1;
         return target.substr(at, target.find('&', at) - at);
     }
-    static json shown(std::string const& table, std::string const& key, row const& it)
+    static json shown(std::string const& table, std::string const& key,
+                      row const& it)
     {
-        json res{{"table", table}, {"part", ""}, {"key", key}, {"row_version", it.version}};
+        json res{{"table", table},
+                 {"part", ""},
+                 {"key", key},
+                 {"row_version", it.version}};
         if (it.deleted)
             res["deleted"] = true;
         else
@@ -445,10 +480,11 @@
     }
     json answer_with(json rows) const
     {
-        return {{"rows", std::move(rows)},
-                {"row_version", version_},
-                {"now_ms", static_cast<std::int64_t>(seconds() * 1000) + 1000000},
-                {"truncated", false}};
+        return {
+            {"rows", std::move(rows)},
+            {"row_version", version_},
+            {"now_ms", static_cast<std::int64_t>(seconds() * 1000) + 1000000},
+            {"truncated", false}};
     }
     bool handle(channel& conn, message const& request)
     {
@@ -457,9 +493,11 @@
         if (target.starts_with("/rows-get"))
             return conn.send(json_answer(200, get(parameter(target, "table"))));
         if (target.starts_with("/rows-feed"))
-            return conn.send(json_answer(200, feed(parameter(target, "table"),
-                                                   std::strtoull(parameter(target, "after").c_str(), nullptr, 10),
-                                                   std::atoi(parameter(target, "wait_ms").c_str()))));
+            return conn.send(json_answer(
+                200, feed(parameter(target, "table"),
+                          std::strtoull(parameter(target, "after").c_str(),
+                                        nullptr, 10),
+                          std::atoi(parameter(target, "wait_ms").c_str()))));
         if (target.starts_with("/rows-tx"))
         {
             auto const [status, body] = commit(json::parse(request.body));
@@ -511,7 +549,8 @@
             auto const key = it.at("key").get<std::string>();
             auto const& found = rows_[table][key];
             auto const version = found.deleted ? 0 : found.version;
-            holds = holds && version == it.at("row_version").get<std::uint64_t>();
+            holds =
+                holds && version == it.at("row_version").get<std::uint64_t>();
             if (version > 0)
                 current.push_back(shown(table, key, found));
         }
@@ -519,7 +558,8 @@
             return {412, answer_with(current)};
         ++version_;
         for (auto const& it : body.value("writes", json::array()))
-            rows_[it.at("table")][it.at("key")] = {it.at("value"), version_, false};
+            rows_[it.at("table")][it.at("key")] = {it.at("value"), version_,
+                                                   false};
         for (auto const& it : body.value("remove", json::array()))
             rows_[it.at("table")][it.at("key")] = {"", version_, true};
         changed_.notify_all();
@@ -534,7 +574,8 @@
     server server_;
 };
 
-// --- Workers ----------------------------------------------------------------------
+// --- Workers
+// ----------------------------------------------------------------------
 
 /// A worker. What it does with requests is the case's; calls about its state,
 /// its cache and orders are answered here.
@@ -559,7 +600,9 @@
         , model(given.model)
         , weights(given.weights)
         , handler_(std::move(on_request))
-        , server_(ip, 0, [this](channel& conn, message const& request) { return handle(conn, request); })
+        , server_(ip, 0,
+                  [this](channel& conn, message const& request)
+                  { return handle(conn, request); })
     {
     }
 
@@ -582,24 +625,31 @@
 
     json models() const
     {
-        return json::array({{{"name", model}, {"version", weights.load()}, {"adapters", json::array()}}});
+        return json::array({{{"name", model},
+                             {"version", weights.load()},
+                             {"adapters", json::array()}}});
     }
     json entry() const
     {
-        return {{"service", service}, {"address", at()}, {"zone", "hall-a"}, {"version", software},
-                {"slots", slots}, {"state", "ready"}, {"cold_remaining_ms", 0}, {"stage", "unified"},
-                {"models", models()}, {"sequence", 1}};
+        return {{"service", service},     {"address", at()},
+                {"zone", "hall-a"},       {"version", software},
+                {"slots", slots},         {"state", "ready"},
+                {"cold_remaining_ms", 0}, {"stage", "unified"},
+                {"models", models()},     {"sequence", 1}};
     }
     /// The fields that all answers bear.
     std::string fields(message const& request) const
     {
-        return "Attempt-Id: " + request.get("Attempt-Id") + "\r\nInstance-Id: " + id + "\r\nInstance-Load: " +
-               std::to_string(running) + "," + std::to_string(waiting) + "," + std::to_string(slots) +
+        return "Attempt-Id: " + request.get("Attempt-Id") +
+               "\r\nInstance-Id: " + id +
+               "\r\nInstance-Load: " + std::to_string(running) + "," +
+               std::to_string(waiting) + "," + std::to_string(slots) +
                "\r\nWeight-Versions: " + std::to_string(weights) + "\r\n";
     }
     std::string signature(message const& request) const
     {
-        return "Response-Signature: " + id + "." + request.get("Attempt-Id") + "\r\n";
+        return "Response-Signature: " + id + "." + request.get("Attempt-Id") +
+               "\r\n";
     }
     /// States that the request has not run and will not.
     std::string refusal(message const& request, int status) const
@@ -609,10 +659,12 @@
     std::function<void(worker&, json const&)> on_order;
 
     /// A part of a prompt is kept now, or not any more.
-    void cache_event(char const* sign, std::string const& salt, std::string const& part, int tokens)
+    void cache_event(char const* sign, std::string const& salt,
+                     std::string const& part, int tokens)
     {
         std::lock_guard const lock(events_mutex_);
-        events_.push_back({events_.size() + 1, sign, salt, part, tokens, model});
+        events_.push_back(
+            {events_.size() + 1, sign, salt, part, tokens, model});
     }
 
 private:
@@ -630,29 +682,43 @@
             auto runs = json::array();
             for (int n = 0; n < running; ++n)
                 runs.push_back({"run-" + std::to_string(n), 1000, 5, 5});
-            return conn.send(json_answer(
-                200, {{"stage", "unified"}, {"models", models()}, {"busy", busy.load()}, {"sequence", orders.load()},
-                      {"queue_depth", waiting.load()}, {"running_count", running.load()}, {"kv_used", kv_used.load()},
-                      {"kv_total", 240000}, {"handles", 0}, {"runs", runs}}));
+            return conn.send(
+                json_answer(200, {{"stage", "unified"},
+                                  {"models", models()},
+                                  {"busy", busy.load()},
+                                  {"sequence", orders.load()},
+                                  {"queue_depth", waiting.load()},
+                                  {"running_count", running.load()},
+                                  {"kv_used", kv_used.load()},
+                                  {"kv_total", 240000},
+                                  {"handles", 0},
+                                  {"runs", runs}}));
         }
         if (target.starts_with("/kv-events"))
         {
             auto const at = target.find("since=");
-            auto const since = at == std::string::npos ? 0 : std::strtoull(target.c_str() + at + 6, nullptr, 10);
+            auto const since =
+                at == std::string::npos
+                    ? 0
+                    : std::strtoull(target.c_str() + at + 6, nullptr, 10);
             auto const wait = std::atoi(request.get("Wait-Ms").c_str());
-            for (int n = 0; n < wait / 20 && !ended() && event_count() <= since; ++n)
+            for (int n = 0; n < wait / 20 && !ended() && event_count() <= since;
+                 ++n)
                 std::this_thread::sleep_for(20ms);
             std::lock_guard const lock(events_mutex_);
             auto list = json::array();
             for (auto n = since; n < events_.size(); ++n)
                 list.push_back(events_[n]);
-            return conn.send(json_answer(
-                200, {{"boot_epoch", 1}, {"next", events_.size()}, {"lost", false}, {"events", list}}));
+            return conn.send(json_answer(200, {{"boot_epoch", 1},
+                                               {"next", events_.size()},
+                                               {"lost", false},
+                                               {"events", list}}));
         }
         if (target == "/order")
         {
             auto const order = json::parse(request.body);
-            record::line("%s gets the order %s", id.c_str(), request.body.c_str());
+            record::line("%s gets the order %s", id.c_str(),
+                         request.body.c_str());
             if (busy)
                 return conn.send(json_answer(409, json::object()));
             ++orders;
@@ -665,10 +731,13 @@
             return conn.send(answer(200, fields(request), ""));
         auto const expected = request.find("Expect-Instance");
         if (expected && *expected != id)
-            return conn.send(answer(421, fields(request) + "Not-Executed: 1\r\n", ""));
+            return conn.send(
+                answer(421, fields(request) + "Not-Executed: 1\r\n", ""));
         auto const version = request.find("Expect-Version");
-        if (version && std::atoi(version->c_str()) != weights && !checks_room_first)
-            return conn.send(answer(421, fields(request) + "Not-Executed: 1\r\n", ""));
+        if (version && std::atoi(version->c_str()) != weights &&
+            !checks_room_first)
+            return conn.send(
+                answer(421, fields(request) + "Not-Executed: 1\r\n", ""));
         return handler_(*this, conn, request);
     }
 
@@ -689,24 +758,27 @@
     return "id: " + std::to_string(id) + "\ndata: " + text + "\n\n";
 }
 
-// --- Processes of the project -------------------------------------------------------
+// --- Processes of the project
+// -------------------------------------------------------
 
 class process
 {
 public:
-    process(std::string name, std::vector<std::string> command, std::string const& settings_file,
-            std::filesystem::path const& log)
+    process(std::string name, std::vector<std::string> command,
+            std::string const& settings_file, std::filesystem::path const& log)
         : name_(std::move(name))
     {
         pid_ = ::fork();
         if (pid_ != 0)
             return;
-        int const out = ::open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
+        int const out =
+            ::open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
         ::dup2(out, 1);
         ::dup2(out, 2);
-        std::vector<std::string> env{"ENDIVEWARD_BOOT=" + settings_file,
-                                     "ENDIVEWARD_CLUSTER_KEY=replace-this-text-for-each-deployment-0001",
-                                     "PATH=/usr/bin:/bin", "LANG=C"};
+        std::vector<std::string> env{
+            "ENDIVEWARD_BOOT=" + settings_file,
+            "ENDIVEWARD_CLUSTER_KEY=replace-this-text-for-each-deployment-0001",
+            "PATH=/usr/bin:/bin", "LANG=C"};
         std::vector<char*> args, vars;
         for (auto& it : command)
             args.push_back(it.data());
@@ -776,8 +848,10 @@
 public:
     deployment(std::string bin)
         : bin_(std::move(bin))
-        , net_("127." + std::to_string(64 + ::getpid() % 128) + "." + std::to_string(::getpid() / 128 % 200) + ".")
-        , folder_(std::filesystem::temp_directory_path() / ("review-3-" + std::to_string(::getpid())))
+        , net_("127." + std::to_string(64 + ::getpid() % 128) + "." +
+               std::to_string(::getpid() / 128 % 200) + ".")
+        , folder_(std::filesystem::temp_directory_path() /
+                  ("review-3-" + std::to_string(::getpid())))
         , internal_port_(free_port(net_ + "1"))
         , rows(net_ + "1")
     {
@@ -797,7 +871,8 @@
     worker& add_worker(worker::options given, worker::handler handler)
     {
         auto const ip = net_ + std::to_string(100 + workers.size());
-        workers.push_back(std::make_unique<worker>(ip, std::move(given), std::move(handler)));
+        workers.push_back(
+            std::make_unique<worker>(ip, std::move(given), std::move(handler)));
         auto& res = *workers.back();
         rows.put("servers", res.id, res.entry());
         return res;
@@ -808,7 +883,11 @@
         auto it = std::make_unique<machine>();
         it->name = "side-hall-a-" + std::to_string(agents.size() + 1);
         it->ip = beside.ip();
-        it->settings = write_settings(*it, "app = \"" + beside.at() + "\"\nservice = \"" + beside.service + "\"\n", "");
+        it->settings =
+            write_settings(*it,
+                           "app = \"" + beside.at() + "\"\nservice = \"" +
+                               beside.service + "\"\n",
+                           "");
         agents.push_back(std::move(it));
         start(*agents.back(), {bin_ + "/endiveward-agent", "--platform"});
         return *agents.back();
@@ -823,22 +902,27 @@
             it->ready = free_port(it->ip);
         while (it->ready == it->front);
         it->settings = write_settings(*it, "",
-                                      "front = \"" + it->ip + ":" + std::to_string(it->front) + "\"\nready = \"" +
-                                          it->ip + ":" + std::to_string(it->ready) + "\"\n");
+                                      "front = \"" + it->ip + ":" +
+                                          std::to_string(it->front) +
+                                          "\"\nready = \"" + it->ip + ":" +
+                                          std::to_string(it->ready) + "\"\n");
         routers.push_back(std::move(it));
         start(*routers.back(), {bin_ + "/endiveward", "run", "--platform"});
         return *routers.back();
     }
     void start(machine& it, std::vector<std::string> const& command)
     {
-        it.running = std::make_unique<process>(it.name, command, it.settings, folder_ / (it.name + ".log"));
+        it.running = std::make_unique<process>(it.name, command, it.settings,
+                                               folder_ / (it.name + ".log"));
         record::line("%s starts", it.name.c_str());
     }
     static bool is_ready(machine const& it)
     {
         auto const conn = channel::connect(it.ip, it.ready);
         message res;
-        return conn && conn->send("GET /readyz HTTP/1.1\r\nHost: " + it.ip + "\r\nConnection: close\r\n\r\n") &&
+        return conn &&
+               conn->send("GET /readyz HTTP/1.1\r\nHost: " + it.ip +
+                          "\r\nConnection: close\r\n\r\n") &&
                conn->read(res, 1000ms) && res.status() == 200;
     }
     void wait_ready()
@@ -856,21 +940,33 @@
     }
 
 private:
-    std::string write_settings(machine const& it, std::string const& extra, std::string const& listen)
+    std::string write_settings(machine const& it, std::string const& extra,
+                               std::string const& listen)
     {
         auto const path = folder_ / (it.name + ".toml");
         std::ofstream out(path);
-        out << "node_name = \"" << it.name << "\"\nip = \"" << it.ip << "\"\nzone = \"hall-a\"\nregion = \"be-central\"\n"
-            << "internal_ports = [" << internal_port_ << "," << internal_port_ + 15 << "]\nbootstrap = true\n"
-            << "discovery = \"platform\"\nentry = \"vip\"\nheartbeat_ms = 1200\n" << extra
-            << "[zones]\nhall-a = \"be-central\"\n[listen]\n" << listen
-            << "[limits]\ncpu_share = 0.19\ncpu_cores = 1\nmemory_mb = 260\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0\n"
-            << "[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = 3000\nack_ms = 4000\ncatch_up_s = 4\n"
-            << "drain_ms = 2000\ngrace_s = 8\nloss_slack_ms = 200\nconfig_apply_ms = 2000\ndowngrade_slack_ms = 250\n"
-            << "max_skew_ms = 5000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\nretry_budget_extra = 52\n"
-            << "recovery_s = 12\nrequire_fencing = true\nlease_ms = 3000\nversion_ms = 10000\nversion_all_ms = 14000\n"
-            << "[provider]\naddress = \"" << rows.at() << "\"\nform = \"table\"\nwrites_per_s = 400\nreads_per_s = 2000\n"
-            << "txn_ms = 3.0\npart_writes_s = 300\nrow_bytes = 65536\nacross = true\nhistory_s = 20\n";
+        out << "node_name = \"" << it.name << "\"\nip = \"" << it.ip
+            << "\"\nzone = \"hall-a\"\nregion = \"be-central\"\n"
+            << "internal_ports = [" << internal_port_ << ","
+            << internal_port_ + 15 << "]\nbootstrap = true\n"
+            << "discovery = \"platform\"\nentry = \"vip\"\nheartbeat_ms = "
+               "1200\n"
+            << extra << "[zones]\nhall-a = \"be-central\"\n[listen]\n"
+            << listen
+            << "[limits]\ncpu_share = 0.19\ncpu_cores = 1\nmemory_mb = "
+               "260\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0\n"
+            << "[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = "
+               "3000\nack_ms = 4000\ncatch_up_s = 4\n"
+            << "drain_ms = 2000\ngrace_s = 8\nloss_slack_ms = "
+               "200\nconfig_apply_ms = 2000\ndowngrade_slack_ms = 250\n"
+            << "max_skew_ms = 5000\nretry_budget_ratio = 0.2\nbudget_window_s "
+               "= 10\nretry_budget_extra = 52\n"
+            << "recovery_s = 12\nrequire_fencing = true\nlease_ms = "
+               "3000\nversion_ms = 10000\nversion_all_ms = 14000\n"
+            << "[provider]\naddress = \"" << rows.at()
+            << "\"\nform = \"table\"\nwrites_per_s = 400\nreads_per_s = 2000\n"
+            << "txn_ms = 3.0\npart_writes_s = 300\nrow_bytes = 65536\nacross = "
+               "true\nhistory_s = 20\n";
         return path;
     }
 
@@ -888,22 +984,35 @@
 
 inline json engine_service(std::string const& name)
 {
-    return {{"name", name}, {"health_path", "/healthz"}, {"max_connections", 360}, {"protocol", "h1"}, {"tls", false},
+    return {{"name", name},
+            {"health_path", "/healthz"},
+            {"max_connections", 360},
+            {"protocol", "h1"},
+            {"tls", false},
             {"engine",
-             {{"slots", 64}, {"kv_capacity_tokens", 244711}, {"kv_token_bytes", 18432}, {"link_mbps", 130000.0},
-              {"max_in_flight", 12}, {"models", json::array({{{"name", "m0"}}})}}}};
+             {{"slots", 64},
+              {"kv_capacity_tokens", 244711},
+              {"kv_token_bytes", 18432},
+              {"link_mbps", 130000.0},
+              {"max_in_flight", 12},
+              {"models", json::array({{{"name", "m0"}}})}}}};
 }
 
 inline json configuration(int version, json routes, json services)
 {
-    return {{"version", version},
-            {"routes", std::move(routes)},
-            {"services", std::move(services)},
-            {"limits",
-             {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304}, {"header_timeout_ms", 3000},
-              {"idle_timeout_ms", 15000}}},
-            {"tenants", json::array({{{"name", "sese880"}, {"api_keys", json::array({"key-of-sese880"})},
-                                      {"priority", 1}, {"isolated", false}}})}};
+    return {
+        {"version", version},
+        {"routes", std::move(routes)},
+        {"services", std::move(services)},
+        {"limits",
+         {{"max_header_bytes", 16384},
+          {"max_body_bytes", 4194304},
+          {"header_timeout_ms", 3000},
+          {"idle_timeout_ms", 15000}}},
+        {"tenants", json::array({{{"name", "sese880"},
+                                  {"api_keys", json::array({"key-of-sese880"})},
+                                  {"priority", 1},
+                                  {"isolated", false}}})}};
 }
 
 } // namespace rig
