--- a/review/common-3/rig.hpp
+++ b/review/common-3/rig.hpp
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -771,6 +772,8 @@
         pid_ = ::fork();
         if (pid_ != 0)
             return;
+        // It must not outlive a case that is ended from outside.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         int const out =
             ::open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
         ::dup2(out, 1);
