gateway: Exchange no KV cache of weights that are being replaced

Cause: the salt and Kv-Target of a request are set when it is sent. A request that runs while its endpoint loads newer weights goes on under them; if it is preempted, its prompt is read in again, kept and saved under the salt of the older weights. Endpoints that still have the older weights take these parts from there, since they are told of a source or a store until they load themselves.

Change: from when a newer version is named, or is loaded or being loaded by any endpoint, requests for an older version are told of no source and no store. A request whose connection is established meanwhile is placed anew. An endpoint's own KV cache stays in use.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -121,6 +121,7 @@
     bool has_alternative() const;
     std::string resumed_after() const;
     bool has_changed_software() const;
+    bool has_changed_weights() const;
     bool check_software();
     void resume_stream(std::string_view reason);
     void answer_collected();
@@ -172,6 +173,8 @@
     /// The endpoint's generation when the request was sent.
     std::uint64_t sent_generation_ = 0;
     weights::weight_version requested_version_ = 0;
+    /// Whether the endpoint was named a source or a target of KV cache.
+    bool exchanges_cache_ = false;
     /// The endpoint's software version when the request was sent.
     kernel::software_version sent_software_;
     /// Whether the attempt resumes a stream.
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -111,6 +111,8 @@
     endpoint_record const* home = nullptr;
     /// The KV cache store for this prefix, chosen by rendezvous hash, or null.
     std::string const* store = nullptr;
+    /// Whether endpoints take KV cache under this salt from elsewhere.
+    bool is_exchanged = true;
 
     std::uint32_t cached_tokens_at(endpoint_record const& it) const
     {
@@ -125,6 +127,8 @@
     holder source_for(endpoint_record const& it) const
     {
         holder res;
+        if (!is_exchanged)
+            return res;
         for (auto const& h : holders)
         {
             if (h.cached_tokens < res.cached_tokens)
@@ -409,6 +413,8 @@
     if (lookup.levels.empty())
         return lookup;
     auto const& shared = shared_level(lookup.levels);
+    lookup.is_exchanged = context.weights.exchanges_cache(prompt.model, version,
+                                                          context.endpoints);
     std::pair<double, std::uint64_t> best_home;
     for (auto const& it : context.endpoints)
     {
@@ -438,6 +444,8 @@
     std::uint64_t best = 0;
     for (auto const& it : context.requirements.kv_stores)
     {
+        if (!lookup.is_exchanged)
+            break;
         auto const rank = rendezvous_rank(it, shared.key);
         if (lookup.store == nullptr || rank > best)
         {
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -507,6 +507,7 @@
     footprint_ = choice.footprint;
     sent_generation_ = endpoint_->generation();
     requested_version_ = choice.version;
+    exchanges_cache_ = !choice.kv.source.empty() || !choice.kv.target.empty();
     sent_software_ = entry.software;
     resumes_ = requirements_.software.has_value();
     note_origin();
@@ -568,12 +569,13 @@
 
 /// While the connection was established, the endpoint may have asked for no
 /// requests, or named a limit, in an answer to another one, it may have been
-/// replaced, or the configuration may have changed.
+/// replaced, new weights may have been named, or the configuration may have
+/// changed.
 bool exchange::may_send() const
 {
     return !endpoint_->refuses_requests(services_.clock.now()) &&
            (counted_by_limit_ || !endpoint_->limit().rate()) &&
-           !has_changed_software() &&
+           !has_changed_software() && !has_changed_weights() &&
            requirements_.cache_group ==
                services_.table->cache_group_of(workspace_);
 }
@@ -585,6 +587,15 @@
             endpoint_->entry().software != sent_software_);
 }
 
+/// Whether the KV cache that the request was to exchange with other endpoints
+/// may have been computed by newer weights.
+bool exchange::has_changed_weights() const
+{
+    return exchanges_cache_ &&
+           requested_version_ <
+               services_.weights.target_of(requirements_.prompt->model);
+}
+
 sent_request exchange::describe_sent() const
 {
     sent_request res{endpoint_, sent_generation_, sent_at_, {}, work_};
--- a/packages/gateway/internal/weights_view.cpp
+++ b/packages/gateway/internal/weights_view.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/endpoint_record.hpp"
 
+#include <algorithm>
+
 namespace endiveward::gateway
 {
 
@@ -142,6 +144,25 @@
     return !deadline || start <= *deadline - deadline_ / start_margin_divisor;
 }
 
+// Requests that run during a load go on under the newer weights, with the salt
+// of the older ones. What they compute from then on, also for a store, must not
+// reach an endpoint that still has the older weights. An endpoint or its agent
+// may know of the newer version before this process does.
+bool weights_view::exchanges_cache(
+    kernel::model_id const& model, weights::weight_version version,
+    std::span<std::shared_ptr<endpoint_record> const> endpoints) const
+{
+    if (version < target_of(model))
+        return false;
+    return std::none_of(endpoints.begin(), endpoints.end(),
+                        [&](auto const& it)
+                        {
+                            auto const loaded = it->version_of(model);
+                            return loaded > version ||
+                                   (loaded == version && it->reloading());
+                        });
+}
+
 weights::weight_version
 weights_view::version_to_request(endpoint_record const& endpoint,
                                  kernel::model_id const& model,
--- a/packages/gateway/tests/endpoint_chooser_test.cpp
+++ b/packages/gateway/tests/endpoint_chooser_test.cpp
@@ -246,6 +246,91 @@
     CHECK(fixture.choose(requirements)->kv.target == choice->kv.target);
 }
 
+// Guards against KV cache of newer weights under the salt of older ones: a
+// request that runs during a load goes on under the newer weights, and may be
+// read in again and saved there.
+TEST_CASE("no KV cache is exchanged under weights that are being replaced")
+{
+    chooser_fixture fixture(3);
+    auto requirements = chooser_fixture::make_requirements("f", 1);
+    std::vector<std::string> const stores{"10.0.0.1:1"};
+    auto const from_store = GENERATE(true, false);
+    if (from_store)
+        requirements.kv_stores = stores;
+    requirements.prompt->parts.back().tokens = 2000;
+    requirements.prompt->prompt_tokens = 7500;
+    auto const home = fixture.choose(requirements)->endpoint;
+    if (!from_store)
+    {
+        auto const salt = make_cache_salt("", model, 1);
+        for (auto const& it : prefix_levels(*requirements.prompt, salt))
+            home->cache().report(it.key, it.part_tokens);
+        requirements.excluded = {home->entry().id};
+    }
+    REQUIRE_FALSE(fixture.choose(requirements)->kv.source.empty());
+    wire::engine_state state;
+    state.endpoint_incarnation = 1;
+    state.weights = {{model, 1}};
+    SECTION("a newer version is named")
+    {
+        fixture.weights.set_target({model, 2}, {}, start, start);
+    }
+    SECTION("an endpoint has a newer version, of which this router has not "
+            "heard")
+    {
+        state.weights = {{model, 2}};
+        auto const other = home == fixture.records[0] ? 1 : 0;
+        fixture.records[other]->on_state(state, start);
+        requirements.excluded.push_back(fixture.records[other]->entry().id);
+    }
+    SECTION("an endpoint loads a newer version, of which this router has not "
+            "heard")
+    {
+        state.reloading = true;
+        home->on_state(state, start);
+        requirements.excluded = {home->entry().id};
+    }
+    SECTION("two newer versions are named, one after the other")
+    {
+        for (auto const& it : fixture.records)
+        {
+            state.weights = {{model, 2}};
+            it->on_state(state, start);
+        }
+        fixture.weights.set_target({model, 2}, {}, start, start);
+        fixture.weights.set_target({model, 3}, {}, start, start);
+    }
+    auto const choice = fixture.choose(requirements);
+    REQUIRE(choice);
+    CHECK(choice->kv.source.empty());
+    CHECK(choice->kv.target.empty());
+}
+
+// Guards against KV cache that is computed again although all endpoints have
+// the weights that were named.
+TEST_CASE("KV cache is exchanged again once the newer weights are loaded")
+{
+    chooser_fixture fixture(3);
+    auto requirements = chooser_fixture::make_requirements("f", 1);
+    std::vector<std::string> const stores{"10.0.0.1:1"};
+    requirements.kv_stores = stores;
+    requirements.prompt->parts.back().tokens = 2000;
+    requirements.prompt->prompt_tokens = 7500;
+    fixture.weights.set_target({model, 2}, {}, start, start);
+    REQUIRE(fixture.choose(requirements)->kv.source.empty());
+    for (auto const& it : fixture.records)
+    {
+        wire::engine_state state;
+        state.endpoint_incarnation = 1;
+        state.weights = {{model, 2}};
+        it->on_state(state, start);
+    }
+    auto const choice = fixture.choose(requirements);
+    CHECK(choice->version == 2);
+    CHECK(choice->kv.source == stores[0]);
+    CHECK(choice->kv.target == stores[0]);
+}
+
 // Load pattern: 200 prompts a second of 11,500 tokens, of which 5,500 are
 // shared. A save transfers the whole prompt: transfers to and from the six
 // stores took 1870 GB in a day, 1270 GB more than without saves of such
--- a/packages/gateway/tests/support/test_gateway.hpp
+++ b/packages/gateway/tests/support/test_gateway.hpp
@@ -95,6 +95,13 @@
         s.max_connections = max_connections;
         s.engine = engine;
         config.services = {s};
+        if (kv_store_)
+        {
+            service store;
+            store.id = kernel::service_id("k");
+            store.kv_store = kv_store_;
+            config.services.push_back(store);
+        }
         config.needs_keys = true;
         config.workspaces = {{kernel::workspace_id("w1"), {"key1"}, {}, false},
                              {kernel::workspace_id("w2"), {"key2"}, {}, true},
@@ -116,6 +123,13 @@
     /// Sets callers' limits in the next configuration.
     void set_caller_limits(caller_limits const& it) { limits_ = it; }
 
+    /// Adds a KV cache store at `IP:PORT` to the next configuration.
+    void set_kv_store(std::string const& address)
+    {
+        kv_store_.emplace();
+        kv_store_->address = address;
+    }
+
     /// Takes all workspaces away in the next configuration.
     void remove_workspaces() { has_no_workspace_ = true; }
 
@@ -209,6 +223,7 @@
     std::optional<quota::limit> limit_;
     bool is_isolated_ = false;
     bool has_no_workspace_ = false;
+    std::optional<kv_store_properties> kv_store_;
     caller_limits limits_;
 };
 
--- a/packages/gateway/weights_view.hpp
+++ b/packages/gateway/weights_view.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace endiveward::gateway
@@ -44,6 +45,11 @@
     bool may_start(kernel::model_id const& model,
                    weights::weight_version version,
                    kernel::steady_time start) const;
+    /// Whether endpoints that serve this version take KV cache of it from each
+    /// other or from a store: not while a newer version is being loaded.
+    bool exchanges_cache(
+        kernel::model_id const& model, weights::weight_version version,
+        std::span<std::shared_ptr<endpoint_record> const> endpoints) const;
     /// Returns the model version that a request sent now should expect of the
     /// endpoint.
     weights::weight_version version_to_request(endpoint_record const& endpoint,
