gateway: Send a request on no connection that has carried its id

Cause: answers are matched with requests by their id. After a refusal other than 421 the connection is used again, also for the same request, if the endpoint has newer weights. The id does not tell a copy of the refusal from the answer to the second run.

Change: a connection knows the ids of its latest 32 requests, and a request that one of them names takes another connection. Nothing is closed for it, unless the endpoint's connections are used up; after 421 the connection is now kept, too. On a connection on which answers name their requests, one that names none ends the attempt as a failure, since it may belong to an earlier request.

--- a/packages/gateway/http/upstream_connection.hpp
+++ b/packages/gateway/http/upstream_connection.hpp
@@ -10,9 +10,12 @@
 #include <asio/steady_timer.hpp>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace endiveward::gateway
@@ -75,6 +78,9 @@
 
     /// Whether the connection may be used for another request.
     bool reusable(kernel::steady_time now) const;
+    /// Whether a request with this id was sent on this connection recently, so
+    /// that its answer could be taken for that of another run.
+    bool has_carried(std::string_view id) const;
     kernel::steady_time idle_since() const { return idle_since_; }
     /// Whether a byte of the current request may have reached the peer.
     bool sent() const { return sent_; }
@@ -95,6 +101,7 @@
     void become_idle();
     void close();
     void set_socket_options();
+    void note_carried(std::string_view id);
 
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
@@ -117,6 +124,11 @@
     bool sent_ = false;
     bool skipping_ = false;
     bool keep_alive_ = false;
+    /// Hashes of the ids of the latest requests, in no order.
+    std::vector<std::uint64_t> carried_;
+    std::size_t oldest_carried_ = 0;
+    /// Whether an answer on this connection has named its request.
+    bool names_requests_ = false;
 };
 
 } // namespace endiveward::gateway
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -53,7 +53,6 @@
 constexpr int status_bad_request = 400;
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
-constexpr int status_misdirected = 421;
 constexpr int status_too_many = 429;
 constexpr int status_server_error = 500;
 constexpr int status_bad_gateway = 502;
@@ -472,7 +471,7 @@
     pool_ = services_.endpoints.pool_of(*choice.endpoint);
     auto const max_idle =
         is_retryable(route_->kind) ? max_idle_retryable : max_idle_at_most_once;
-    upstream_ = pool_ == nullptr ? nullptr : pool_->acquire(max_idle);
+    upstream_ = pool_ == nullptr ? nullptr : pool_->acquire(max_idle, id_);
     endpoint_ = choice.endpoint;
     auto const& entry = endpoint_->entry();
     if (upstream_ == nullptr)
@@ -773,9 +772,7 @@
 {
     auto const keep = shared_from_this();
     auto const now = services_.clock.now();
-    // After this status the request may go to the same endpoint once more. On
-    // the same connection, a copy of this answer would refuse it.
-    release_upstream(!refused_ || head_.status != status_misdirected);
+    release_upstream(true);
     if (refused_)
         return handle_refusal();
     switch (progress_)
@@ -890,7 +887,8 @@
         return attempt();
     }
     if (failure == upstream_failure::truncated ||
-        failure == upstream_failure::not_http)
+        failure == upstream_failure::not_http ||
+        failure == upstream_failure::wrong_response)
         endpoint_->on_error(now);
     else
         endpoint_->on_no_response(now);
--- a/packages/gateway/internal/upstream_connection.cpp
+++ b/packages/gateway/internal/upstream_connection.cpp
@@ -7,6 +7,7 @@
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/write.hpp>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <array>
@@ -25,6 +26,9 @@
 /// since a request that arrives while the peer closes the connection is lost.
 constexpr std::chrono::milliseconds idle_margin{700};
 constexpr std::chrono::milliseconds min_idle_limit{300};
+/// A copy of an answer arrives where the answer to one of the next requests is
+/// expected.
+constexpr std::size_t max_carried = 32;
 
 /// The `timeout` parameter of a `Keep-Alive` field.
 std::optional<std::chrono::seconds> keep_alive_timeout(header_list const& list)
@@ -140,6 +144,7 @@
 {
     writing_ = true;
     sent_ = true;
+    note_carried(request_.id);
     std::array<asio::const_buffer, 2> bytes{asio::buffer(request_.head)};
     if (request_.body != nullptr)
         bytes[1] = asio::buffer(*request_.body);
@@ -230,6 +235,10 @@
     if (!options_->id_field.empty())
     {
         auto const id = head.headers.find(options_->id_field);
+        // Without an id, it may answer an earlier request.
+        if (!id && names_requests_)
+            return fail(upstream_failure::wrong_response);
+        names_requests_ = names_requests_ || id.has_value();
         // A late response to an earlier request arrives before the one to this
         // request.
         skipping_ = id && *id != request_.id;
@@ -296,6 +305,24 @@
     idle_closed_ = std::move(handler);
 }
 
+bool upstream_connection::has_carried(std::string_view id) const
+{
+    return !id.empty() &&
+           std::find(carried_.begin(), carried_.end(),
+                     XXH3_64bits(id.data(), id.size())) != carried_.end();
+}
+
+void upstream_connection::note_carried(std::string_view id)
+{
+    if (id.empty())
+        return;
+    auto const hash = XXH3_64bits(id.data(), id.size());
+    if (carried_.size() < max_carried)
+        return carried_.push_back(hash);
+    carried_[oldest_carried_] = hash;
+    oldest_carried_ = (oldest_carried_ + 1) % max_carried;
+}
+
 bool upstream_connection::reusable(kernel::steady_time now) const
 {
     return connected_ && !closed_ && observer_ == nullptr && !writing_ &&
--- a/packages/gateway/internal/upstream_pool.cpp
+++ b/packages/gateway/internal/upstream_pool.cpp
@@ -18,14 +18,17 @@
 }
 
 std::shared_ptr<upstream_connection>
-upstream_pool::acquire(std::chrono::milliseconds max_idle)
+upstream_pool::acquire(std::chrono::milliseconds max_idle,
+                       std::string_view request_id)
 {
     auto const now = clock_.now();
-    while (!idle_.empty())
+    for (auto n = idle_.size(); n > 0; --n)
     {
-        auto conn = std::move(idle_.back());
-        idle_.pop_back();
-        conn->on_idle_close({});
+        // A copy of an earlier answer to the same id could not be told from the
+        // answer to this run.
+        if (idle_[n - 1]->has_carried(request_id))
+            continue;
+        auto conn = take_idle(n - 1);
         if (conn->reusable(now) && now - conn->idle_since() < max_idle)
         {
             ++in_use_;
@@ -33,12 +36,22 @@
         }
         conn->abandon();
     }
+    if (connections() >= max_connections_ && !idle_.empty())
+        take_idle(0)->abandon();
     if (in_use_ >= max_connections_)
         return nullptr;
     ++in_use_;
     return std::make_shared<upstream_connection>(context_, clock_, options_);
 }
 
+std::shared_ptr<upstream_connection> upstream_pool::take_idle(std::size_t n)
+{
+    auto res = std::move(idle_[n]);
+    idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(n));
+    res->on_idle_close({});
+    return res;
+}
+
 void upstream_pool::release(std::shared_ptr<upstream_connection> conn)
 {
     --in_use_;
--- a/packages/gateway/upstream_pool.hpp
+++ b/packages/gateway/upstream_pool.hpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace endiveward::gateway
@@ -25,10 +26,12 @@
                   asio::ip::tcp::endpoint peer);
 
     asio::ip::tcp::endpoint const& peer() const { return peer_; }
-    /// Returns an idle connection that was used within `max_idle`, or a new
-    /// one. Returns null if the limit on connections is reached.
+    /// Returns an idle connection that was used within `max_idle` and has not
+    /// carried a request with this id, or a new one. Returns null if the limit
+    /// on connections is reached.
     std::shared_ptr<upstream_connection>
-    acquire(std::chrono::milliseconds max_idle);
+    acquire(std::chrono::milliseconds max_idle,
+            std::string_view request_id = {});
     /// Returns a connection to the pool after its exchange has ended. It is
     /// kept if it is reusable and closed otherwise.
     void release(std::shared_ptr<upstream_connection> conn);
@@ -39,6 +42,8 @@
     std::size_t connections() const { return idle_.size() + in_use_; }
 
 private:
+    std::shared_ptr<upstream_connection> take_idle(std::size_t n);
+
     asio::io_context& context_;
     kernel::i_clock const& clock_;
     std::shared_ptr<upstream_options const> options_;
