router: Allow the fixed part of the retries with the first start

Callers saw: in the first ten seconds of a deployment a router repeats no more than a share of its requests, although no process has used the fixed part.

Cause: `may_be_restarted` kept its default; the settings say whether the deployment starts for the first time, which nothing passed on.

Change: the setting is passed on. Routers that are started again wait as before.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -494,6 +494,7 @@
     res.zone = settings_.zone;
     res.retry_budget_ratio = settings_.retry_budget_ratio;
     res.retry_budget_extra = settings_.retry_budget_extra;
+    res.may_be_restarted = !settings_.first_start;
     res.version_deadline = settings_.version_deadline;
     res.room = room_;
     auto const budget = gateway::budget_of(
