gateway: Send requests on after a workspace that shares KV cache was isolated

Cause: the salt of a request is set when it is sent, and names the cache group of that time. An endpoint that preempts the request, or lets it wait, uses whatever lies under that salt when it reads the prompt. A change of the configuration left requests alone that had been sent.

Change: `isolation_watch` compares each configuration with the one before it. Changes that isolate nobody who shared KV cache, and a workspace that is set free again in time, cut nothing.

--- a/apps/endiveward/gateway_process.cpp
+++ b/apps/endiveward/gateway_process.cpp
@@ -496,6 +496,7 @@
     res.retry_budget_extra = settings_.retry_budget_extra;
     res.may_be_restarted = !settings_.first_start;
     res.version_deadline = settings_.version_deadline;
+    res.configuration_deadline = settings_.configuration_deadline;
     res.room = room_;
     auto const budget = gateway::budget_of(
         settings_.memory_limit,
--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -9,6 +9,7 @@
 #include "gateway/http/i_upstream_observer.hpp"
 #include "gateway/http/response_head.hpp"
 #include "gateway/i_exchange.hpp"
+#include "gateway/isolation_watch.hpp"
 #include "gateway/types/endpoint_requirements.hpp"
 #include "gateway/types/placement_choice.hpp"
 #include "gateway/types/quota_ticket.hpp"
@@ -118,7 +119,11 @@
     void note_served();
     unserved_request describe_unserved() const;
     bool prepare_retry(std::string_view reason);
+    std::optional<placement_choice> find_alternative() const;
     bool has_alternative() const;
+    bool may_run_again() const;
+    std::optional<isolation_watch::departure> departure() const;
+    void on_isolation(isolation_watch::departure const& reason);
     std::string resumed_after() const;
     bool has_changed_software() const;
     bool has_changed_weights() const;
@@ -173,6 +178,10 @@
     /// The endpoint's generation when the request was sent.
     std::uint64_t sent_generation_ = 0;
     weights::weight_version requested_version_ = 0;
+    isolation_watch::cache_use cache_use_;
+    /// When the last attempt to leave the cache group has failed, the time of
+    /// the next one.
+    kernel::steady_time isolation_retry_at_{};
     /// Whether the endpoint was named a source or a target of KV cache.
     bool exchanges_cache_ = false;
     /// The endpoint's software version when the request was sent.
--- a/packages/gateway/exchange_services.hpp
+++ b/packages/gateway/exchange_services.hpp
@@ -27,6 +27,7 @@
 class endpoint_chooser;
 class endpoint_directory;
 class gateway_metrics;
+class isolation_watch;
 class limit_watch;
 class origin_watch;
 class overload_policy;
@@ -57,6 +58,7 @@
     limit_watch& limits;
     origin_watch& origins;
     quota_watch& quotas;
+    isolation_watch const& isolations;
     speed_watch& speeds;
     room_queue& room;
     buffer_memory& memory;
--- a/packages/gateway/gateway.hpp
+++ b/packages/gateway/gateway.hpp
@@ -45,6 +45,7 @@
 {
 
 class fact_exchange;
+class isolation_watch;
 class quota_watch;
 class speed_watch;
 class room_queue;
@@ -156,6 +157,7 @@
     std::unique_ptr<origin_watch> origins_;
     std::unique_ptr<fact_exchange> facts_;
     std::unique_ptr<quota_watch> quotas_;
+    std::unique_ptr<isolation_watch> isolations_;
     std::unique_ptr<speed_watch> speeds_;
     std::shared_ptr<room_queue> room_;
     std::unique_ptr<exchange_services> services_;
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -506,6 +506,8 @@
     footprint_ = choice.footprint;
     sent_generation_ = endpoint_->generation();
     requested_version_ = choice.version;
+    cache_use_ = services_.isolations.use_of(*services_.table, workspace_,
+                                             requirements_.seed);
     exchanges_cache_ = !choice.kv.source.empty() || !choice.kv.target.empty();
     sent_software_ = entry.software;
     resumes_ = requirements_.software.has_value();
@@ -973,14 +975,66 @@
 /// in time. Without one, a response that has arrived or may still arrive is
 /// kept.
 bool exchange::has_alternative() const
+{
+    return find_alternative().has_value();
+}
+
+std::optional<placement_choice> exchange::find_alternative() const
 {
     auto requirements = requirements_;
+    requirements.cache_group = services_.table->cache_group_of(workspace_);
     requirements.excluded.push_back(endpoint_->entry().id);
-    auto const choice = services_.chooser.choose(
+    auto choice = services_.chooser.choose(
         services_.endpoints.of_service(requirements.service),
         *table_->find_service(requirements.service), requirements,
         services_.weights, services_.clock.now());
-    return choice && choice->time_to_first_byte < time_left();
+    if (choice && choice->time_to_first_byte >= time_left())
+        choice.reset();
+    return choice;
+}
+
+/// Whether the request may be sent to another endpoint while this one runs it:
+/// without the id of an event, no endpoint can be told where to go on.
+bool exchange::may_run_again() const
+{
+    if (!is_retryable(route_->kind) || runs_ >= route_->max_attempts ||
+        is_trial_)
+        return false;
+    return !head_forwarded_ || (is_stream(route_->kind) && last_event_);
+}
+
+/// When the request leaves the endpoint because it shares KV cache there with a
+/// workspace that has become isolated.
+std::optional<isolation_watch::departure> exchange::departure() const
+{
+    if (!requirements_.prompt || refused_ || !may_run_again())
+        return std::nullopt;
+    auto res = services_.isolations.departure_of(cache_use_);
+    if (res)
+        res->at = std::max(res->at, isolation_retry_at_);
+    return res;
+}
+
+/// Sends the request to another endpoint, if one has room for it, so that it
+/// goes on in its present cache group. Requests of the other workspaces leave
+/// half of the retries to failures.
+void exchange::on_isolation(isolation_watch::departure const& reason)
+{
+    auto const choice = find_alternative();
+    auto const has_room =
+        choice && choice->fits_memory && choice->wait <= requirements_.max_wait;
+    auto const may_retry =
+        reason.is_own || services_.budgets.has_spare(requirements_.service);
+    if (!has_room || !may_retry || !prepare_retry("isolated"))
+    {
+        isolation_retry_at_ = services_.clock.now() + recheck_interval;
+        return arm(next_check());
+    }
+    services_.log.write("isolated", "id={} endpoint={} passed={} last_event={}",
+                        id_, endpoint_->entry().id.str(), head_forwarded_,
+                        last_event_.value_or(0));
+    abandon_attempt();
+    attempt();
 }
 
 /// Resumes the stream at another endpoint after the last forwarded event.
@@ -1130,6 +1184,9 @@
     auto const deadline = stall_deadline();
     if (deadline && now >= *deadline)
         return on_stall();
+    auto const leaves = departure();
+    if (leaves && now >= leaves->at)
+        return on_isolation(*leaves);
     arm(next_check());
 }
 
@@ -1137,16 +1194,12 @@
 /// because this one does not respond. Other requests wait until they expire.
 std::optional<kernel::steady_time> exchange::stall_deadline() const
 {
-    if (!is_retryable(route_->kind) || runs_ >= route_->max_attempts ||
-        is_trial_)
+    if (!may_run_again())
         return std::nullopt;
     auto const stalled = endpoint_->stalled(services_.clock.now());
     if (!head_forwarded_)
         return sent_at_ +
                first_byte_timeout(*route_, expected_first_byte_, stalled);
-    // Without the id of an event, no endpoint can be told where to go on.
-    if (!is_stream(route_->kind) || !last_event_)
-        return std::nullopt;
     return last_event_at_ + event_gap_timeout(*route_, stalled);
 }
 
@@ -1178,7 +1231,9 @@
         return end;
     // The endpoint may stall or recover in the meantime, which moves the
     // deadline.
-    return std::min({end, *deadline, services_.clock.now() + recheck_interval});
+    auto const leaves = departure();
+    return std::min({end, *deadline, leaves ? leaves->at : end,
+                     services_.clock.now() + recheck_interval});
 }
 
 milliseconds exchange::time_left() const
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gateway/exchange.hpp"
 #include "gateway/fact_exchange.hpp"
 #include "gateway/gateway_metrics.hpp"
+#include "gateway/isolation_watch.hpp"
 #include "gateway/limit_watch.hpp"
 #include "gateway/origin_watch.hpp"
 #include "gateway/part_watch.hpp"
@@ -87,6 +88,8 @@
     quotas_ = std::make_unique<quota_watch>(context_, clock_, *facts_,
                                             *metrics_, log_, settings_.seed);
     quotas_->set_processes(processes_);
+    isolations_ = std::make_unique<isolation_watch>(
+        clock_, settings_.configuration_deadline);
     speeds_ = std::make_unique<speed_watch>(clock_, *endpoints_, *facts_,
                                             *metrics_, log_);
     room_ = std::make_shared<room_queue>(
@@ -94,10 +97,11 @@
         settings_.placement.prefill_tokens_per_ms, *metrics_, log_);
     room_->set_switch(settings_.room);
     services_ = std::make_unique<exchange_services>(exchange_services{
-        context_,  clock_,          names_,    *endpoints_, *chooser_,
-        overload_, unavailability_, *weights_, *budgets_,   *parts_,
-        *limits_,  *origins_,       *quotas_,  *speeds_,    *room_,
-        memory_,   *metrics_,       log_,      stop_,       table_});
+        context_,  clock_,          names_,    *endpoints_,  *chooser_,
+        overload_, unavailability_, *weights_, *budgets_,    *parts_,
+        *limits_,  *origins_,       *quotas_,  *isolations_, *speeds_,
+        *room_,    memory_,         *metrics_, log_,         stop_,
+        table_});
     if (!settings_.may_be_restarted)
         budgets_->begin_full();
     update_limits();
@@ -119,6 +123,7 @@
 {
     if (table_ != nullptr && table->version() <= table_->version())
         return;
+    isolations_->on_table(table_.get(), *table);
     table_ = std::move(table);
     quotas_->apply(*table_);
     room_->apply(*table_);
@@ -295,6 +300,7 @@
 {
     settings_ = std::move(settings);
     weights_->set_deadline(settings_.version_deadline);
+    isolations_->set_deadline(settings_.configuration_deadline);
     update_memory_limit();
     caller_server_.set_max_connections(settings_.max_caller_connections);
     update_limits();
--- a/packages/gateway/internal/retry_budgets.cpp
+++ b/packages/gateway/internal/retry_budgets.cpp
@@ -56,6 +56,14 @@
     return true;
 }
 
+bool retry_budgets::has_spare(kernel::service_id const& service)
+{
+    auto const now = clock_.now();
+    auto& budget = of(service);
+    auto const left = budget.remaining(now);
+    return left >= 1 && left > budget.use(now).retries;
+}
+
 // Load pattern: all routers are killed again and again while endpoints refuse
 // or fail requests. Each new process would use a whole fixed part, and routers
 // that start together may divide it by a number of routers that is still too
--- a/packages/gateway/retry_budgets.hpp
+++ b/packages/gateway/retry_budgets.hpp
@@ -37,6 +37,9 @@
     void on_request(kernel::service_id const& service);
     /// Counts one retry of the request `id`, or returns false if the budget of
     /// the service is used up.
+    /// Whether at least half of what the window allows is left, so that a
+    /// repetition that is not urgent leaves enough for failures.
+    bool has_spare(kernel::service_id const& service);
     bool try_retry(kernel::service_id const& service, std::string const& id,
                    std::string_view reason);
 
--- a/packages/gateway/tests/retry_budgets_test.cpp
+++ b/packages/gateway/tests/retry_budgets_test.cpp
@@ -173,4 +173,29 @@
           2 * share + fixed - 2 * routers::count);
 }
 
+// Guards against repetitions that are not urgent and use up what failed
+// requests need.
+TEST_CASE("half of the retries are spare")
+{
+    kernel::manual_clock clock;
+    observe::decision_log log(clock, "test", 0);
+    prometheus::Registry registry;
+    gateway_metrics metrics(registry);
+    retry_budgets budgets(clock, metrics, log);
+    kernel::service_id const service("s");
+    budgets.set_limits(0.5, 4);
+    budgets.begin_full();
+    for (int n = 0; n < 8; ++n)
+        budgets.on_request(service);
+    int spare = 0;
+    while (budgets.has_spare(service) &&
+           budgets.try_retry(service, "id", "isolated"))
+        ++spare;
+    CHECK(spare == 4);
+    int rest = 0;
+    while (budgets.try_retry(service, "id", "refused"))
+        ++rest;
+    CHECK(rest == 4);
+}
+
 } // namespace endiveward::gateway
--- a/packages/gateway/types/gateway_settings.hpp
+++ b/packages/gateway/types/gateway_settings.hpp
@@ -31,6 +31,8 @@
     bool may_be_restarted = true;
     /// Time within which a new target version must be in use.
     std::chrono::milliseconds version_deadline{10000};
+    /// Time within which a new configuration must be in use.
+    std::chrono::milliseconds configuration_deadline{2000};
     weights::rollout_options rollout;
     placement_settings placement;
     overload_settings overload;
--- a/packages/gateway/types/process_settings.hpp
+++ b/packages/gateway/types/process_settings.hpp
@@ -37,6 +37,8 @@
     double retry_budget_ratio = 0.2;
     double retry_budget_extra = 50;
     std::chrono::milliseconds version_deadline{10000};
+    /// Time within which a new configuration must be in use.
+    std::chrono::milliseconds configuration_deadline{2000};
     /// Time within which requests must no longer be sent to an endpoint that
     /// drains.
     std::chrono::milliseconds endpoint_drain_time{2000};
