agent: Resume streams on connections that no other call has used

Callers would see: events of another stream, or a stream that is called lost, after an engine has written an earlier answer once more. By a test, not seen at callers.

An answer of the engine names no call, and a broken stream is resumed on any idle connection, also one that has carried another call. A late copy of that call's answer is taken for the rest of the stream.

Change: a request that resumes a stream opens a connection. Calls do so already.

Test: "a stream is not resumed by an answer to an earlier call" failed before with a copied refusal and with copied events (3 checks).

--- a/packages/agent/internal/endpoint_exchange.cpp
+++ b/packages/agent/internal/endpoint_exchange.cpp
@@ -136,6 +136,9 @@
     http_request request;
     request.url = fmt::format("{}/v1/streams/{}?from={}", base_url_,
                               request_.stream_id, next_event_);
+    // On a connection that others have used, a late copy of their answer could
+    // be taken for the rest of this stream.
+    request.uses_new_connection = true;
     return request;
 }
 
--- a/packages/agent/internal/http_transfer.hpp
+++ b/packages/agent/internal/http_transfer.hpp
@@ -22,6 +22,7 @@
     std::chrono::milliseconds timeout{0};
     /// The request must not be sent more than once.
     bool at_most_once = false;
+    bool uses_new_connection = false;
 };
 
 struct http_head
--- a/packages/agent/internal/http_transport.cpp
+++ b/packages/agent/internal/http_transport.cpp
@@ -223,7 +223,7 @@
                          static_cast<long>(request.timeout.count()));
         // libcurl silently retries a request when a reused connection turns out
         // to be closed, which could run a call twice.
-        if (request.at_most_once)
+        if (request.at_most_once || request.uses_new_connection)
             curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         if (request.method == "HEAD")
             curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
--- a/packages/agent/tests/fake_engine.hpp
+++ b/packages/agent/tests/fake_engine.hpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <list>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -19,8 +20,8 @@
 {
 
 /// An HTTP server that sends one prepared response per connection, in order,
-/// and then closes the connection. Responses are raw bytes; the rest of a
-/// response can be held back until `release`.
+/// and then closes the connection, unless it is kept. Responses are raw bytes;
+/// the rest of a response can be held back until `release`.
 class fake_engine
 {
 public:
@@ -29,6 +30,9 @@
         std::string bytes;
         /// Sent after `release`, if not empty.
         std::string after_release = {};
+        /// If not empty, the connection is kept until the client closes it, and
+        /// a second request on it is answered with this.
+        std::string second = {};
     };
 
     explicit fake_engine(std::vector<prepared_response> responses)
@@ -52,6 +56,8 @@
         asio::ip::tcp::socket socket(context);
         socket.connect({asio::ip::make_address("127.0.0.1"), port_}, ec);
         thread_.join();
+        for (auto& it : kept_)
+            it.join();
     }
 
     std::string url() const
@@ -94,12 +100,12 @@
                 if (stopping_)
                     return;
             }
-            serve(socket,
+            serve(std::move(socket),
                   n < responses_.size() ? responses_[n] : prepared_response{});
         }
     }
 
-    void serve(asio::ip::tcp::socket& socket, prepared_response const& response)
+    void serve(asio::ip::tcp::socket socket, prepared_response const& response)
     {
         std::error_code ec;
         auto const request = read_request(socket, ec);
@@ -116,9 +122,28 @@
             lock.unlock();
             asio::write(socket, asio::buffer(response.after_release), ec);
         }
+        if (!response.second.empty())
+            return keep(std::move(socket), response.second);
         socket.shutdown(asio::ip::tcp::socket::shutdown_both, ec);
     }
 
+    void keep(asio::ip::tcp::socket socket, std::string const& answer)
+    {
+        kept_.emplace_back(
+            [this, socket = std::move(socket), answer]() mutable
+            {
+                std::error_code ec;
+                auto const request = read_request(socket, ec);
+                if (ec)
+                    return;
+                {
+                    std::lock_guard const lock(mutex_);
+                    requests_.push_back(request);
+                }
+                asio::write(socket, asio::buffer(answer), ec);
+            });
+    }
+
     static std::string read_request(asio::ip::tcp::socket& socket,
                                     std::error_code& ec)
     {
@@ -146,6 +171,7 @@
     bool released_ = false;
     bool stopping_ = false;
     std::thread thread_;
+    std::list<std::thread> kept_;
 };
 
 /// Head of a streamed response. Its body is terminated by closing the
--- a/packages/agent/tests/http_endpoint_client_test.cpp
+++ b/packages/agent/tests/http_endpoint_client_test.cpp
@@ -170,6 +170,34 @@
     CHECK(engine.requests().at(1).starts_with("GET /v1/streams/abcd?from=2 "));
 }
 
+// Guards against a copy of an earlier answer, of any status, on a connection
+// that is used again: it would end the stream or put other events into it.
+TEST_CASE("a stream is not resumed by an answer to an earlier call")
+{
+    auto const copy =
+        GENERATE(std::string("HTTP/1.1 404 Gone\r\nContent-Length: 0\r\n\r\n"),
+                 stream_response_head("v1", "7") +
+                     "id: 1\ndata: {\"n\":9}\n\n" + "id: 2\ndata: [DONE]\n\n");
+    fake_engine engine(
+        {{"HTTP/1.1 200 OK\r\nX-Model-Version: v1\r\nX-Engine-Incarnation: "
+          "7\r\nContent-Length: 2\r\n\r\n{}",
+          {},
+          copy},
+         {stream_response_head("v1", "7") + event(0)},
+         {stream_response_head("v1", "7") + event(1) + "data: [DONE]\n\n"}});
+    client_under_test test(engine.url());
+    auto call = make_stream_request();
+    call.streaming = false;
+    test.client.start(1, call, test.observer);
+    test.run_to_end();
+    test.observer.end.reset();
+    test.observer.chunks.clear();
+    test.client.start(2, make_stream_request(), test.observer);
+    test.run_to_end();
+    CHECK_FALSE(test.observer.end->failure);
+    CHECK(test.observer.text() == relayed_event(0) + relayed_event(1));
+}
+
 // Guards against a stream with a gap that is reported as complete.
 TEST_CASE("a missing event is requested again")
 {
