--- a/packages/gateway/tests/isolated_run_test.cpp
+++ b/packages/gateway/tests/isolated_run_test.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr engine_properties engine{64, 100000, 1};
+auto const configuration_deadline = gateway_settings().configuration_deadline;
 constexpr int last_event = 40;
 constexpr std::chrono::milliseconds event_time{50};
 
@@ -114,6 +115,11 @@
         REQUIRE(caller.read_until("id: 1\n").find("id: 1\n") !=
                 std::string::npos);
     it.configure(2, true);
+    auto const changed = std::chrono::steady_clock::now();
+    while (it.runs == 1 &&
+           std::chrono::steady_clock::now() < changed + configuration_deadline)
+        std::this_thread::sleep_for(event_time);
+    CHECK(it.runs == 2);
     auto const text = caller.read_all();
     CHECK(is_whole(text));
     auto const seen = it.seen();
--- a/packages/gateway/tests/repeated_refusal_test.cpp
+++ b/packages/gateway/tests/repeated_refusal_test.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -140,18 +141,18 @@
     auto const status = GENERATE(200, 404, 500);
     CAPTURE(status);
     std::mutex mutex;
-    std::map<std::thread::id, int> answered;
+    std::set<std::thread::id> answered;
     scripted_endpoint endpoint(
         [&](http_request const& request, scripted_connection& conn)
         {
             std::lock_guard const lock(mutex);
-            if (answered.empty())
-                conn.answer(request, status, "first");
-            else if (answered[std::this_thread::get_id()] > 0)
-                conn.answer(request, status, "first");
-            else
+            // Each connection has a thread of its own.
+            auto const is_new =
+                answered.insert(std::this_thread::get_id()).second;
+            if (is_new && answered.size() > 1)
                 conn.answer(request, 200, "second");
-            ++answered[std::this_thread::get_id()];
+            else
+                conn.answer(request, status, "first");
             return true;
         });
     test_gateway gate;
