gateway: Take KV cache of replaced weights from endpoints that still have them

Cause: only what was read in again after a load is wrong under the salt of the older weights. An endpoint has that from when its own load ends; a store may have it as soon as any endpoint has loaded.

Change: stores stay closed. An endpoint remains a source until it has loaded, for requests that are expected to fetch within 500 ms, or at once if its agent has announced the load; a load takes longer. Without a link to its agent it is none. An endpoint that only loads is no sign of a newer version any more: nothing is wrong before it has loaded. A request whose connection is established is placed anew only if a version was named meanwhile.

--- a/packages/gateway/exchange.hpp
+++ b/packages/gateway/exchange.hpp
@@ -182,6 +182,8 @@
     /// When the last attempt to leave the cache group has failed, the time of
     /// the next one.
     kernel::steady_time isolation_retry_at_{};
+    /// The newest version that was named when the request was sent.
+    weights::weight_version named_version_ = 0;
     /// Whether the endpoint was named a source or a target of KV cache.
     bool exchanges_cache_ = false;
     /// The endpoint's software version when the request was sent.
--- a/packages/gateway/internal/endpoint_chooser.cpp
+++ b/packages/gateway/internal/endpoint_chooser.cpp
@@ -37,6 +37,10 @@
 /// have sent since its last report. In bursts of the documented deployments
 /// some 13,000 tokens arrive at an engine between two reports, 200 ms.
 constexpr double unreported_memory_share = 0.06;
+/// While weights are replaced, a request that is expected to wait longer is
+/// told of no source, since that may have loaded the newer ones by then. A load
+/// takes longer than this.
+constexpr std::chrono::milliseconds max_fetch_delay{500};
 /// Fewer tokens than this are not worth the cost of a transfer.
 constexpr std::uint32_t min_fetch_tokens = 48;
 
@@ -111,8 +115,8 @@
     endpoint_record const* home = nullptr;
     /// The KV cache store for this prefix, chosen by rendezvous hash, or null.
     std::string const* store = nullptr;
-    /// Whether endpoints take KV cache under this salt from elsewhere.
-    bool is_exchanged = true;
+    /// Whether newer weights are being loaded in the place of these.
+    bool is_replaced = false;
 
     std::uint32_t cached_tokens_at(endpoint_record const& it) const
     {
@@ -124,22 +128,31 @@
 
     /// Returns the source from which an endpoint would fetch the prefix: the
     /// one with the most cached tokens, preferably in the endpoint's own zone.
-    holder source_for(endpoint_record const& it) const
+    /// `wait` is the expected time until it fetches.
+    holder source_for(endpoint_record const& it,
+                      std::chrono::milliseconds wait) const
     {
         holder res;
-        if (!is_exchanged)
-            return res;
         for (auto const& h : holders)
         {
             if (h.cached_tokens < res.cached_tokens)
                 break;
-            if (h.endpoint != &it &&
+            if (h.endpoint != &it && is_source(*h.endpoint, wait) &&
                 (res.endpoint == nullptr ||
                  h.endpoint->entry().zone == it.entry().zone))
                 res = h;
         }
         return res;
     }
+
+    bool is_source(endpoint_record const& it,
+                   std::chrono::milliseconds wait) const
+    {
+        if (!is_replaced)
+            return true;
+        return it.linked() &&
+               wait <= (it.reloading() ? idle_wait : max_fetch_delay);
+    }
 };
 
 /// The inputs of one choice, and values that are computed once for all
@@ -413,8 +426,8 @@
     if (lookup.levels.empty())
         return lookup;
     auto const& shared = shared_level(lookup.levels);
-    lookup.is_exchanged = context.weights.exchanges_cache(prompt.model, version,
-                                                          context.endpoints);
+    lookup.is_replaced =
+        context.weights.is_replaced(prompt.model, version, context.endpoints);
     std::pair<double, std::uint64_t> best_home;
     for (auto const& it : context.endpoints)
     {
@@ -444,7 +457,7 @@
     std::uint64_t best = 0;
     for (auto const& it : context.requirements.kv_stores)
     {
-        if (!lookup.is_exchanged)
+        if (lookup.is_replaced)
             break;
         auto const rank = rendezvous_rank(it, shared.key);
         if (lookup.store == nullptr || rank > best)
@@ -476,7 +489,7 @@
         choice.shared = shared_level(lookup.levels);
         auto const shared = choice.shared.tokens;
         auto const cached_tokens = lookup.cached_tokens_at(endpoint);
-        auto const source = lookup.source_for(endpoint);
+        auto const source = lookup.source_for(endpoint, choice.wait);
         reusable = std::max(cached_tokens, source.cached_tokens);
         // The source is set even if nothing seems to be missing, since the
         // cache estimate of the endpoint may be wrong and an unneeded source
--- a/packages/gateway/internal/exchange.cpp
+++ b/packages/gateway/internal/exchange.cpp
@@ -508,6 +508,10 @@
     requested_version_ = choice.version;
     cache_use_ = services_.isolations.use_of(*services_.table, workspace_,
                                              requirements_.seed);
+    named_version_ =
+        requirements_.prompt
+            ? services_.weights.target_of(requirements_.prompt->model)
+            : 0;
     exchanges_cache_ = !choice.kv.source.empty() || !choice.kv.target.empty();
     sent_software_ = entry.software;
     resumes_ = requirements_.software.has_value();
@@ -593,7 +597,7 @@
 bool exchange::has_changed_weights() const
 {
     return exchanges_cache_ &&
-           requested_version_ <
+           named_version_ !=
                services_.weights.target_of(requirements_.prompt->model);
 }
 
--- a/packages/gateway/internal/weights_view.cpp
+++ b/packages/gateway/internal/weights_view.cpp
@@ -146,21 +146,17 @@
 
 // Requests that run during a load go on under the newer weights, with the salt
 // of the older ones. What they compute from then on, also for a store, must not
-// reach an endpoint that still has the older weights. An endpoint or its agent
-// may know of the newer version before this process does.
-bool weights_view::exchanges_cache(
+// reach an endpoint that still has the older weights. An endpoint may have the
+// newer ones before this process hears of them.
+bool weights_view::is_replaced(
     kernel::model_id const& model, weights::weight_version version,
     std::span<std::shared_ptr<endpoint_record> const> endpoints) const
 {
     if (version < target_of(model))
-        return false;
-    return std::none_of(endpoints.begin(), endpoints.end(),
-                        [&](auto const& it)
-                        {
-                            auto const loaded = it->version_of(model);
-                            return loaded > version ||
-                                   (loaded == version && it->reloading());
-                        });
+        return true;
+    return std::any_of(endpoints.begin(), endpoints.end(),
+                       [&](auto const& it)
+                       { return it->version_of(model) > version; });
 }
 
 weights::weight_version
--- a/packages/gateway/weights_view.hpp
+++ b/packages/gateway/weights_view.hpp
@@ -45,9 +45,9 @@
     bool may_start(kernel::model_id const& model,
                    weights::weight_version version,
                    kernel::steady_time start) const;
-    /// Whether endpoints that serve this version take KV cache of it from each
-    /// other or from a store: not while a newer version is being loaded.
-    bool exchanges_cache(
+    /// Whether a newer version is being loaded in the place of this one. KV
+    /// cache of it is then neither taken from a store nor saved there.
+    bool is_replaced(
         kernel::model_id const& model, weights::weight_version version,
         std::span<std::shared_ptr<endpoint_record> const> endpoints) const;
     /// Returns the model version that a request sent now should expect of the
